Add the workspace, the design page and the shared types

Cause: there is no code yet; the parts need common types, a design page and a check that gives the same verdict everywhere.

Conclusion: the modules listed in docs/design.md can be written in parallel against these types.

--- /dev/null
+++ b/crates/briarladder-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command.
--- /dev/null
+++ b/crates/briarladder-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The binary `briarladder`: the operators' command.
+
+fn main() {}
--- /dev/null
+++ b/crates/briarladder-core/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Which request runs next, and which is refused at once.
--- /dev/null
+++ b/crates/briarladder-core/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! How a published configuration is assembled and adopted.
--- /dev/null
+++ b/crates/briarladder-core/src/lib.rs
@@ -0,0 +1,38 @@
+//! Decision code of briarladder, without I/O.
+//!
+//! Each module takes the current time, an input and a snapshot of what is
+//! known, and returns a typed outcome. The daemon's controllers do the I/O.
+//! That keeps every decision testable and measurable on its own.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_core::{names::ServerName, rendezvous};
+//!
+//! let servers = [
+//!     ServerName::new("engine-1").unwrap(),
+//!     ServerName::new("engine-2").unwrap(),
+//! ];
+//! let first = rendezvous::first("vm-7", &servers).unwrap();
+//! assert!(servers.contains(first));
+//! ```
+
+pub mod admission;
+pub mod clock;
+pub mod config;
+pub mod ids;
+pub mod ledger;
+pub mod limits;
+pub mod load;
+pub mod membership;
+pub mod names;
+pub mod objects;
+pub mod orders;
+pub mod poison;
+pub mod rendezvous;
+pub mod retry;
+pub mod routing;
+pub mod sorted;
+pub mod stream;
+pub mod ticket;
+pub mod timeline;
--- /dev/null
+++ b/crates/briarladder-core/src/limits.rs
@@ -0,0 +1,1 @@
+//! Workspace limits across many daemons.
--- /dev/null
+++ b/crates/briarladder-core/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Which daemons are live.
--- /dev/null
+++ b/crates/briarladder-core/src/objects/check.rs
@@ -0,0 +1,1 @@
+//! Finds every fault of a set of objects at once.
--- /dev/null
+++ b/crates/briarladder-core/src/orders.rs
@@ -0,0 +1,1 @@
+//! The desired state of engines, and who orders it.
--- /dev/null
+++ b/crates/briarladder-core/src/poison.rs
@@ -0,0 +1,1 @@
+//! Requests that crash backend servers.
--- /dev/null
+++ b/crates/briarladder-core/src/rendezvous.rs
@@ -0,0 +1,79 @@
+//! Rendezvous (highest random weight) order over names.
+//!
+//! Every process that knows the same names computes the same order without
+//! talking to another, and removing one name moves only what it held.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_core::rendezvous;
+//!
+//! let order = rendezvous::order("zone-a", ["vm-1", "vm-2", "vm-3"]);
+//! let without_first = rendezvous::order("zone-a", order[1..].to_vec());
+//! assert_eq!(order[1..], without_first);
+//! ```
+
+use rapidhash::v3::{RapidSecrets, rapidhash_v3, rapidhash_v3_seeded};
+
+/// Returns the score of a candidate for a key; the highest score is first.
+#[must_use]
+pub fn score(key: &str, candidate: &str) -> u64 {
+    let secrets = RapidSecrets::seed(rapidhash_v3(key.as_bytes()));
+    rapidhash_v3_seeded(candidate.as_bytes(), &secrets)
+}
+
+/// Returns the candidates in rendezvous order for a key.
+pub fn order<T: AsRef<str>>(
+    key: &str,
+    candidates: impl IntoIterator<Item = T>,
+) -> Vec<T> {
+    let mut scored: Vec<(u64, T)> = candidates
+        .into_iter()
+        .map(|candidate| (score(key, candidate.as_ref()), candidate))
+        .collect();
+    // Equal scores fall back to the name, so that all processes agree.
+    scored.sort_by(|a, b| {
+        b.0.cmp(&a.0).then_with(|| a.1.as_ref().cmp(b.1.as_ref()))
+    });
+    scored.into_iter().map(|(_, candidate)| candidate).collect()
+}
+
+/// Returns the first candidate in rendezvous order for a key.
+pub fn first<'a, T: AsRef<str>>(
+    key: &str,
+    candidates: impl IntoIterator<Item = &'a T>,
+) -> Option<&'a T> {
+    candidates.into_iter().max_by(|a, b| {
+        let (a, b) = (a.as_ref(), b.as_ref());
+        score(key, a).cmp(&score(key, b)).then_with(|| b.cmp(a))
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against an order that depends on the order of the input,
+    /// which would give two processes different owners.
+    #[test]
+    fn order_ignores_input_order() {
+        let names = ["a", "b", "c", "d", "e"];
+        let mut reversed = names;
+        reversed.reverse();
+        assert_eq!(order("k", names), order("k", reversed));
+        assert_eq!(first("k", &names), order("k", &names).first().copied());
+    }
+
+    /// Guards against a hash that sends most keys to one candidate.
+    #[test]
+    fn first_spreads_keys() {
+        let names: Vec<String> = (0..10).map(|i| format!("vm-{i}")).collect();
+        let mut counts = [0_u32; 10];
+        for key in 0..10_000 {
+            let name = first(&format!("key-{key}"), &names).unwrap();
+            let at = names.iter().position(|n| n == name).unwrap();
+            counts[at] += 1;
+        }
+        assert!(counts.iter().all(|&n| (850..1150).contains(&n)));
+    }
+}
--- /dev/null
+++ b/crates/briarladder-core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Whether an attempt may be repeated.
--- /dev/null
+++ b/crates/briarladder-core/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Which backend server runs an attempt.
--- /dev/null
+++ b/crates/briarladder-core/src/stream.rs
@@ -0,0 +1,1 @@
+//! The token sequence of one generation across several engines.
--- /dev/null
+++ b/crates/briarladder-core/src/ticket.rs
@@ -0,0 +1,1 @@
+//! Tickets for calls that may not repeat.
--- /dev/null
+++ b/crates/briarladder-core/src/timeline.rs
@@ -0,0 +1,1 @@
+//! Events of all processes in causal order.
--- /dev/null
+++ b/crates/briarladder-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon of an entry VM.
--- /dev/null
+++ b/crates/briarladder-daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The binary `briarladderd`: the daemon of an entry VM.
+
+fn main() {}
--- /dev/null
+++ b/crates/briarladder-wire/src/backend.rs
@@ -0,0 +1,182 @@
+//! Messages between a daemon and a backend server, as JSON over HTTP.
+//!
+//! | call | request | answer |
+//! | --- | --- | --- |
+//! | `POST /v1/run` | [`RunRequest`] | [`RunResponse`], or for generation server-sent events of [`StreamEvent`] |
+//! | `DELETE /v1/run/{request_id}` | | 204; cancels the request |
+//! | `GET /v1/load` | | `LoadReport` |
+//! | `GET /v1/cache-events?after=N` | | [`CacheEvents`] |
+//! | `POST /v1/orders` | [`Order`] | [`OrderAnswer`] |
+//! | `GET /v1/calls/{key}` | | [`CallRecord`]; plain services only |
+//!
+//! A refusal that carries the header [`NOT_RUN_HEADER`] with the value
+//! `true` proves that the backend server did not run the request.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_wire::backend::CallRecord;
+//!
+//! let record: CallRecord =
+//!     serde_json::from_str(r#"{"state": "never_seen"}"#).unwrap();
+//! assert!(matches!(record, CallRecord::NeverSeen));
+//! ```
+
+use std::sync::Arc;
+
+use briarladder_core::{
+    ids::RequestId,
+    load::LoadReport,
+    names::{ModelVersionName, StageName},
+};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+/// The header that marks a refusal as proof that nothing ran.
+pub const NOT_RUN_HEADER: &str = "briarladder-not-run";
+
+/// The header that carries the key of a call that may not repeat.
+pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+
+/// One attempt at one stage of a request.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RunRequest {
+    /// The request; the same over all stages and attempts.
+    pub request_id: RequestId,
+    /// The stage.
+    pub stage: StageName,
+    /// Counts the attempts at this stage from 0.
+    pub attempt: u32,
+    /// The epoch the request is pinned to; also the fencing token.
+    pub epoch: u64,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// The time left until the request's deadline, in milliseconds.
+    pub deadline_ms: u64,
+    /// For generation, the version that generates.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub model_version: Option<ModelVersionName>,
+    /// For generation, the most tokens of the whole answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_tokens: Option<u32>,
+    /// For generation, the tokens that earlier attempts delivered. The
+    /// backend server goes on with the token after them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub resume_tokens: Vec<Arc<str>>,
+    /// For plain services, the operation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operation: Option<Arc<str>>,
+    /// What the caller sent.
+    pub input: Arc<RawValue>,
+    /// The output of the stage before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub previous: Option<Arc<RawValue>>,
+}
+
+/// The answer to one attempt. It repeats what identifies the attempt, so
+/// that a late or crossed answer is recognised.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RunResponse {
+    /// The request.
+    pub request_id: RequestId,
+    /// The stage.
+    pub stage: StageName,
+    /// The attempt.
+    pub attempt: u32,
+    /// The output of the stage.
+    pub output: Box<RawValue>,
+    /// The load after the attempt.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<LoadReport>,
+}
+
+/// One server-sent event of a generation.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+pub enum StreamEvent {
+    /// The first event of each attempt.
+    Start {
+        /// The request.
+        request_id: RequestId,
+        /// The stage.
+        stage: StageName,
+        /// The attempt.
+        attempt: u32,
+    },
+    /// One token.
+    Token {
+        /// Counts the tokens of the whole answer from 0, over all attempts.
+        index: u32,
+        /// The text of the token.
+        text: Arc<str>,
+    },
+    /// The last event of a complete generation.
+    Done {
+        /// The tokens of the whole answer, over all attempts.
+        total_tokens: u32,
+        /// The load after the attempt.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        load: Option<LoadReport>,
+    },
+}
+
+/// What a plain service knows of the call with an idempotency key.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(tag = "state", rename_all = "snake_case")]
+pub enum CallRecord {
+    /// No call with this key has reached this backend server.
+    NeverSeen,
+    /// The call is running.
+    Running,
+    /// The call ran, with this output.
+    Done {
+        /// The output of the call.
+        output: Box<RawValue>,
+    },
+}
+
+/// Changes of an engine's prefix cache, published late and with gaps.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct CacheEvents {
+    /// The number of the first event in `events`. A reader that expected a
+    /// lower one has missed events.
+    pub first_sequence: u64,
+    /// The events in order.
+    pub events: Vec<CacheEvent>,
+}
+
+/// One change of an engine's prefix cache.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+pub enum CacheEvent {
+    /// The prefix with this hash is now cached.
+    Stored {
+        /// The hash of the prefix.
+        prefix_hash: u64,
+    },
+    /// The prefix with this hash is no longer cached.
+    Evicted {
+        /// The hash of the prefix.
+        prefix_hash: u64,
+    },
+}
+
+/// An order to an engine: the whole state it should come to.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Order {
+    /// The epoch from which the desired state follows.
+    pub fencing_token: u64,
+    /// The versions to have loaded; others are unloaded.
+    pub model_versions: Vec<ModelVersionName>,
+}
+
+/// The state of an engine after an order.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OrderAnswer {
+    /// Whether the engine took the order.
+    pub accepted: bool,
+    /// The highest fencing token the engine has seen.
+    pub epoch_seen: u64,
+    /// The versions it has loaded now.
+    pub model_versions: Vec<ModelVersionName>,
+}
