--- a/crates/briarladder-core/src/ledger.rs
+++ b/crates/briarladder-core/src/ledger.rs
@@ -1,1 +1,624 @@
-//! The calls of one daemon incarnation, each run at most once.
+//! The calls of one daemon incarnation that may not repeat.
+//!
+//! A slot is reserved when a ticket is issued, so that a valid ticket always
+//! has its slot. The slot decides alone whether the call may be sent to a
+//! backend server, and keeps the outcome until the retention time is over.
+//!
+//! ```text
+//! Reserved -> Running -> Dispatched -> Finished(answered | unknown)
+//!     |          |  ^        |
+//!     |          |  +--------+  proven not to have run
+//!     +----------+-----------------> Finished(not run)
+//! ```
+//!
+//! For calls that may repeat, use the retry rules in
+//! [`retry`](crate::retry).
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//!
+//! use briarladder_core::ledger::{Begin, Ledger, LedgerLimits};
+//!
+//! let now = Instant::now();
+//! let mut ledger = Ledger::<&str>::new(LedgerLimits::default());
+//! let sequence = ledger.issue(now).unwrap();
+//! assert!(matches!(ledger.begin(now, sequence), Begin::Run));
+//! // A second copy of the call joins the first.
+//! assert!(matches!(ledger.begin(now, sequence), Begin::Join));
+//! ledger.dispatch(now, sequence).unwrap();
+//! ledger.finish_answered(sequence, "paid", 4);
+//! ```
+
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use derive_more::{Display, Error};
+
+/// The bounds of a ledger.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LedgerLimits {
+    /// The most slots, used and unused.
+    pub capacity_slots: usize,
+    /// The most bytes of answers that are kept.
+    pub answers_bytes: usize,
+    /// How long a ticket may be used.
+    pub lifetime: Duration,
+    /// How long an outcome is kept after the ticket expired.
+    pub retention: Duration,
+}
+
+impl Default for LedgerLimits {
+    fn default() -> LedgerLimits {
+        LedgerLimits {
+            // 30 tickets a second for the 660 s that a slot lives.
+            capacity_slots: 20_000,
+            answers_bytes: 8 << 20,
+            lifetime: Duration::from_mins(1),
+            retention: Duration::from_mins(10),
+        }
+    }
+}
+
+/// No ticket can be issued because every slot is in use.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+#[display(
+    "all {capacity_slots} ledger slots are in use; come back in {} ms",
+    retry_after.as_millis()
+)]
+pub struct LedgerFull {
+    /// The number of slots.
+    pub capacity_slots: usize,
+    /// When the oldest slot is freed.
+    pub retry_after: Duration,
+}
+
+/// The answer to the arrival of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Begin<A> {
+    /// The call is the first one and may run.
+    Run,
+    /// Another copy of the call runs; wait for its outcome.
+    Join,
+    /// The call has an outcome.
+    Finished(Finished<A>),
+    /// The ledger no longer knows the ticket, or never issued it.
+    Forgotten,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Finished<A> {
+    /// It ran. The answer is absent if it had to make room.
+    Answered(Option<A>),
+    /// It did not run and can't run any more.
+    NotRun(Arc<str>),
+    /// It may have run.
+    Unknown(Arc<str>),
+}
+
+/// The state of a call, for a status query.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Status<A> {
+    /// The ticket can still be used.
+    Unused,
+    /// The call has begun and has no outcome yet.
+    Running,
+    /// The call has an outcome.
+    Finished(Finished<A>),
+    /// The ledger no longer knows the ticket, or never issued it.
+    Forgotten,
+}
+
+/// The call can't be dispatched.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub enum DispatchError {
+    /// The slot was closed before.
+    #[display("the ticket was closed before the call was sent")]
+    Closed,
+    /// The call was dispatched and not proven to have failed to run.
+    #[display("the call was sent before")]
+    Dispatched,
+    /// The ledger does not hold the ticket.
+    #[display("the ledger does not hold the ticket")]
+    Forgotten,
+}
+
+/// An event that proves that a dispatched call did not run.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum NotRunProof {
+    /// The connection was never made, so no byte was sent.
+    #[display("no connection to the backend server")]
+    NotConnected,
+    /// The backend server said that it did not run the call.
+    #[display("the backend server refused to run the call")]
+    Refused,
+}
+
+/// The final state of one slot, told to peers at a planned stop.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FinalOutcome<A> {
+    /// The ticket's number.
+    pub sequence: u64,
+    /// What became of it.
+    pub finished: Finished<A>,
+}
+
+#[derive(Debug)]
+struct Slot<A> {
+    expires_at: Instant,
+    state: SlotState<A>,
+    answer_bytes: usize,
+}
+
+#[derive(Debug)]
+enum SlotState<A> {
+    Reserved,
+    Running,
+    Dispatched,
+    Finished(Finished<A>),
+}
+
+/// The slots of one incarnation, in order of issue.
+#[derive(Debug)]
+pub struct Ledger<A> {
+    limits: LedgerLimits,
+    slots: VecDeque<Slot<A>>,
+    /// The sequence number of the first slot.
+    first_sequence: u64,
+    answers_bytes: usize,
+    stopping: bool,
+}
+
+impl<A: Clone> Ledger<A> {
+    /// Creates an empty ledger.
+    #[must_use]
+    pub fn new(limits: LedgerLimits) -> Ledger<A> {
+        Ledger {
+            limits,
+            slots: VecDeque::new(),
+            first_sequence: 0,
+            answers_bytes: 0,
+            stopping: false,
+        }
+    }
+
+    /// Changes the bounds. Slots that are in use keep their times.
+    pub fn set_limits(&mut self, limits: LedgerLimits) {
+        self.limits = limits;
+    }
+
+    /// Returns the number of slots in use.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Returns whether no slot is in use.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Reserves a slot and returns its sequence number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when every slot is in use. Nothing was promised
+    /// then, so the refusal can say "not run".
+    pub fn issue(&mut self, now: Instant) -> Result<u64, LedgerFull> {
+        self.forget(now);
+        if self.stopping || self.slots.len() >= self.limits.capacity_slots {
+            let free_at = self.slots.front().map(|s| self.forget_at(s));
+            let wait = free_at.map(|at| at.saturating_duration_since(now));
+            return Err(LedgerFull {
+                capacity_slots: self.limits.capacity_slots,
+                retry_after: wait.unwrap_or_default(),
+            });
+        }
+        let sequence = self.first_sequence + self.slots.len() as u64;
+        self.slots.push_back(Slot {
+            expires_at: now + self.limits.lifetime,
+            state: SlotState::Reserved,
+            answer_bytes: 0,
+        });
+        Ok(sequence)
+    }
+
+    /// Takes the arrival of a call.
+    pub fn begin(&mut self, now: Instant, sequence: u64) -> Begin<A> {
+        self.close_expired(now, sequence);
+        let Some(slot) = self.slot_mut(sequence) else {
+            return Begin::Forgotten;
+        };
+        match &slot.state {
+            SlotState::Reserved => {
+                slot.state = SlotState::Running;
+                Begin::Run
+            }
+            SlotState::Running | SlotState::Dispatched => Begin::Join,
+            SlotState::Finished(finished) => Begin::Finished(finished.clone()),
+        }
+    }
+
+    /// Records that the first byte is about to be sent. Call it
+    /// immediately before, and send nothing after an error.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the call may not be sent.
+    pub fn dispatch(
+        &mut self,
+        now: Instant,
+        sequence: u64,
+    ) -> Result<(), DispatchError> {
+        self.forget(now);
+        let slot = self.slot_mut(sequence).ok_or(DispatchError::Forgotten)?;
+        match slot.state {
+            SlotState::Running => {
+                slot.state = SlotState::Dispatched;
+                Ok(())
+            }
+            SlotState::Dispatched => Err(DispatchError::Dispatched),
+            SlotState::Reserved | SlotState::Finished(_) => {
+                Err(DispatchError::Closed)
+            }
+        }
+    }
+
+    /// Takes the dispatch back after an event that proves that nothing ran,
+    /// so that another backend server may be tried.
+    pub fn withdraw(&mut self, sequence: u64, _proof: NotRunProof) {
+        if let Some(slot) = self.slot_mut(sequence)
+            && matches!(slot.state, SlotState::Dispatched)
+        {
+            slot.state = SlotState::Running;
+        }
+    }
+
+    /// Records the answer of a call that ran.
+    pub fn finish_answered(
+        &mut self,
+        sequence: u64,
+        answer: A,
+        answer_bytes: usize,
+    ) {
+        let Some(slot) = self.slot_mut(sequence) else { return };
+        if matches!(slot.state, SlotState::Finished(_)) {
+            return;
+        }
+        slot.state = SlotState::Finished(Finished::Answered(Some(answer)));
+        slot.answer_bytes = answer_bytes;
+        self.answers_bytes += answer_bytes;
+        self.make_room_for_answers();
+    }
+
+    /// Records that a call ended without an answer, and returns the outcome
+    /// that may be told: not run if it was never dispatched or the dispatch
+    /// was withdrawn, and unknown otherwise.
+    pub fn finish_failed(
+        &mut self,
+        sequence: u64,
+        detail: Arc<str>,
+    ) -> Finished<A> {
+        let Some(slot) = self.slot_mut(sequence) else {
+            return Finished::Unknown(detail);
+        };
+        let finished = match &slot.state {
+            SlotState::Reserved | SlotState::Running => {
+                Finished::NotRun(detail)
+            }
+            SlotState::Dispatched => Finished::Unknown(detail),
+            SlotState::Finished(finished) => return finished.clone(),
+        };
+        slot.state = SlotState::Finished(finished.clone());
+        finished
+    }
+
+    /// Closes a ticket on the caller's wish, if its call has not begun.
+    pub fn close(
+        &mut self,
+        now: Instant,
+        sequence: u64,
+        detail: Arc<str>,
+    ) -> Status<A> {
+        self.close_expired(now, sequence);
+        if let Some(slot) = self.slot_mut(sequence)
+            && matches!(slot.state, SlotState::Reserved)
+        {
+            slot.state = SlotState::Finished(Finished::NotRun(detail));
+        }
+        self.status(now, sequence)
+    }
+
+    /// Returns the state of a call.
+    pub fn status(&mut self, now: Instant, sequence: u64) -> Status<A> {
+        self.close_expired(now, sequence);
+        match self.slot_mut(sequence).map(|slot| &slot.state) {
+            None => Status::Forgotten,
+            Some(SlotState::Reserved) => Status::Unused,
+            Some(SlotState::Running | SlotState::Dispatched) => {
+                Status::Running
+            }
+            Some(SlotState::Finished(finished)) => {
+                Status::Finished(finished.clone())
+            }
+        }
+    }
+
+    /// Issues no more tickets. Issued ones can still be used.
+    pub fn stop_issuing(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Returns the number of tickets that can still be used or whose call
+    /// runs.
+    #[must_use]
+    pub fn open_len(&self, now: Instant) -> usize {
+        let open = |slot: &&Slot<A>| match slot.state {
+            SlotState::Reserved => slot.expires_at > now,
+            SlotState::Running | SlotState::Dispatched => true,
+            SlotState::Finished(_) => false,
+        };
+        self.slots.iter().filter(open).count()
+    }
+
+    /// Closes every unused ticket, at the end of a planned stop.
+    pub fn close_unused(&mut self, detail: &Arc<str>) {
+        for slot in &mut self.slots {
+            if matches!(slot.state, SlotState::Reserved) {
+                let finished = Finished::NotRun(Arc::clone(detail));
+                slot.state = SlotState::Finished(finished);
+            }
+        }
+    }
+
+    /// Returns every outcome, for peers that answer status queries after a
+    /// planned stop. A call without an outcome counts as unknown.
+    #[must_use]
+    pub fn final_outcomes(&self) -> Vec<FinalOutcome<A>> {
+        let still_running: Arc<str> =
+            Arc::from("the daemon stopped while the call was running");
+        let outcome = |(sequence, slot): (u64, &Slot<A>)| FinalOutcome {
+            sequence,
+            finished: match &slot.state {
+                SlotState::Finished(finished) => finished.clone(),
+                _ => Finished::Unknown(Arc::clone(&still_running)),
+            },
+        };
+        (self.first_sequence..).zip(&self.slots).map(outcome).collect()
+    }
+
+    fn slot_mut(&mut self, sequence: u64) -> Option<&mut Slot<A>> {
+        let at = sequence.checked_sub(self.first_sequence)?;
+        self.slots.get_mut(usize::try_from(at).ok()?)
+    }
+
+    fn close_expired(&mut self, now: Instant, sequence: u64) {
+        self.forget(now);
+        let Some(slot) = self.slot_mut(sequence) else { return };
+        if slot.expires_at <= now && matches!(slot.state, SlotState::Reserved)
+        {
+            let detail = Arc::from("the ticket expired before it was used");
+            slot.state = SlotState::Finished(Finished::NotRun(detail));
+        }
+    }
+
+    fn forget_at(&self, slot: &Slot<A>) -> Instant {
+        slot.expires_at + self.limits.retention
+    }
+
+    /// Frees the oldest slots whose retention time is over. A slot whose
+    /// call runs is never freed.
+    fn forget(&mut self, now: Instant) {
+        while let Some(slot) = self.slots.front() {
+            let running = matches!(
+                slot.state,
+                SlotState::Running | SlotState::Dispatched
+            );
+            if running || self.forget_at(slot) > now {
+                return;
+            }
+            self.answers_bytes -= slot.answer_bytes;
+            self.slots.pop_front();
+            self.first_sequence += 1;
+        }
+    }
+
+    /// Drops the oldest answers until the rest fits. The fact that the call
+    /// was answered stays.
+    fn make_room_for_answers(&mut self) {
+        let limit = self.limits.answers_bytes;
+        for slot in &mut self.slots {
+            if self.answers_bytes <= limit {
+                return;
+            }
+            if let SlotState::Finished(Finished::Answered(answer)) =
+                &mut slot.state
+            {
+                *answer = None;
+                self.answers_bytes -= std::mem::take(&mut slot.answer_bytes);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn limits() -> LedgerLimits {
+        LedgerLimits {
+            capacity_slots: 4,
+            answers_bytes: 10,
+            lifetime: Duration::from_secs(10),
+            retention: Duration::from_secs(100),
+        }
+    }
+
+    fn detail() -> Arc<str> {
+        Arc::from("test")
+    }
+
+    fn not_run() -> Status<u32> {
+        Status::Finished(Finished::NotRun(detail()))
+    }
+
+    /// Guards against a second run when the caller sends the call again,
+    /// at every state of the first.
+    #[test]
+    fn begin_runs_once() {
+        let now = Instant::now();
+        let mut ledger = Ledger::new(limits());
+        let sequence = ledger.issue(now).unwrap();
+        assert_eq!(ledger.begin(now, sequence), Begin::Run);
+        assert_eq!(ledger.begin(now, sequence), Begin::Join);
+        ledger.dispatch(now, sequence).unwrap();
+        assert_eq!(ledger.begin(now, sequence), Begin::Join);
+        let again = ledger.dispatch(now, sequence);
+        assert_eq!(again, Err(DispatchError::Dispatched));
+        ledger.finish_answered(sequence, 7, 1);
+        let finished = Finished::Answered(Some(7));
+        assert_eq!(ledger.begin(now, sequence), Begin::Finished(finished));
+        let again = ledger.dispatch(now, sequence);
+        assert_eq!(again, Err(DispatchError::Closed));
+    }
+
+    /// Guards against a "not run" after bytes were sent, and against an
+    /// "unknown" where it is proven that nothing ran.
+    #[test]
+    fn finish_failed_tells_only_what_is_proven() {
+        let now = Instant::now();
+        let mut ledger = Ledger::<u32>::new(limits());
+        let sent = ledger.issue(now).unwrap();
+        ledger.begin(now, sent);
+        ledger.dispatch(now, sent).unwrap();
+        let finished = ledger.finish_failed(sent, detail());
+        assert_eq!(finished, Finished::Unknown(detail()));
+
+        let withdrawn = ledger.issue(now).unwrap();
+        ledger.begin(now, withdrawn);
+        ledger.dispatch(now, withdrawn).unwrap();
+        ledger.withdraw(withdrawn, NotRunProof::NotConnected);
+        let finished = ledger.finish_failed(withdrawn, detail());
+        assert_eq!(finished, Finished::NotRun(detail()));
+        // Nothing can run after "not run" was said.
+        let late = ledger.dispatch(now, withdrawn);
+        assert_eq!(late, Err(DispatchError::Closed));
+    }
+
+    /// Guards against a process that sleeps between the arrival of a call
+    /// and its dispatch, while the ticket is closed.
+    #[test]
+    fn dispatch_fails_after_close() {
+        let now = Instant::now();
+        let mut ledger = Ledger::new(limits());
+        let sequence = ledger.issue(now).unwrap();
+        assert_eq!(ledger.close(now, sequence, detail()), not_run());
+        assert!(matches!(ledger.begin(now, sequence), Begin::Finished(_)));
+        let late = ledger.dispatch(now, sequence);
+        assert_eq!(late, Err(DispatchError::Closed));
+    }
+
+    /// Guards against closing a call that has begun: its outcome is open.
+    #[test]
+    fn close_leaves_running_call() {
+        let now = Instant::now();
+        let mut ledger = Ledger::<u32>::new(limits());
+        let sequence = ledger.issue(now).unwrap();
+        ledger.begin(now, sequence);
+        assert_eq!(ledger.close(now, sequence, detail()), Status::Running);
+        assert_eq!(ledger.dispatch(now, sequence), Ok(()));
+    }
+
+    /// Guards against a ticket without a slot, and against slots that are
+    /// never freed.
+    #[test]
+    fn issue_refuses_when_full() {
+        let now = Instant::now();
+        let mut ledger = Ledger::<u32>::new(limits());
+        for _ in 0..4 {
+            ledger.issue(now).unwrap();
+        }
+        let full = ledger.issue(now).unwrap_err();
+        assert_eq!(full.retry_after, Duration::from_secs(110));
+        let later = now + full.retry_after;
+        assert_eq!(ledger.issue(later), Ok(4));
+        assert_eq!(ledger.len(), 1);
+        assert_eq!(ledger.begin(later, 0), Begin::Forgotten);
+    }
+
+    /// Guards against a freed slot while its call runs, which would let a
+    /// late answer be lost.
+    #[test]
+    fn issue_keeps_running_slot() {
+        let now = Instant::now();
+        let mut ledger = Ledger::new(limits());
+        let sequence = ledger.issue(now).unwrap();
+        ledger.begin(now, sequence);
+        let later = now + Duration::from_secs(1000);
+        ledger.issue(later).unwrap();
+        assert_eq!(ledger.status(later, sequence), Status::Running);
+        ledger.finish_answered(sequence, 1, 1);
+        let finished = Finished::Answered(Some(1));
+        assert_eq!(
+            ledger.final_outcomes()[0],
+            FinalOutcome { sequence, finished }
+        );
+    }
+
+    /// Guards against an unused ticket that turns from "not run" into a
+    /// call that runs.
+    #[test]
+    fn begin_refuses_expired_ticket() {
+        let now = Instant::now();
+        let mut ledger = Ledger::<u32>::new(limits());
+        let sequence = ledger.issue(now).unwrap();
+        let late = now + Duration::from_secs(10);
+        assert!(matches!(
+            ledger.begin(late, sequence),
+            Begin::Finished(Finished::NotRun(_))
+        ));
+    }
+
+    /// Guards against unbounded memory for answers. The fact that the call
+    /// ran must stay.
+    #[test]
+    fn finish_answered_bounds_bytes() {
+        let now = Instant::now();
+        let mut ledger = Ledger::new(limits());
+        for answer in 0..3_u32 {
+            let sequence = ledger.issue(now).unwrap();
+            ledger.begin(now, sequence);
+            ledger.dispatch(now, sequence).unwrap();
+            ledger.finish_answered(sequence, answer, 4);
+        }
+        let status = |answer| Status::Finished(Finished::Answered(answer));
+        assert_eq!(ledger.status(now, 0), status(None));
+        assert_eq!(ledger.status(now, 1), status(Some(1)));
+        assert_eq!(ledger.status(now, 2), status(Some(2)));
+    }
+
+    /// Guards against tickets left open by a planned stop.
+    #[test]
+    fn close_unused_ends_every_ticket() {
+        let now = Instant::now();
+        let mut ledger = Ledger::<u32>::new(limits());
+        let unused = ledger.issue(now).unwrap();
+        let running = ledger.issue(now).unwrap();
+        ledger.begin(now, running);
+        ledger.stop_issuing();
+        assert!(ledger.issue(now).is_err());
+        assert_eq!(ledger.open_len(now), 2);
+        ledger.close_unused(&detail());
+        assert_eq!(ledger.open_len(now), 1);
+        assert_eq!(ledger.status(now, unused), not_run());
+        let outcomes = ledger.final_outcomes();
+        assert_eq!(outcomes.len(), 2);
+        assert!(matches!(outcomes[1].finished, Finished::Unknown(_)));
+    }
+}
