Add the timeline and the membership view

Cause: peers need a shared view of live daemons that a lagging platform list cannot corrupt, and operators need one causal timeline of a fleet. Change: timeline holds the hybrid logical clock, events, the bounded buffer with gaps, filter and merge. membership holds members with incarnation and sequence rules, the probe schedule, indirect probes, bounded updates, the pause detector and the word of backend servers. The modules refer to each other (heartbeats carry the clock, events the member state) and land together. Conclusion: the daemon's membership controller and the events call can be written against these types.

--- /dev/null
+++ b/crates/briarladder-core/benches/timeline.rs
@@ -0,0 +1,41 @@
+//! Cost of one event: clock, subject and ring buffer. The target is 20,000
+//! events a second for a small part of a core.
+
+use std::{hint::black_box, time::Duration};
+
+use briarladder_core::{
+    ids::{Incarnation, RequestId},
+    names::{ServerName, StageName, VmName},
+    timeline::{EventBuffer, EventKind, Hlc, Process, Subject},
+};
+use criterion::{Criterion, criterion_group, criterion_main};
+
+fn record(c: &mut Criterion) {
+    let vm = VmName::new("vm-1").expect("valid name");
+    let stage = StageName::new("draft").expect("valid name");
+    let server = ServerName::new("engine-1").expect("valid name");
+    let process = Process { vm, incarnation: Incarnation(1) };
+    let mut buffer = EventBuffer::new(process, 16_384);
+    let mut clock = Hlc::new();
+    let mut micros = 1_700_000_000_000_000;
+    c.bench_function("timeline_record", |b| {
+        b.iter(|| {
+            micros += 50;
+            let stamp = clock.tick(Duration::from_micros(micros));
+            let subject = Subject::default()
+                .with_request(RequestId(u128::from(micros)))
+                .with_epoch(7)
+                .with_stage(stage.clone())
+                .with_server(server.clone());
+            let kind = EventKind::Dispatched { attempt: 0 };
+            black_box(buffer.record(stamp, subject, kind))
+        });
+    });
+    println!(
+        "event size: {} bytes",
+        size_of::<briarladder_core::timeline::Event>()
+    );
+}
+
+criterion_group!(benches, record);
+criterion_main!(benches);
--- a/crates/briarladder-core/src/membership/mod.rs
+++ b/crates/briarladder-core/src/membership/mod.rs
@@ -1,1 +1,62 @@
-//! Which daemons are live.
+//! Which daemons are live, and which backend servers take new work.
+//!
+//! The platform's list is a hint: it introduces members, and probes decide
+//! whether they are live. A member is identified by its VM name and its
+//! [`Incarnation`](crate::ids::Incarnation). Incarnations of daemons come
+//! from [`new_incarnation`], so that a restart has a higher one.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Instant;
+//!
+//! use briarladder_core::{
+//!     ids::Incarnation,
+//!     membership::{Identity, Members, Seed, SeedState},
+//!     names::{VmName, ZoneName},
+//! };
+//! use rand::SeedableRng;
+//!
+//! let zone = ZoneName::new("recife-a").unwrap();
+//! let identity = Identity {
+//!     name: VmName::new("vm-1").unwrap(),
+//!     address: "10.0.0.1:7000".parse().unwrap(),
+//!     zone: zone.clone(),
+//!     incarnation: Incarnation(1),
+//! };
+//! let now = Instant::now();
+//! let mut members = Members::new(identity, now);
+//! let peer = Seed {
+//!     name: VmName::new("vm-2").unwrap(),
+//!     address: "10.0.0.2:7000".parse().unwrap(),
+//!     zone: zone.clone(),
+//!     state: SeedState::Live,
+//! };
+//! members.seed(now, 1, &[peer]);
+//! assert_eq!(members.live_in_zone(&zone).len(), 2);
+//! let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
+//! let probe = members.next_probe(now, &mut rng).unwrap();
+//! assert_eq!(probe.name.as_str(), "vm-2");
+//! ```
+
+mod gossip;
+mod member;
+mod members;
+mod pause;
+mod probe;
+mod servers;
+#[cfg(test)]
+mod tests;
+
+pub use gossip::{MAX_QUEUED_UPDATES, MAX_UPDATES_PER_MESSAGE};
+pub use member::{
+    Change, Heartbeat, Identity, Member, MemberState, Observed, Seed,
+    SeedState, Update, new_incarnation,
+};
+pub use members::{FORGET_AFTER, Members, SUSPECT_TIMEOUT};
+pub use pause::{PAUSE, Pause, PauseDetector, TICK, View, Views};
+pub use probe::{
+    INDIRECT_TIMEOUT, OTHER_ZONE_PROBE_INTERVAL, ProbeTarget,
+    ZONE_PROBE_INTERVAL,
+};
+pub use servers::Servers;
--- a/crates/briarladder-core/src/timeline.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Events of all processes in causal order.
--- /dev/null
+++ b/crates/briarladder-core/src/timeline/buffer.rs
@@ -0,0 +1,132 @@
+//! The bounded buffer of one process.
+
+use std::collections::VecDeque;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::timeline::{
+    Event, EventKind, Filter, HlcTimestamp, Process, Subject,
+};
+
+/// Events that were overwritten before they were read.
+#[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[display("gap {process} #{first_sequence}: {lost_events} events lost")]
+pub struct Gap {
+    /// The process whose events are missing.
+    pub process: Process,
+    /// The sequence of the first missing event.
+    pub first_sequence: u64,
+    /// The number of missing events.
+    pub lost_events: u64,
+}
+
+/// Consecutive events of one process.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Page {
+    /// The process.
+    pub process: Process,
+    /// The events that were overwritten between the sequence asked for and
+    /// the oldest one left. A filter might have selected some of them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub gap: Option<Gap>,
+    /// The selected events, by sequence.
+    pub events: Vec<Event>,
+    /// The sequence to ask for next.
+    pub next_sequence: u64,
+    /// The sequence after the newest event of the process. The last page has
+    /// reached it.
+    pub end_sequence: u64,
+}
+
+/// The newest events of one process.
+#[derive(Debug)]
+pub struct EventBuffer {
+    process: Process,
+    capacity_events: usize,
+    events: VecDeque<Event>,
+    end_sequence: u64,
+}
+
+impl EventBuffer {
+    /// Creates an empty buffer for at least one event.
+    #[must_use]
+    pub fn new(process: Process, capacity_events: usize) -> EventBuffer {
+        EventBuffer {
+            process,
+            capacity_events: capacity_events.max(1),
+            events: VecDeque::new(),
+            end_sequence: 0,
+        }
+    }
+
+    /// Adds an event and returns its sequence. A full buffer overwrites its
+    /// oldest event.
+    pub fn record(
+        &mut self,
+        timestamp: HlcTimestamp,
+        subject: Subject,
+        kind: EventKind,
+    ) -> u64 {
+        if self.events.len() == self.capacity_events {
+            self.events.pop_front();
+        }
+        let sequence = self.end_sequence;
+        let process = self.process.clone();
+        self.events.push_back(Event {
+            process,
+            sequence,
+            timestamp,
+            subject,
+            kind,
+        });
+        self.end_sequence += 1;
+        sequence
+    }
+
+    /// Returns up to `limit_events` selected events from a sequence on.
+    #[must_use]
+    pub fn page(
+        &self,
+        from_sequence: u64,
+        limit_events: usize,
+        filter: &Filter,
+    ) -> Page {
+        let oldest = self.overwritten_events();
+        // A reader that is ahead of the buffer asks a restarted process.
+        let from = from_sequence.min(self.end_sequence);
+        let gap = (from < oldest).then(|| Gap {
+            process: self.process.clone(),
+            first_sequence: from,
+            lost_events: oldest - from,
+        });
+        let mut next_sequence = from.max(oldest);
+        let mut events = Vec::new();
+        // The difference is at most the length, which is a usize.
+        let skip = usize::try_from(next_sequence - oldest)
+            .unwrap_or(self.events.len());
+        for event in self.events.iter().skip(skip) {
+            if events.len() >= limit_events {
+                break;
+            }
+            next_sequence = event.sequence + 1;
+            if filter.matches(event) {
+                events.push(event.clone());
+            }
+        }
+        Page {
+            process: self.process.clone(),
+            gap,
+            events,
+            next_sequence,
+            end_sequence: self.end_sequence,
+        }
+    }
+
+    /// Returns how many events were overwritten. It is also the sequence of
+    /// the oldest event left.
+    #[must_use]
+    pub fn overwritten_events(&self) -> u64 {
+        self.end_sequence - self.events.len() as u64
+    }
+}
--- /dev/null
+++ b/crates/briarladder-core/src/timeline/event.rs
@@ -0,0 +1,253 @@
+//! One event and what it concerns.
+
+use std::{fmt, sync::Arc};
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{Incarnation, RequestId},
+    load::ServerState,
+    membership::MemberState,
+    names::{PipelineName, ServerName, StageName, VmName},
+    timeline::HlcTimestamp,
+};
+
+/// The longest text inside an event, in bytes. It bounds the memory of a
+/// buffer.
+const MAX_DETAIL_BYTES: usize = 120;
+
+/// A short text for operators, cut to 120 bytes.
+#[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(from = "Arc<str>")]
+pub struct Detail(Arc<str>);
+
+impl From<&str> for Detail {
+    fn from(text: &str) -> Detail {
+        Detail(Arc::from(cut(text)))
+    }
+}
+
+impl From<Arc<str>> for Detail {
+    fn from(text: Arc<str>) -> Detail {
+        if text.len() <= MAX_DETAIL_BYTES {
+            return Detail(text);
+        }
+        Detail::from(&*text)
+    }
+}
+
+fn cut(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_DETAIL_BYTES)]
+}
+
+/// One run of a process. A restarted process starts a new sequence.
+#[derive(
+    Clone,
+    Debug,
+    Deserialize,
+    Display,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[display("{vm}/{incarnation}")]
+pub struct Process {
+    /// The VM.
+    pub vm: VmName,
+    /// The run of the daemon on it.
+    pub incarnation: Incarnation,
+}
+
+/// What an event concerns, as far as it applies.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Subject {
+    /// The request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request_id: Option<RequestId>,
+    /// The epoch in force for it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub epoch: Option<u64>,
+    /// The stage.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stage: Option<StageName>,
+    /// The backend server.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub server: Option<ServerName>,
+}
+
+impl Subject {
+    /// Adds the request.
+    #[must_use]
+    pub fn with_request(self, id: RequestId) -> Subject {
+        Subject { request_id: Some(id), ..self }
+    }
+
+    /// Adds the epoch.
+    #[must_use]
+    pub fn with_epoch(self, epoch: u64) -> Subject {
+        Subject { epoch: Some(epoch), ..self }
+    }
+
+    /// Adds the stage.
+    #[must_use]
+    pub fn with_stage(self, stage: StageName) -> Subject {
+        Subject { stage: Some(stage), ..self }
+    }
+
+    /// Adds the backend server.
+    #[must_use]
+    pub fn with_server(self, server: ServerName) -> Subject {
+        Subject { server: Some(server), ..self }
+    }
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(id) = self.request_id {
+            write!(f, " request={id}")?;
+        }
+        if let Some(epoch) = self.epoch {
+            write!(f, " epoch={epoch}")?;
+        }
+        if let Some(stage) = &self.stage {
+            write!(f, " stage={stage}")?;
+        }
+        if let Some(server) = &self.server {
+            write!(f, " server={server}")?;
+        }
+        Ok(())
+    }
+}
+
+/// What happened.
+#[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+#[allow(missing_docs, reason = "the fields carry their unit in the name")]
+pub enum EventKind {
+    /// A request was read completely.
+    #[display("accepted pipeline={pipeline}")]
+    Accepted { pipeline: PipelineName },
+    /// A request passed admission.
+    #[display("admitted wait_estimate_ms={wait_estimate_ms}")]
+    Admitted { wait_estimate_ms: u32 },
+    /// A stage waits for a slot.
+    #[display("queued queue_len_requests={queue_len_requests}")]
+    Queued { queue_len_requests: u32 },
+    /// A request was refused.
+    #[display("refused retry_after_ms={retry_after_ms}: {reason}")]
+    Refused { retry_after_ms: u32, reason: Detail },
+    /// A ticket was issued.
+    #[display("ticket issued lifetime_ms={lifetime_ms}")]
+    TicketIssued { lifetime_ms: u64 },
+    /// An attempt is about to be sent.
+    #[display("dispatched attempt={attempt}")]
+    Dispatched { attempt: u32 },
+    /// An attempt failed.
+    #[display("attempt failed attempt={attempt}: {reason}")]
+    AttemptFailed { attempt: u32, reason: Detail },
+    /// A stage gets another attempt.
+    #[display("retried attempt={attempt}")]
+    Retried { attempt: u32 },
+    /// A generation goes on at another engine.
+    #[display("resumed attempt={attempt} token_index={token_index}")]
+    Resumed { attempt: u32, token_index: u32 },
+    /// A stage has its result.
+    #[display("stage done attempt={attempt} service_ms={service_ms}")]
+    StageDone { attempt: u32, service_ms: u32 },
+    /// The caller has its final answer.
+    #[display("answered status={status} total_ms={total_ms}")]
+    Answered { status: u16, total_ms: u32 },
+    /// A request was cancelled.
+    #[display("cancelled: {reason}")]
+    Cancelled { reason: Detail },
+    /// An epoch came into force.
+    #[display("config adopted epoch={adopted_epoch}")]
+    ConfigAdopted { adopted_epoch: u64 },
+    /// An epoch was found invalid.
+    #[display("config rejected epoch={rejected_epoch}: {reason}")]
+    ConfigRejected { rejected_epoch: u64, reason: Detail },
+    /// The view of another daemon changed.
+    #[display("member changed member={member} state={state}")]
+    MemberChanged { member: VmName, state: MemberState },
+    /// A backend server changed its state.
+    #[display("server state changed state={state:?}")]
+    ServerStateChanged { state: ServerState },
+    /// An order was sent to an engine.
+    #[display("order sent fencing_token={fencing_token}")]
+    OrderSent { fencing_token: u64 },
+    /// The process did not run for a while.
+    #[display("pause detected paused_ms={paused_ms}")]
+    PauseDetected { paused_ms: u64 },
+    /// A planned stop began.
+    #[display("stop begun")]
+    StopBegun,
+    /// A planned stop ended.
+    #[display("stop ended open_requests={open_requests}")]
+    StopEnded { open_requests: u32 },
+}
+
+/// One event of one process.
+#[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[display("{timestamp} {process} #{sequence}{subject} {kind}")]
+pub struct Event {
+    /// The process in which it happened.
+    pub process: Process,
+    /// Counts the events of the process from 0.
+    pub sequence: u64,
+    /// When it happened.
+    pub timestamp: HlcTimestamp,
+    /// What it concerns.
+    #[serde(default)]
+    pub subject: Subject,
+    /// What happened.
+    pub kind: EventKind,
+}
+
+/// A span of wall-clock time.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TimeSpan {
+    /// The first millisecond since the Unix epoch that is inside.
+    pub from_unix_ms: u64,
+    /// The first millisecond that is no longer inside.
+    pub until_unix_ms: u64,
+}
+
+/// Selects events. Each field that is set must match.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Filter {
+    /// Events of this request.
+    pub request_id: Option<RequestId>,
+    /// Events under this epoch, and its adoption or rejection.
+    pub epoch: Option<u64>,
+    /// Events of this backend server.
+    pub server: Option<ServerName>,
+    /// Events inside this span.
+    pub span: Option<TimeSpan>,
+}
+
+impl Filter {
+    /// Returns whether the event is selected.
+    #[must_use]
+    pub fn matches(&self, event: &Event) -> bool {
+        let subject = &event.subject;
+        let epoch = match event.kind {
+            EventKind::ConfigAdopted { adopted_epoch } => Some(adopted_epoch),
+            EventKind::ConfigRejected { rejected_epoch, .. } => {
+                Some(rejected_epoch)
+            }
+            _ => subject.epoch,
+        };
+        let unix_ms = event.timestamp.unix_ms;
+        let inside = |span: TimeSpan| {
+            (span.from_unix_ms..span.until_unix_ms).contains(&unix_ms)
+        };
+        (self.request_id.is_none() || self.request_id == subject.request_id)
+            && (self.epoch.is_none() || self.epoch == epoch)
+            && (self.server.is_none() || self.server == subject.server)
+            && self.span.is_none_or(inside)
+    }
+}
--- /dev/null
+++ b/crates/briarladder-core/src/timeline/merge.rs
@@ -0,0 +1,225 @@
+//! One timeline from the buffers of several processes.
+
+use std::fmt::Write;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::timeline::{Event, Gap, HlcTimestamp, Page, Process};
+
+/// One line of a merged timeline.
+#[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(tag = "row", rename_all = "snake_case")]
+pub enum Row {
+    /// An event.
+    #[display("{_0}")]
+    Event(Event),
+    /// Events that are missing before the next event of their process.
+    #[display("{_0}")]
+    Gap(Gap),
+}
+
+impl Row {
+    fn process(&self) -> &Process {
+        match self {
+            Row::Event(event) => &event.process,
+            Row::Gap(gap) => &gap.process,
+        }
+    }
+
+    fn sequence(&self) -> u64 {
+        match self {
+            Row::Event(event) => event.sequence,
+            Row::Gap(gap) => gap.first_sequence,
+        }
+    }
+}
+
+/// Puts the events of several pages in causal order. Events of one process
+/// stay in sequence, and an event in several pages appears once.
+#[must_use]
+pub fn merge(pages: &[Page]) -> Vec<Row> {
+    let mut rows: Vec<Row> = Vec::new();
+    for page in pages {
+        rows.extend(page.gap.iter().cloned().map(Row::Gap));
+        rows.extend(page.events.iter().cloned().map(Row::Event));
+    }
+    // A gap and an event of equal sequence come from reads at different
+    // times: the event was read before it was overwritten and stays.
+    rows.sort_by(|a, b| {
+        (a.process(), a.sequence()).cmp(&(b.process(), b.sequence()))
+    });
+    rows.dedup_by(|b, a| {
+        matches!((&*a, &*b), (Row::Event(a), Row::Event(b))
+            if a.process == b.process && a.sequence == b.sequence)
+            || a == b
+    });
+    let mut keyed = with_timestamps(rows);
+    // The sort is stable, which keeps the sequence within a process.
+    keyed.sort_by(|(a_at, a), (b_at, b)| {
+        (a_at, a.process()).cmp(&(b_at, b.process()))
+    });
+    keyed.into_iter().map(|(_, row)| row).collect()
+}
+
+/// Gives each row a timestamp that never falls within its process. A gap
+/// gets the timestamp of the event after it, or the greatest one if there is
+/// none.
+fn with_timestamps(rows: Vec<Row>) -> Vec<(HlcTimestamp, Row)> {
+    const LAST: HlcTimestamp =
+        HlcTimestamp { unix_ms: u64::MAX, counter: u32::MAX };
+    let mut keyed: Vec<(HlcTimestamp, Row)> = Vec::with_capacity(rows.len());
+    let mut high = HlcTimestamp::default();
+    for row in rows {
+        let same =
+            keyed.last().is_some_and(|(_, r)| r.process() == row.process());
+        if !same {
+            high = HlcTimestamp::default();
+        }
+        if let Row::Event(event) = &row {
+            high = high.max(event.timestamp);
+        }
+        keyed.push((high, row));
+    }
+    let mut next: Option<(HlcTimestamp, Process)> = None;
+    for (at, row) in keyed.iter_mut().rev() {
+        match row {
+            Row::Event(event) => next = Some((*at, event.process.clone())),
+            Row::Gap(gap) => {
+                *at = match &next {
+                    Some((at, process)) if *process == gap.process => *at,
+                    _ => LAST,
+                };
+            }
+        }
+    }
+    keyed
+}
+
+/// Renders a timeline as text, one line for each row.
+#[must_use]
+pub fn render(rows: &[Row]) -> String {
+    let mut text = String::new();
+    for row in rows {
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "{row}");
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use super::*;
+    use crate::{
+        ids::{Incarnation, RequestId},
+        names::{ServerName, VmName},
+        timeline::{
+            Detail, EventBuffer, EventKind, Filter, Hlc, Subject, TimeSpan,
+        },
+    };
+
+    fn buffer(vm: &str, capacity_events: usize) -> EventBuffer {
+        let vm = VmName::new(vm).unwrap();
+        let process = Process { vm, incarnation: Incarnation(1) };
+        EventBuffer::new(process, capacity_events)
+    }
+
+    fn all(buffer: &EventBuffer) -> Page {
+        buffer.page(0, usize::MAX, &Filter::default())
+    }
+
+    /// Guards against overwritten events that vanish without a trace, and
+    /// against pages that repeat or skip events.
+    #[test]
+    fn page_marks_gap_and_continues() {
+        let mut buffer = buffer("vm-1", 3);
+        let mut clock = Hlc::new();
+        for attempt in 0..5 {
+            let stamp = clock.tick(Duration::from_secs(1));
+            let kind = EventKind::Dispatched { attempt };
+            buffer.record(stamp, Subject::default(), kind);
+        }
+        let first = buffer.page(1, 2, &Filter::default());
+        let gap = first.gap.clone().unwrap();
+        assert_eq!((gap.first_sequence, gap.lost_events), (1, 1));
+        assert_eq!(first.events.len(), 2);
+        let second = buffer.page(first.next_sequence, 2, &Filter::default());
+        assert_eq!(second.gap, None);
+        assert_eq!(second.events[0].sequence, 4);
+        assert_eq!(second.next_sequence, second.end_sequence);
+        let rows = merge(&[second, first.clone(), first]);
+        assert_eq!(rows.len(), 4);
+        assert!(matches!(rows[0], Row::Gap(_)));
+        assert!(render(&rows).starts_with("gap vm-1/"));
+    }
+
+    /// Guards against an effect shown before its cause when the wall clock
+    /// of the receiver is behind that of the sender.
+    #[test]
+    fn merge_orders_cause_before_effect() {
+        let (mut ahead, mut behind) = (buffer("vm-2", 9), buffer("vm-1", 9));
+        let (mut ahead_clock, mut behind_clock) = (Hlc::new(), Hlc::new());
+        let early = behind_clock.tick(Duration::from_secs(1));
+        let sent = ahead_clock.tick(Duration::from_secs(8));
+        let heard = behind_clock.observe(sent, Duration::from_secs(2));
+        let kind = EventKind::Dispatched { attempt: 0 };
+        ahead.record(sent, Subject::default(), kind.clone());
+        behind.record(early, Subject::default(), EventKind::StopBegun);
+        behind.record(heard.unwrap(), Subject::default(), kind);
+        let rows = merge(&[all(&behind), all(&ahead)]);
+        let vms: Vec<_> =
+            rows.iter().map(|r| r.process().vm.as_str()).collect();
+        assert_eq!(vms, ["vm-1", "vm-2", "vm-1"]);
+    }
+
+    /// Guards against a filter that ignores one of its fields.
+    #[test]
+    fn filter_checks_each_field() {
+        let mut buffer = buffer("vm-1", 9);
+        let server = ServerName::new("engine-1").unwrap();
+        let subject = Subject::default()
+            .with_request(RequestId(7))
+            .with_epoch(3)
+            .with_server(server.clone());
+        let stamp = HlcTimestamp { unix_ms: 50, counter: 0 };
+        let kind = EventKind::Dispatched { attempt: 0 };
+        buffer.record(stamp, subject, kind);
+        let span = |from_unix_ms| {
+            let until_unix_ms = from_unix_ms + 10;
+            Some(TimeSpan { from_unix_ms, until_unix_ms })
+        };
+        let none = Filter::default();
+        let other = ServerName::new("engine-2").unwrap();
+        let cases = [
+            (Filter { request_id: Some(RequestId(7)), ..none.clone() }, 1),
+            (Filter { request_id: Some(RequestId(8)), ..none.clone() }, 0),
+            (Filter { epoch: Some(3), ..none.clone() }, 1),
+            (Filter { epoch: Some(4), ..none.clone() }, 0),
+            (Filter { server: Some(server), ..none.clone() }, 1),
+            (Filter { server: Some(other), ..none.clone() }, 0),
+            (Filter { span: span(50), ..none.clone() }, 1),
+            (Filter { span: span(40), ..none }, 0),
+        ];
+        for (filter, events) in cases {
+            let page = buffer.page(0, 9, &filter);
+            assert_eq!(page.events.len(), events, "{filter:?}");
+        }
+    }
+
+    /// Guards against rows that JSON cannot carry, and against a long text
+    /// that fills a buffer.
+    #[test]
+    fn row_survives_json() {
+        let mut buffer = buffer("vm-1", 9);
+        let reason = Detail::from("é".repeat(500).as_str());
+        assert!(reason.to_string().len() <= 120);
+        let kind = EventKind::AttemptFailed { attempt: 1, reason };
+        let subject = Subject::default().with_request(RequestId(7));
+        buffer.record(HlcTimestamp::default(), subject, kind);
+        let rows = merge(&[all(&buffer)]);
+        let json = serde_json::to_string(&rows).unwrap();
+        assert_eq!(serde_json::from_str::<Vec<Row>>(&json).unwrap(), rows);
+    }
+}
--- /dev/null
+++ b/crates/briarladder-core/src/timeline/mod.rs
@@ -0,0 +1,40 @@
+//! Events of all processes in causal order.
+//!
+//! Each process stamps its events with a hybrid logical clock and keeps them
+//! in a bounded buffer. Messages carry the clock, so that [`merge()`] puts a
+//! cause before its effect even where wall clocks differ.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use briarladder_core::{
+//!     ids::Incarnation,
+//!     names::VmName,
+//!     timeline::{
+//!         EventBuffer, EventKind, Filter, Hlc, Process, Subject, merge,
+//!     },
+//! };
+//!
+//! let vm = VmName::new("vm-1").unwrap();
+//! let process = Process { vm, incarnation: Incarnation(7) };
+//! let mut clock = Hlc::new();
+//! let mut buffer = EventBuffer::new(process, 1_000);
+//! let stamp = clock.tick(Duration::from_secs(5));
+//! buffer.record(stamp, Subject::default(), EventKind::StopBegun);
+//! let rows = merge(&[buffer.page(0, 100, &Filter::default())]);
+//! assert!(rows[0].to_string().ends_with("stop begun"));
+//! ```
+
+mod buffer;
+mod event;
+mod hlc;
+mod merge;
+
+pub use buffer::{EventBuffer, Gap, Page};
+pub use event::{
+    Detail, Event, EventKind, Filter, Process, Subject, TimeSpan,
+};
+pub use hlc::{DriftError, Hlc, HlcTimestamp, MAX_DRIFT};
+pub use merge::{Row, merge, render};
