Add stand-ins for the platform and the backend servers

Cause: the daemon needs a platform, engines, workers, plain services and a weight store to run against, with faults that tests switch. The crate gains the workspace dependency rapidhash, for token texts and prefix hashes.

--- /dev/null
+++ b/crates/briarladder-standins/src/output.rs
@@ -0,0 +1,96 @@
+//! Deterministic outputs, so that a test can tell lost, doubled or crossed
+//! answers.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_standins::output;
+//!
+//! let first = output::token_text(r#"{"sheet": 4}"#, 0);
+//! assert_eq!(first, output::token_text(r#"{"sheet": 4}"#, 0));
+//! assert_ne!(first, output::token_text(r#"{"sheet": 5}"#, 0));
+//! ```
+
+use std::fmt::Write;
+
+use briarladder_core::objects::Role;
+use briarladder_wire::backend::RunRequest;
+use rapidhash::v3::rapidhash_v3;
+use serde_json::value::RawValue;
+
+/// The values of one vector of an encoder.
+const VECTOR_VALUES: u32 = 4;
+/// The documents that a retriever or reranker returns.
+const DOCUMENTS: u64 = 3;
+/// The shortest cached prefix; longer ones double.
+const PREFIX_BYTES: usize = 256;
+
+/// Returns the text of the token of a generation at an index. It depends on
+/// the request's input only, not on the attempt or the engine.
+#[must_use]
+pub fn token_text(input: &str, index: u32) -> String {
+    format!("{:08x}-{index}", rapidhash_v3(input.as_bytes()) >> 32)
+}
+
+/// Returns the complete token sequence of a generation.
+#[must_use]
+pub fn tokens(input: &str, total_tokens: u32) -> Vec<String> {
+    (0..total_tokens).map(|index| token_text(input, index)).collect()
+}
+
+/// Returns the output of a worker or plain service for a request.
+///
+/// # Panics
+///
+/// Panics for engines, whose output is a stream of tokens.
+#[must_use]
+pub fn answer(role: Role, run: &RunRequest) -> Box<RawValue> {
+    let previous = run.previous.as_ref().map_or("", |value| value.get());
+    let seed = rapidhash_v3(run.input.get().as_bytes())
+        ^ rapidhash_v3(previous.as_bytes()).rotate_left(17);
+    let mut text = String::with_capacity(96);
+    let written = match role {
+        Role::Encoder => {
+            let values = (0..VECTOR_VALUES).map(|i| (seed >> (8 * i)) & 0xff);
+            let values = values.collect::<Vec<_>>();
+            write!(text, r#"{{"of":"{seed:016x}","vector":{values:?}}}"#)
+        }
+        Role::Retriever | Role::Reranker => {
+            let documents =
+                (0..DOCUMENTS).map(|i| seed.rotate_left(7) % 97 + i);
+            let mut documents = documents.collect::<Vec<_>>();
+            if role == Role::Reranker {
+                documents.reverse();
+            }
+            write!(text, r#"{{"of":"{seed:016x}","documents":{documents:?}}}"#)
+        }
+        Role::Service => {
+            let operation = run.operation.as_deref().unwrap_or_default();
+            let operation = serde_json::Value::from(operation);
+            write!(
+                text,
+                r#"{{"receipt":"{seed:016x}","operation":{operation}}}"#
+            )
+        }
+        Role::Engine => panic!("an engine answers with tokens"),
+    };
+    written.expect("writing to a string succeeds");
+    RawValue::from_string(text).expect("the output is valid JSON")
+}
+
+/// Returns the hashes of the prefixes of an input that an engine caches:
+/// the first 256 bytes, 512 bytes and so on, shortest first. A shorter
+/// input has one prefix, the whole of it.
+#[must_use]
+pub fn prefix_hashes(input: &str) -> Vec<u64> {
+    let bytes = input.as_bytes();
+    let mut hashes = Vec::new();
+    let mut length = PREFIX_BYTES.min(bytes.len());
+    loop {
+        hashes.push(rapidhash_v3(&bytes[..length]));
+        if length * 2 > bytes.len() || length == 0 {
+            return hashes;
+        }
+        length *= 2;
+    }
+}
