Let call records be read

Cause: serde buffers internally tagged enums, and a raw JSON value can't be read from that buffer: reading any CallRecord in the state done failed with "invalid type: newtype struct", so a status query could never have found a call that ran. Change: CallRecord is read through a struct; the JSON and the type are the same as before. A test reads back each state.

--- a/crates/briarladder-wire/src/backend.rs
+++ b/crates/briarladder-wire/src/backend.rs
@@ -122,7 +122,11 @@
 
 /// What a plain service knows of the call with an idempotency key.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(tag = "state", rename_all = "snake_case")]
+#[serde(
+    tag = "state",
+    rename_all = "snake_case",
+    try_from = "CallRecordFields"
+)]
 pub enum CallRecord {
     /// No call with this key has reached this backend server.
     NeverSeen,
@@ -135,6 +139,37 @@
     },
 }
 
+/// The fields of [`CallRecord`]. serde buffers internally tagged enums, and
+/// a raw value can't be read from the buffer, so the record is read as a
+/// struct.
+#[derive(Deserialize)]
+struct CallRecordFields {
+    state: CallState,
+    #[serde(default)]
+    output: Option<Box<RawValue>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum CallState {
+    NeverSeen,
+    Running,
+    Done,
+}
+
+impl TryFrom<CallRecordFields> for CallRecord {
+    type Error = &'static str;
+
+    fn try_from(fields: CallRecordFields) -> Result<CallRecord, Self::Error> {
+        match (fields.state, fields.output) {
+            (CallState::NeverSeen, _) => Ok(CallRecord::NeverSeen),
+            (CallState::Running, _) => Ok(CallRecord::Running),
+            (CallState::Done, Some(output)) => Ok(CallRecord::Done { output }),
+            (CallState::Done, None) => Err("a call that is done needs output"),
+        }
+    }
+}
+
 /// Changes of an engine's prefix cache, published late and with gaps.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct CacheEvents {
@@ -180,3 +215,28 @@
     /// The versions it has loaded now.
     pub model_versions: Vec<ModelVersionName>,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against records that are sent but can't be read, as was the
+    /// case with a raw value inside an internally tagged enum.
+    #[test]
+    fn call_record_reads_what_it_writes() {
+        let output = RawValue::from_string("{\"b\":1,\"a\":2}".into());
+        let records = [
+            CallRecord::NeverSeen,
+            CallRecord::Running,
+            CallRecord::Done { output: output.unwrap() },
+        ];
+        for record in records {
+            let text = serde_json::to_string(&record).unwrap();
+            let read: CallRecord = serde_json::from_str(&text).unwrap();
+            assert_eq!(serde_json::to_string(&read).unwrap(), text);
+        }
+        let incomplete =
+            serde_json::from_str::<CallRecord>(r#"{"state": "done"}"#);
+        assert!(incomplete.is_err());
+    }
+}
