Add the admission scheduler and stage estimates

Change: admission::Scheduler with one queue per pool, credit for each rank, start-time fair queueing over workspaces and callers, bounded queues, typed ids; admission::Estimates with mean and deviation.

--- /dev/null
+++ b/crates/briarladder-core/src/admission/estimate.rs
@@ -0,0 +1,183 @@
+//! Expected service times of stages: running mean and deviation.
+//!
+//! An estimate that exceeds every deadline refuses all requests and so stops
+//! the measurements that could lower it. Without new measurements it
+//! therefore returns to the declared value.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    names::StageName, objects::snapshot::ResolvedStage, sorted::SortedMap,
+};
+
+/// Weights of a new measurement in mean and deviation, as in the
+/// retransmission timer of TCP (RFC 6298).
+const MEAN_DIVISOR: u32 = 8;
+const DEVIATION_DIVISOR: u32 = 4;
+
+/// The time without measurements after which the difference between mean and
+/// declared value, and the deviation, are halved; and again after the next.
+const HALVING_TIME: Duration = Duration::from_secs(10);
+
+/// Halvings after which nothing measurable is left.
+const MAX_HALVINGS: u32 = 31;
+
+/// The expected service time of one stage.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Estimate {
+    /// The running mean.
+    pub mean: Duration,
+    /// The running mean of the distance from the mean.
+    pub deviation: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Measured {
+    estimate: Estimate,
+    at: Instant,
+}
+
+/// The estimates of all stages, by name.
+#[derive(Clone, Debug, Default)]
+pub struct Estimates {
+    stages: SortedMap<StageName, Measured>,
+}
+
+impl Estimates {
+    /// Creates estimates without measurements.
+    #[must_use]
+    pub fn new() -> Estimates {
+        Estimates::default()
+    }
+
+    /// Adds a measured service time.
+    pub fn observe(
+        &mut self,
+        now: Instant,
+        stage: &ResolvedStage,
+        service_time: Duration,
+    ) {
+        let before = self.stage(now, stage);
+        let distance = service_time.abs_diff(before.mean);
+        let step = distance / MEAN_DIVISOR;
+        let mean = if service_time >= before.mean {
+            before.mean + step
+        } else {
+            before.mean.saturating_sub(step)
+        };
+        let kept =
+            before.deviation / DEVIATION_DIVISOR * (DEVIATION_DIVISOR - 1);
+        let deviation = kept + distance / DEVIATION_DIVISOR;
+        let estimate = Estimate { mean, deviation };
+        self.stages
+            .insert(stage.stage.name.clone(), Measured { estimate, at: now });
+    }
+
+    /// Returns the estimate of a stage; the declared one before any
+    /// measurement.
+    #[must_use]
+    pub fn stage(&self, now: Instant, stage: &ResolvedStage) -> Estimate {
+        let declared = stage.estimate();
+        let Some(measured) = self.stages.get(&stage.stage.name) else {
+            return Estimate { mean: declared, deviation: Duration::ZERO };
+        };
+        let age = now.saturating_duration_since(measured.at);
+        let halvings = age.as_secs() / HALVING_TIME.as_secs();
+        let halvings =
+            u32::try_from(halvings).unwrap_or(u32::MAX).min(MAX_HALVINGS);
+        let Estimate { mean, deviation } = measured.estimate;
+        let difference = mean.abs_diff(declared) / (1 << halvings);
+        let mean = if mean >= declared {
+            declared + difference
+        } else {
+            declared.saturating_sub(difference)
+        };
+        Estimate { mean, deviation: deviation / (1 << halvings) }
+    }
+
+    /// Returns the expected time of stages that run one after another: the
+    /// sum of the means and one deviation of the sum.
+    ///
+    /// The deviations are added as squares, because the stages vary
+    /// independently; their plain sum would refuse requests that fit.
+    #[must_use]
+    pub fn remaining(
+        &self,
+        now: Instant,
+        stages: &[Arc<ResolvedStage>],
+    ) -> Duration {
+        let mut mean = Duration::ZERO;
+        let mut variance_s2 = 0.0;
+        for stage in stages {
+            let estimate = self.stage(now, stage);
+            mean += estimate.mean;
+            variance_s2 += estimate.deviation.as_secs_f64().powi(2);
+        }
+        let deviation = Duration::try_from_secs_f64(variance_s2.sqrt());
+        mean.saturating_add(deviation.unwrap_or(Duration::MAX))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{
+        names::PoolName,
+        objects::{Role, Stage, Work, snapshot::ResolvedPool},
+    };
+
+    fn stage() -> Arc<ResolvedStage> {
+        let pool = PoolName::new("encoders").unwrap();
+        let stage = Stage {
+            name: StageName::new("encode").unwrap(),
+            pool: pool.clone(),
+            work: Work::Encode,
+            estimate_ms: 100,
+            timeout_ms: 1_000,
+            idempotent: true,
+        };
+        let pool = Arc::new(ResolvedPool {
+            name: pool,
+            role: Role::Encoder,
+            servers: Vec::new(),
+        });
+        Arc::new(ResolvedStage { stage, pool })
+    }
+
+    /// Guards against a slow phase that refuses all requests for good,
+    /// because no measurement can lower the estimate again.
+    #[test]
+    fn stage_forgets_without_measurements() {
+        let (now, stage) = (Instant::now(), stage());
+        let mut estimates = Estimates::new();
+        let declared = estimates.stage(now, &stage);
+        assert_eq!(declared.mean, Duration::from_millis(100));
+        for _ in 0..100 {
+            estimates.observe(now, &stage, Duration::from_secs(9));
+        }
+        let slow = estimates.stage(now + Duration::from_secs(9), &stage);
+        assert!(slow.mean > Duration::from_secs(8), "{slow:?}");
+        let later = estimates.stage(now + Duration::from_mins(1), &stage);
+        assert!(later.mean < Duration::from_millis(300), "{later:?}");
+    }
+
+    /// Guards against varying stages estimated as if they were steady, and
+    /// against deviations that are summed like means.
+    #[test]
+    fn remaining_adds_deviation() {
+        let (now, stage) = (Instant::now(), stage());
+        let mut estimates = Estimates::new();
+        for i in 0..1_000 {
+            let time =
+                Duration::from_millis(if i % 2 == 0 { 50 } else { 150 });
+            estimates.observe(now, &stage, time);
+        }
+        let one = estimates.remaining(now, &[Arc::clone(&stage)]);
+        let four = estimates.remaining(now, &vec![stage; 4]);
+        assert!((130..170).contains(&one.as_millis()), "{one:?}");
+        assert!((470..530).contains(&four.as_millis()), "{four:?}");
+    }
+}
--- /dev/null
+++ b/crates/briarladder-core/src/admission/tests.rs
@@ -0,0 +1,651 @@
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+use super::{
+    Changes, GrantId, Job, Offer, RefusalReason, Scheduler, WaitingId,
+};
+use crate::{
+    names::{CallerName, PoolName, RankName, WorkspaceName},
+    objects::{Rank, snapshot::RankIndex},
+    sorted::SortedMap,
+};
+
+const URGENT: u8 = 0;
+const NORMAL: u8 = 1;
+const LEAST: u8 = 2;
+const SERVICE: Duration = Duration::from_millis(100);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn ranks(percents: [u8; 3]) -> Vec<Rank> {
+    let names = ["urgent", "normal", "least"];
+    (0..3)
+        .map(|i| Rank {
+            name: RankName::new(names[usize::from(i)]).unwrap(),
+            order: i,
+            guaranteed_percent: percents[usize::from(i)],
+        })
+        .collect()
+}
+
+fn pool() -> PoolName {
+    PoolName::new("engines").unwrap()
+}
+
+fn job(now: Instant, rank: u8, workspace: &str, caller: &str) -> Job {
+    Job {
+        pool: pool(),
+        rank: RankIndex(rank),
+        workspace: WorkspaceName::new(workspace).unwrap(),
+        caller: CallerName::new(caller).unwrap(),
+        workspace_weight: 1,
+        caller_weight: 1,
+        started: false,
+        deadline: now + ms(5_000),
+        service: SERVICE,
+        remaining: SERVICE,
+    }
+}
+
+fn scheduler(now: Instant, percents: [u8; 3], slots: u32) -> Scheduler {
+    let mut scheduler = Scheduler::new(&ranks(percents));
+    let _ = scheduler.set_pool_slots(now, &pool(), slots);
+    scheduler
+}
+
+fn run(offer: Offer) -> GrantId {
+    match offer {
+        Offer::Run(grant) => grant,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn wait(offer: Offer) -> WaitingId {
+    match offer {
+        Offer::Wait(waiting) => waiting,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Counts of the jobs with one label.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Counts {
+    offered: u32,
+    in_time: u32,
+    late: u32,
+    refused: u32,
+}
+
+impl Counts {
+    fn attainment(self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.offered)
+    }
+}
+
+/// Runs a scheduler in virtual time. Jobs carry the label under which they
+/// are counted; a running job ends after its expected service time.
+struct Simulation {
+    now: Instant,
+    scheduler: Scheduler,
+    running: Vec<(Instant, GrantId, Instant, usize)>,
+    waiting: SortedMap<WaitingId, (Instant, usize)>,
+    counts: Vec<Counts>,
+}
+
+impl Simulation {
+    fn new(scheduler: Scheduler, now: Instant) -> Simulation {
+        Simulation {
+            now,
+            scheduler,
+            running: Vec::new(),
+            waiting: SortedMap::new(),
+            counts: vec![Counts::default(); 4],
+        }
+    }
+
+    fn apply(&mut self, changes: Changes) {
+        for given_up in changes.given_up {
+            let (_, label) = self.waiting.remove(&given_up.waiting).unwrap();
+            self.counts[label].refused += 1;
+        }
+        for run in changes.run {
+            let (deadline, label) = self.waiting.remove(&run.waiting).unwrap();
+            let end = self.now + SERVICE;
+            self.running.push((end, run.grant, deadline, label));
+        }
+    }
+
+    fn advance(&mut self, to: Instant) {
+        loop {
+            let next = self.running.iter().map(|r| r.0).min();
+            let expiry = self.scheduler.next_expiry();
+            if let Some(end) = next.filter(|end| *end <= to)
+                && expiry.is_none_or(|expiry| end <= expiry)
+            {
+                let at = self.running.iter().position(|r| r.0 == end);
+                let (_, grant, deadline, label) =
+                    self.running.swap_remove(at.unwrap());
+                self.now = end;
+                let counts = &mut self.counts[label];
+                if end <= deadline {
+                    counts.in_time += 1;
+                } else {
+                    counts.late += 1;
+                }
+                let changes = self.scheduler.finish(end, grant, SERVICE);
+                self.apply(changes);
+            } else if let Some(expiry) = expiry.filter(|expiry| *expiry < to) {
+                self.now = self.now.max(expiry + Duration::from_nanos(1));
+                let changes = self.scheduler.expire(self.now);
+                self.apply(changes);
+            } else {
+                self.now = to;
+                return;
+            }
+        }
+    }
+
+    fn offer(&mut self, job: &Job, label: usize) {
+        self.counts[label].offered += 1;
+        match self.scheduler.offer(self.now, job) {
+            Offer::Run(grant) => {
+                let end = self.now + SERVICE;
+                self.running.push((end, grant, job.deadline, label));
+            }
+            Offer::Wait(waiting) => {
+                self.waiting.insert(waiting, (job.deadline, label));
+            }
+            Offer::Refuse(_) => self.counts[label].refused += 1,
+        }
+    }
+
+    /// Offers, for 20 s and in steps of 10 ms, the jobs that `offers`
+    /// returns for each step; then runs out.
+    fn drive(&mut self, offers: impl Fn(u32, Instant) -> Vec<(Job, usize)>) {
+        for step in 0..2_000 {
+            self.advance(self.now + ms(10));
+            for (job, label) in offers(step, self.now) {
+                self.offer(&job, label);
+            }
+        }
+        self.advance(self.now + ms(10_000));
+        assert!(self.waiting.is_empty() && self.running.is_empty());
+    }
+}
+
+/// 10 slots of 100 ms each: 100 jobs a second.
+fn simulate(
+    percents: [u8; 3],
+    offers: impl Fn(u32, Instant) -> Vec<(Job, usize)>,
+) -> Vec<Counts> {
+    let now = Instant::now();
+    let mut simulation = Simulation::new(scheduler(now, percents, 10), now);
+    simulation.drive(offers);
+    simulation.counts
+}
+
+/// Guards against urgent work that suffers from a flood of the least urgent.
+#[test]
+fn offer_flood_of_least_urgent() {
+    let urgent = |step: u32, now| {
+        let urgent = Job {
+            deadline: now + ms(300),
+            ..job(now, URGENT, "harbour", "office")
+        };
+        if step.is_multiple_of(2) { vec![(urgent, 0)] } else { vec![] }
+    };
+    let steady = simulate([50, 30, 10], urgent)[0].attainment();
+    let counts = simulate([50, 30, 10], |step, now| {
+        let mut offers = vec![(job(now, LEAST, "archive", "bulk"), 2); 10];
+        offers.extend(urgent(step, now));
+        offers
+    });
+    let flooded = counts[0].attainment();
+    assert!(flooded >= 0.99 * steady, "{flooded} of {steady}");
+    // The rest of the capacity is lent to the flood.
+    assert!(counts[2].in_time > 900, "{counts:?}");
+    assert!(counts.iter().all(|counts| counts.late == 0), "{counts:?}");
+}
+
+/// Guards against a flood of urgent work that takes the other ranks' shares,
+/// and against urgent work that loses the remainder.
+#[test]
+fn offer_flood_of_most_urgent() {
+    let counts = simulate([50, 30, 10], |_, now| {
+        let mut offers = vec![(job(now, URGENT, "harbour", "office"), 0); 10];
+        offers.push((job(now, NORMAL, "market", "office"), 1));
+        offers.push((job(now, LEAST, "archive", "bulk"), 2));
+        offers
+    });
+    // 20 s at 100 jobs a second, and at most 5 s of backlog after that.
+    assert!(counts[1].in_time >= 540, "{counts:?}");
+    assert!(counts[2].in_time >= 180, "{counts:?}");
+    assert!(counts[0].in_time >= 1_080, "{counts:?}");
+    assert!(counts.iter().all(|counts| counts.late == 0), "{counts:?}");
+}
+
+/// Guards against a rank with 0% that takes guaranteed shares, and against
+/// one that does not even get unused capacity.
+#[test]
+fn offer_rank_without_share() {
+    let offers = |urgent: usize| {
+        move |_, now| {
+            let mut offers =
+                vec![(job(now, URGENT, "harbour", "office"), 0); urgent];
+            offers.push((job(now, LEAST, "archive", "bulk"), 2));
+            offers
+        }
+    };
+    let flooded = simulate([100, 0, 0], offers(5));
+    let during_flood = flooded[2].in_time;
+    assert!(during_flood < 520, "{flooded:?}");
+    let alone = simulate([100, 0, 0], offers(0));
+    assert_eq!(alone[2].in_time, alone[2].offered, "{alone:?}");
+}
+
+/// Guards against a large caller, or a large workspace, that starves the
+/// small ones of its rank.
+#[test]
+fn offer_large_caller() {
+    for large in [("harbour", "bulk"), ("archive", "office")] {
+        let counts = simulate([50, 30, 10], |step, now| {
+            let mut offers = vec![(job(now, NORMAL, large.0, large.1), 0); 10];
+            if step % 10 == 0 {
+                let small = Job {
+                    deadline: now + ms(500),
+                    ..job(now, NORMAL, "harbour", "office")
+                };
+                offers.push((small, 1));
+            }
+            offers
+        });
+        assert!(counts[1].attainment() >= 0.95, "{large:?} {counts:?}");
+    }
+}
+
+/// Guards against goodput that collapses at ten times the load.
+#[test]
+fn offer_ten_times_load() {
+    let offers = |count| {
+        move |_, now| vec![(job(now, NORMAL, "harbour", "office"), 0); count]
+    };
+    let capacity = simulate([50, 30, 10], offers(1))[0].in_time;
+    let overload = simulate([50, 30, 10], offers(10))[0];
+    assert!(overload.in_time * 10 >= capacity * 9, "{overload:?}");
+    assert_eq!(overload.late, 0);
+}
+
+/// Guards against lent shares that stay with the borrower for more than one
+/// service time.
+#[test]
+fn finish_returns_lent_share() {
+    let now = Instant::now();
+    for (borrower, owner, least) in
+        [(URGENT, NORMAL, 3), (LEAST, URGENT, 5), (URGENT, LEAST, 1)]
+    {
+        let mut scheduler = scheduler(now, [50, 30, 10], 10);
+        let offer = |scheduler: &mut Scheduler, rank| {
+            scheduler.offer(now, &job(now, rank, "harbour", "office"))
+        };
+        let lent: Vec<GrantId> =
+            (0..10).map(|_| run(offer(&mut scheduler, borrower))).collect();
+        for _ in 0..20 {
+            wait(offer(&mut scheduler, borrower));
+        }
+        let owners: Vec<WaitingId> =
+            (0..10).map(|_| wait(offer(&mut scheduler, owner))).collect();
+        let end = now + SERVICE;
+        let returned = lent
+            .into_iter()
+            .flat_map(|grant| scheduler.finish(end, grant, SERVICE).run)
+            .filter(|run| owners.contains(&run.waiting))
+            .count();
+        assert!(returned >= least, "{borrower} {owner}: {returned}");
+    }
+}
+
+/// Guards against new pipelines that displace started ones of their rank.
+#[test]
+fn finish_started_first() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, [50, 30, 10], 1);
+    let new = job(now, NORMAL, "harbour", "office");
+    let started = Job { started: true, ..job(now, NORMAL, "market", "shop") };
+    let grant = run(scheduler.offer(now, &new));
+    wait(scheduler.offer(now, &new));
+    let first = wait(scheduler.offer(now, &started));
+    let changes = scheduler.finish(now + SERVICE, grant, SERVICE);
+    assert_eq!(changes.run[0].waiting, first);
+}
+
+/// Returns how many of 40 dispatches went to the first of two workspaces
+/// that both have enough waiting jobs. Jobs of the first hold their slot for
+/// `held`.
+fn first_of_40(weight: u32, held: Duration) -> usize {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, [50, 30, 10], 1);
+    let first = Job {
+        workspace_weight: weight,
+        deadline: now + ms(60_000),
+        ..job(now, NORMAL, "harbour", "office")
+    };
+    let second = Job {
+        deadline: first.deadline,
+        ..job(now, NORMAL, "market", "office")
+    };
+    let mut grant = run(scheduler.offer(now, &first));
+    let mut firsts = Vec::new();
+    for _ in 0..40 {
+        firsts.push(wait(scheduler.offer(now, &first)));
+        wait(scheduler.offer(now, &second));
+    }
+    let mut service_time = SERVICE;
+    let mut count = 0;
+    for _ in 0..40 {
+        let run = scheduler.finish(now, grant, service_time).run[0];
+        grant = run.grant;
+        let is_first = firsts.contains(&run.waiting);
+        count += usize::from(is_first);
+        service_time = if is_first { held } else { SERVICE };
+    }
+    count
+}
+
+/// Guards against shares that don't follow weights, and against a workspace
+/// that gains by jobs longer than expected.
+#[test]
+fn finish_charges_by_weight_and_time() {
+    assert!((19..=21).contains(&first_of_40(1, SERVICE)));
+    assert!((29..=31).contains(&first_of_40(3, SERVICE)));
+    assert!((9..=12).contains(&first_of_40(1, 3 * SERVICE)));
+}
+
+/// Guards against a request that is kept although the wait excludes its
+/// deadline, and against a `retry_after` after which it does not fit.
+#[test]
+fn offer_refuses_at_once() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, [50, 30, 10], 1);
+    let patient = job(now, NORMAL, "harbour", "office");
+    let mut grant = run(scheduler.offer(now, &patient));
+    for _ in 0..10 {
+        wait(scheduler.offer(now, &patient));
+    }
+    let hasty = |now| Job { deadline: now + ms(500), ..patient.clone() };
+    let Offer::Refuse(refusal) = scheduler.offer(now, &hasty(now)) else {
+        panic!("admitted behind a wait of 1 s");
+    };
+    assert_eq!(refusal.reason, RefusalReason::WaitTooLong);
+    let resend = now + refusal.retry_after.unwrap();
+    let mut end = now + SERVICE;
+    while end <= resend {
+        grant = scheduler.finish(end, grant, SERVICE).run[0].grant;
+        end += SERVICE;
+    }
+    wait(scheduler.offer(resend, &hasty(resend)));
+
+    let impossible = Job { remaining: ms(6_000), ..patient.clone() };
+    let Offer::Refuse(refusal) = scheduler.offer(now, &impossible) else {
+        panic!("admitted with stages longer than the deadline");
+    };
+    assert_eq!(refusal.reason, RefusalReason::DeadlineTooShort);
+    assert_eq!(refusal.retry_after, None);
+}
+
+/// Guards against a waiting job that is kept until its deadline, or that
+/// runs when it can no longer meet it.
+#[test]
+fn expire_at_latest_start() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, [50, 30, 10], 1);
+    let slow = job(now, NORMAL, "harbour", "office");
+    let hasty = Job { deadline: now + ms(400), ..slow.clone() };
+    let grant = run(scheduler.offer(now, &slow));
+    let waiting = wait(scheduler.offer(now, &hasty));
+    let latest_start = now + ms(300);
+    assert_eq!(scheduler.next_expiry(), Some(latest_start));
+    assert_eq!(scheduler.expire(latest_start), Changes::default());
+    let changes = scheduler.finish(latest_start + ms(1), grant, ms(301));
+    assert_eq!(changes.run, []);
+    assert_eq!(changes.given_up[0].waiting, waiting);
+    assert_eq!(scheduler.next_expiry(), None);
+}
+
+/// Guards against jobs kept although fewer slots exclude their deadline, and
+/// against giving up those that still fit.
+#[test]
+fn set_pool_slots_gives_up_late() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, [50, 30, 10], 4);
+    let hasty = Job {
+        deadline: now + ms(1_000),
+        ..job(now, NORMAL, "harbour", "office")
+    };
+    for _ in 0..4 {
+        run(scheduler.offer(now, &hasty));
+    }
+    let waiting: Vec<WaitingId> =
+        (0..24).map(|_| wait(scheduler.offer(now, &hasty))).collect();
+    let changes = scheduler.set_pool_slots(now, &pool(), 1);
+    let given_up: Vec<WaitingId> =
+        changes.given_up.iter().map(|given_up| given_up.waiting).collect();
+    // With 1 slot, 9 jobs fit in 900 ms less the running work.
+    assert!((15..=18).contains(&given_up.len()), "{given_up:?}");
+    assert_eq!(given_up, waiting[24 - given_up.len()..]);
+    assert_eq!(scheduler.queue_len_requests(), 24 - given_up.len());
+}
+
+/// Guards against jobs that wait for a pool without slots, against started
+/// jobs lost to a short report of none, and against more slots that stay
+/// unused.
+#[test]
+fn set_pool_slots_zero() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, [50, 30, 10], 0);
+    let new = job(now, NORMAL, "harbour", "office");
+    let started = Job { started: true, ..new.clone() };
+    let unknown =
+        Job { pool: PoolName::new("absent").unwrap(), ..new.clone() };
+    for job in [&new, &started, &unknown] {
+        let Offer::Refuse(refusal) = scheduler.offer(now, job) else {
+            panic!("{job:?}");
+        };
+        assert_eq!(refusal.reason, RefusalReason::NoSlots);
+        assert!(refusal.retry_after.is_some());
+    }
+    let _ = scheduler.set_pool_slots(now, &pool(), 1);
+    let grant = run(scheduler.offer(now, &new));
+    let new = wait(scheduler.offer(now, &new));
+    let started = wait(scheduler.offer(now, &started));
+    let changes = scheduler.set_pool_slots(now, &pool(), 0);
+    assert_eq!(changes.given_up.len(), 1);
+    assert_eq!(changes.given_up[0].waiting, new);
+    assert_eq!(scheduler.finish(now, grant, SERVICE), Changes::default());
+    let changes = scheduler.set_pool_slots(now, &pool(), 2);
+    assert_eq!(changes.run.len(), 1);
+    assert_eq!(changes.run[0].waiting, started);
+}
+
+/// Guards against a queue without bound, and against one caller that leaves
+/// no place for others.
+#[test]
+fn offer_full_queue() {
+    let now = Instant::now();
+    let mut scheduler =
+        Scheduler::new(&ranks([50, 30, 10])).with_queue_limit(90);
+    let _ = scheduler.set_pool_slots(now, &pool(), 1);
+    let patient = |workspace: &str, caller: &str| Job {
+        deadline: now + ms(100_000),
+        ..job(now, NORMAL, workspace, caller)
+    };
+    run(scheduler.offer(now, &patient("harbour", "bulk")));
+    let mut fill = |workspace: &str, caller: &str| {
+        let mut queued = 0;
+        loop {
+            match scheduler.offer(now, &patient(workspace, caller)) {
+                Offer::Wait(_) => queued += 1,
+                Offer::Refuse(refusal) => break (queued, refusal.reason),
+                Offer::Run(_) => panic!("ran without a slot"),
+            }
+        }
+    };
+    assert_eq!(fill("harbour", "bulk"), (30, RefusalReason::CallerQueueFull));
+    let (queued, _) = fill("harbour", "office");
+    assert!(queued >= 5, "{queued}");
+    let (queued, _) = fill("market", "office");
+    assert!(queued >= 10, "{queued}");
+    let mut reason = RefusalReason::CallerQueueFull;
+    for i in 0..90 {
+        reason = fill(&format!("workspace-{i}"), "office").1;
+    }
+    assert_eq!(reason, RefusalReason::QueueFull);
+    assert_eq!(scheduler.queue_len_requests(), 90);
+}
+
+/// The states in which a call may find a job.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum At {
+    Waiting,
+    Running,
+    Finished,
+    Cancelled,
+    GivenUp,
+}
+
+/// Guards against a late or repeated call that frees a slot twice, runs a
+/// cancelled job or answers a job twice: each call at each state.
+#[test]
+fn cancel_each_state() {
+    let now = Instant::now();
+    for at in
+        [At::Waiting, At::Running, At::Finished, At::Cancelled, At::GivenUp]
+    {
+        let mut scheduler = scheduler(now, [50, 30, 10], 1);
+        let patient = job(now, NORMAL, "harbour", "office");
+        let other = run(scheduler.offer(now, &patient));
+        let waiting = wait(scheduler.offer(now, &patient));
+        let mut grant = None;
+        match at {
+            At::Waiting => (),
+            At::Cancelled => assert!(scheduler.cancel(waiting)),
+            At::GivenUp => {
+                let changes = scheduler.expire(now + ms(6_000));
+                assert_eq!(changes.given_up.len(), 1);
+            }
+            At::Running | At::Finished => {
+                let changes = scheduler.finish(now, other, SERVICE);
+                grant = Some(changes.run[0].grant);
+            }
+        }
+        if at == At::Finished {
+            let _ = scheduler.finish(now, grant.unwrap(), SERVICE);
+        }
+        let running = scheduler.running_requests(&pool());
+        // Another job takes the freed place of the slab.
+        let next = scheduler.offer(now, &patient);
+        assert_eq!(scheduler.cancel(waiting), at == At::Waiting, "{at:?}");
+        assert!(!scheduler.cancel(waiting), "{at:?}");
+        let held = scheduler.running_requests(&pool());
+        let ran = u32::from(matches!(next, Offer::Run(_)));
+        assert_eq!(held, running + ran, "{at:?}");
+        if at == At::Finished {
+            let again = scheduler.finish(now, grant.unwrap(), SERVICE);
+            assert_eq!(again, Changes::default());
+            assert_eq!(scheduler.running_requests(&pool()), held);
+        }
+        if let Offer::Wait(next) = next {
+            let holder = grant.unwrap_or(other);
+            let changes = scheduler.finish(now, holder, SERVICE);
+            assert_eq!(changes.run[0].waiting, next, "{at:?}");
+        }
+    }
+}
+
+/// Guards against ranks of a new epoch that lose or strand waiting jobs.
+#[test]
+fn set_ranks_keeps_jobs() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(now, [50, 30, 10], 1);
+    let least = job(now, LEAST, "harbour", "office");
+    let grant = run(scheduler.offer(now, &least));
+    let waiting = wait(scheduler.offer(now, &least));
+    scheduler.set_ranks(&ranks([50, 30, 10])[..1]);
+    let later = wait(scheduler.offer(now, &least));
+    let changes = scheduler.finish(now, grant, SERVICE);
+    assert_eq!(changes.run[0].waiting, later, "now the only rank");
+    let changes = scheduler.finish(now, changes.run[0].grant, SERVICE);
+    assert_eq!(changes.run[0].waiting, waiting);
+}
+
+/// Guards against lost or twice answered jobs, slots used beyond their
+/// number, and free slots while jobs wait, over random calls.
+#[test]
+fn random_calls_answer_each_job_once() {
+    for seed in 0..50 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut now = Instant::now();
+        let mut scheduler = Scheduler::new(&ranks([50, 30, 0]))
+            .with_queue_limit(random.random_range(1..40));
+        let mut slots = 0;
+        let mut open = Vec::new();
+        let mut grants = Vec::new();
+        for _ in 0..2_000 {
+            now += ms(random.random_range(0..20));
+            let changes = match random.random_range(0..10) {
+                0..5 => {
+                    let workspace =
+                        format!("workspace-{}", random.random_range(0..9));
+                    let caller =
+                        format!("caller-{}", random.random_range(0..3));
+                    let mut job = job(
+                        now,
+                        random.random_range(0..4),
+                        &workspace,
+                        &caller,
+                    );
+                    job.started = random.random();
+                    job.deadline = now + ms(random.random_range(0..2_000));
+                    match scheduler.offer(now, &job) {
+                        Offer::Run(grant) => grants.push(grant),
+                        Offer::Wait(waiting) => open.push(waiting),
+                        Offer::Refuse(_) => (),
+                    }
+                    Changes::default()
+                }
+                5..8 if !grants.is_empty() => {
+                    let at = random.random_range(0..grants.len());
+                    let held = ms(random.random_range(0..300));
+                    scheduler.finish(now, grants.swap_remove(at), held)
+                }
+                8 if !open.is_empty() => {
+                    let at = random.random_range(0..open.len());
+                    assert!(scheduler.cancel(open.swap_remove(at)));
+                    Changes::default()
+                }
+                9 if random.random_range(0..5) == 0 => {
+                    slots = random.random_range(0..6);
+                    scheduler.set_pool_slots(now, &pool(), slots)
+                }
+                _ => scheduler.expire(now),
+            };
+            let before = open.len();
+            for given_up in &changes.given_up {
+                open.retain(|waiting| *waiting != given_up.waiting);
+            }
+            for run in &changes.run {
+                open.retain(|waiting| *waiting != run.waiting);
+                grants.push(run.grant);
+            }
+            let answered = changes.given_up.len() + changes.run.len();
+            assert_eq!(open.len(), before - answered, "seed {seed}");
+            assert_eq!(scheduler.queue_len_requests(), open.len());
+            let running = scheduler.running_requests(&pool());
+            assert_eq!(usize::try_from(running).unwrap(), grants.len());
+            assert!(changes.run.is_empty() || running <= slots);
+            assert!(open.is_empty() || running >= slots, "seed {seed}");
+        }
+    }
+}
