Report every fault of an object set at once

Cause: a broken reference or an orphaned version must never go live, and operators need all faults of a set in one run. Change: objects::load reads objects from a file's text and reports syntax errors, unknown fields and bad values with file and line; objects::check returns every fault of a set as typed values with a remedy, independent of the order of the objects. Conclusion: the command and the daemons can validate a set with one function.

--- a/crates/briarladder-core/src/objects/check.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Finds every fault of a set of objects at once.
--- /dev/null
+++ b/crates/briarladder-core/src/objects/check/versions.rs
@@ -0,0 +1,122 @@
+//! Model versions: use, loading and the bases of adapters.
+
+use super::{Faults, Problem, index::Index};
+use crate::{
+    names::ModelVersionName,
+    objects::{ModelVersion, Object, Region, Stage, Work, load::Located},
+    sorted::SortedSet,
+};
+
+pub fn check(objects: &[&Located], index: &Index, faults: &mut Faults) {
+    let used = used_versions(objects);
+    for at in objects {
+        match &at.object {
+            Object::ModelVersion(version) => {
+                if !used.contains(version.name.as_str()) {
+                    faults.add(at, "", Problem::OrphanedVersion);
+                }
+                check_cycle(at, version, index, faults);
+            }
+            Object::Stage(stage) => check_loaded(at, stage, index, faults),
+            Object::Region(region) => check_bases(at, region, index, faults),
+            _ => {}
+        }
+    }
+}
+
+fn used_versions<'a>(objects: &[&'a Located]) -> SortedSet<&'a str> {
+    let mut used = Vec::new();
+    for at in objects {
+        match &at.object {
+            Object::Stage(stage) => {
+                if let Work::Generate { model_version, .. } = &stage.work {
+                    used.push(model_version.as_str());
+                }
+            }
+            Object::Region(region) => {
+                let versions = region.pools.iter().flat_map(|pool| {
+                    pool.model_versions.iter().map(ModelVersionName::as_str)
+                });
+                used.extend(versions);
+            }
+            Object::ModelVersion(version) => {
+                used.extend(version.base.iter().map(ModelVersionName::as_str));
+            }
+            _ => {}
+        }
+    }
+    used.into_iter().collect()
+}
+
+fn check_loaded(
+    at: &Located,
+    stage: &Stage,
+    index: &Index,
+    faults: &mut Faults,
+) {
+    let Work::Generate { model_version, .. } = &stage.work else { return };
+    let version = model_version.as_str();
+    let Some(pool) = index.pools.get(stage.pool.as_str()) else { return };
+    // A pool without servers or with another role has its own fault.
+    let judged = index.versions.contains_key(version)
+        && pool.servers > 0
+        && pool.role == stage.work.role();
+    if judged && !pool.loaded.contains(version) {
+        let problem = Problem::VersionNotLoaded {
+            version: version.to_owned(),
+            pool: stage.pool.as_str().to_owned(),
+        };
+        faults.add(at, "work.generate.model_version", problem);
+    }
+}
+
+fn check_bases(
+    at: &Located,
+    region: &Region,
+    index: &Index,
+    faults: &mut Faults,
+) {
+    for (i, pool) in region.pools.iter().enumerate() {
+        for (j, name) in pool.model_versions.iter().enumerate() {
+            let version = index.versions.get(name.as_str());
+            let Some(base) = version.and_then(|v| v.base.as_ref()) else {
+                continue;
+            };
+            let known = index.versions.contains_key(base.as_str());
+            if known && !pool.model_versions.contains(base) {
+                let problem = Problem::BaseNotLoaded {
+                    adapter: name.as_str().to_owned(),
+                    base: base.as_str().to_owned(),
+                };
+                let field = format!("pools[{i}].model_versions[{j}]");
+                faults.add(at, field, problem);
+            }
+        }
+    }
+}
+
+fn check_cycle(
+    at: &Located,
+    version: &ModelVersion,
+    index: &Index,
+    faults: &mut Faults,
+) {
+    let start = version.name.as_str();
+    let mut path = vec![start.to_owned()];
+    let mut next = version.base.as_ref();
+    while let Some(name) = next {
+        let name = name.as_str();
+        path.push(name.to_owned());
+        if name == start {
+            let problem = Problem::BaseCycle { path };
+            faults.add(at, "base", problem);
+            return;
+        }
+        // A cycle is reported once, at its first name. The length bound
+        // ends the walk into a cycle that does not contain `start`.
+        if name < start || path.len() > index.versions.len() {
+            return;
+        }
+        next = index.versions.get(name).and_then(|v| v.base.as_ref());
+    }
+}
--- a/crates/briarladder-core/src/objects/mod.rs
+++ b/crates/briarladder-core/src/objects/mod.rs
@@ -28,6 +28,7 @@
 };
 
 pub mod check;
+pub mod load;
 pub mod snapshot;
 
 /// One published object.
