Distribute the configuration by manifest and chunks

Cause: a change must be in force everywhere within 17 s, never revert, and move little data; a bad set must never replace a good one. Change: module config: manifest and chunks by BLAKE3 digest, differences of manifests between peers, EpochStore with epoch floor and last good set, readers of a zone, notification targets, and the schedule by which a daemon that is behind reads the platform. A fresh daemon puts nothing in force before its floor is confirmed, and gets the last good set from peers while a bad one is published.

--- /dev/null
+++ b/crates/briarladder-core/src/config/readers.rs
@@ -0,0 +1,201 @@
+//! Who reads the platform, and who is notified of a new epoch.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_core::{
+//!     config::readers,
+//!     names::{VmName, ZoneName},
+//! };
+//!
+//! let zone = ZoneName::new("recife-a").unwrap();
+//! let live = ["vm-1", "vm-2", "vm-3"].map(|n| VmName::new(n).unwrap());
+//! assert_eq!(readers(&zone, &live).len(), 2);
+//! ```
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    names::{VmName, ZoneName},
+    rendezvous,
+};
+
+/// The daemons of a zone that watch the platform.
+pub const READERS_PER_ZONE: usize = 2;
+
+/// The zone peers that a daemon notifies of a new epoch. In a zone of 208
+/// daemons, four reach about 98% of it; probes reach the rest.
+pub const NOTIFY_FANOUT: usize = 4;
+
+/// How long a daemon is behind before it reads the platform itself.
+pub const BEHIND_READ_AFTER: Duration = Duration::from_secs(5);
+
+/// Reads by daemons that fall behind together are spread over this time:
+/// 2,500 daemons with two calls each then make 1,250 calls a second, under
+/// the platform's 2,000.
+const READ_SPREAD: Duration = Duration::from_secs(4);
+
+/// The longest time between two reads of a daemon that stays behind.
+const MAX_READ_INTERVAL: Duration = Duration::from_secs(32);
+
+/// Returns the daemons of a zone that watch the platform: the first two in
+/// rendezvous order of the zone's name. Where views of the live daemons
+/// differ, there are briefly more.
+#[must_use]
+pub fn readers<'a>(zone: &ZoneName, live: &'a [VmName]) -> Vec<&'a VmName> {
+    let mut order = rendezvous::order(zone.as_str(), live);
+    order.truncate(READERS_PER_ZONE);
+    order
+}
+
+/// Returns whether a daemon is one of its zone's readers.
+#[must_use]
+pub fn is_reader(zone: &ZoneName, live: &[VmName], vm: &VmName) -> bool {
+    readers(zone, live).contains(&vm)
+}
+
+/// Returns the zone peers to notify once an epoch was adopted or rejected.
+///
+/// Each daemon chooses others and each epoch chooses anew, so a dead peer
+/// cuts nobody off for long.
+#[must_use]
+pub fn notify_targets<'a>(
+    vm: &VmName,
+    zone_peers: &'a [VmName],
+    epoch: u64,
+) -> Vec<&'a VmName> {
+    let others = zone_peers.iter().filter(|peer| *peer != vm);
+    let mut order = rendezvous::order(&format!("{epoch}/{vm}"), others);
+    order.truncate(NOTIFY_FANOUT);
+    order
+}
+
+/// When a daemon that is behind reads the platform itself.
+#[derive(Debug)]
+pub struct PlatformReads {
+    /// This daemon's place in [`READ_SPREAD`].
+    stagger: Duration,
+    reads: u32,
+    last: Option<Instant>,
+}
+
+impl PlatformReads {
+    /// Creates the schedule of one daemon.
+    #[must_use]
+    pub fn new(vm: &VmName) -> PlatformReads {
+        let hash = rendezvous::score("platform-read", vm.as_str());
+        // A thousand steps are fine enough for any fleet.
+        let step = u32::try_from(hash % 1_000).unwrap_or_default();
+        let stagger = READ_SPREAD * step / 1_000;
+        PlatformReads { stagger, reads: 0, last: None }
+    }
+
+    /// Returns when the next read is due; `None` if the daemon is not
+    /// behind. The time may be past.
+    #[must_use]
+    pub fn next_at(&self, behind_since: Option<Instant>) -> Option<Instant> {
+        let since = behind_since?;
+        let first = since + BEHIND_READ_AFTER + self.stagger;
+        match self.last {
+            Some(last) if last >= since => {
+                let doubled = READ_SPREAD * (1 << self.reads.min(4)) / 2;
+                Some(last + doubled.min(MAX_READ_INTERVAL))
+            }
+            _ => Some(first),
+        }
+    }
+
+    /// Notes that a read was started.
+    pub fn started(&mut self, behind_since: Option<Instant>, now: Instant) {
+        let again =
+            behind_since.is_some_and(|s| self.last.is_some_and(|l| l >= s));
+        self.reads = if again { self.reads + 1 } else { 1 };
+        self.last = Some(now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn vms(count: usize) -> Vec<VmName> {
+        let name = |i| VmName::new(&format!("vm-{i}")).unwrap();
+        (0..count).map(name).collect()
+    }
+
+    /// Guards against a zone without readers after one of them dies, and
+    /// against readers that depend on the order of the list.
+    #[test]
+    fn readers_survive_loss() {
+        let zone = ZoneName::new("recife-a").unwrap();
+        let mut live = vms(9);
+        let before: Vec<VmName> =
+            readers(&zone, &live).into_iter().cloned().collect();
+        live.reverse();
+        assert_eq!(readers(&zone, &live), before.iter().collect::<Vec<_>>());
+        live.retain(|vm| *vm != before[0]);
+        let after = readers(&zone, &live);
+        assert_eq!((after.len(), after[0]), (2, &before[1]));
+        assert!(is_reader(&zone, &live, &before[1]));
+        assert!(!is_reader(&zone, &live, &before[0]));
+        assert_eq!(readers(&zone, &live[..1]).len(), 1);
+    }
+
+    /// Guards against a fan-out that leaves much of a zone to the probes,
+    /// with a tenth of the daemons dead.
+    #[test]
+    fn notify_reaches_zone() {
+        let zone = vms(208);
+        for epoch in 1..20 {
+            let mut reached = vec![false; zone.len()];
+            let mut open = vec![0, 1];
+            while let Some(at) = open.pop() {
+                // Every tenth daemon is dead and passes nothing on.
+                if reached[at] || at % 10 == 9 {
+                    continue;
+                }
+                reached[at] = true;
+                let targets = notify_targets(&zone[at], &zone, epoch);
+                assert!(!targets.contains(&&zone[at]));
+                let place = |t| zone.iter().position(|vm| vm == t).unwrap();
+                open.extend(targets.into_iter().map(place));
+            }
+            let count = reached.iter().filter(|&&r| r).count();
+            assert!(count >= 188 * 9 / 10, "epoch {epoch}: {count} of 188");
+        }
+    }
+
+    /// Guards against daemons that read the platform too early, all at
+    /// once, or without pause while it is down.
+    #[test]
+    fn reads_are_late_spread_and_paced() {
+        let since = Instant::now();
+        let mut per_second = [0; 4];
+        for vm in vms(2_500) {
+            let reads = PlatformReads::new(&vm);
+            assert_eq!(reads.next_at(None), None);
+            let first = reads.next_at(Some(since)).unwrap();
+            let wait = first - (since + BEHIND_READ_AFTER);
+            per_second[usize::try_from(wait.as_secs()).unwrap()] += 1;
+        }
+        assert!(per_second.iter().all(|&n| n < 1_000), "{per_second:?}");
+
+        let mut reads = PlatformReads::new(&vms(1)[0]);
+        let mut at = reads.next_at(Some(since)).unwrap();
+        let mut gaps = Vec::new();
+        for _ in 0..6 {
+            reads.started(Some(since), at);
+            let next = reads.next_at(Some(since)).unwrap();
+            gaps.push((next - at).as_secs());
+            at = next;
+        }
+        assert_eq!(gaps, [4, 8, 16, 32, 32, 32]);
+        // Behind again later: the pace starts anew.
+        let again = at + Duration::from_mins(1);
+        let first = reads.next_at(Some(again)).unwrap();
+        assert!(first >= again + BEHIND_READ_AFTER);
+        reads.started(Some(again), first);
+        let next = reads.next_at(Some(again)).unwrap();
+        assert_eq!(next - first, READ_SPREAD);
+    }
+}
--- /dev/null
+++ b/crates/briarladder-core/src/config/store/tests.rs
@@ -0,0 +1,321 @@
+use std::time::Duration;
+
+use super::*;
+use crate::{config::Bundle, objects::Object};
+
+const KEY: &str = "00112233445566778899aabbccddeeff\
+                   00112233445566778899aabbccddeeff";
+
+/// A good set whose ranks make up several chunks. `share` changes one.
+fn bundle(epoch: u64, share: u8) -> Bundle {
+    let fleet = serde_json::json!({
+        "kind": "fleet", "ticket_lifetime_ms": 1000,
+        "outcome_retention_ms": 1000, "weight_store_bytes_per_s": 1,
+        "ticket_keys": [{"id": 1, "secret_hex": KEY}]
+    });
+    let rank = |order: u8| {
+        serde_json::json!({
+            "kind": "rank", "name": format!("rank-{order}"), "order": order,
+            "guaranteed_percent": if order == 7 { share } else { 0 }
+        })
+    };
+    let objects: Vec<Object> = std::iter::once(fleet)
+        .chain((0..250).map(rank))
+        .map(|json| serde_json::from_value(json).unwrap())
+        .collect();
+    Bundle::new(epoch, &objects).unwrap()
+}
+
+/// A store that confirmed its floor.
+fn confirmed(now: Instant) -> EpochStore {
+    let mut store = EpochStore::new();
+    assert!(store.confirm_floor(now).is_none());
+    store
+}
+
+/// Offers a whole bundle and returns the last outcome.
+fn offer(store: &mut EpochStore, bundle: &Bundle, now: Instant) -> Outcome {
+    let mut outcome = store.offer_manifest(bundle.manifest.clone(), now);
+    while let Outcome::Missing(missing) = &outcome {
+        let digest = missing[0].digest;
+        let chunk = bundle.chunks.iter().find(|c| c.digest == digest);
+        outcome = store.offer_chunk(&digest, &chunk.unwrap().bytes, now);
+    }
+    outcome
+}
+
+fn epoch(store: &EpochStore) -> Option<u64> {
+    store.in_force().map(|snapshot| snapshot.epoch)
+}
+
+/// Guards against an epoch that goes back, in every order of three.
+#[test]
+fn adoption_never_reverts() {
+    let now = Instant::now();
+    let orders = [[1, 2, 3], [1, 3, 2], [2, 1, 3], [2, 3, 1], [3, 1, 2]];
+    for order in orders {
+        let mut store = confirmed(now);
+        let mut highest = 0;
+        for next in order {
+            let share = u8::try_from(next).unwrap();
+            let outcome = offer(&mut store, &bundle(next, share), now);
+            let newer = next > highest;
+            assert_eq!(matches!(outcome, Outcome::Adopted(_)), newer);
+            highest = highest.max(next);
+            assert_eq!(epoch(&store), Some(highest));
+        }
+    }
+}
+
+/// Guards against a fresh daemon that puts a stale platform's epoch in
+/// force, before or after it hears of the floor.
+#[test]
+fn fresh_daemon_stays_below_floor() {
+    let now = Instant::now();
+    let ignored = IgnoreReason::BelowFloor { floor: 7 };
+    // The floor is known first.
+    let mut store = confirmed(now);
+    assert_eq!(store.readiness(), Readiness::NoConfiguration);
+    store.observe_floor(7, now);
+    let outcome = offer(&mut store, &bundle(6, 1), now);
+    assert!(matches!(outcome, Outcome::Ignored(r) if r == ignored));
+    assert_eq!(store.readiness(), Readiness::BelowFloor { floor: 7 });
+    // The platform answers first, the floor comes before confirmation.
+    let mut store = EpochStore::new();
+    let outcome = offer(&mut store, &bundle(6, 1), now);
+    assert!(matches!(outcome, Outcome::Held(_)));
+    assert_eq!(store.readiness(), Readiness::FloorUnconfirmed);
+    store.observe_peer(Announcement { in_force: 7, known: 7 }, now);
+    let outcome = store.confirm_floor(now);
+    assert!(matches!(outcome, Some(Outcome::Ignored(r)) if r == ignored));
+    assert_eq!(epoch(&store), None);
+    assert_eq!(store.readiness(), Readiness::BelowFloor { floor: 7 });
+    // The floor comes while chunks are collected.
+    let mut late = confirmed(now);
+    let six = bundle(6, 1);
+    late.offer_manifest(six.manifest.clone(), now);
+    late.observe_floor(7, now);
+    for chunk in &six.chunks {
+        late.offer_chunk(&chunk.digest, &chunk.bytes, now);
+    }
+    assert_eq!(epoch(&late), None);
+    // All recover at the floor.
+    for mut store in [store, late] {
+        offer(&mut store, &bundle(7, 1), now);
+        assert_eq!(store.readiness(), Readiness::Ready);
+    }
+}
+
+/// Guards against a held set that is never put in force, and against a
+/// daemon that stops serving its last good set when it falls behind.
+#[test]
+fn held_set_is_adopted_at_floor() {
+    let now = Instant::now();
+    let mut store = EpochStore::new();
+    offer(&mut store, &bundle(6, 1), now);
+    store.observe_floor(6, now);
+    let outcome = store.confirm_floor(now);
+    assert!(matches!(outcome, Some(Outcome::Adopted(_))));
+    store.observe_floor(9, now);
+    assert_eq!(store.readiness(), Readiness::Ready);
+    offer(&mut store, &bundle(8, 2), now);
+    assert_eq!(epoch(&store), Some(6));
+}
+
+/// Guards against part of a set in force, and against corrupted chunks or
+/// chunks that come early, twice or in any order.
+#[test]
+fn chunks_out_of_order_or_corrupt() {
+    let now = Instant::now();
+    let set = bundle(1, 1);
+    assert!(set.chunks.len() > 2, "{} chunks", set.chunks.len());
+    let mut store = confirmed(now);
+    let early = &set.chunks[0];
+    let outcome = store.offer_chunk(&early.digest, &early.bytes, now);
+    let not_wanted = |outcome: &Outcome| {
+        matches!(outcome, Outcome::Ignored(IgnoreReason::NotWanted))
+    };
+    assert!(not_wanted(&outcome));
+    store.offer_manifest(set.manifest.clone(), now);
+    for (left, chunk) in set.chunks.iter().enumerate().rev() {
+        let mut bytes = chunk.bytes.to_vec();
+        bytes[left] ^= 1;
+        for bad in [&bytes[..], &bytes[1..], &[]] {
+            let outcome = store.offer_chunk(&chunk.digest, bad, now);
+            let corrupt = IgnoreReason::Corrupt;
+            assert!(matches!(outcome, Outcome::Ignored(r) if r == corrupt));
+        }
+        assert_eq!((store.missing().len(), epoch(&store)), (left + 1, None));
+        let outcome = store.offer_chunk(&chunk.digest, &chunk.bytes, now);
+        assert_eq!(matches!(outcome, Outcome::Adopted(_)), left == 0);
+        let outcome = store.offer_chunk(&chunk.digest, &chunk.bytes, now);
+        assert!(not_wanted(&outcome));
+    }
+    assert_eq!(epoch(&store), Some(1));
+    // The next epoch needs only the chunk that changed.
+    let outcome = store.offer_manifest(bundle(2, 2).manifest, now);
+    assert!(matches!(outcome, Outcome::Missing(m) if m.len() == 1));
+}
+
+/// Guards against a bad set in force, a lost reason, and a rejection that
+/// blocks the next good set.
+#[test]
+fn bad_set_leaves_last_good() {
+    let now = Instant::now();
+    let mut store = confirmed(now);
+    offer(&mut store, &bundle(1, 1), now);
+    let bad = bundle(2, 101);
+    let outcome = offer(&mut store, &bad, now);
+    let Outcome::Rejected(rejection) = outcome else { panic!("{outcome:?}") };
+    assert!(rejection.to_string().contains("add up to 101%"));
+    assert_eq!(store.rejected(), Some(&rejection));
+    assert_eq!((epoch(&store), store.floor()), (Some(1), 1));
+    let announced = Announcement { in_force: 1, known: 2 };
+    assert_eq!(store.announcement(), announced);
+    // Peers get the rejected set too, so that each shows the reason.
+    let mut peer = confirmed(now);
+    offer(&mut peer, &bundle(1, 1), now);
+    peer.observe_peer(announced, now);
+    assert_eq!(peer.behind_since(), Some(now));
+    let have = peer.newest_manifest().unwrap().id();
+    let ManifestReply::Delta(delta) =
+        store.manifest_for(Which::Newest, Some(have))
+    else {
+        panic!("no difference")
+    };
+    let manifest = delta.apply(peer.newest_manifest().unwrap()).unwrap();
+    peer.offer_manifest(manifest, now);
+    for missing in peer.missing() {
+        let bytes = store.chunk(&missing.digest).unwrap();
+        peer.offer_chunk(&missing.digest, &bytes, now);
+    }
+    assert_eq!(peer.rejected(), Some(&rejection));
+    assert_eq!((peer.behind_since(), epoch(&peer)), (None, Some(1)));
+    // Again the same: nothing new.
+    let outcome = offer(&mut store, &bad, now);
+    assert!(matches!(outcome, Outcome::Ignored(IgnoreReason::NotNewer)));
+    offer(&mut store, &bundle(3, 3), now);
+    assert_eq!((epoch(&store), store.rejected()), (Some(3), None));
+}
+
+/// Guards against a daemon that stops at a manifest or chunk it can't read.
+#[test]
+fn unreadable_set_is_rejected() {
+    let now = Instant::now();
+    let mut store = confirmed(now);
+    let mut bad = bundle(1, 1);
+    let text: &[u8] = br#"[{"kind": "speed"}]"#;
+    let digest = Digest::of(text);
+    bad.manifest.chunks[0].digest = digest;
+    bad.manifest.chunks[0].len_bytes = text.len() as u64;
+    bad.chunks[0] = crate::config::Chunk { digest, bytes: text.into() };
+    let outcome = offer(&mut store, &bad, now);
+    let unreadable = |reason: &RejectReason| matches!(reason, RejectReason::Unreadable(faults) if faults.len() == 1);
+    assert!(matches!(outcome, Outcome::Rejected(r) if unreadable(&r.reason)));
+    let mut twice = bundle(2, 1).manifest;
+    twice.chunks.push(twice.chunks[0].clone());
+    let outcome = store.offer_manifest(twice, now);
+    let bad =
+        |reason: &RejectReason| matches!(reason, RejectReason::BadManifest(_));
+    assert!(matches!(outcome, Outcome::Rejected(r) if bad(&r.reason)));
+    offer(&mut store, &bundle(3, 1), now);
+    assert_eq!(epoch(&store), Some(3));
+}
+
+/// Guards against two contents of one epoch in force one after the other,
+/// while collecting and after adoption.
+#[test]
+fn epoch_published_twice() {
+    let now = Instant::now();
+    let (first, second) = (bundle(1, 1), bundle(1, 2));
+    let reused = |outcome: &Outcome| match outcome {
+        Outcome::Rejected(rejection) => {
+            let first = first.manifest.id();
+            rejection.reason == RejectReason::EpochReused { first }
+        }
+        _ => false,
+    };
+    let mut store = confirmed(now);
+    store.offer_manifest(first.manifest.clone(), now);
+    assert!(reused(&store.offer_manifest(second.manifest.clone(), now)));
+    offer(&mut store, &first, now);
+    let share = |store: &EpochStore| {
+        store.in_force().unwrap().ranks[7].guaranteed_percent
+    };
+    assert_eq!(share(&store), 1);
+    assert!(reused(&offer(&mut store, &second, now)));
+    assert_eq!((share(&store), epoch(&store)), (1, Some(1)));
+    assert!(store.rejected().is_some());
+    offer(&mut store, &bundle(2, 2), now);
+    assert_eq!((share(&store), store.rejected()), (2, None));
+}
+
+/// Guards against a time behind that restarts with each probe, and against
+/// chunks of superseded sets that are kept for good.
+#[test]
+fn behind_keeps_first_time() {
+    let start = Instant::now();
+    let at = |s| start + Duration::from_secs(s);
+    let mut store = confirmed(start);
+    offer(&mut store, &bundle(1, 1), start);
+    assert_eq!(store.behind_since(), None);
+    store.observe_peer(Announcement { in_force: 2, known: 3 }, at(1));
+    store.observe_peer(Announcement { in_force: 4, known: 4 }, at(2));
+    assert_eq!(store.behind_since(), Some(at(1)));
+    offer(&mut store, &bundle(4, 4), at(3));
+    assert_eq!(store.behind_since(), None);
+    for next in 5..40 {
+        let share = u8::try_from(next).unwrap();
+        let set = bundle(next, share);
+        offer(&mut store, &set, at(next));
+        assert!(store.chunks.len() <= set.chunks.len() + 1);
+    }
+    assert_eq!(store.whole.len(), HISTORY_MANIFESTS);
+    let old = bundle(1, 1).manifest.id();
+    let reply = store.manifest_for(Which::Newest, Some(old));
+    assert!(matches!(reply, ManifestReply::Full(m) if m.epoch == 39));
+    let have = store.newest_manifest().map(Manifest::id);
+    let reply = store.manifest_for(Which::Newest, have);
+    assert_eq!(reply, ManifestReply::Nothing);
+}
+
+/// Guards against a fresh daemon that never starts while a bad set is
+/// published, though its peers have the last good one, even after many
+/// bad sets.
+#[test]
+fn fresh_daemon_gets_last_good_from_peers() {
+    let now = Instant::now();
+    let mut peer = confirmed(now);
+    offer(&mut peer, &bundle(7, 1), now);
+    for next in 8..30 {
+        offer(&mut peer, &bundle(next, 101), now);
+    }
+    let mut fresh = EpochStore::new();
+    fresh.observe_peer(peer.announcement(), now);
+    fresh.confirm_floor(now);
+    assert_eq!(fresh.next_request(), Some(Which::Newest));
+    for next in 20..30 {
+        offer(&mut fresh, &bundle(next, 101), now);
+    }
+    assert_eq!(fresh.next_request(), Some(Which::InForce));
+    assert_eq!(fresh.behind_since(), Some(now));
+    let have = fresh.newest_manifest().map(Manifest::id);
+    let reply = peer.manifest_for(Which::InForce, have);
+    let ManifestReply::Delta(delta) = reply else { panic!("{reply:?}") };
+    let base = fresh.newest_manifest().unwrap();
+    let manifest = delta.apply(base).unwrap();
+    fresh.offer_manifest(manifest, now);
+    for missing in fresh.missing() {
+        let bytes = peer.chunk(&missing.digest).unwrap();
+        fresh.offer_chunk(&missing.digest, &bytes, now);
+    }
+    assert_eq!((epoch(&fresh), fresh.next_request()), (Some(7), None));
+    let reply = fresh.manifest_for(Which::InForce, None);
+    assert!(matches!(reply, ManifestReply::Full(m) if m.epoch == 7));
+    // The rejection of the newer epoch still shows.
+    assert_eq!(fresh.rejected().map(|r| r.id.epoch), Some(29));
+    // A daemon that only itself rejects what is in force elsewhere does
+    // not ask for it without end.
+    fresh.observe_floor(29, now);
+    assert_eq!(fresh.next_request(), None);
+}
