--- a/crates/briarladder-standins/src/server/mod.rs
+++ b/crates/briarladder-standins/src/server/mod.rs
@@ -187,6 +187,9 @@
         Check::Run
     }
 
+    /// Notes that a request has its slot and starts.
+    fn started(&self, _job: &Job) {}
+
     /// Runs a request that holds its slot.
     async fn execute(&self, job: Job, link: Link, res: &mut Response);
 
--- a/crates/briarladder-standins/src/server/request.rs
+++ b/crates/briarladder-standins/src/server/request.rs
@@ -151,6 +151,7 @@
     let Some(mut job) = core.admit(run, key).await else {
         return reply::not_run(res, "cancelled while queued");
     };
+    work.started(&job);
     if link.plan.has(Fault::Crash) {
         core.crash();
         link.cut().await;
--- a/crates/briarladder-standins/src/service.rs
+++ b/crates/briarladder-standins/src/service.rs
@@ -124,13 +124,16 @@
         }
     }
 
+    fn started(&self, job: &Job) {
+        let Some(key) = &job.key else { return };
+        let output = output::answer(Role::Service, &job.run);
+        let call = Call { output, done: false };
+        lock(&self.calls).insert(key.clone(), call);
+    }
+
     async fn execute(&self, mut job: Job, link: Link, res: &mut Response) {
         let run = job.run.clone();
         let output = output::answer(Role::Service, &run);
-        if let Some(key) = &job.key {
-            let call = Call { output: output.clone(), done: false };
-            lock(&self.calls).insert(key.clone(), call);
-        }
         let time = self.service_time + link.plan.slow();
         let calls = self.calls.clone();
         let (sender, receiver) = oneshot::channel();
--- /dev/null
+++ b/crates/briarladder-standins/tests/faults.rs
@@ -0,0 +1,297 @@
+//! Each fault does what it says.
+
+mod common;
+
+use std::time::Duration;
+
+use briarladder_core::{
+    load::{LoadReport, ServerState},
+    names::StageName,
+    objects::Role,
+};
+use briarladder_standins::{
+    fault::{Fault, Pattern, Rule},
+    journal::End,
+    output,
+    worker::{Worker, WorkerSettings},
+};
+use briarladder_wire::backend::{RunRequest, RunResponse};
+use common::{SHORT, engine, expected, generate, get, request, run, server};
+use tokio::time::{Instant, sleep, timeout};
+
+async fn worker() -> Worker {
+    let settings = WorkerSettings::new(server(4), Role::Encoder);
+    Worker::start(settings).await.unwrap()
+}
+
+/// Runs a request and returns its answer, or `None` if the answer did not
+/// arrive whole.
+async fn answer(worker: &Worker, request: &RunRequest) -> Option<RunResponse> {
+    run(worker.address(), request).await.ok()?.json().await.ok()
+}
+
+fn assert_own_answer(response: &RunResponse, request: &RunRequest) {
+    assert_eq!(response.request_id, request.request_id);
+    let output = output::answer(Role::Encoder, request);
+    assert_eq!(response.output.get(), output.get());
+}
+
+async fn load(worker: &Worker) -> LoadReport {
+    get(worker.address(), "/v1/load").await.unwrap().json().await.unwrap()
+}
+
+/// Guards against a worker that answers wrongly without any fault.
+#[tokio::test]
+async fn none_answers() {
+    let worker = worker().await;
+    let request = request("{\"sheet\":4}");
+    let response = answer(&worker, &request).await.unwrap();
+    assert_own_answer(&response, &request);
+    let load = response.load.unwrap();
+    assert_eq!(load.incarnation, worker.incarnation());
+    assert_eq!((load.epoch_seen, load.slots_requests), (1, 4));
+    assert_eq!(worker.journal().entries()[0].end, End::Completed);
+}
+
+/// Guards against refusals that ran the request after all.
+#[tokio::test]
+async fn refusals_do_not_run() {
+    let worker = worker().await;
+    worker.faults().next(1, Fault::Status(500));
+    let request = request("1");
+    let failed = run(worker.address(), &request).await.unwrap();
+    assert_eq!(failed.status(), 500);
+    assert!(failed.headers().get("briarladder-not-run").is_none());
+    worker.faults().next(1, Fault::DropBeforeFirstByte { runs: false });
+    assert!(run(worker.address(), &request).await.is_err());
+    worker.faults().next(1, Fault::NotRun);
+    let refused = run(worker.address(), &request).await.unwrap();
+    assert_eq!(refused.status(), 503);
+    assert_eq!(refused.headers()["briarladder-not-run"], "true");
+    assert!(worker.journal().entries().is_empty());
+    // All rules are used up.
+    assert!(answer(&worker, &request).await.is_some());
+}
+
+/// Guards against drops that come at another point of the answer.
+#[tokio::test]
+async fn drops_cut_answer() {
+    let worker = worker().await;
+    worker.faults().next(1, Fault::DropBeforeFirstByte { runs: true });
+    assert!(run(worker.address(), &request("1")).await.is_err());
+    worker.faults().next(1, Fault::DropAfterFirstByte);
+    let mut response = run(worker.address(), &request("2")).await.unwrap();
+    assert_eq!(response.status(), 200);
+    assert!(!response.chunk().await.unwrap().unwrap().is_empty());
+    assert!(response.chunk().await.is_err());
+    assert_eq!(worker.journal().entries().len(), 2);
+}
+
+/// Guards against drops of a generation at another token.
+#[tokio::test]
+async fn drops_cut_generation() {
+    let engine = engine(1).await;
+    let cases = [
+        (Fault::DropAfterFirstByte, 0),
+        (Fault::DropAfterTokens(0), 0),
+        (Fault::DropAfterTokens(3), 3),
+    ];
+    for (fault, tokens) in cases {
+        engine.faults().next(1, fault);
+        let events = generate(engine.address(), &request("1")).await;
+        assert!(events.broken && events.total.is_none(), "{fault:?}");
+        assert!(events.started.is_some(), "{fault:?}");
+        assert_eq!(events.tokens.len(), tokens, "{fault:?}");
+    }
+    engine.faults().next(1, Fault::DropBeforeFirstByte { runs: true });
+    assert!(run(engine.address(), &request("1")).await.is_err());
+    assert_eq!(engine.journal().entries().len(), 4);
+}
+
+/// Guards against delays that are lost, and against a late answer that
+/// keeps the slot as slow work does.
+#[tokio::test]
+async fn delays_hold_answer() {
+    let worker = worker().await;
+    for (fault, running) in [(Fault::Slow(SHORT), 1), (Fault::Late(SHORT), 0)]
+    {
+        worker.faults().next(1, fault);
+        let start = Instant::now();
+        let request = request("1");
+        let check = async {
+            sleep(SHORT / 2).await;
+            load(&worker).await.running_requests
+        };
+        let (response, seen) = tokio::join!(answer(&worker, &request), check);
+        assert_own_answer(&response.unwrap(), &request);
+        assert!(start.elapsed() >= SHORT, "{fault:?}");
+        assert_eq!(seen, running, "{fault:?}");
+    }
+}
+
+/// Guards against doubled answers that look like single ones.
+#[tokio::test]
+async fn doubled_repeats() {
+    let worker = worker().await;
+    worker.faults().next(1, Fault::Doubled);
+    let response = run(worker.address(), &request("1")).await.unwrap();
+    let text = response.text().await.unwrap();
+    let (first, second) = text.split_at(text.len() / 2);
+    assert_eq!(first, second);
+    let engine = engine(1).await;
+    engine.faults().next(1, Fault::Doubled);
+    let events = generate(engine.address(), &request("1")).await;
+    assert_eq!(events.tokens.len(), 32);
+    assert!(events.tokens.chunks(2).all(|pair| pair[0] == pair[1]));
+}
+
+/// Guards against crossed answers that still belong to their request.
+#[tokio::test]
+async fn crossed_answers_other_request() {
+    let worker = worker().await;
+    let (first, second) = (request("1"), request("2"));
+    worker.faults().next(1, Fault::Crossed);
+    let invented = answer(&worker, &first).await.unwrap();
+    assert_ne!(invented.request_id, first.request_id);
+    answer(&worker, &first).await.unwrap();
+    worker.faults().next(1, Fault::Crossed);
+    let crossed = answer(&worker, &second).await.unwrap();
+    assert_own_answer(&crossed, &first);
+    let engine = engine(1).await;
+    generate(engine.address(), &first).await;
+    engine.faults().next(1, Fault::Crossed);
+    let events = generate(engine.address(), &second).await;
+    assert_eq!(events.started, Some(first.request_id));
+    assert_eq!(events.texts(), expected(&first, 16));
+}
+
+/// Guards against a crash that leaves connections or the port open, and
+/// against a restart that can't be told from the run before.
+#[tokio::test]
+async fn crash_cuts_connections() {
+    let engine = engine(2).await;
+    let address = engine.address();
+    let before = engine.incarnation();
+    let streaming = run(address, &request("1")).await.unwrap();
+    engine.crash().await;
+    assert!(common::events(streaming).await.broken);
+    let refused = run(address, &request("1")).await.unwrap_err();
+    assert!(refused.is_connect());
+    engine.restart().await.unwrap();
+    assert_eq!(engine.address(), address);
+    assert_ne!(engine.incarnation(), before);
+    let events = generate(address, &request("1")).await;
+    assert_eq!(events.total, Some(16));
+    let entries = engine.journal().entries();
+    assert_eq!(entries[0].end, End::Cut);
+    assert_ne!(entries[0].incarnation, entries[1].incarnation);
+}
+
+/// Guards against a poison request that only fails itself, or that stops
+/// to be poison after a restart.
+#[tokio::test]
+async fn crash_on_marker_repeats() {
+    let worker = worker().await;
+    worker.faults().add(Rule {
+        pattern: Pattern { body: Some("poison".into()), ..Pattern::default() },
+        fault: Fault::Crash,
+        times: None,
+    });
+    for _ in 0..2 {
+        assert!(answer(&worker, &request("1")).await.is_some());
+        assert!(answer(&worker, &request("\"poison\"")).await.is_none());
+        assert!(answer(&worker, &request("1")).await.is_none());
+        worker.restart().await.unwrap();
+    }
+    assert_eq!(worker.journal().entries().len(), 4);
+}
+
+/// Guards against a hang that ends by itself, or that can't be ended.
+#[tokio::test]
+async fn hang_holds_slot() {
+    let worker = worker().await;
+    worker.faults().next(1, Fault::Hang);
+    let request = request("1");
+    let hanging = run(worker.address(), &request);
+    tokio::pin!(hanging);
+    assert!(timeout(SHORT, &mut hanging).await.is_err());
+    assert_eq!(load(&worker).await.running_requests, 1);
+    common::cancel(worker.address(), request.request_id).await;
+    assert_eq!(hanging.await.unwrap().status(), 409);
+    assert_eq!(load(&worker).await.running_requests, 0);
+}
+
+/// Guards against reports that are fresh although they should lag.
+#[tokio::test]
+async fn reports_late_or_missing() {
+    let worker = worker().await;
+    let first = load(&worker).await;
+    worker.faults().always(Fault::ReportsLate(SHORT));
+    answer(&worker, &request("1")).await.unwrap();
+    let late = load(&worker).await;
+    assert_eq!((late.sequence, late.epoch_seen), (first.sequence, 0));
+    sleep(SHORT).await;
+    let fresh = load(&worker).await;
+    assert!(fresh.sequence > first.sequence && fresh.epoch_seen == 1);
+    worker.faults().clear();
+    worker.faults().next(2, Fault::ReportsMissing);
+    let response = answer(&worker, &request("1")).await.unwrap();
+    assert!(response.load.is_none());
+    let missing = get(worker.address(), "/v1/load").await.unwrap();
+    assert_eq!(missing.status(), 503);
+    assert!(load(&worker).await.sequence > fresh.sequence);
+}
+
+/// Guards against work at a leaving backend server that does not show in
+/// the journal.
+#[tokio::test]
+async fn leaving_is_reported_and_recorded() {
+    let worker = worker().await;
+    answer(&worker, &request("1")).await.unwrap();
+    worker.set_state(ServerState::Leaving);
+    assert_eq!(load(&worker).await.state, ServerState::Leaving);
+    sleep(Duration::from_millis(20)).await;
+    answer(&worker, &request("2")).await.unwrap();
+    let late = Duration::from_millis(10);
+    let journal = worker.journal();
+    assert_eq!(journal.started_while_leaving(late).len(), 1);
+    assert!(journal.started_while_leaving(10 * SHORT).is_empty());
+    worker.set_state(ServerState::Ready);
+    assert_eq!(load(&worker).await.state, ServerState::Ready);
+}
+
+/// Guards against rules that hit requests outside their pattern or more
+/// often than their bound, and against rules that don't combine.
+#[tokio::test]
+async fn rules_match_pattern_and_times() {
+    let worker = worker().await;
+    let matching = Pattern {
+        stage: Some(StageName::new("stage-1").unwrap()),
+        attempt: Some(1),
+        body: Some("fold".into()),
+    };
+    let rule =
+        |fault| Rule { pattern: matching.clone(), fault, times: Some(2) };
+    worker.faults().add(rule(Fault::Status(418)));
+    let mut other_stage = request("\"fold\"");
+    other_stage.stage = StageName::new("stage-2").unwrap();
+    other_stage.attempt = 1;
+    let mut other_body = request("1");
+    other_body.attempt = 1;
+    for other in [request("\"fold\""), other_stage, other_body] {
+        assert!(answer(&worker, &other).await.is_some());
+    }
+    let mut hit = request("\"fold\"");
+    hit.attempt = 1;
+    for expected in [418, 418, 200] {
+        let response = run(worker.address(), &hit).await.unwrap();
+        assert_eq!(response.status(), expected);
+    }
+    assert!(worker.faults().rules().is_empty());
+    worker.faults().add(rule(Fault::Slow(SHORT)));
+    worker.faults().add(rule(Fault::Crossed));
+    let start = Instant::now();
+    let response = answer(&worker, &hit).await.unwrap();
+    assert!(start.elapsed() >= SHORT);
+    assert_eq!(response.attempt, 1);
+}
--- /dev/null
+++ b/crates/briarladder-standins/tests/platform.rs
@@ -0,0 +1,145 @@
+//! The manifest, chunks, list of VMs and faults of the platform.
+
+mod common;
+
+use std::{net::SocketAddr, time::Duration};
+
+use briarladder_core::names::{VmName, ZoneName};
+use briarladder_standins::platform::{
+    Chunk, Platform, PlatformFault, PlatformSettings,
+};
+use briarladder_wire::platform::{Vm, VmKind, VmList, VmState};
+use common::{SHORT, get};
+use tokio::time::{Instant, sleep, timeout};
+
+const FIRST: &str = r#"{"epoch": 1}"#;
+const SECOND: &str = r#"{"epoch": 2}"#;
+
+async fn platform() -> Platform {
+    let platform = Platform::start(PlatformSettings::default()).await.unwrap();
+    platform.publish(1, FIRST, &[]);
+    platform
+}
+
+async fn text(address: SocketAddr, path: &str) -> String {
+    let response = get(address, path).await.unwrap();
+    assert_eq!(response.status(), 200, "{path}");
+    response.text().await.unwrap()
+}
+
+/// Waits until a number of calls has reached the platform.
+async fn wait_for_calls(platform: &Platform, calls: u64) {
+    while platform.counts().total() < calls {
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Guards against watches that miss a publication, or that are counted
+/// more than once while they wait.
+#[tokio::test]
+async fn watch_wakes_on_publish() {
+    let platform = platform().await;
+    let address = platform.address();
+    assert_eq!(text(address, "/v1/manifest").await, FIRST);
+    assert_eq!(text(address, "/v1/manifest?after=0").await, FIRST);
+    let watch = tokio::spawn(text(address, "/v1/manifest?after=1"));
+    wait_for_calls(&platform, 3).await;
+    sleep(SHORT).await;
+    assert!(!watch.is_finished());
+    let chunk = Chunk { digest: "00ff".into(), text: "[1]".into() };
+    platform.publish(2, SECOND, &[chunk]);
+    let woken = timeout(SHORT, watch).await.expect("the watch wakes");
+    assert_eq!(woken.unwrap(), SECOND);
+    assert_eq!(text(address, "/v1/chunks/00ff").await, "[1]");
+    let missing = get(address, "/v1/chunks/00fe").await.unwrap();
+    assert_eq!(missing.status(), 404);
+    let counts = platform.counts();
+    assert_eq!((counts.manifest, counts.chunks, counts.vms), (3, 2, 0));
+}
+
+/// Guards against watches that never end, which clients would take for a
+/// dead platform.
+#[tokio::test]
+async fn watch_ends_without_change() {
+    let settings =
+        PlatformSettings { watch_wait: SHORT, ..PlatformSettings::default() };
+    let platform = Platform::start(settings).await.unwrap();
+    let start = Instant::now();
+    for path in ["/v1/manifest?after=0", "/v1/vms?after=0"] {
+        let response = get(platform.address(), path).await.unwrap();
+        assert_eq!(response.status(), 204);
+    }
+    assert!(start.elapsed() >= 2 * SHORT);
+}
+
+/// Guards against a stale platform that shows new epochs, or that loses
+/// them for good.
+#[tokio::test]
+async fn stale_serves_old_epoch() {
+    let platform = platform().await;
+    platform.set_stale(true);
+    platform.publish(2, SECOND, &[]);
+    assert_eq!(text(platform.address(), "/v1/manifest").await, FIRST);
+    platform.set_stale(false);
+    assert_eq!(text(platform.address(), "/v1/manifest").await, SECOND);
+}
+
+/// Guards against a platform that is down but still answers, also to
+/// watches that waited before, and against one that does not come back at
+/// the same address.
+#[tokio::test]
+async fn fault_refuses_connections() {
+    let platform = platform().await;
+    let address = platform.address();
+    let watch = tokio::spawn(get(address, "/v1/manifest?after=1"));
+    wait_for_calls(&platform, 1).await;
+    platform.set_fault(PlatformFault::Refuses).await.unwrap();
+    assert!(timeout(SHORT, watch).await.unwrap().unwrap().is_err());
+    let refused = get(address, "/v1/manifest").await.unwrap_err();
+    assert!(refused.is_connect());
+    platform.set_fault(PlatformFault::None).await.unwrap();
+    assert_eq!(text(address, "/v1/manifest").await, FIRST);
+}
+
+/// Guards against faults that let an answer through.
+#[tokio::test]
+async fn fault_hangs_delays_and_fails() {
+    let platform = platform().await;
+    let address = platform.address();
+    platform.set_fault(PlatformFault::Hangs).await.unwrap();
+    assert!(timeout(SHORT, get(address, "/v1/manifest")).await.is_err());
+    platform.set_fault(PlatformFault::Slow(SHORT)).await.unwrap();
+    let start = Instant::now();
+    assert_eq!(text(address, "/v1/manifest").await, FIRST);
+    assert!(start.elapsed() >= SHORT);
+    platform.set_fault(PlatformFault::Status(500)).await.unwrap();
+    let failed = get(address, "/v1/manifest?after=1").await.unwrap();
+    assert_eq!(failed.status(), 500);
+    assert_eq!(platform.counts().manifest, 3);
+}
+
+/// Guards against a list of VMs that shows changes at once.
+#[tokio::test]
+async fn vms_lag() {
+    let platform = platform().await;
+    let address = platform.address();
+    let vm = |state| Vm {
+        name: VmName::new("vm-1").unwrap(),
+        zone: ZoneName::new("recife-a").unwrap(),
+        kind: VmKind::Entry,
+        address: "127.0.0.1:9".parse().unwrap(),
+        state,
+    };
+    let list = async |path| -> VmList {
+        serde_json::from_str(&text(address, path).await).unwrap()
+    };
+    platform.set_vms(vec![vm(VmState::Live)]);
+    assert_eq!(list("/v1/vms").await.vms, [vm(VmState::Live)]);
+    platform.set_vm_lag(SHORT);
+    platform.set_vms(vec![vm(VmState::Leaving)]);
+    assert_eq!(list("/v1/vms").await.version, 1);
+    let start = Instant::now();
+    let later = list("/v1/vms?after=1").await;
+    assert!(start.elapsed() >= SHORT / 2);
+    assert_eq!(later, VmList { version: 2, vms: vec![vm(VmState::Leaving)] });
+}
