Add the router with its subsets, load view and benchmark

Cause: each daemon must choose backend servers by itself from reports that lag and that all daemons see alike.

--- /dev/null
+++ b/crates/briarladder-core/benches/routing.rs
@@ -0,0 +1,135 @@
+//! The cost of one routing decision over 800 candidate servers. The target
+//! is 2 µs; `all_members` lifts the bound on the subset.
+
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use briarladder_core::{
+    ids::Incarnation,
+    load::{LoadReport, ServerState},
+    names::{PoolName, RegionName, ServerName, VmName, ZoneName},
+    objects::{
+        Fleet, Object, Pool, Region, Role, Server, Zone, snapshot::Snapshot,
+    },
+    routing::{CacheEvent, Query, Router, Settings},
+};
+use criterion::{Criterion, criterion_group, criterion_main};
+use rand::{SeedableRng, rngs::StdRng};
+
+const SERVERS: u32 = 800;
+const SLOTS: u32 = 8;
+const PREFIXES: u64 = 256;
+
+fn server_name(i: u32) -> ServerName {
+    ServerName::new(&format!("engine-{i}")).unwrap()
+}
+
+fn snapshot() -> Snapshot {
+    let pool = PoolName::new("engines").unwrap();
+    let server = |i| Server {
+        name: server_name(i),
+        pool: pool.clone(),
+        address: ([127, 0, 0, 1], 80).into(),
+    };
+    let objects = [
+        Object::Fleet(Fleet {
+            ticket_keys: Vec::new(),
+            ticket_lifetime_ms: 1,
+            outcome_retention_ms: 1,
+            weight_store_bytes_per_s: 1,
+        }),
+        Object::Region(Region {
+            name: RegionName::new("region").unwrap(),
+            pools: vec![Pool {
+                name: pool.clone(),
+                role: Role::Engine,
+                slots_requests: SLOTS,
+                model_versions: Vec::new(),
+                checks_fencing: true,
+            }],
+            zones: vec![Zone {
+                name: ZoneName::new("zone").unwrap(),
+                servers: (0..SERVERS).map(server).collect(),
+            }],
+            links: Vec::new(),
+        }),
+    ];
+    Snapshot::resolve(1, &objects).unwrap()
+}
+
+/// Builds a router whose servers run `running(i)` requests.
+fn router(
+    now: Instant,
+    subset: Option<usize>,
+    running: impl Fn(u32) -> u32,
+) -> Router {
+    let vm = VmName::new("vm-1").unwrap();
+    let mut settings = Settings::new(vm, ZoneName::new("zone").unwrap());
+    if let Some(subset) = subset {
+        settings.zone_subset_servers = subset;
+    }
+    let mut router = Router::new(settings);
+    router.apply_snapshot(now, &snapshot());
+    for i in 0..SERVERS {
+        let report = LoadReport {
+            incarnation: Incarnation(1),
+            sequence: 1,
+            state: ServerState::Ready,
+            slots_requests: SLOTS,
+            running_requests: running(i),
+            queued_requests: 0,
+            epoch_seen: 1,
+            model_versions: Vec::new(),
+        };
+        router.apply_report(now, &server_name(i), &report);
+        let stored: Vec<CacheEvent> = (0..PREFIXES)
+            .map(|n| CacheEvent::Stored { prefix_hash: n * 64 + u64::from(i) })
+            .collect();
+        router.apply_cache_events(&server_name(i), 0, &stored);
+    }
+    router
+}
+
+fn bench(criterion: &mut Criterion) {
+    let now = Instant::now();
+    let pool = PoolName::new("engines").unwrap();
+    let second = Duration::from_secs(1);
+    let query = Query::new(&pool, second, second / 10);
+    let cached = Query { prefix_hash: Some(64), ..query.clone() };
+    let mixed = |i: u32| i * 7 % (SLOTS + 1);
+    let full = |_| SLOTS;
+    let cases = [
+        ("pick/subset", router(now, None, mixed), query.clone()),
+        ("pick/subset_cached", router(now, None, mixed), cached),
+        ("pick/subset_all_busy", router(now, None, full), query.clone()),
+        (
+            "pick/all_members",
+            router(now, Some(SERVERS as usize), mixed),
+            query,
+        ),
+    ];
+    for (name, router, query) in cases {
+        let mut rng = StdRng::seed_from_u64(1);
+        criterion.bench_function(name, |bencher| {
+            bencher.iter(|| {
+                router.pick(now, black_box(&query), &mut rng).is_ok()
+            });
+        });
+    }
+    let mut router = router(now, None, mixed);
+    let mut rng = StdRng::seed_from_u64(1);
+    let query = Query::new(&pool, second, second / 10);
+    criterion.bench_function("pick_sent_finished/subset", |bencher| {
+        bencher.iter(|| {
+            let pick = router.pick(now, black_box(&query), &mut rng).unwrap();
+            router.sent(now, &pick);
+            let result = briarladder_core::routing::AttemptResult::Cancelled;
+            router.finished(now, &pick.server.name, result, Duration::ZERO);
+        });
+    });
+}
+
+criterion_group!(benches, bench);
+criterion_main!(benches);
--- a/crates/briarladder-core/src/routing/mod.rs
+++ b/crates/briarladder-core/src/routing/mod.rs
@@ -1,1 +1,369 @@
 //! Which backend server runs an attempt.
+//!
+//! [`Router`] is the load view of one daemon. Load reports lag, and all
+//! daemons see the same ones, so each daemon counts what it has sent since
+//! the last report and compares two random members of its own subset.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//!
+//! use briarladder_core::{
+//!     names::{PoolName, VmName, ZoneName},
+//!     routing::{NoServer, Query, Router, Settings},
+//! };
+//!
+//! let vm = VmName::new("vm-1").unwrap();
+//! let zone = ZoneName::new("recife-a").unwrap();
+//! let router = Router::new(Settings::new(vm, zone));
+//! let pool = PoolName::new("engines").unwrap();
+//! let second = Duration::from_secs(1);
+//! let query = Query::new(&pool, second, second / 10);
+//! let picked = router.pick(Instant::now(), &query, &mut rand::rng());
+//! assert_eq!(picked.unwrap_err(), NoServer::UnknownPool);
+//! ```
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::Rng;
+
+use crate::{
+    load::LoadReport,
+    names::{PoolName, RegionName, ServerName, StageName},
+    objects::snapshot::{ResolvedServer, Snapshot},
+    sorted::SortedMap,
+};
+
+mod bytes;
+mod cache;
+mod pool;
+mod server;
+mod types;
+
+pub use bytes::{CrossRegionBytes, StageBytes};
+pub use cache::CacheEvent;
+pub use types::{
+    AttemptResult, Distance, LinkUse, ListedState, NoServer, Pick, PickKind,
+    Poll, PollReason, PoolSlots, Query, Settings, Sharing,
+};
+
+use pool::PoolView;
+use server::{ReportEffect, ServerView};
+
+#[derive(Clone, Copy, Debug)]
+struct Location {
+    pool: usize,
+    at: usize,
+}
+
+/// The load view of one daemon.
+#[derive(Debug)]
+pub struct Router {
+    settings: Settings,
+    region: Option<RegionName>,
+    /// Sorted by name, as in the snapshot.
+    pools: Vec<PoolView>,
+    index: SortedMap<ServerName, Location>,
+    cross_region: CrossRegionBytes,
+}
+
+impl Router {
+    /// Creates a router that knows no servers.
+    #[must_use]
+    pub fn new(settings: Settings) -> Router {
+        Router {
+            settings,
+            region: None,
+            pools: Vec::new(),
+            index: SortedMap::new(),
+            cross_region: CrossRegionBytes::default(),
+        }
+    }
+
+    /// Takes the servers of a snapshot. What is known of servers that stay
+    /// in their pool at their address is kept.
+    pub fn apply_snapshot(&mut self, now: Instant, snapshot: &Snapshot) {
+        self.region = snapshot.region_of(&self.settings.zone).cloned();
+        let old_pools = std::mem::take(&mut self.pools);
+        let mut prefixes = Vec::new();
+        let mut all = Vec::new();
+        for pool in old_pools {
+            let names = pool.servers.iter().map(|s| s.resolved.name.clone());
+            let names: Vec<ServerName> = names.collect();
+            prefixes.push((pool.name, names, pool.prefixes));
+            let servers = pool.servers.into_iter();
+            all.extend(servers.map(|s| (s.resolved.name.clone(), s)));
+        }
+        let mut known: SortedMap<ServerName, ServerView> =
+            all.into_iter().collect();
+        for pool in snapshot.pools.values() {
+            let servers = pool.servers.iter().map(|resolved| {
+                let old = known.get_mut(&resolved.name);
+                self.view(now, snapshot, resolved, old)
+            });
+            let servers = servers.collect();
+            let mut view =
+                PoolView::new(pool.name.clone(), &self.settings.vm, servers);
+            view.refresh_versions(&self.settings);
+            let old = prefixes.iter().find(|(name, ..)| *name == pool.name);
+            if let Some((_, names, index)) = old {
+                view.keep_prefixes(names, index);
+            }
+            self.pools.push(view);
+        }
+        let pools = self.pools.iter().enumerate();
+        self.index = pools
+            .flat_map(|(pool, view)| {
+                view.servers.iter().enumerate().map(move |(at, server)| {
+                    (server.resolved.name.clone(), Location { pool, at })
+                })
+            })
+            .collect();
+    }
+
+    fn view(
+        &self,
+        now: Instant,
+        snapshot: &Snapshot,
+        resolved: &Arc<ResolvedServer>,
+        old: Option<&mut ServerView>,
+    ) -> ServerView {
+        let mut server = ServerView::new(now, Arc::clone(resolved));
+        if let Some(old) = old {
+            let (a, b) = (&old.resolved, resolved);
+            if a.address == b.address && a.pool == b.pool {
+                std::mem::swap(&mut server, old);
+                server.resolved = Arc::clone(resolved);
+            }
+        }
+        server.distance = if resolved.zone == self.settings.zone {
+            Distance::Zone
+        } else if Some(&resolved.region) == self.region.as_ref() {
+            Distance::Region
+        } else {
+            Distance::OtherRegion
+        };
+        if let Some(region) = &self.region {
+            let cost = snapshot.link_cost(region, &resolved.region);
+            server.set_link(cost.one_way, cost.billed);
+        }
+        server
+    }
+
+    fn pool(&self, name: &PoolName) -> Option<&PoolView> {
+        let at = self.pools.binary_search_by(|pool| pool.name.cmp(name));
+        at.ok().map(|at| &self.pools[at])
+    }
+
+    fn locate(&mut self, name: &ServerName) -> Option<(&mut PoolView, usize)> {
+        let location = *self.index.get(name)?;
+        Some((&mut self.pools[location.pool], location.at))
+    }
+
+    /// Takes a load report. Reports that were reordered or belong to an old
+    /// incarnation are ignored. A report that came with an answer is applied
+    /// after [`Router::finished`].
+    pub fn apply_report(
+        &mut self,
+        now: Instant,
+        server: &ServerName,
+        report: &LoadReport,
+    ) {
+        let Some((pool, at)) = self.locate(server) else { return };
+        let view = &mut pool.servers[at];
+        let usable = view.is_usable();
+        let effect = view.apply_report(now, report);
+        if effect == ReportEffect::Restarted {
+            pool.prefixes.forget(at, &mut view.cursor);
+        }
+        if usable != view.is_usable() {
+            let name = &view.resolved.name;
+            let state = if usable { "leaves" } else { "joins" };
+            log::info!("routing: {name} {state} the usable servers");
+        }
+        let changed = usable != view.is_usable();
+        let Some(location) = self.index.get(server) else { return };
+        let pool = &mut self.pools[location.pool];
+        match effect {
+            ReportEffect::Versions | ReportEffect::Restarted => {
+                pool.refresh_versions(&self.settings);
+            }
+            ReportEffect::Load if changed => pool.refresh(&self.settings),
+            ReportEffect::Load | ReportEffect::Ignored => {}
+        }
+    }
+
+    /// Applies a change to one server, and refreshes the subsets if it may
+    /// join or leave them.
+    fn change(
+        &mut self,
+        server: &ServerName,
+        change: impl FnOnce(&mut PoolView, usize),
+    ) {
+        let Some((pool, at)) = self.locate(server) else { return };
+        let usable = pool.servers[at].is_usable();
+        change(pool, at);
+        if usable == pool.servers[at].is_usable() {
+            return;
+        }
+        if usable {
+            log::warn!("routing: {server} gets no new work");
+        }
+        if let Some(location) = self.index.get(server) {
+            self.pools[location.pool].refresh(&self.settings);
+        }
+    }
+
+    /// Takes the state of a server from the platform's list.
+    pub fn set_listed(
+        &mut self,
+        now: Instant,
+        server: &ServerName,
+        state: ListedState,
+    ) {
+        self.change(server, |pool, at| {
+            pool.servers[at].set_listed(now, state);
+        });
+    }
+
+    /// Picks a server for one attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none; [`NoServer::AllBusy`] ends by itself.
+    pub fn pick<R: Rng + ?Sized>(
+        &self,
+        now: Instant,
+        query: &Query<'_>,
+        rng: &mut R,
+    ) -> Result<Pick, NoServer> {
+        let pool = self.pool(query.pool).ok_or(NoServer::UnknownPool)?;
+        let choice = pool.pick(now, query, rng)?;
+        let server = &pool.servers[choice.at];
+        Ok(Pick {
+            server: Arc::clone(&server.resolved),
+            distance: server.distance,
+            kind: choice.kind,
+            sharing: query.sharing,
+        })
+    }
+
+    /// Counts an attempt, before its first byte is sent.
+    pub fn sent(&mut self, now: Instant, pick: &Pick) {
+        if let Some((pool, at)) = self.locate(&pick.server.name) {
+            pool.servers[at].sent(now, pick.sharing);
+        }
+    }
+
+    /// Ends an attempt that was counted by [`Router::sent`].
+    pub fn finished(
+        &mut self,
+        now: Instant,
+        server: &ServerName,
+        result: AttemptResult,
+        elapsed: Duration,
+    ) {
+        self.change(server, |pool, at| {
+            pool.finished(now, at, result, elapsed);
+        });
+    }
+
+    /// Ejects a server whose load could not be polled.
+    pub fn poll_failed(&mut self, now: Instant, server: &ServerName) {
+        self.change(server, |pool, at| pool.servers[at].eject(now));
+    }
+
+    /// Returns the slots of a pool for admission.
+    #[must_use]
+    pub fn free_slots(&self, now: Instant, pool: &PoolName) -> PoolSlots {
+        let mut slots = PoolSlots::default();
+        let Some(pool) = self.pool(pool) else { return slots };
+        for server in pool.near_members() {
+            slots.near_slots_requests += server.slots();
+            slots.near_free_requests += server.free_slots(now);
+        }
+        for server in pool.remote_members() {
+            slots.remote_free_requests += server.free_slots(now);
+        }
+        slots.in_flight_requests =
+            pool.servers.iter().map(|server| server.in_flight).sum();
+        slots
+    }
+
+    /// Returns the servers whose load must be polled now, the longest due
+    /// first, and notes that they are being polled.
+    pub fn polls_due(&mut self, now: Instant) -> Vec<Poll> {
+        let mut due = Vec::new();
+        for (pool, view) in self.pools.iter().enumerate() {
+            for (at, server) in view.servers.iter().enumerate() {
+                if server.probe_due(now) {
+                    let since = server.probe_at();
+                    let location = Location { pool, at };
+                    due.push((since, location, PollReason::Probe));
+                }
+            }
+            for at in &view.members() {
+                let since = view.servers[*at].poll_due_at(
+                    now,
+                    self.settings.poll_interval,
+                    self.settings.busy_poll_interval,
+                );
+                if since.is_none_or(|since| since <= now) {
+                    let location = Location { pool, at: *at };
+                    due.push((since, location, PollReason::ReportDue));
+                }
+            }
+        }
+        // Without any report there is no time, which sorts first.
+        due.sort_by_key(|(since, ..)| *since);
+        due.truncate(self.settings.max_polls);
+        due.into_iter()
+            .map(|(_, Location { pool, at }, reason)| {
+                let server = &mut self.pools[pool].servers[at];
+                server.polled(now);
+                Poll { server: Arc::clone(&server.resolved), reason }
+            })
+            .collect()
+    }
+
+    /// Applies numbered cache events of a server. A gap in the numbers
+    /// discards what was known of its cache.
+    pub fn apply_cache_events(
+        &mut self,
+        server: &ServerName,
+        first_sequence: u64,
+        events: &[CacheEvent],
+    ) {
+        if let Some((pool, at)) = self.locate(server) {
+            let cursor = &mut pool.servers[at].cursor;
+            pool.prefixes.apply(at, cursor, first_sequence, events);
+        }
+    }
+
+    /// Counts the bytes of an attempt if the server is in another region.
+    pub fn count_bytes(
+        &mut self,
+        stage: &StageName,
+        server: &ServerName,
+        bytes: StageBytes,
+    ) {
+        let Some((pool, at)) = self.locate(server) else { return };
+        if pool.servers[at].distance == Distance::OtherRegion {
+            let (sent, received) = (bytes.sent_bytes, bytes.received_bytes);
+            self.cross_region.add(stage, sent, received);
+        }
+    }
+
+    /// Returns the bytes exchanged with other regions.
+    #[must_use]
+    pub fn cross_region_bytes(&self) -> &CrossRegionBytes {
+        &self.cross_region
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/briarladder-core/src/routing/pool.rs
@@ -0,0 +1,466 @@
+//! The backend servers of one pool: subsets and the choice among them.
+
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, RngExt};
+
+use crate::{
+    names::{ModelVersionName, PoolName, ServerName, VmName},
+    rendezvous,
+    routing::{
+        AttemptResult, Distance, LinkUse, NoServer, PickKind, Query, Settings,
+        Sharing, cache::PrefixIndex, server::ServerView,
+    },
+    sorted::{SortedMap, SortedSet},
+};
+
+/// From this fill on, other zones of the region compete with this zone. It
+/// keeps work in the zone under usual load and spreads it before queues form.
+const SPILL_FILL: f64 = 0.75;
+
+/// The highest fill at which a cached prefix still attracts work.
+const AFFINITY_MAX_FILL: f64 = 0.75;
+
+/// A holder of the prefix may carry this share of its slots more than the
+/// server that the load alone would choose.
+const AFFINITY_SLACK: f64 = 0.25;
+
+/// The ejected servers considered when none is good, for each distance.
+const FALLBACK_CANDIDATES: usize = 64;
+
+/// The weight of the newest sample in the pool's mean service time.
+const ELAPSED_WEIGHT: f64 = 0.02;
+
+/// Positions in [`PoolView::servers`], by [`Distance`].
+#[derive(Clone, Debug, Default)]
+struct ByDistance([Vec<usize>; 3]);
+
+impl ByDistance {
+    fn at(&self, distance: Distance) -> &[usize] {
+        &self.0[distance as usize]
+    }
+
+    fn iter(&self) -> impl Iterator<Item = usize> {
+        self.0.iter().flatten().copied()
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Choice {
+    pub(super) at: usize,
+    pub(super) kind: PickKind,
+}
+
+/// Which members a search considers.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum State {
+    /// Those whose report is recent enough to exclude that they are leaving.
+    Known,
+    Any,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    at: usize,
+    load_requests: f64,
+    fill: f64,
+    score: f64,
+}
+
+#[derive(Debug)]
+pub(super) struct PoolView {
+    pub(super) name: PoolName,
+    pub(super) servers: Vec<ServerView>,
+    pub(super) prefixes: PrefixIndex,
+    /// All servers in rendezvous order.
+    order: ByDistance,
+    /// The subset for requests that need no model version.
+    any_version: ByDistance,
+    /// The subset for each version that some server has.
+    versions: SortedMap<ModelVersionName, ByDistance>,
+    mean_elapsed_s: f64,
+}
+
+impl PoolView {
+    pub(super) fn new(
+        name: PoolName,
+        vm: &VmName,
+        servers: Vec<ServerView>,
+    ) -> PoolView {
+        let mut scored: Vec<(u64, usize)> = servers
+            .iter()
+            .enumerate()
+            .map(|(at, server)| {
+                let name = server.resolved.name.as_str();
+                (rendezvous::score(vm.as_str(), name), at)
+            })
+            .collect();
+        // Equal scores fall back to the position, which is that of the name.
+        scored.sort_unstable_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
+        let mut order = ByDistance::default();
+        for (_, at) in scored {
+            order.0[servers[at].distance as usize].push(at);
+        }
+        PoolView {
+            name,
+            servers,
+            prefixes: PrefixIndex::default(),
+            order,
+            any_version: ByDistance::default(),
+            versions: SortedMap::new(),
+            mean_elapsed_s: 0.0,
+        }
+    }
+
+    /// Takes over the prefixes of servers that are still in the pool. The
+    /// positions of `names` are those in the old pool.
+    pub(super) fn keep_prefixes(
+        &mut self,
+        names: &[ServerName],
+        old: &PrefixIndex,
+    ) {
+        let moved: Vec<Option<usize>> = names
+            .iter()
+            .map(|name| {
+                self.servers
+                    .binary_search_by(|s| s.resolved.name.cmp(name))
+                    .ok()
+                    // A server at a new address is another process.
+                    .filter(|at| self.servers[*at].cursor.is_started())
+            })
+            .collect();
+        self.prefixes = old.with_positions(&moved);
+    }
+
+    /// Collects the versions that servers have, and fills the subsets anew.
+    pub(super) fn refresh_versions(&mut self, settings: &Settings) {
+        let servers = self.servers.iter();
+        let versions: SortedSet<ModelVersionName> = servers
+            .flat_map(|server| server.model_versions().iter().cloned())
+            .collect();
+        self.versions = versions
+            .iter()
+            .map(|version| (version.clone(), ByDistance::default()))
+            .collect();
+        self.refresh(settings);
+    }
+
+    /// Fills the subsets anew with the first usable servers of each distance.
+    pub(super) fn refresh(&mut self, settings: &Settings) {
+        self.any_version = self.subset(settings, None);
+        let mut versions = std::mem::take(&mut self.versions);
+        for (version, subset) in versions.iter_mut() {
+            *subset = self.subset(settings, Some(version));
+        }
+        self.versions = versions;
+    }
+
+    fn subset(
+        &self,
+        settings: &Settings,
+        version: Option<&ModelVersionName>,
+    ) -> ByDistance {
+        let sizes = [
+            settings.zone_subset_servers,
+            settings.region_subset_servers,
+            settings.remote_subset_servers,
+        ];
+        let mut subset = ByDistance::default();
+        for (distance, size) in sizes.into_iter().enumerate() {
+            let usable = self.order.0[distance].iter().copied().filter(|at| {
+                self.servers[*at].is_usable() && self.has(*at, version)
+            });
+            subset.0[distance] = usable.take(size).collect();
+        }
+        subset
+    }
+
+    fn has(&self, at: usize, version: Option<&ModelVersionName>) -> bool {
+        version.is_none_or(|v| self.servers[at].model_versions().contains(v))
+    }
+
+    /// Returns the members of all subsets.
+    pub(super) fn members(&self) -> SortedSet<usize> {
+        let versions = self.versions.values().flat_map(ByDistance::iter);
+        self.any_version.iter().chain(versions).collect()
+    }
+
+    /// Returns the members in this region, for any version.
+    pub(super) fn near_members(&self) -> impl Iterator<Item = &ServerView> {
+        let zone = self.any_version.at(Distance::Zone);
+        let region = self.any_version.at(Distance::Region);
+        zone.iter().chain(region).map(|at| &self.servers[*at])
+    }
+
+    pub(super) fn remote_members(&self) -> impl Iterator<Item = &ServerView> {
+        let remote = self.any_version.at(Distance::OtherRegion);
+        remote.iter().map(|at| &self.servers[*at])
+    }
+
+    pub(super) fn finished(
+        &mut self,
+        now: Instant,
+        at: usize,
+        result: AttemptResult,
+        elapsed: Duration,
+    ) {
+        if result == AttemptResult::Answered {
+            let sample = elapsed.as_secs_f64();
+            let mean = &mut self.mean_elapsed_s;
+            if *mean == 0.0 {
+                *mean = sample;
+            }
+            *mean += (sample - *mean) * ELAPSED_WEIGHT;
+        }
+        self.servers[at].finished(now, result, elapsed);
+    }
+
+    pub(super) fn pick<R: Rng + ?Sized>(
+        &self,
+        now: Instant,
+        query: &Query<'_>,
+        rng: &mut R,
+    ) -> Result<Choice, NoServer> {
+        let subset = match query.model_version {
+            None => &self.any_version,
+            Some(version) => self
+                .versions
+                .get(version)
+                .ok_or(NoServer::ModelVersionMissing)?,
+        };
+        if let Some(near) = self.pick_near(now, query, subset, rng) {
+            let held = self.holder(now, query, subset, near);
+            return Ok(match held {
+                Some(at) => Choice { at, kind: PickKind::CachedPrefix },
+                None => Choice { at: near.at, kind: PickKind::Load },
+            });
+        }
+        let near_left = [Distance::Zone, Distance::Region]
+            .into_iter()
+            .flat_map(|distance| subset.at(distance))
+            .any(|at| !self.is_excluded(*at, query));
+        let remote = self.choose(
+            now,
+            query,
+            subset.at(Distance::OtherRegion),
+            |server| link_allowed(server, query, near_left),
+            rng,
+        );
+        if let Some(remote) = remote {
+            return Ok(Choice { at: remote.at, kind: PickKind::Load });
+        }
+        if subset.iter().next().is_none() {
+            return self.fall_back(query);
+        }
+        Err(self.explain(query, subset, near_left))
+    }
+
+    fn pick_near<R: Rng + ?Sized>(
+        &self,
+        now: Instant,
+        query: &Query<'_>,
+        subset: &ByDistance,
+        rng: &mut R,
+    ) -> Option<Candidate> {
+        let zone = subset.at(Distance::Zone);
+        let zone = self.choose(now, query, zone, |_| true, rng);
+        if zone.is_some_and(|candidate| candidate.fill < SPILL_FILL) {
+            return zone;
+        }
+        let region = subset.at(Distance::Region);
+        let region = self.choose(now, query, region, |_| true, rng);
+        match (zone, region) {
+            (Some(zone), Some(region)) if region.fill < zone.fill => {
+                Some(region)
+            }
+            (None, region) => region,
+            (zone, _) => zone,
+        }
+    }
+
+    /// Power of two choices: finds two eligible members from two random
+    /// starting points and returns the better one. Each search goes once
+    /// round the members, so the cost is bounded even if most are busy.
+    /// Members whose state is recently known come first, because another one
+    /// may be leaving.
+    fn choose<R: Rng + ?Sized>(
+        &self,
+        now: Instant,
+        query: &Query<'_>,
+        members: &[usize],
+        allowed: impl Fn(&ServerView) -> bool,
+        rng: &mut R,
+    ) -> Option<Candidate> {
+        if members.is_empty() {
+            return None;
+        }
+        let skipped = Cell::new(false);
+        let is_known = |server: &ServerView| {
+            let known = server.is_state_known(now);
+            skipped.set(skipped.get() || !known);
+            known
+        };
+        let mut search = |but: Option<usize>, state: State| {
+            let (before, after) =
+                members.split_at(rng.random_range(0..members.len()));
+            after.iter().chain(before).copied().find(|at| {
+                let server = &self.servers[*at];
+                but != Some(*at)
+                    && (state == State::Any || is_known(server))
+                    && allowed(server)
+                    && self.is_eligible(now, *at, query)
+            })
+        };
+        let (first, state) = match search(None, State::Known) {
+            Some(first) => (first, State::Known),
+            // The first search has covered all members.
+            None if !skipped.get() => return None,
+            None => (search(None, State::Any)?, State::Any),
+        };
+        let second = search(Some(first), state);
+        let first = self.candidate(now, first);
+        let Some(second) = second else { return Some(first) };
+        let second = self.candidate(now, second);
+        Some(if second.score < first.score { second } else { first })
+    }
+
+    fn candidate(&self, now: Instant, at: usize) -> Candidate {
+        let server = &self.servers[at];
+        let load_requests = server.effective_load(now);
+        let slots = f64::from(server.slots().max(1));
+        let slowness = server.slowness(now, self.mean_elapsed_s);
+        Candidate {
+            at,
+            load_requests,
+            fill: load_requests / slots,
+            // One more request, so that slowness and slots also count
+            // between idle servers.
+            score: (load_requests + 1.0) / slots * slowness,
+        }
+    }
+
+    fn is_excluded(&self, at: usize, query: &Query<'_>) -> bool {
+        query.exclude.contains(&self.servers[at].resolved.name)
+    }
+
+    fn is_eligible(&self, now: Instant, at: usize, query: &Query<'_>) -> bool {
+        let server = &self.servers[at];
+        let has_room = match query.sharing {
+            Sharing::Shared => server.free_slots(now) > 0,
+            Sharing::Alone => server.is_idle(now),
+        };
+        has_room && server.is_usable() && !self.is_excluded(at, query)
+    }
+
+    /// Returns a member that holds the prefix, unless its load is much higher
+    /// than that of the server that load alone chose.
+    fn holder(
+        &self,
+        now: Instant,
+        query: &Query<'_>,
+        subset: &ByDistance,
+        near: Candidate,
+    ) -> Option<usize> {
+        let prefix_hash = query.prefix_hash?;
+        self.prefixes
+            .holders(prefix_hash)
+            .filter(|at| {
+                let distance = self.servers[*at].distance;
+                distance != Distance::OtherRegion
+                    && subset.at(distance).contains(at)
+                    && self.is_eligible(now, *at, query)
+            })
+            .map(|at| self.candidate(now, at))
+            .filter(|held| {
+                let slots = f64::from(self.servers[held.at].slots());
+                let slack = (slots * AFFINITY_SLACK).max(1.0);
+                held.fill <= AFFINITY_MAX_FILL
+                    && held.load_requests <= near.load_requests + slack
+            })
+            .min_by(|a, b| a.score.total_cmp(&b.score))
+            .map(|held| held.at)
+    }
+
+    /// Chooses the ejected server that is probed first. Refusing everything
+    /// would be worse, because the fault may be the daemon's own network.
+    fn fall_back(&self, query: &Query<'_>) -> Result<Choice, NoServer> {
+        let mut reason = NoServer::AllLeaving;
+        for distance in
+            [Distance::Zone, Distance::Region, Distance::OtherRegion]
+        {
+            let candidates = self
+                .order
+                .at(distance)
+                .iter()
+                .copied()
+                .filter(|at| {
+                    let server = &self.servers[*at];
+                    !server.is_leaving()
+                        && self.has(*at, query.model_version)
+                        && link_allowed(server, query, false)
+                })
+                .take(FALLBACK_CANDIDATES);
+            let mut best = None;
+            for at in candidates {
+                if self.is_excluded(at, query) {
+                    reason = NoServer::AllExcluded;
+                } else {
+                    let until = self.servers[at].probe_at();
+                    best = best.min(Some((until, at))).or(Some((until, at)));
+                }
+            }
+            if let Some((_, at)) = best {
+                return Ok(Choice { at, kind: PickKind::Fallback });
+            }
+        }
+        Err(reason)
+    }
+
+    fn explain(
+        &self,
+        query: &Query<'_>,
+        subset: &ByDistance,
+        near_left: bool,
+    ) -> NoServer {
+        if near_left {
+            return NoServer::AllBusy;
+        }
+        let mut remote = subset
+            .at(Distance::OtherRegion)
+            .iter()
+            .filter(|at| !self.is_excluded(**at, query))
+            .peekable();
+        if remote.peek().is_none() {
+            return NoServer::AllExcluded;
+        }
+        if remote.any(|at| link_allowed(&self.servers[*at], query, false)) {
+            NoServer::AllBusy
+        } else {
+            NoServer::TooFar
+        }
+    }
+}
+
+/// Returns whether the request may use the link to a server.
+fn link_allowed(
+    server: &ServerView,
+    query: &Query<'_>,
+    near_left: bool,
+) -> bool {
+    if server.distance != Distance::OtherRegion {
+        return true;
+    }
+    let slack = query.time_left.saturating_sub(query.estimate);
+    let arrives = slack >= server.round_trip && !slack.is_zero();
+    // Once the slack no longer covers waiting for one more request nearby,
+    // a later decision for the link would come too late.
+    let deadline_needs = slack < query.estimate + server.round_trip;
+    let wanted = match query.link_use {
+        LinkUse::Never => false,
+        LinkUse::IfNeeded => !near_left || deadline_needs || !server.billed,
+    };
+    arrives && wanted
+}
