Add the token sequence of one generation

Cause: a generation may run on several engines; the caller must get each token once and an answer that is known to be whole. Change: stream::TokenStream takes tokens by attempt and index, drops doubled and late ones, and fails an attempt at a gap, at a repeated token with another text, or beyond the longest answer. It gives what to resume from and compares the end with the engine's total. Figures: 7 faults x 7 faults x 5 tokens (245 runs) each end with exactly the whole answer forwarded; 6 unit tests. Conclusion: a lost or doubled token is noticed within the attempt.

--- /dev/null
+++ b/crates/briarladder-core/src/stream/tests.rs
@@ -0,0 +1,162 @@
+use super::*;
+
+const ANSWER: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn accept(
+    stream: &mut TokenStream,
+    attempt: AttemptNumber,
+    indexes: impl IntoIterator<Item = u32>,
+) -> Vec<Accepted> {
+    let token = |index: u32| ANSWER[index as usize].into();
+    indexes
+        .into_iter()
+        .map(|index| stream.accept(attempt, index, token(index)))
+        .collect()
+}
+
+/// What happens to an engine in the middle of a generation.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Crash,
+    SkipToken,
+    RepeatToken,
+    RepeatAll,
+    EndEarly,
+    EndLate,
+    OtherText,
+}
+
+/// Fault matrix: each fault at each token, twice in a row, then a sound
+/// engine. Guards against a lost or doubled token in the caller's answer.
+#[test]
+fn fault_matrix_keeps_the_answer() {
+    let faults = [
+        Fault::Crash,
+        Fault::SkipToken,
+        Fault::RepeatToken,
+        Fault::RepeatAll,
+        Fault::EndEarly,
+        Fault::EndLate,
+        Fault::OtherText,
+    ];
+    for first in faults {
+        for second in faults {
+            for step in 0..5 {
+                let case = format!("{first:?}, {second:?} at {step}");
+                let mut stream = TokenStream::new(5);
+                let mut forwarded = String::new();
+                for fault in [Some(first), Some(second), None] {
+                    run_engine(&mut stream, &mut forwarded, fault, step);
+                }
+                assert!(stream.is_complete(), "{case}");
+                assert_eq!(forwarded, "abcde", "{case}");
+                assert_eq!(stream.text(), "abcde", "{case}");
+            }
+        }
+    }
+}
+
+/// Runs one attempt that resumes and meets a fault at token `step`.
+fn run_engine(
+    stream: &mut TokenStream,
+    forwarded: &mut String,
+    fault: Option<Fault>,
+    step: u32,
+) {
+    let attempt = stream.begin_attempt();
+    let from = stream.received_tokens();
+    let mut forward = |stream: &mut TokenStream, index: u32, text: &str| {
+        if stream.accept(attempt, index, text.into()) == Accepted::New {
+            forwarded.push_str(text);
+        }
+    };
+    for index in from..5 {
+        let text = ANSWER[index as usize];
+        match fault {
+            Some(Fault::Crash) if index == step => return,
+            Some(Fault::SkipToken) if index == step => continue,
+            Some(Fault::RepeatToken) if index == step => {
+                forward(stream, index, text);
+            }
+            Some(Fault::RepeatAll) if index == step => {
+                for known in 0..index {
+                    forward(stream, known, ANSWER[known as usize]);
+                }
+            }
+            Some(Fault::EndEarly) if index == step => {
+                stream.end(attempt, 5);
+                return;
+            }
+            Some(Fault::OtherText) if index == step && index > 0 => {
+                forward(stream, index - 1, "x");
+            }
+            _ => {}
+        }
+        forward(stream, index, text);
+    }
+    let late = matches!(fault, Some(Fault::EndLate));
+    stream.end(attempt, if late { 6 } else { 5 });
+}
+
+/// Guards against forwarding tokens after a hole.
+#[test]
+fn accept_stops_at_gap() {
+    let mut stream = TokenStream::new(5);
+    let attempt = stream.begin_attempt();
+    let gap = Accepted::Failed(StreamFault::Gap { expected: 1, index: 2 });
+    let accepted = accept(&mut stream, attempt, [0, 2, 1]);
+    assert_eq!(accepted, [Accepted::New, gap, gap]);
+    let end = stream.end(attempt, 1);
+    assert!(matches!(end, End::Incomplete { .. }), "{end:?}");
+    assert_eq!(stream.resume_tokens(), [Arc::from("a")]);
+}
+
+/// Guards against splicing two answers that differ.
+#[test]
+fn accept_stops_at_other_text() {
+    let mut stream = TokenStream::new(5);
+    let first = stream.begin_attempt();
+    accept(&mut stream, first, [0]);
+    let second = stream.begin_attempt();
+    let fault = Accepted::Failed(StreamFault::Diverged { index: 0 });
+    assert_eq!(stream.accept(second, 0, "x".into()), fault);
+    assert_eq!(accept(&mut stream, second, [1]), [fault]);
+}
+
+/// Guards against tokens of a cancelled attempt, or after the end.
+#[test]
+fn accept_drops_late_tokens() {
+    let mut stream = TokenStream::new(5);
+    let first = stream.begin_attempt();
+    let second = stream.begin_attempt();
+    assert_eq!(accept(&mut stream, first, [0]), [Accepted::Late]);
+    assert_eq!(stream.end(first, 0), End::Late);
+    assert_eq!(accept(&mut stream, second, [0]), [Accepted::New]);
+    assert_eq!(stream.end(second, 1), End::Complete);
+    assert_eq!(accept(&mut stream, second, [1]), [Accepted::Late]);
+    stream.begin_attempt();
+    assert!(stream.is_complete());
+}
+
+/// Guards against an engine that never ends.
+#[test]
+fn accept_bounds_the_answer() {
+    let mut stream = TokenStream::new(2);
+    let attempt = stream.begin_attempt();
+    let fault = Accepted::Failed(StreamFault::TooLong { index: 2 });
+    let accepted = accept(&mut stream, attempt, 0..3);
+    assert_eq!(accepted, [Accepted::New, Accepted::New, fault]);
+}
+
+/// Guards against a short answer that passes as complete.
+#[test]
+fn end_compares_total() {
+    for total_tokens in [0, 1, 3, 4] {
+        let mut stream = TokenStream::new(5);
+        let attempt = stream.begin_attempt();
+        accept(&mut stream, attempt, [0, 1]);
+        let end = End::Incomplete { received_tokens: 2, total_tokens };
+        assert_eq!(stream.end(attempt, total_tokens), end);
+        assert!(!stream.is_complete());
+    }
+}
