Add the record of requests that crash backend servers

Cause: a caller resends a request that crashes each server that runs it, and any daemon may receive it. Change: poison::Suspects identifies requests by a BLAKE3 hash of pipeline, workspace and body, weighs crashes (alone 2, shared 1, refused at 3 for 10 min), lets one copy of a suspect run at a time, bounds memory at 4,096 requests, and exchanges notices that are merged by maximum. Conclusion: a request is stopped at its second crash if the second attempt ran alone.

--- a/crates/briarladder-core/src/poison.rs
+++ b/crates/briarladder-core/src/poison.rs
@@ -1,1 +1,372 @@
 //! Requests that crash backend servers.
+//!
+//! A caller resends a request whose answer it did not get, and any daemon may
+//! receive it. So a request is identified by its content, and daemons notify
+//! each other of suspects.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Instant;
+//!
+//! use briarladder_core::{
+//!     names::{PipelineName, WorkspaceName},
+//!     poison::{ContentHash, Suspects, Verdict},
+//!     routing::Sharing,
+//! };
+//!
+//! let pipeline = PipelineName::new("fold-plan").unwrap();
+//! let workspace = WorkspaceName::new("dobradura").unwrap();
+//! let hash = ContentHash::of(&pipeline, &workspace, b"{}");
+//! let now = Instant::now();
+//! let mut suspects = Suspects::new();
+//! suspects.crashed(now, hash, Sharing::Shared);
+//! assert_eq!(suspects.start(now, hash), Verdict::RunAlone);
+//! suspects.crashed(now, hash, Sharing::Alone);
+//! assert!(matches!(suspects.start(now, hash), Verdict::Refuse { .. }));
+//! ```
+
+use std::time::{Duration, Instant};
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    names::{PipelineName, WorkspaceName},
+    routing::Sharing,
+    sorted::SortedMap,
+};
+
+/// How long a request is refused, and how long it stays suspect.
+pub const RETENTION: Duration = Duration::from_mins(10);
+
+/// The most requests remembered: about 400 KiB.
+pub const MAX_SUSPECTS: usize = 4_096;
+
+/// The weight of a crash with other requests on the server.
+const SHARED_WEIGHT: u8 = 1;
+
+/// The weight of a crash with nothing else on the server.
+const ALONE_WEIGHT: u8 = 2;
+
+/// A request of this weight is refused. A first crash of either kind stays
+/// below it, and a second one reaches it if the request ran alone, as a
+/// suspect does. Two shared crashes do not: a rack that fails takes down the
+/// first server of a request and the one of its retry.
+const REFUSED_WEIGHT: u8 = SHARED_WEIGHT + ALONE_WEIGHT;
+
+/// A copy that runs alone blocks others for no longer than this, in case its
+/// end is never recorded.
+const TRIAL_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Identifies a request by pipeline, workspace and body.
+///
+/// The hash is cryptographic, so that no workspace can craft a body that
+/// gets a request of another one refused.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Deserialize,
+    Display,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[display("{_0:032x}")]
+#[serde(into = "String", try_from = "String")]
+pub struct ContentHash(u128);
+
+impl ContentHash {
+    /// Hashes a request. Names contain no zero byte, which separates them.
+    #[must_use]
+    pub fn of(
+        pipeline: &PipelineName,
+        workspace: &WorkspaceName,
+        body: &[u8],
+    ) -> ContentHash {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(pipeline.as_str().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(workspace.as_str().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(body);
+        let mut bytes = [0; 16];
+        hasher.finalize_xof().fill(&mut bytes);
+        ContentHash(u128::from_be_bytes(bytes))
+    }
+}
+
+impl From<ContentHash> for String {
+    fn from(hash: ContentHash) -> String {
+        hash.to_string()
+    }
+}
+
+/// A string that is not a content hash.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+#[display("a content hash has exactly 32 hexadecimal digits")]
+pub struct ContentHashError;
+
+impl TryFrom<String> for ContentHash {
+    type Error = ContentHashError;
+
+    fn try_from(text: String) -> Result<ContentHash, ContentHashError> {
+        let hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != 32 || !hex {
+            return Err(ContentHashError);
+        }
+        let value = u128::from_str_radix(&text, 16);
+        value.map(ContentHash).map_err(|_| ContentHashError)
+    }
+}
+
+/// How a request may run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// Beside others.
+    Run,
+    /// With a server to itself.
+    RunAlone,
+    /// Not yet, because another copy of this suspect is running alone.
+    /// Otherwise each copy would crash another server.
+    Wait,
+    /// Not at all.
+    Refuse {
+        /// The time until it may be tried again.
+        retry_after: Duration,
+    },
+}
+
+/// What a daemon tells its peers of a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Notice {
+    /// The request.
+    pub hash: ContentHash,
+    /// What is known of it.
+    pub state: NoticeState,
+}
+
+/// What is known of a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(tag = "state", rename_all = "snake_case")]
+pub enum NoticeState {
+    /// It may have crashed a server.
+    Suspect {
+        /// The weight of the evidence.
+        weight: u8,
+    },
+    /// It is refused.
+    Refused {
+        /// For how much longer, in milliseconds.
+        left_ms: u64,
+    },
+    /// It merely shared a server with a request that crashed it.
+    Cleared,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    weight: u8,
+    updated_at: Instant,
+    refused_until: Option<Instant>,
+    trial_since: Option<Instant>,
+}
+
+impl Suspect {
+    fn is_expired(&self, now: Instant) -> bool {
+        let since = self.refused_until.unwrap_or(self.updated_at);
+        now.saturating_duration_since(since) >= RETENTION
+    }
+
+    /// After the refusal, the request is a suspect again, not cleared.
+    fn end_refusal(&mut self, now: Instant) {
+        if self.refused_until.is_some_and(|until| until <= now) {
+            self.weight = REFUSED_WEIGHT - 1;
+            self.refused_until = None;
+            self.updated_at = now;
+        }
+    }
+}
+
+/// The requests of which a daemon suspects that they crash servers.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    entries: SortedMap<ContentHash, Suspect>,
+}
+
+impl Suspects {
+    /// Creates an empty set.
+    #[must_use]
+    pub fn new() -> Suspects {
+        Suspects::default()
+    }
+
+    /// Decides how an attempt may run, and notes the start of a suspect.
+    /// After [`Verdict::RunAlone`], call [`Suspects::crashed`],
+    /// [`Suspects::succeeded`] or [`Suspects::ended`].
+    pub fn start(&mut self, now: Instant, hash: ContentHash) -> Verdict {
+        let Some(entry) = self.entries.get_mut(&hash) else {
+            return Verdict::Run;
+        };
+        if entry.is_expired(now) {
+            self.entries.remove(&hash);
+            return Verdict::Run;
+        }
+        entry.end_refusal(now);
+        if let Some(until) = entry.refused_until {
+            return Verdict::Refuse { retry_after: until - now };
+        }
+        let on_trial = entry.trial_since.is_some_and(|since| {
+            now.saturating_duration_since(since) < TRIAL_TIMEOUT
+        });
+        if on_trial {
+            return Verdict::Wait;
+        }
+        entry.trial_since = Some(now);
+        Verdict::RunAlone
+    }
+
+    /// Records that a server crashed while it ran a request. Call it for
+    /// each request that was on the server, and only if the server itself
+    /// failed: its connections broke and it then refused a connection or
+    /// reported another incarnation. Returns the notice for peers.
+    pub fn crashed(
+        &mut self,
+        now: Instant,
+        hash: ContentHash,
+        sharing: Sharing,
+    ) -> Notice {
+        let weight = match sharing {
+            Sharing::Shared => SHARED_WEIGHT,
+            Sharing::Alone => ALONE_WEIGHT,
+        };
+        let known = self.entries.get(&hash).filter(|e| !e.is_expired(now));
+        let weight = known.map_or(weight, |entry| {
+            entry.weight.saturating_add(weight).min(REFUSED_WEIGHT)
+        });
+        let refused = weight >= REFUSED_WEIGHT;
+        if refused {
+            log::warn!(
+                "poison: request {hash} is refused, it crashes servers"
+            );
+        }
+        self.put(
+            now,
+            hash,
+            Suspect {
+                weight,
+                updated_at: now,
+                refused_until: refused.then(|| now + RETENTION),
+                trial_since: None,
+            },
+        );
+        let left_ms = u64::try_from(RETENTION.as_millis()).unwrap_or(u64::MAX);
+        let state = if refused {
+            NoticeState::Refused { left_ms }
+        } else {
+            NoticeState::Suspect { weight }
+        };
+        Notice { hash, state }
+    }
+
+    /// Records a complete answer. One clears a request that merely shared a
+    /// server; a request that was alone at a crash needs a second one.
+    /// Returns a notice for peers if the request is cleared.
+    pub fn succeeded(
+        &mut self,
+        now: Instant,
+        hash: ContentHash,
+    ) -> Option<Notice> {
+        let entry = self.entries.get_mut(&hash)?;
+        entry.trial_since = None;
+        entry.end_refusal(now);
+        if entry.refused_until.is_some() {
+            // The answer began before the refusal and does not refute it.
+            return None;
+        }
+        if entry.weight > SHARED_WEIGHT {
+            entry.weight -= SHARED_WEIGHT;
+            return None;
+        }
+        self.entries.remove(&hash);
+        Some(Notice { hash, state: NoticeState::Cleared })
+    }
+
+    /// Records that an attempt ended in a way that says nothing about the
+    /// request, for example by a cancellation or a refusal.
+    pub fn ended(&mut self, hash: ContentHash) {
+        if let Some(entry) = self.entries.get_mut(&hash) {
+            entry.trial_since = None;
+        }
+    }
+
+    /// Takes the notice of a peer. The same notice may arrive any number of
+    /// times: weights are merged by maximum, not added.
+    pub fn apply_notice(&mut self, now: Instant, notice: &Notice) {
+        let known = self.entries.get(&notice.hash).copied();
+        let known = known.filter(|entry| !entry.is_expired(now));
+        let (weight, refused_until) = match notice.state {
+            NoticeState::Cleared => {
+                if known.is_some_and(|e| e.weight <= SHARED_WEIGHT) {
+                    self.entries.remove(&notice.hash);
+                }
+                return;
+            }
+            NoticeState::Suspect { weight } => {
+                (weight.clamp(SHARED_WEIGHT, REFUSED_WEIGHT - 1), None)
+            }
+            NoticeState::Refused { left_ms } => {
+                let left = Duration::from_millis(left_ms).min(RETENTION);
+                (REFUSED_WEIGHT, Some(now + left))
+            }
+        };
+        let stronger = known.filter(|entry| entry.weight >= weight);
+        let merged = Suspect {
+            weight: stronger.map_or(weight, |entry| entry.weight),
+            // A repeated notice is no new evidence.
+            updated_at: stronger.map_or(now, |entry| entry.updated_at),
+            refused_until: known
+                .and_then(|entry| entry.refused_until)
+                .max(refused_until),
+            trial_since: known.and_then(|entry| entry.trial_since),
+        };
+        self.put(now, notice.hash, merged);
+    }
+
+    /// Inserts an entry within the bound. Expired entries go first, then the
+    /// oldest ones of the least weight; a new one of even less weight is not
+    /// kept. So a flood of weak suspects evicts no refusal.
+    fn put(&mut self, now: Instant, hash: ContentHash, suspect: Suspect) {
+        let full = self.entries.len() >= MAX_SUSPECTS;
+        if full && !self.entries.contains_key(&hash) {
+            let weakest = self.entries.iter().min_by_key(|(_, entry)| {
+                (!entry.is_expired(now), entry.weight, entry.updated_at)
+            });
+            let Some((weakest, entry)) = weakest else { return };
+            if !entry.is_expired(now) && entry.weight > suspect.weight {
+                return;
+            }
+            let weakest = *weakest;
+            self.entries.remove(&weakest);
+        }
+        self.entries.insert(hash, suspect);
+    }
+
+    /// Returns the number of requests remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no request is suspect.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests;
