Crash or stall an engine in the middle of a generation

Cause: the fault matrix has every fault at every step, but an engine could only crash or hang before its first token, or lose one connection. Change: the faults CrashAfterTokens and HangAfterTokens; Cluster::vms gives the list of VMs that matches a cluster. Conclusion: resumption can be tested against crashed and stalled engines at any token.

--- a/crates/briarladder-standins/src/cluster.rs
+++ b/crates/briarladder-standins/src/cluster.rs
@@ -16,7 +16,11 @@
 
 use std::{io, net::SocketAddr, ops::Deref, time::Duration};
 
-use briarladder_core::objects::{Object, Pool, Role, Stage, Work};
+use briarladder_core::{
+    names::VmName,
+    objects::{Object, Pool, Role, Stage, Work},
+};
+use briarladder_wire::platform::{Vm, VmKind, VmState};
 
 use crate::{
     engine::{Engine, EngineSettings},
@@ -143,6 +147,28 @@
         &self.backends
     }
 
+    /// Returns the backend servers as live VMs, for
+    /// [`Platform::set_vms`](crate::platform::Platform::set_vms).
+    #[must_use]
+    pub fn vms(&self) -> Vec<Vm> {
+        let regions = self.objects.iter().filter_map(|object| match object {
+            Object::Region(region) => Some(region),
+            _ => None,
+        });
+        let zones = regions.flat_map(|region| &region.zones);
+        let servers = zones.flat_map(|zone| {
+            zone.servers.iter().map(|server| (zone.name.clone(), server))
+        });
+        let vms = servers.filter_map(|(zone, server)| {
+            let name = server.name.as_str();
+            let address = self.backend(name)?.address();
+            let name = VmName::new(name).ok()?;
+            let (kind, state) = (VmKind::Backend, VmState::Live);
+            Some(Vm { name, zone, kind, address, state })
+        });
+        vms.collect()
+    }
+
     /// Returns the backend server with a name.
     #[must_use]
     pub fn backend(&self, name: &str) -> Option<&Backend> {
--- a/crates/briarladder-standins/src/engine/generation.rs
+++ b/crates/briarladder-standins/src/engine/generation.rs
@@ -40,7 +40,7 @@
 enum Phase {
     Start,
     Tokens,
-    Cut,
+    Faulty(Fault),
     Ended,
 }
 
@@ -88,10 +88,7 @@
             Phase::Start => Some(Ok(self.start())),
             Phase::Tokens if self.index < self.total => self.token().await,
             Phase::Tokens => Some(Ok(self.done())),
-            Phase::Cut => {
-                reply::flush_pause().await;
-                Some(Err(io::Error::other("fault: cut")))
-            }
+            Phase::Faulty(fault) => self.fail(fault).await,
             Phase::Ended => None,
         }
     }
@@ -99,9 +96,8 @@
     fn start(&mut self) -> Bytes {
         self.next_token_at =
             Instant::now() + self.timing.first_token + self.link.plan.slow();
-        let cut = self.link.plan.has(Fault::DropAfterFirstByte)
-            || self.link.plan.drop_after_tokens() == Some(0);
-        self.phase = if cut { Phase::Cut } else { Phase::Tokens };
+        self.phase = Phase::Tokens;
+        self.check_fault();
         event(&StreamEvent::Start {
             request_id: self.shown.request_id,
             stage: self.shown.stage.clone(),
@@ -125,11 +121,33 @@
         self.index += 1;
         self.job.record.sent_tokens += 1;
         self.next_token_at += self.interval();
+        self.check_fault();
+        Some(Ok(bytes))
+    }
+
+    /// Enters the fault that is due after the tokens sent so far.
+    fn check_fault(&mut self) {
         let sent = self.job.record.sent_tokens;
-        if self.link.plan.drop_after_tokens() == Some(sent) {
-            self.phase = Phase::Cut;
+        if let Some(fault) = self.link.plan.after_tokens(sent) {
+            self.phase = Phase::Faulty(fault);
         }
-        Some(Ok(bytes))
+    }
+
+    async fn fail(&mut self, fault: Fault) -> Option<io::Result<Bytes>> {
+        reply::flush_pause().await;
+        match fault {
+            Fault::CrashAfterTokens(_) => {
+                self.core.crash();
+                self.link.cut().await;
+            }
+            Fault::HangAfterTokens(_) => {
+                self.job.cancelled().await;
+                self.job.record.end = End::Cancelled;
+                return None;
+            }
+            _ => {}
+        }
+        Some(Err(io::Error::other("fault: cut")))
     }
 
     /// Returns the time between tokens, which grows with the batch.
--- a/crates/briarladder-standins/src/fault.rs
+++ b/crates/briarladder-standins/src/fault.rs
@@ -48,8 +48,13 @@
     DropAfterTokens(u32),
     /// The work starts, then the backend server crashes.
     Crash,
+    /// The backend server crashes after this many tokens of the attempt.
+    CrashAfterTokens(u32),
     /// The work starts and never ends.
     Hang,
+    /// The generation stops after this many tokens of the attempt and never
+    /// ends.
+    HangAfterTokens(u32),
     /// The answer, or each token, is sent twice.
     Doubled,
     /// The work runs in time; the answer is held back by this time.
@@ -222,10 +227,14 @@
         })
     }
 
-    pub(crate) fn drop_after_tokens(&self) -> Option<u32> {
-        self.0.iter().find_map(|fault| match fault {
-            Fault::DropAfterTokens(tokens) => Some(*tokens),
-            _ => None,
+    /// Returns the fault that applies after a number of tokens.
+    pub(crate) fn after_tokens(&self, sent: u32) -> Option<Fault> {
+        self.0.iter().copied().find(|fault| match fault {
+            Fault::DropAfterFirstByte => sent == 0,
+            Fault::DropAfterTokens(tokens)
+            | Fault::CrashAfterTokens(tokens)
+            | Fault::HangAfterTokens(tokens) => *tokens == sent,
+            _ => false,
         })
     }
 
--- a/crates/briarladder-standins/src/server/request.rs
+++ b/crates/briarladder-standins/src/server/request.rs
@@ -42,7 +42,7 @@
     }
 
     /// Waits until the request is cancelled.
-    async fn cancelled(&self) {
+    pub(crate) async fn cancelled(&self) {
         self.active.cancel.notified().await;
     }
 }
--- a/crates/briarladder-standins/tests/cluster.rs
+++ b/crates/briarladder-standins/tests/cluster.rs
@@ -54,6 +54,10 @@
     }
     assert_eq!(servers[3].address.port(), 1);
     assert!(matches!(cluster.backends()[1], Backend::Engine(_)));
+    let vms = cluster.vms();
+    assert_eq!(vms.len(), 3);
+    assert_eq!(vms[1].address, servers[1].address);
+    assert_eq!(vms[1].zone, region.zones[0].name);
     let load = get(servers[2].address, "/v1/load").await.unwrap();
     let load: serde_json::Value = load.json().await.unwrap();
     assert_eq!(load["slots_requests"], 4);
--- a/crates/briarladder-standins/tests/faults.rs
+++ b/crates/briarladder-standins/tests/faults.rs
@@ -206,6 +206,43 @@
     assert_eq!(worker.journal().entries().len(), 4);
 }
 
+/// Guards against an engine that crashes at another token, or that only
+/// drops the one generation.
+#[tokio::test]
+async fn crash_after_tokens_stops_engine() {
+    let engine = engine(2).await;
+    let address = engine.address();
+    let other = run(address, &request("2")).await.unwrap();
+    engine.faults().next(1, Fault::CrashAfterTokens(2));
+    let events = generate(address, &request("1")).await;
+    assert!(events.broken);
+    assert_eq!(events.texts(), expected(&request("1"), 2));
+    assert!(common::events(other).await.broken);
+    assert!(run(address, &request("1")).await.is_err());
+    engine.restart().await.unwrap();
+    let events = generate(address, &request("1")).await;
+    assert_eq!(events.total, Some(16));
+}
+
+/// Guards against a stalled generation that ends by itself, or whose slot
+/// can't be freed.
+#[tokio::test]
+async fn hang_after_tokens_stalls() {
+    let engine = engine(1).await;
+    let address = engine.address();
+    engine.faults().next(1, Fault::HangAfterTokens(2));
+    let request = request("1");
+    let stalled = generate(address, &request);
+    tokio::pin!(stalled);
+    assert!(timeout(SHORT, &mut stalled).await.is_err());
+    common::cancel(address, request.request_id).await;
+    let events = stalled.await;
+    assert_eq!(events.texts(), expected(&request, 2));
+    assert_eq!((events.total, events.broken), (None, false));
+    let entry = &engine.journal().entries()[0];
+    assert_eq!((entry.sent_tokens, entry.end), (2, End::Cancelled));
+}
+
 /// Guards against a hang that ends by itself, or that can't be ended.
 #[tokio::test]
 async fn hang_holds_slot() {
