--- a/crates/briarladder-core/src/objects/mod.rs
+++ b/crates/briarladder-core/src/objects/mod.rs
@@ -27,6 +27,7 @@
     RegionName, ServerName, StageName, WorkspaceName, ZoneName,
 };
 
+pub mod change;
 pub mod check;
 pub mod load;
 pub mod snapshot;
