--- a/crates/briarladder-cli/src/main.rs
+++ b/crates/briarladder-cli/src/main.rs
@@ -5,6 +5,7 @@
 
 use std::process::ExitCode;
 
+use briarladder_cli::demo;
 use clap::{Parser, Subcommand};
 
 mod bundle;
@@ -20,9 +21,10 @@
 const EXAMPLES: &str = "\
 Examples:
   briarladder check samples/dobradura
-  briarladder bundle samples/dobradura --epoch 1 --out out/";
+  briarladder bundle samples/dobradura --epoch 1 --out out/
+  briarladder demo";
 
-/// Checks and publishes the configuration of a briarladder deployment.
+/// The operators' command of briarladder.
 #[derive(Debug, Parser)]
 #[command(name = "briarladder", version, after_help = EXAMPLES)]
 struct Cli {
@@ -34,6 +36,7 @@
 enum Command {
     Check(check::Args),
     Bundle(bundle::Args),
+    Demo(demo::Args),
 }
 
 fn main() -> ExitCode {
@@ -41,6 +44,7 @@
     let result = match Cli::parse().command {
         Command::Check(args) => check::run(&args),
         Command::Bundle(args) => bundle::run(&args),
+        Command::Demo(args) => demo::run(&args),
     };
     result.unwrap_or_else(|error| {
         eprintln!("error: {error:#}");
--- a/crates/briarladder-core/src/retry.rs
+++ b/crates/briarladder-core/src/retry.rs
@@ -26,6 +26,8 @@
 
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
+
 /// The retries that one first attempt pays for, in hundredths.
 const EARNED_HUNDREDTHS: u64 = 10;
 
@@ -41,22 +43,29 @@
 const FLOOR_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Why an attempt failed, as far as the daemon can prove.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum AttemptFailure {
     /// No connection, so no byte was sent.
+    #[display("no connection could be made")]
     ConnectFailed,
     /// The backend server stated that it did not run the attempt.
+    #[display("it refused to run the attempt")]
     RefusedNotRun,
     /// The connection failed after the first byte was sent.
+    #[display("the answer broke off")]
     Broken,
     /// No complete answer within the timeout of the attempt.
+    #[display("no complete answer in time")]
     TimedOut,
     /// An error status without proof that nothing ran.
+    #[display("it answered with an error status")]
     ErrorStatus,
     /// The answer belongs to another request, stage or attempt.
+    #[display("the answer belongs to another attempt")]
     MismatchedEcho,
     /// The backend server refused because it is leaving, without a statement
     /// that nothing ran. With that statement it is `RefusedNotRun`.
+    #[display("it is leaving")]
     Leaving,
 }
 
--- /dev/null
+++ b/crates/briarladder-daemon/src/backend/mod.rs
@@ -0,0 +1,359 @@
+//! The client to backend servers: one attempt at one stage.
+//!
+//! An attempt ends in the stage's output or in a typed failure that says
+//! what is known of whether the backend server ran it. Whether to try again
+//! is decided in `briarladder_core::retry`.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_daemon::backend::BackendClient;
+//!
+//! let client = BackendClient::new(1 << 20).unwrap();
+//! # let _ = client;
+//! ```
+
+use std::{net::SocketAddr, ops::ControlFlow, sync::Arc, time::Duration};
+
+use briarladder_core::{
+    ids::RequestId, load::LoadReport, retry::AttemptFailure,
+};
+use briarladder_wire::backend::{
+    CallRecord, IDEMPOTENCY_KEY_HEADER, NOT_RUN_HEADER, Order, OrderAnswer,
+    RunRequest, RunResponse, StreamEvent,
+};
+use bytes::{Bytes, BytesMut};
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use reqwest::{Client, Response};
+use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+
+mod cancel;
+
+pub use cancel::CancelOnDrop;
+
+/// The longest time to set up a connection. Zones are about 1 ms apart and
+/// regions 20 ms, so a connection that takes longer will not be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The longest time between two events of a generation. The target for the
+/// first token is 0.77 s, so a longer silence means that the engine hangs.
+const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The longest time for a load report, a status lookup or an order.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The largest answer to a control call, in bytes.
+const MAX_CONTROL_BYTES: usize = 1 << 20;
+
+/// The output of one successful attempt.
+#[derive(Debug)]
+pub struct StageOutput {
+    /// The output.
+    pub output: Arc<RawValue>,
+    /// The load after the attempt, if the backend server reported it.
+    pub load: Option<LoadReport>,
+}
+
+/// The end of one complete generation.
+#[derive(Debug)]
+pub struct GenerationEnd {
+    /// The tokens of the whole answer, over all attempts.
+    pub total_tokens: u32,
+    /// The load after the attempt, if the engine reported it.
+    pub load: Option<LoadReport>,
+}
+
+/// Whether an attempt may share a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Connection {
+    /// From the pool. A broken pooled connection may be retried unseen.
+    Pooled,
+    /// A new one for this attempt alone. A failure to connect then proves
+    /// that no byte was sent.
+    New,
+}
+
+/// One attempt, ready to be sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt<'a> {
+    /// The message.
+    pub request: &'a RunRequest,
+    /// The key of a call that may not repeat.
+    pub idempotency_key: Option<&'a str>,
+    /// Whether to share a connection.
+    pub connection: Connection,
+    /// The longest time for the attempt.
+    pub timeout: Duration,
+}
+
+/// A client to all backend servers.
+#[derive(Clone, Debug)]
+pub struct BackendClient {
+    pooled: Client,
+    single: Client,
+    max_output_bytes: usize,
+}
+
+impl BackendClient {
+    /// Creates a client that takes outputs up to a size.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP client can't be set up.
+    pub fn new(max_output_bytes: usize) -> reqwest::Result<BackendClient> {
+        let builder = || {
+            Client::builder()
+                .connect_timeout(CONNECT_TIMEOUT)
+                .retry(reqwest::retry::never())
+                .redirect(reqwest::redirect::Policy::none())
+                .no_proxy()
+                .tcp_nodelay(true)
+        };
+        Ok(BackendClient {
+            pooled: builder().pool_max_idle_per_host(64).build()?,
+            single: builder().pool_max_idle_per_host(0).build()?,
+            max_output_bytes,
+        })
+    }
+
+    /// Runs one attempt at a stage that answers in one piece.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is known of the failure.
+    pub async fn run(
+        &self,
+        address: SocketAddr,
+        attempt: Attempt<'_>,
+    ) -> Result<StageOutput, AttemptFailure> {
+        let run = self.run_untimed(address, attempt);
+        tokio::time::timeout(attempt.timeout, run)
+            .await
+            .unwrap_or(Err(AttemptFailure::TimedOut))
+    }
+
+    async fn run_untimed(
+        &self,
+        address: SocketAddr,
+        attempt: Attempt<'_>,
+    ) -> Result<StageOutput, AttemptFailure> {
+        let response = self.send(address, attempt).await?;
+        let body = read_body(response, self.max_output_bytes).await?;
+        let answer: RunResponse = serde_json::from_slice(&body)
+            .map_err(|_| AttemptFailure::Broken)?;
+        let sent = attempt.request;
+        let matches = answer.request_id == sent.request_id
+            && answer.stage == sent.stage
+            && answer.attempt == sent.attempt;
+        if !matches {
+            return Err(AttemptFailure::MismatchedEcho);
+        }
+        Ok(StageOutput { output: Arc::from(answer.output), load: answer.load })
+    }
+
+    /// Runs one attempt at a generation and hands on each token, until it is
+    /// complete or a token is not accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is known of the failure. Tokens that were handed on
+    /// before stay valid.
+    pub async fn generate(
+        &self,
+        address: SocketAddr,
+        attempt: Attempt<'_>,
+        mut on_token: impl FnMut(u32, Arc<str>) -> ControlFlow<()>,
+    ) -> Result<GenerationEnd, AttemptFailure> {
+        let run = self.generate_untimed(address, attempt, &mut on_token);
+        tokio::time::timeout(attempt.timeout, run)
+            .await
+            .unwrap_or(Err(AttemptFailure::TimedOut))
+    }
+
+    async fn generate_untimed(
+        &self,
+        address: SocketAddr,
+        attempt: Attempt<'_>,
+        on_token: &mut impl FnMut(u32, Arc<str>) -> ControlFlow<()>,
+    ) -> Result<GenerationEnd, AttemptFailure> {
+        let response = self.send(address, attempt).await?;
+        let mut events = response.bytes_stream().eventsource();
+        let mut started = false;
+        loop {
+            let event = tokio::time::timeout(STALL_TIMEOUT, events.next())
+                .await
+                .map_err(|_| AttemptFailure::TimedOut)?
+                .ok_or(AttemptFailure::Broken)?
+                .map_err(|_| AttemptFailure::Broken)?;
+            let event: StreamEvent = serde_json::from_str(&event.data)
+                .map_err(|_| AttemptFailure::Broken)?;
+            match event {
+                StreamEvent::Start { request_id, stage, attempt: number } => {
+                    let sent = attempt.request;
+                    started = request_id == sent.request_id
+                        && stage == sent.stage
+                        && number == sent.attempt;
+                    if !started {
+                        return Err(AttemptFailure::MismatchedEcho);
+                    }
+                }
+                // Tokens before the start can't be matched to the request.
+                _ if !started => return Err(AttemptFailure::MismatchedEcho),
+                StreamEvent::Token { index, text } => {
+                    if on_token(index, text).is_break() {
+                        return Err(AttemptFailure::Broken);
+                    }
+                }
+                StreamEvent::Done { total_tokens, load } => {
+                    return Ok(GenerationEnd { total_tokens, load });
+                }
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        attempt: Attempt<'_>,
+    ) -> Result<Response, AttemptFailure> {
+        let client = match attempt.connection {
+            Connection::Pooled => &self.pooled,
+            Connection::New => &self.single,
+        };
+        // OK because the message has no map with keys that are not strings.
+        let body = serde_json::to_vec(attempt.request).unwrap();
+        let mut request = client
+            .post(format!("http://{address}/v1/run"))
+            .header("content-type", "application/json")
+            .body(body);
+        if let Some(key) = attempt.idempotency_key {
+            request = request.header(IDEMPOTENCY_KEY_HEADER, key);
+        }
+        let response =
+            request.send().await.map_err(|error| failure_of(&error))?;
+        let status = response.status();
+        if status.is_success() {
+            return Ok(response);
+        }
+        let not_run = response
+            .headers()
+            .get(NOT_RUN_HEADER)
+            .is_some_and(|value| value.as_bytes() == b"true");
+        Err(if status.as_u16() == 503 && not_run {
+            AttemptFailure::RefusedNotRun
+        } else {
+            AttemptFailure::ErrorStatus
+        })
+    }
+
+    /// Tells a backend server that a request is no longer wanted.
+    pub async fn cancel(&self, address: SocketAddr, request_id: RequestId) {
+        let url = format!("http://{address}/v1/run/{request_id}");
+        let cancel =
+            self.pooled.delete(url).timeout(CONTROL_TIMEOUT).send().await;
+        if let Err(error) = cancel {
+            log::debug!("backend: cancel of {request_id} failed: {error}");
+        }
+    }
+
+    /// Reads a backend server's load.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is known of the failure.
+    pub async fn load(
+        &self,
+        address: SocketAddr,
+    ) -> Result<LoadReport, AttemptFailure> {
+        self.get(format!("http://{address}/v1/load")).await
+    }
+
+    /// Asks a plain service what it knows of a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is known of the failure.
+    pub async fn call_record(
+        &self,
+        address: SocketAddr,
+        key: &str,
+    ) -> Result<CallRecord, AttemptFailure> {
+        self.get(format!("http://{address}/v1/calls/{key}")).await
+    }
+
+    /// Sends an order to an engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is known of the failure.
+    pub async fn order(
+        &self,
+        address: SocketAddr,
+        order: &Order,
+    ) -> Result<OrderAnswer, AttemptFailure> {
+        let url = format!("http://{address}/v1/orders");
+        let request = self.pooled.post(url).json(order);
+        let response = request
+            .timeout(CONTROL_TIMEOUT)
+            .send()
+            .await
+            .map_err(|error| failure_of(&error))?;
+        read_json(response).await
+    }
+
+    async fn get<T: DeserializeOwned>(
+        &self,
+        url: String,
+    ) -> Result<T, AttemptFailure> {
+        let request = self.pooled.get(url).timeout(CONTROL_TIMEOUT);
+        let response =
+            request.send().await.map_err(|error| failure_of(&error))?;
+        read_json(response).await
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(
+    response: Response,
+) -> Result<T, AttemptFailure> {
+    if !response.status().is_success() {
+        return Err(AttemptFailure::ErrorStatus);
+    }
+    let body = read_body(response, MAX_CONTROL_BYTES).await?;
+    serde_json::from_slice(&body).map_err(|_| AttemptFailure::Broken)
+}
+
+/// Reads a body up to a size. A longer one counts as broken.
+async fn read_body(
+    mut response: Response,
+    max_bytes: usize,
+) -> Result<Bytes, AttemptFailure> {
+    let broken = |_| AttemptFailure::Broken;
+    let Some(first) = response.chunk().await.map_err(broken)? else {
+        return Ok(Bytes::new());
+    };
+    let Some(second) = response.chunk().await.map_err(broken)? else {
+        return Ok(first);
+    };
+    let mut body = BytesMut::from(first);
+    let mut next = Some(second);
+    while let Some(chunk) = next {
+        if body.len() + chunk.len() > max_bytes {
+            return Err(AttemptFailure::Broken);
+        }
+        body.extend_from_slice(&chunk);
+        next = response.chunk().await.map_err(broken)?;
+    }
+    Ok(body.freeze())
+}
+
+fn failure_of(error: &reqwest::Error) -> AttemptFailure {
+    if error.is_connect() {
+        AttemptFailure::ConnectFailed
+    } else if error.is_timeout() {
+        AttemptFailure::TimedOut
+    } else {
+        AttemptFailure::Broken
+    }
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/blackboard.rs
@@ -0,0 +1,99 @@
+//! What the parts of the daemon share: one owner a section, and readers that
+//! take a consistent snapshot without waiting.
+//!
+//! | section | owner |
+//! | --- | --- |
+//! | configuration | `controllers::config` |
+//! | phase | `shutdown` |
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_daemon::blackboard::{Blackboard, Phase};
+//!
+//! let blackboard = Blackboard::new();
+//! assert_eq!(blackboard.phase(), Phase::Running);
+//! assert!(blackboard.configuration().snapshot.is_none());
+//! ```
+
+use std::sync::Arc;
+
+use arc_swap::{ArcSwap, Guard};
+use briarladder_core::{objects::snapshot::Snapshot, ticket::Keys};
+
+/// The configuration in force.
+#[derive(Clone, Debug)]
+pub struct Configuration {
+    /// The resolved objects; absent until the first set is adopted.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// The keys that authenticate tickets.
+    pub keys: Keys,
+    /// Why the daemon is not ready or does not follow, for operators.
+    pub problem: Option<Arc<str>>,
+    /// The lowest epoch that may be in force.
+    pub floor_epoch: u64,
+}
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// No stop is planned.
+    Running,
+    /// Not ready any more, so that the balancer sends elsewhere; requests
+    /// that still arrive are served.
+    Announced,
+    /// New requests are refused; open ones end.
+    Draining,
+}
+
+/// The shared sections.
+#[derive(Debug)]
+pub struct Blackboard {
+    configuration: ArcSwap<Configuration>,
+    phase: ArcSwap<Phase>,
+}
+
+impl Blackboard {
+    /// Creates a blackboard without a configuration.
+    #[must_use]
+    pub fn new() -> Blackboard {
+        let configuration = Configuration {
+            snapshot: None,
+            keys: Keys::new([]),
+            problem: Some(Arc::from("no configuration was read yet")),
+            floor_epoch: 0,
+        };
+        Blackboard {
+            configuration: ArcSwap::from_pointee(configuration),
+            phase: ArcSwap::from_pointee(Phase::Running),
+        }
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn configuration(&self) -> Guard<Arc<Configuration>> {
+        self.configuration.load()
+    }
+
+    /// Puts a configuration in force. Only its owner calls this.
+    pub fn set_configuration(&self, configuration: Configuration) {
+        self.configuration.store(Arc::new(configuration));
+    }
+
+    /// Returns how far a planned stop has come.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        **self.phase.load()
+    }
+
+    /// Sets how far a planned stop has come. Only its owner calls this.
+    pub fn set_phase(&self, phase: Phase) {
+        self.phase.store(Arc::new(phase));
+    }
+}
+
+impl Default for Blackboard {
+    fn default() -> Blackboard {
+        Blackboard::new()
+    }
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/controllers/config.rs
@@ -0,0 +1,335 @@
+//! Keeps the configuration in force.
+//!
+//! The decisions are in `briarladder_core::config`. Two daemons of a zone
+//! watch the platform, the others hear from peers, and whoever stays behind
+//! reads the platform itself.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use briarladder_core::{
+    config::{
+        Announcement, ChunkRef, Digest, EpochStore, IgnoreReason, Manifest,
+        ManifestReply, Outcome, PlatformReads, Readiness, notify_targets,
+    },
+    membership::View,
+    names::VmName,
+    objects::snapshot::Snapshot,
+    ticket::Keys,
+    timeline::{EventKind, Subject},
+};
+use briarladder_wire::peers::{ConfigNotice, ManifestQuery};
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use super::platform::Wait;
+use crate::{blackboard::Configuration, daemon::Daemon};
+
+/// How long a fresh daemon waits for peers and backend servers to tell their
+/// epochs before it trusts the platform. Peers answer in milliseconds; a
+/// daemon that is cut off from all of them must still start.
+const FLOOR_WAIT: Duration = Duration::from_secs(3);
+
+/// The time between two looks at whether something is missing.
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The wait after a failed read of the platform.
+const RETRY_WAIT: Duration = Duration::from_secs(1);
+
+/// The configuration store of this daemon.
+#[derive(Debug, Default)]
+pub struct ConfigState {
+    store: Mutex<EpochStore>,
+    /// Woken when a peer may have something newer.
+    news: Notify,
+}
+
+impl ConfigState {
+    /// Runs with the store locked.
+    pub fn with<T>(&self, run: impl FnOnce(&mut EpochStore) -> T) -> T {
+        run(&mut self.store.lock())
+    }
+
+    /// Returns what to say in each probe.
+    #[must_use]
+    pub fn announcement(&self) -> Announcement {
+        self.with(|store| store.announcement())
+    }
+}
+
+/// Notes what a peer said of its configuration.
+pub fn hear(daemon: &Daemon, announcement: Announcement) {
+    let now = daemon.clock.now();
+    let newer = daemon.config.with(|store| {
+        store.observe_peer(announcement, now);
+        store.next_request().is_some()
+    });
+    if newer {
+        daemon.config.news.notify_one();
+    }
+}
+
+/// Notes an epoch that was in force elsewhere.
+pub fn hear_floor(daemon: &Daemon, epoch: u64) {
+    let now = daemon.clock.now();
+    daemon.config.with(|store| store.observe_floor(epoch, now));
+}
+
+/// Watches the platform while this daemon is one of its zone's readers, and
+/// reads it while this daemon stays behind.
+pub async fn watch_platform(daemon: Arc<Daemon>) {
+    let mut reads = PlatformReads::new(&daemon.settings.vm);
+    // A fresh daemon knows no peers yet; one read gives it a start.
+    let mut wait = Some(Wait::No);
+    loop {
+        let now = daemon.clock.now();
+        if wait.is_none() {
+            let behind_since = daemon.config.with(|s| s.behind_since());
+            if super::membership::is_reader(&daemon) {
+                let known = daemon.config.announcement().known;
+                wait = Some(Wait::After(known));
+            } else if reads.next_at(behind_since).is_some_and(|at| at <= now) {
+                reads.started(behind_since, now);
+                wait = Some(Wait::No);
+            }
+        }
+        let Some(read) = wait.take() else {
+            tokio::time::sleep(FOLLOW_INTERVAL).await;
+            continue;
+        };
+        let manifest = daemon.platform.manifest(read).await;
+        match manifest {
+            Ok(manifest) => {
+                daemon.pauses.refreshed(View::Configuration, now);
+                if let Some(manifest) = manifest {
+                    take_manifest(&daemon, manifest, Source::Platform).await;
+                }
+            }
+            Err(error) => {
+                log::warn!("config: the platform can't be read: {error:#}");
+                tokio::time::sleep(RETRY_WAIT).await;
+            }
+        }
+    }
+}
+
+/// Asks peers for what this daemon lacks, and trusts the platform once the
+/// floor is known.
+pub async fn follow_peers(daemon: Arc<Daemon>) {
+    let started_at = daemon.clock.now();
+    let mut confirmed = false;
+    loop {
+        let news = daemon.config.news.notified();
+        // Both ends of the wait lead to the same look.
+        let _ = tokio::time::timeout(FOLLOW_INTERVAL, news).await;
+        let now = daemon.clock.now();
+        if !confirmed
+            && (super::membership::asked_peers(&daemon)
+                || now.saturating_duration_since(started_at) >= FLOOR_WAIT)
+        {
+            confirmed = true;
+            let held = daemon.config.with(|s| s.confirm_floor(now));
+            if let Some(outcome) = held {
+                take_outcome(&daemon, outcome);
+            }
+        }
+        let request = daemon.config.with(|s| {
+            let have = s.newest_manifest().map(Manifest::id);
+            s.next_request().map(|which| ManifestQuery { which, have })
+        });
+        if let Some(query) = request
+            && let Some(peer) = super::membership::peer_with_newer(&daemon)
+        {
+            pull(&daemon, peer, query).await;
+        }
+        publish(&daemon, None);
+    }
+}
+
+/// Where a manifest came from, and where its chunks are.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Platform,
+    Peer(SocketAddr),
+}
+
+async fn pull(daemon: &Arc<Daemon>, peer: SocketAddr, query: ManifestQuery) {
+    let reply = match daemon.peers.config_manifest(peer, query).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log::debug!("config: peer {peer} gave no manifest: {error}");
+            return;
+        }
+    };
+    let manifest = match reply {
+        ManifestReply::Nothing => return,
+        ManifestReply::Full(manifest) => manifest,
+        ManifestReply::Delta(delta) => {
+            let base = daemon.config.with(|s| s.newest_manifest().cloned());
+            let applied = base.and_then(|base| delta.apply(&base).ok());
+            let Some(manifest) = applied else {
+                log::warn!("config: the difference from {peer} does not fit");
+                return;
+            };
+            manifest
+        }
+    };
+    take_manifest(daemon, manifest, Source::Peer(peer)).await;
+}
+
+async fn take_manifest(
+    daemon: &Arc<Daemon>,
+    manifest: Manifest,
+    source: Source,
+) {
+    let now = daemon.clock.now();
+    let outcome = daemon.config.with(|s| s.offer_manifest(manifest, now));
+    let missing = match &outcome {
+        Outcome::Missing(missing) => missing.clone(),
+        Outcome::Ignored(IgnoreReason::BelowFloor { floor }) => {
+            log::warn!("config: an epoch below the floor {floor} was offered");
+            Vec::new()
+        }
+        _ => Vec::new(),
+    };
+    take_outcome(daemon, outcome);
+    for chunk in missing {
+        let Some(bytes) = fetch(daemon, &chunk, source).await else { return };
+        let now = daemon.clock.now();
+        let outcome =
+            daemon.config.with(|s| s.offer_chunk(&chunk.digest, &bytes, now));
+        take_outcome(daemon, outcome);
+    }
+}
+
+async fn fetch(
+    daemon: &Daemon,
+    chunk: &ChunkRef,
+    source: Source,
+) -> Option<Vec<u8>> {
+    let digest: &Digest = &chunk.digest;
+    match source {
+        Source::Platform => match daemon.platform.chunk(digest).await {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                log::warn!("config: chunk {digest} can't be read: {error:#}");
+                None
+            }
+        },
+        Source::Peer(peer) => {
+            let reply = daemon.peers.config_chunk(peer, *digest).await;
+            Some(reply.ok()?.text?.into_bytes())
+        }
+    }
+}
+
+fn take_outcome(daemon: &Arc<Daemon>, outcome: Outcome) {
+    match outcome {
+        Outcome::Ignored(_) | Outcome::Missing(_) => {}
+        Outcome::Held(snapshot) => {
+            let epoch = snapshot.epoch;
+            log::info!("config: epoch {epoch} waits for the floor");
+        }
+        Outcome::Adopted(snapshot) => {
+            let epoch = snapshot.epoch;
+            log::info!("config: epoch {epoch} is in force");
+            put_in_force(daemon, &snapshot);
+            let kind = EventKind::ConfigAdopted { adopted_epoch: epoch };
+            daemon.events.record(Subject::default(), kind);
+            notify_peers(daemon, epoch);
+        }
+        Outcome::Rejected(rejection) => {
+            log::error!("config: {rejection}; the last good epoch stays");
+            let kind = EventKind::ConfigRejected {
+                rejected_epoch: rejection.id.epoch,
+                reason: rejection.reason.to_string().as_str().into(),
+            };
+            daemon.events.record(Subject::default(), kind);
+            notify_peers(daemon, rejection.id.epoch);
+        }
+    }
+}
+
+fn put_in_force(daemon: &Arc<Daemon>, snapshot: &Arc<Snapshot>) {
+    let now = daemon.clock.now();
+    // The views come first, so that no request of the new epoch meets a
+    // router without its pools.
+    daemon.router.lock().apply_snapshot(now, snapshot);
+    daemon.slots.set_ranks(&snapshot.ranks);
+    super::load::refresh_slots(daemon, snapshot);
+    daemon.calls.apply_fleet(&snapshot.fleet);
+    super::membership::set_epoch(daemon, snapshot.epoch);
+    daemon.metrics.epoch(snapshot.epoch);
+    // A daemon that starts has just asked for both; without this its first
+    // requests would wait for the next probe.
+    daemon.pauses.refreshed(View::Configuration, now);
+    daemon.pauses.refreshed(View::Membership, now);
+    publish(daemon, Some(snapshot));
+}
+
+/// Writes the blackboard's section.
+fn publish(daemon: &Daemon, adopted: Option<&Arc<Snapshot>>) {
+    let before = daemon.blackboard.configuration();
+    let (readiness, rejected, floor_epoch) = daemon.config.with(|s| {
+        let rejected = s.rejected().map(ToString::to_string);
+        (s.readiness(), rejected, s.floor())
+    });
+    let problem = match readiness {
+        Readiness::Ready => rejected,
+        other => Some(other.to_string()),
+    };
+    let problem: Option<Arc<str>> = problem.map(Arc::from);
+    let unchanged = adopted.is_none()
+        && before.problem == problem
+        && before.floor_epoch == floor_epoch;
+    if unchanged {
+        return;
+    }
+    let (snapshot, keys) = match adopted {
+        Some(snapshot) => (
+            Some(Arc::clone(snapshot)),
+            Keys::from_published(&snapshot.fleet.ticket_keys),
+        ),
+        None => (before.snapshot.clone(), before.keys.clone()),
+    };
+    daemon.blackboard.set_configuration(Configuration {
+        snapshot,
+        keys,
+        problem,
+        floor_epoch,
+    });
+}
+
+fn notify_peers(daemon: &Arc<Daemon>, epoch: u64) {
+    let live = super::membership::zone_peers(daemon);
+    let names: Vec<VmName> =
+        live.iter().map(|peer| peer.name.clone()).collect();
+    let notice = ConfigNotice {
+        address: daemon.peer_address,
+        announcement: daemon.config.announcement(),
+    };
+    for target in notify_targets(&daemon.settings.vm, &names, epoch) {
+        let Some(peer) = live.iter().find(|peer| peer.name == *target) else {
+            continue;
+        };
+        let (daemon, notice) = (Arc::clone(daemon), notice.clone());
+        let (name, address) = (peer.name.clone(), peer.address);
+        tokio::spawn(async move {
+            let told = daemon.peers.config_notify(address, notice).await;
+            if let Err(error) = told {
+                log::debug!("config: {name} was not notified: {error}");
+            }
+        });
+    }
+}
+
+/// Pulls from a peer that told of something newer.
+pub async fn take_notice(daemon: &Arc<Daemon>, notice: ConfigNotice) {
+    hear(daemon, notice.announcement);
+    let request = daemon.config.with(|s| {
+        let have = s.newest_manifest().map(Manifest::id);
+        s.next_request().map(|which| ManifestQuery { which, have })
+    });
+    if let Some(query) = request {
+        pull(daemon, notice.address, query).await;
+    }
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/controllers/membership.rs
@@ -0,0 +1,359 @@
+//! Keeps the view of live daemons.
+//!
+//! The decisions are in `briarladder_core::membership`.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use briarladder_core::{
+    clock::SharedClock,
+    config::is_reader as is_zone_reader,
+    membership::{
+        Change, Heartbeat, Identity, Members, Observed, PauseDetector,
+        ProbeTarget, Seed, SeedState, TICK, View, Views,
+    },
+    names::{ServerName, VmName},
+    routing::ListedState,
+    timeline::{EventKind, Subject},
+};
+use briarladder_wire::{
+    peers::{Probe, ProbeThrough},
+    platform::{VmKind, VmList, VmState},
+};
+use parking_lot::Mutex;
+
+use super::platform::Wait;
+use crate::daemon::Daemon;
+
+/// The time between two reads of the VM list by a daemon that does not watch
+/// it. At 2,500 daemons this makes 8 calls a second.
+const LIST_INTERVAL: Duration = Duration::from_mins(5);
+
+/// The wait after a failed read of the VM list.
+const RETRY_WAIT: Duration = Duration::from_secs(2);
+
+/// The view of live daemons.
+#[derive(Debug)]
+pub struct MembersState {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    members: Members,
+    /// Whether some probe was answered, or there is nobody to probe.
+    asked_peers: bool,
+    list_read: bool,
+}
+
+/// A live peer of the zone.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// The VM.
+    pub name: VmName,
+    /// Where it serves peers.
+    pub address: SocketAddr,
+}
+
+impl MembersState {
+    /// Creates a view that knows only this daemon.
+    #[must_use]
+    pub fn new(identity: Identity, now: Instant) -> MembersState {
+        let members = Members::new(identity, now);
+        let inner = Inner { members, asked_peers: false, list_read: false };
+        MembersState { inner: Mutex::new(inner) }
+    }
+
+    /// Runs with the members locked.
+    pub fn with<T>(&self, run: impl FnOnce(&mut Members) -> T) -> T {
+        self.with_inner(|inner| run(&mut inner.members))
+    }
+
+    fn with_inner<T>(&self, run: impl FnOnce(&mut Inner) -> T) -> T {
+        run(&mut self.inner.lock())
+    }
+}
+
+/// Tells whether the process slept and its views are stale.
+#[derive(Debug)]
+pub struct Pauses {
+    clock: SharedClock,
+    detector: Mutex<PauseDetector>,
+}
+
+impl Pauses {
+    /// Creates the detector of a starting process.
+    #[must_use]
+    pub fn new(clock: SharedClock) -> Pauses {
+        let detector = Mutex::new(PauseDetector::new(clock.now()));
+        Pauses { clock, detector }
+    }
+
+    /// Notes that a view was refreshed by a request sent at `asked_at`.
+    pub fn refreshed(&self, view: View, asked_at: Instant) {
+        self.detector.lock().refreshed(view, asked_at);
+    }
+
+    /// Returns whether new work may be dispatched.
+    #[must_use]
+    pub fn views(&self) -> Views {
+        self.detector.lock().views(self.clock.now())
+    }
+}
+
+/// Returns whether this daemon watches the platform for its zone.
+#[must_use]
+pub fn is_reader(daemon: &Daemon) -> bool {
+    let zone = &daemon.settings.zone;
+    let live = daemon.members.with(|members| members.live_in_zone(zone));
+    is_zone_reader(zone, &live, &daemon.settings.vm)
+}
+
+/// Returns the number of live daemons in the zone, this one included.
+#[must_use]
+pub fn zone_len(daemon: &Daemon) -> usize {
+    let zone = &daemon.settings.zone;
+    daemon.members.with(|members| members.live_in_zone(zone).len())
+}
+
+/// Returns whether some peer was asked for its epoch, or there is none.
+#[must_use]
+pub fn asked_peers(daemon: &Daemon) -> bool {
+    daemon.members.with_inner(|inner| {
+        let alone = inner.members.iter().len() <= 1;
+        inner.asked_peers || (inner.list_read && alone)
+    })
+}
+
+/// Returns the live peers of the zone, without this daemon.
+#[must_use]
+pub fn zone_peers(daemon: &Daemon) -> Vec<Peer> {
+    let zone = &daemon.settings.zone;
+    daemon.members.with(|members| {
+        members
+            .iter()
+            .filter(|m| m.zone == *zone && m.is_assignable())
+            .filter(|m| m.name != daemon.settings.vm)
+            .map(|m| Peer { name: m.name.clone(), address: m.address })
+            .collect()
+    })
+}
+
+/// Returns the address of a peer with the highest epoch.
+#[must_use]
+pub fn peer_with_newer(daemon: &Daemon) -> Option<SocketAddr> {
+    daemon.members.with(|members| {
+        members
+            .iter()
+            .filter(|m| m.is_assignable() && m.name != daemon.settings.vm)
+            .max_by_key(|m| m.epoch)
+            .map(|m| m.address)
+    })
+}
+
+/// Sets the epoch that this daemon tells its peers.
+pub fn set_epoch(daemon: &Daemon, epoch: u64) {
+    daemon.members.with(|members| members.set_epoch(epoch));
+}
+
+/// Probes peers, one task a probe, and advances the timers.
+pub async fn probe(daemon: Arc<Daemon>) {
+    let mut ticker = tokio::time::interval(TICK);
+    ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticker.tick().await;
+        let now = daemon.clock.now();
+        detect_pause(&daemon, now);
+        let changes = daemon.members.with(|members| members.tick(now));
+        record(&daemon, changes);
+        let next = |daemon: &Daemon| {
+            let mut rng = rand::rng();
+            daemon.members.with(|m| m.next_probe(now, &mut rng))
+        };
+        while let Some(target) = next(&daemon) {
+            tokio::spawn(probe_one(Arc::clone(&daemon), target));
+        }
+    }
+}
+
+fn detect_pause(daemon: &Daemon, now: Instant) {
+    let pause = daemon.pauses.detector.lock().tick(now);
+    let Some(pause) = pause else { return };
+    let paused_ms =
+        u64::try_from(pause.length.as_millis()).unwrap_or(u64::MAX);
+    log::warn!("membership: the process did not run for {paused_ms} ms");
+    daemon.members.with(|members| members.resume_after_pause(now));
+    let kind = EventKind::PauseDetected { paused_ms };
+    daemon.events.record(Subject::default(), kind);
+}
+
+async fn probe_one(daemon: Arc<Daemon>, target: ProbeTarget) {
+    let asked_at = daemon.clock.now();
+    let message = message_for(&daemon, &target.name);
+    let answer = daemon.peers.probe(target.address, message).await;
+    match answer {
+        Ok(answer) if answer.heartbeat.sender.name == target.name => {
+            take_answer(&daemon, &answer, asked_at);
+        }
+        Ok(_) | Err(_) => probe_through(&daemon, &target),
+    }
+}
+
+/// Probes a silent peer through others.
+fn probe_through(daemon: &Arc<Daemon>, target: &ProbeTarget) {
+    let now = daemon.clock.now();
+    let through =
+        daemon.members.with(|m| m.probe_failed(now, target, &mut rand::rng()));
+    for peer in through {
+        let daemon = Arc::clone(daemon);
+        let target = target.clone();
+        tokio::spawn(async move {
+            let asked_at = daemon.clock.now();
+            let probe = message_for(&daemon, &target.name);
+            let through = ProbeThrough { address: target.address, probe };
+            let answer =
+                daemon.peers.probe_through(peer.address, through).await;
+            if let Ok(answer) = answer {
+                take_answer(&daemon, &answer, asked_at);
+                return;
+            }
+            let now = daemon.clock.now();
+            let change = daemon
+                .members
+                .with(|m| m.indirect_probe_failed(now, &target.name));
+            record(&daemon, change);
+        });
+    }
+}
+
+fn take_answer(daemon: &Daemon, answer: &Probe, asked_at: Instant) {
+    let now = daemon.clock.now();
+    daemon.events.observe(answer.heartbeat.timestamp);
+    let observed = daemon.members.with_inner(|inner| {
+        inner.asked_peers = true;
+        inner.members.probe_answered(now, &answer.heartbeat)
+    });
+    daemon.pauses.refreshed(View::Membership, asked_at);
+    daemon.pauses.refreshed(View::Configuration, asked_at);
+    take_observed(daemon, observed);
+    super::config::hear(daemon, answer.announcement);
+}
+
+/// Takes a peer's probe and returns the answer.
+#[must_use]
+pub fn answer_probe(daemon: &Daemon, probe: &Probe) -> Probe {
+    let now = daemon.clock.now();
+    daemon.events.observe(probe.heartbeat.timestamp);
+    let heartbeat: &Heartbeat = &probe.heartbeat;
+    let observed = daemon.members.with_inner(|inner| {
+        // A probe tells the peer's epoch just as an answer does.
+        inner.asked_peers = true;
+        inner.members.heard(now, heartbeat)
+    });
+    take_observed(daemon, observed);
+    super::config::hear(daemon, probe.announcement);
+    message_for(daemon, &heartbeat.sender.name)
+}
+
+fn message_for(daemon: &Daemon, to: &VmName) -> Probe {
+    let stamp = daemon.events.stamp();
+    Probe {
+        heartbeat: daemon.members.with(|m| m.heartbeat_for(to, stamp)),
+        announcement: daemon.config.announcement(),
+    }
+}
+
+fn take_observed(daemon: &Daemon, observed: Vec<Observed>) {
+    for outcome in observed {
+        match outcome {
+            Observed::Known | Observed::Stale => {}
+            Observed::Applied(change) => record(daemon, Some(change)),
+            Observed::Refuted => {
+                log::warn!("membership: peers held this daemon to be dead");
+            }
+            Observed::Superseded(incarnation) => {
+                log::error!(
+                    "membership: a later run {incarnation} of this VM's \
+                     daemon exists; stop one of them"
+                );
+            }
+        }
+    }
+}
+
+fn record(daemon: &Daemon, changes: impl IntoIterator<Item = Change>) {
+    for change in changes {
+        if change.from == Some(change.to) {
+            continue;
+        }
+        let Change { name: member, to: state, .. } = change;
+        log::info!("membership: {member} is {state}");
+        let kind = EventKind::MemberChanged { member, state };
+        daemon.events.record(Subject::default(), kind);
+    }
+}
+
+/// Reads the platform's list of VMs: watches it as a reader of the zone, and
+/// otherwise reads it now and then.
+pub async fn read_list(daemon: Arc<Daemon>) {
+    let mut version = 0;
+    loop {
+        let wait = match version {
+            0 => Wait::No,
+            known => Wait::After(known),
+        };
+        let asked_at = daemon.clock.now();
+        match daemon.platform.vms(wait).await {
+            Ok(list) => {
+                daemon.members.with_inner(|inner| inner.list_read = true);
+                if let Some(list) = list {
+                    version = list.version;
+                    take_list(&daemon, &list);
+                }
+                if daemon.members.with(|members| members.iter().len()) <= 1 {
+                    daemon.pauses.refreshed(View::Membership, asked_at);
+                }
+            }
+            Err(error) => {
+                log::warn!("membership: the VM list can't be read: {error:#}");
+                tokio::time::sleep(RETRY_WAIT).await;
+                continue;
+            }
+        }
+        if version > 0 && !is_reader(&daemon) {
+            tokio::time::sleep(LIST_INTERVAL).await;
+        }
+    }
+}
+
+fn take_list(daemon: &Daemon, list: &VmList) {
+    let now = daemon.clock.now();
+    let seeds: Vec<Seed> = list
+        .vms
+        .iter()
+        .filter(|vm| vm.kind == VmKind::Entry)
+        .map(|vm| Seed {
+            name: vm.name.clone(),
+            address: vm.address,
+            zone: vm.zone.clone(),
+            state: match vm.state {
+                VmState::Live => SeedState::Live,
+                VmState::Leaving => SeedState::Leaving,
+            },
+        })
+        .collect();
+    let changes = daemon.members.with(|m| m.seed(now, list.version, &seeds));
+    record(daemon, changes);
+    let mut router = daemon.router.lock();
+    for vm in list.vms.iter().filter(|vm| vm.kind == VmKind::Backend) {
+        let Ok(server) = ServerName::new(vm.name.as_str()) else { continue };
+        let state = match vm.state {
+            VmState::Live => ListedState::Live,
+            VmState::Leaving => ListedState::Leaving,
+        };
+        router.set_listed(now, &server, state);
+    }
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/daemon.rs
@@ -0,0 +1,236 @@
+//! The state of one daemon and its start.
+//!
+//! The request path is in [`pipeline`](crate::pipeline); the parts that keep
+//! the daemon's views fresh are in [`controllers`](crate::controllers).
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use briarladder_core::{
+    admission::Estimates,
+    clock::SharedClock,
+    ids::Incarnation,
+    membership::{Identity, new_incarnation},
+    objects::snapshot::Snapshot,
+    retry::Budget,
+    routing::{self, Router},
+    ticket::Claims,
+    timeline::Process,
+};
+use briarladder_wire::{
+    callers::TicketStatus,
+    peers::{CallResult, ForwardedCall},
+};
+use parking_lot::Mutex;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::{
+    backend::BackendClient,
+    blackboard::Blackboard,
+    controllers::{
+        PlatformClient,
+        config::{self, ConfigState},
+        membership::{MembersState, Pauses},
+    },
+    events::Events,
+    metrics::Metrics,
+    peers::PeerClient,
+    pipeline::{Calls, Slots, ticketed},
+    refusal::{Refusal, RefusalKind},
+    settings::Settings,
+};
+
+/// One daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    /// The settings.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: SharedClock,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// Where peers reach this daemon.
+    pub peer_address: SocketAddr,
+    /// What the parts share.
+    pub blackboard: Blackboard,
+    /// The slots of all pools.
+    pub slots: Arc<Slots>,
+    /// The load view.
+    pub router: Mutex<Router>,
+    /// The expected service times.
+    pub estimates: Mutex<Estimates>,
+    /// The retry budget.
+    pub retries: Mutex<Budget>,
+    /// The calls that may not repeat.
+    pub calls: Calls,
+    /// The client to backend servers.
+    pub backend: BackendClient,
+    /// The client to peers.
+    pub peers: PeerClient,
+    /// The timeline.
+    pub events: Events,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The client to the platform.
+    pub platform: PlatformClient,
+    /// The configuration store.
+    pub config: ConfigState,
+    /// The view of live daemons.
+    pub members: MembersState,
+    /// Whether the views are stale after a pause.
+    pub pauses: Pauses,
+    open_requests: Arc<Semaphore>,
+}
+
+impl Daemon {
+    /// Creates a daemon that peers reach at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a client or the metrics can't be set up.
+    pub fn new(
+        settings: Settings,
+        clock: SharedClock,
+        peer_address: SocketAddr,
+    ) -> anyhow::Result<Arc<Daemon>> {
+        let incarnation = new_incarnation(clock.unix(), &mut rand::rng());
+        let process = Process { vm: settings.vm.clone(), incarnation };
+        let identity = Identity {
+            name: settings.vm.clone(),
+            address: peer_address,
+            zone: settings.zone.clone(),
+            incarnation,
+        };
+        let place =
+            routing::Settings::new(settings.vm.clone(), settings.zone.clone());
+        Ok(Arc::new(Daemon {
+            incarnation,
+            peer_address,
+            blackboard: Blackboard::new(),
+            slots: Slots::new(Arc::clone(&clock)),
+            router: Mutex::new(Router::new(place)),
+            estimates: Mutex::new(Estimates::new()),
+            retries: Mutex::new(Budget::new(clock.now())),
+            calls: Calls::new(incarnation),
+            backend: BackendClient::new(settings.max_output_bytes)?,
+            peers: PeerClient::new(&settings.peer_key)?,
+            events: Events::new(
+                Arc::clone(&clock),
+                process,
+                settings.events_kept,
+            ),
+            metrics: Metrics::new(settings.statsd, &settings.vm)?,
+            open_requests: Arc::new(Semaphore::new(
+                settings.max_open_requests,
+            )),
+            platform: PlatformClient::new(settings.platform)?,
+            config: ConfigState::default(),
+            members: MembersState::new(identity, clock.now()),
+            pauses: Pauses::new(Arc::clone(&clock)),
+            settings,
+            clock,
+        }))
+    }
+
+    /// Returns the configuration for a new request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when there is none that may be in force.
+    pub fn snapshot(&self) -> Result<Arc<Snapshot>, Refusal> {
+        let configuration = self.blackboard.configuration();
+        configuration.snapshot.clone().ok_or_else(|| {
+            let problem = configuration.problem.clone();
+            let problem =
+                problem.unwrap_or_else(|| Arc::from("none in force"));
+            let detail = format!(
+                "this daemon has no configuration it may use: {problem}; \
+                 ask again to reach another"
+            );
+            Refusal::new(RefusalKind::NotReady, detail)
+                .with_retry_after(Duration::from_secs(1))
+        })
+    }
+
+    /// Takes one of the places for open requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when all are taken.
+    pub fn open_request(&self) -> Result<OwnedSemaphorePermit, Refusal> {
+        let places = Arc::clone(&self.open_requests);
+        places.try_acquire_owned().map_err(|_| {
+            Refusal::new(
+                RefusalKind::Overloaded,
+                "this daemon has too many open requests; come back later",
+            )
+            .with_retry_after(Duration::from_secs(1))
+        })
+    }
+
+    /// Returns the number of open requests.
+    #[must_use]
+    pub fn open_requests_len(&self) -> usize {
+        let free = self.open_requests.available_permits();
+        self.settings.max_open_requests - free
+    }
+
+    /// Raises the lowest epoch that may be in force.
+    pub fn raise_floor(&self, epoch: u64) {
+        config::hear_floor(self, epoch);
+    }
+
+    /// Runs a ticketed call here or at the daemon that issued its ticket.
+    pub async fn run_call(
+        self: &Arc<Daemon>,
+        issuer: SocketAddr,
+        call: ForwardedCall,
+    ) -> CallResult {
+        if call.ticket.incarnation == self.incarnation {
+            return ticketed::run_call(self, call).await;
+        }
+        let request_id = call.head.request_id;
+        match self.peers.call_forward(issuer, call).await {
+            Ok(result) => result,
+            Err(error) => {
+                log::warn!("peers: forward of {request_id} failed: {error}");
+                let refusal = Refusal::new(
+                    RefusalKind::IssuerUnreachable,
+                    "the daemon that issued the ticket can't be reached; ask \
+                     for the status of the ticket later",
+                );
+                CallResult::Refused(refusal.problem(Some(request_id)))
+            }
+        }
+    }
+
+    /// Returns what is known of the call of a ticket.
+    pub async fn call_status(&self, claims: &Claims) -> TicketStatus {
+        if claims.id.incarnation == self.incarnation {
+            return ticketed::call_status(self, claims.id);
+        }
+        let status =
+            self.peers.call_status(claims.peer_address, claims.id).await;
+        status.unwrap_or_else(|error| {
+            log::warn!("peers: status of {} failed: {error}", claims.id);
+            ticketed::unknown_status(
+                "the daemon that issued the ticket can't be reached",
+            )
+        })
+    }
+
+    /// Closes the ticket of a call that has not begun.
+    pub async fn close_call(&self, claims: &Claims) -> TicketStatus {
+        if claims.id.incarnation == self.incarnation {
+            return self.calls.close(self.clock.now(), claims.id.sequence);
+        }
+        let status =
+            self.peers.call_close(claims.peer_address, claims.id).await;
+        status.unwrap_or_else(|error| {
+            log::warn!("peers: close of {} failed: {error}", claims.id);
+            ticketed::unknown_status(
+                "the daemon that issued the ticket can't be reached, so the \
+                 ticket is not closed",
+            )
+        })
+    }
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/http/requests.rs
@@ -0,0 +1,250 @@
+//! `POST /v1/pipelines/{pipeline}`: runs a pipeline.
+
+use std::{sync::Arc, time::Instant};
+
+use briarladder_core::ids::RequestId;
+use briarladder_wire::{
+    callers::{Outcome, REQUEST_ID_HEADER, RequestHead, TICKET_HEADER},
+    peers::{CallResult, ForwardedCall},
+};
+use salvo::{
+    Request, Response, handler,
+    http::{HeaderValue, header},
+};
+use serde_json::value::RawValue;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
+
+use super::{answer, receive, tickets};
+use crate::{
+    blackboard::Phase,
+    daemon::Daemon,
+    pipeline::{self, Delivery, Progress, Repetition},
+    refusal::{Refusal, RefusalKind},
+};
+
+/// Runs a pipeline.
+pub(super) struct Run(pub(super) Arc<Daemon>);
+
+#[handler]
+impl Run {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let daemon = &self.0;
+        let received_at = daemon.clock.now();
+        let received = receive(daemon, request).await;
+        let received = match received {
+            Ok(received) => received,
+            Err(refusal) => {
+                return answer::refusal(response, &refusal, None);
+            }
+        };
+        let id = received.head.request_id;
+        response.headers_mut().insert(
+            REQUEST_ID_HEADER,
+            // OK because an identifier is all hexadecimal digits.
+            HeaderValue::from_str(&id.to_string()).unwrap(),
+        );
+        let permit = match admit_connection(daemon, &received) {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                let refusal = match received.ticket {
+                    // Another copy of the call may run.
+                    Some(_) => refusal.with_outcome(Outcome::Unknown),
+                    None => refusal,
+                };
+                return answer::refusal(response, &refusal, Some(id));
+            }
+        };
+        if let Some(ticket) = received.ticket {
+            let call = Ticketed { ticket, head: received.head };
+            run_ticketed(daemon, call, received.body, response).await;
+            drop(permit);
+        } else {
+            let run = Prepared { received, received_at, permit };
+            run_repeatable(daemon, run, response).await;
+        }
+    }
+}
+
+/// Takes a place for an open request, unless the daemon is stopping. A
+/// ticketed call is still taken then, because its ticket is honoured.
+fn admit_connection(
+    daemon: &Daemon,
+    received: &Received,
+) -> Result<OwnedSemaphorePermit, Refusal> {
+    let stopping = daemon.blackboard.phase() == Phase::Draining;
+    if stopping && received.ticket.is_none() {
+        return Err(Refusal::new(
+            RefusalKind::NotReady,
+            "the daemon is stopping; ask again to reach another",
+        ));
+    }
+    daemon.open_request()
+}
+
+struct Received {
+    head: RequestHead,
+    ticket: Option<String>,
+    body: Arc<RawValue>,
+    streamed: bool,
+}
+
+async fn receive(
+    daemon: &Daemon,
+    request: &mut Request,
+) -> Result<Received, Refusal> {
+    let pipeline = request.param::<String>("pipeline").unwrap_or_default();
+    let ticket = receive::text(request, TICKET_HEADER)?.map(str::to_owned);
+    // Another copy of a ticketed call may run, so no refusal of this copy
+    // may say that the call did not run.
+    let unknown = |refusal: Refusal| match ticket {
+        Some(_) => refusal.with_outcome(Outcome::Unknown),
+        None => refusal,
+    };
+    let head = receive::head(request, &pipeline).map_err(unknown)?;
+    let streamed = request
+        .headers()
+        .get(header::ACCEPT)
+        .is_some_and(|accept| accept.as_bytes() == b"text/event-stream");
+    let settings = &daemon.settings;
+    let body = receive::body(
+        request,
+        settings.max_body_bytes,
+        settings.receive_timeout(),
+    )
+    .await
+    .map_err(unknown)?;
+    Ok(Received { head, ticket, body, streamed })
+}
+
+struct Ticketed {
+    ticket: String,
+    head: RequestHead,
+}
+
+/// Sends a ticketed call to the daemon that issued its ticket.
+async fn run_ticketed(
+    daemon: &Arc<Daemon>,
+    call: Ticketed,
+    body: Arc<RawValue>,
+    response: &mut Response,
+) {
+    let id = call.head.request_id;
+    let claims = match tickets::authenticate(
+        daemon,
+        &call.ticket,
+        &call.head.workspace,
+    ) {
+        Ok(claims) => claims,
+        Err(refusal) => {
+            return answer::refusal(response, &refusal, Some(id));
+        }
+    };
+    let call = ForwardedCall { ticket: claims.id, head: call.head, body };
+    let result = daemon.run_call(claims.peer_address, call).await;
+    match result {
+        CallResult::Answered(done) => answer::answer(response, &done),
+        CallResult::Refused(problem) => answer::problem(response, &problem),
+    }
+}
+
+struct Prepared {
+    received: Received,
+    received_at: Instant,
+    permit: OwnedSemaphorePermit,
+}
+
+/// Runs a request whose stages may all repeat.
+async fn run_repeatable(
+    daemon: &Arc<Daemon>,
+    run: Prepared,
+    response: &mut Response,
+) {
+    let Prepared { received, received_at, permit } = run;
+    let id = received.head.request_id;
+    let request = match check(daemon, &received, received_at) {
+        Ok(request) => request,
+        Err(refusal) => {
+            if refusal.kind == RefusalKind::TicketRequired {
+                add_ticket(daemon, &received.head, response);
+            }
+            return answer::refusal(response, &refusal, Some(id));
+        }
+    };
+    if received.streamed {
+        return stream(daemon, request, permit, response);
+    }
+    let whole = Delivery::Whole;
+    let result =
+        pipeline::run(daemon, &request, &whole, Repetition::Allowed).await;
+    drop(permit);
+    match result {
+        Ok(done) => answer::answer(response, &done),
+        Err(refusal) => answer::refusal(response, &refusal, Some(id)),
+    }
+}
+
+fn check(
+    daemon: &Daemon,
+    received: &Received,
+    received_at: Instant,
+) -> Result<pipeline::Request, Refusal> {
+    let snapshot = daemon.snapshot()?;
+    let body = Arc::clone(&received.body);
+    let head = &received.head;
+    let request = pipeline::Request::new(snapshot, head, body, received_at)?;
+    if !request.pipeline.idempotent {
+        return Err(Refusal::new(
+            RefusalKind::TicketRequired,
+            format!(
+                "pipeline {} has a stage that may not repeat; send the \
+                 request again with the ticket in header {TICKET_HEADER} of \
+                 this response",
+                request.pipeline.name
+            ),
+        ));
+    }
+    Ok(request)
+}
+
+/// Adds a fresh ticket to a refusal, so that the caller needs no further
+/// call to get one.
+fn add_ticket(daemon: &Daemon, head: &RequestHead, response: &mut Response) {
+    let Ok(issued) = tickets::issue(daemon, &head.workspace) else { return };
+    // OK because a ticket is all base64url.
+    let value = HeaderValue::from_str(&issued.ticket).unwrap();
+    response.headers_mut().insert(TICKET_HEADER, value);
+}
+
+/// Runs a request in a task whose end the caller's connection decides: when
+/// the caller leaves, the receiver is dropped and the task is cancelled.
+fn stream(
+    daemon: &Arc<Daemon>,
+    request: pipeline::Request,
+    permit: OwnedSemaphorePermit,
+    response: &mut Response,
+) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let request_id: RequestId = request.id;
+    answer::events(response, request_id, receiver);
+    let daemon = Arc::clone(daemon);
+    tokio::spawn(async move {
+        let epoch = request.snapshot.epoch;
+        let _ = sender.send(Progress::Accepted { request_id, epoch });
+        let delivery = Delivery::Stream(sender.clone());
+        let run =
+            pipeline::run(&daemon, &request, &delivery, Repetition::Allowed);
+        tokio::select! {
+            result = run => {
+                let last = match result {
+                    Ok(answer) => Progress::Answer(Arc::new(answer)),
+                    Err(refusal) => Progress::Refusal(refusal),
+                };
+                let _ = sender.send(last);
+            }
+            () = sender.closed() => {
+                log::debug!("requests: caller of {request_id} left");
+            }
+        }
+        drop(permit);
+    });
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/http/tickets.rs
@@ -0,0 +1,158 @@
+//! Tickets for calls that may not repeat: issue, status, close.
+
+use std::sync::Arc;
+
+use briarladder_core::{
+    names::WorkspaceName,
+    ticket::{Claims, TicketError},
+    timeline::{EventKind, Subject},
+};
+use briarladder_wire::callers::{Outcome, TicketIssued, TicketStatus};
+use salvo::{Request, Response, handler, http::StatusCode};
+
+use super::{answer, receive};
+use crate::{
+    blackboard::Phase,
+    daemon::Daemon,
+    refusal::{Refusal, RefusalKind},
+};
+
+/// Issues a ticket.
+///
+/// # Errors
+///
+/// Returns a refusal when there is no configuration, the workspace is not in
+/// it, the ledger is full, or the daemon is stopping.
+pub(super) fn issue(
+    daemon: &Daemon,
+    workspace: &WorkspaceName,
+) -> Result<TicketIssued, Refusal> {
+    if daemon.blackboard.phase() == Phase::Draining {
+        return Err(Refusal::new(
+            RefusalKind::NotReady,
+            "the daemon is stopping; ask again to reach another",
+        ));
+    }
+    let snapshot = daemon.snapshot()?;
+    if !snapshot.workspaces.contains_key(workspace) {
+        return Err(Refusal::new(
+            RefusalKind::NotFound,
+            format!("workspace {workspace} is not in the configuration"),
+        ));
+    }
+    let id = daemon.calls.issue(daemon.clock.now()).map_err(|full| {
+        Refusal::new(RefusalKind::NotReady, full.to_string())
+            .with_retry_after(full.retry_after)
+    })?;
+    let claims = Claims {
+        id,
+        issuer: daemon.settings.vm.clone(),
+        peer_address: daemon.peer_address,
+        workspace: workspace.clone(),
+        epoch: snapshot.epoch,
+    };
+    let configuration = daemon.blackboard.configuration();
+    let ticket = configuration.keys.mint(&claims).map_err(|error| {
+        Refusal::new(RefusalKind::NotReady, error.to_string())
+    })?;
+    let expires_in_ms = snapshot.fleet.ticket_lifetime_ms;
+    daemon.events.record(
+        Subject::default().with_epoch(snapshot.epoch),
+        EventKind::TicketIssued { lifetime_ms: expires_in_ms },
+    );
+    Ok(TicketIssued { ticket, expires_in_ms })
+}
+
+/// Checks a ticket and that the workspace may use it.
+///
+/// # Errors
+///
+/// Returns a refusal that leaves the outcome open, because the ticket may
+/// have been used before.
+pub(super) fn authenticate(
+    daemon: &Daemon,
+    ticket: &str,
+    workspace: &WorkspaceName,
+) -> Result<Claims, Refusal> {
+    let configuration = daemon.blackboard.configuration();
+    let claims = configuration.keys.authenticate(ticket).map_err(|error| {
+        let outcome = match error {
+            // Text that never was a ticket has no call.
+            TicketError::Malformed => Outcome::NotRun,
+            TicketError::NotAuthentic | TicketError::NoKey => Outcome::Unknown,
+        };
+        Refusal::new(RefusalKind::TicketRejected, error.to_string())
+            .with_outcome(outcome)
+    })?;
+    if claims.workspace != *workspace {
+        return Err(Refusal::new(
+            RefusalKind::TicketRejected,
+            "the ticket belongs to another workspace; use the workspace \
+             that took it",
+        ));
+    }
+    daemon.raise_floor(claims.epoch);
+    Ok(claims)
+}
+
+/// `POST /v1/tickets`
+pub(super) struct Issue(pub(super) Arc<Daemon>);
+
+#[handler]
+impl Issue {
+    fn handle(&self, request: &mut Request, response: &mut Response) {
+        let issued = receive::workspace(request)
+            .and_then(|workspace| issue(&self.0, &workspace));
+        match issued {
+            Ok(issued) => answer::json(
+                response,
+                StatusCode::CREATED,
+                "application/json",
+                &issued,
+            ),
+            Err(refusal) => answer::refusal(response, &refusal, None),
+        }
+    }
+}
+
+/// `GET /v1/tickets/{ticket}`
+pub(super) struct Status(pub(super) Arc<Daemon>);
+
+#[handler]
+impl Status {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        match claims(&self.0, request) {
+            Ok(claims) => {
+                let status = self.0.call_status(&claims).await;
+                render_status(response, &status);
+            }
+            Err(refusal) => answer::refusal(response, &refusal, None),
+        }
+    }
+}
+
+/// `DELETE /v1/tickets/{ticket}`
+pub(super) struct Close(pub(super) Arc<Daemon>);
+
+#[handler]
+impl Close {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        match claims(&self.0, request) {
+            Ok(claims) => {
+                let status = self.0.close_call(&claims).await;
+                render_status(response, &status);
+            }
+            Err(refusal) => answer::refusal(response, &refusal, None),
+        }
+    }
+}
+
+fn claims(daemon: &Daemon, request: &Request) -> Result<Claims, Refusal> {
+    let workspace = receive::workspace(request)?;
+    let ticket = request.param::<String>("ticket").unwrap_or_default();
+    authenticate(daemon, &ticket, &workspace)
+}
+
+fn render_status(response: &mut Response, status: &TicketStatus) {
+    answer::json(response, StatusCode::OK, "application/json", status);
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/metrics.rs
@@ -0,0 +1,111 @@
+//! Metrics, sent as statsd over UDP.
+//!
+//! They are buffered and sent by a thread of their own, so that the request
+//! path never waits for them; what doesn't fit the queue is dropped.
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+};
+
+use briarladder_core::{
+    admission::RefusalReason,
+    names::{PipelineName, StageName, VmName},
+    objects::snapshot::RankIndex,
+};
+use cadence::{
+    BufferedUdpMetricSink, CountedExt, Gauged, NopMetricSink,
+    QueuingMetricSink, StatsdClient, Timed,
+};
+
+/// The metrics that may wait to be sent.
+const QUEUED_METRICS: usize = 4096;
+
+/// The metrics of this process.
+#[derive(Debug)]
+pub struct Metrics {
+    client: StatsdClient,
+}
+
+impl Metrics {
+    /// Creates metrics that go to an address, or nowhere.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no UDP socket can be opened.
+    pub fn new(
+        statsd: Option<SocketAddr>,
+        vm: &VmName,
+    ) -> anyhow::Result<Metrics> {
+        let client = match statsd {
+            None => StatsdClient::from_sink("briarladder", NopMetricSink),
+            Some(address) => {
+                let unspecified = match address {
+                    SocketAddr::V4(_) => "0.0.0.0:0",
+                    SocketAddr::V6(_) => "[::]:0",
+                };
+                let socket = UdpSocket::bind(unspecified)?;
+                socket.set_nonblocking(true)?;
+                let sink = BufferedUdpMetricSink::from(address, socket)?;
+                let sink =
+                    QueuingMetricSink::with_capacity(sink, QUEUED_METRICS);
+                StatsdClient::builder("briarladder", sink)
+                    .with_tag("vm", vm)
+                    .build()
+            }
+        };
+        Ok(Metrics { client })
+    }
+
+    /// Counts a request that ended.
+    pub fn request(
+        &self,
+        pipeline: &PipelineName,
+        status: u16,
+        elapsed: Duration,
+    ) {
+        let status = status.to_string();
+        self.client
+            .time_with_tags("request.time", elapsed)
+            .with_tag("pipeline", pipeline.as_str())
+            .with_tag("status", &status)
+            .send();
+    }
+
+    /// Counts a stage that has its output.
+    pub fn stage(&self, stage: &StageName, elapsed: Duration) {
+        self.client
+            .time_with_tags("stage.time", elapsed)
+            .with_tag("stage", stage.as_str())
+            .send();
+    }
+
+    /// Counts a refusal of admission.
+    pub fn refused(&self, rank: RankIndex, reason: RefusalReason) {
+        let reason = match reason {
+            RefusalReason::DeadlineTooShort => "deadline_too_short",
+            RefusalReason::WaitTooLong => "wait_too_long",
+            RefusalReason::QueueFull => "queue_full",
+            RefusalReason::CallerQueueFull => "caller_queue_full",
+            RefusalReason::NoSlots => "no_slots",
+        };
+        let rank = rank.to_string();
+        self.client
+            .incr_with_tags("admission.refused")
+            .with_tag("rank", &rank)
+            .with_tag("reason", reason)
+            .send();
+    }
+
+    /// Reports the number of waiting and of open requests.
+    pub fn load(&self, queue_len_requests: u64, open_requests: u64) {
+        // A metric that can't be sent is dropped.
+        let _ = self.client.gauge("queue.len", queue_len_requests);
+        let _ = self.client.gauge("requests.open", open_requests);
+    }
+
+    /// Reports the epoch in force.
+    pub fn epoch(&self, epoch: u64) {
+        let _ = self.client.gauge("config.epoch", epoch);
+    }
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/peers/client.rs
@@ -0,0 +1,193 @@
+//! The client to other daemons.
+
+use std::{net::SocketAddr, time::Duration};
+
+use briarladder_core::{
+    config::{Digest, ManifestReply},
+    sorted::SortedMap,
+    ticket::TicketId,
+};
+use briarladder_wire::{
+    callers::TicketStatus,
+    peers::{
+        CallResult, ChunkReply, ConfigNotice, ForwardedCall, ManifestQuery,
+        PEER_KEY_HEADER, PeersClient, Probe, ProbeThrough,
+    },
+};
+use http::{HeaderMap, HeaderValue};
+use jsonrpsee::{
+    core::client::Error,
+    http_client::{HttpClient, HttpClientBuilder},
+};
+use parking_lot::Mutex;
+
+use crate::settings::Secret;
+
+/// The longest time for a control call between daemons.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The longest time for a forwarded call: the longest deadline of a request
+/// and the time of both ways.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The longest time to set up a connection; regions are 20 ms apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The peers whose clients are kept. A daemon talks to a few peers at a
+/// time, and a client that was dropped is made again.
+const KEPT_CLIENTS: usize = 256;
+
+/// Clients to other daemons, by address.
+#[derive(Debug)]
+pub struct PeerClient {
+    headers: HeaderMap,
+    clients: Mutex<SortedMap<SocketAddr, Clients>>,
+}
+
+#[derive(Clone, Debug)]
+struct Clients {
+    control: HttpClient,
+    forward: HttpClient,
+}
+
+impl PeerClient {
+    /// Creates a client that shows a key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the key can't be sent in a header.
+    pub fn new(key: &Secret) -> anyhow::Result<PeerClient> {
+        let mut value = HeaderValue::from_str(key.expose())?;
+        value.set_sensitive(true);
+        let mut headers = HeaderMap::new();
+        headers.insert(PEER_KEY_HEADER, value);
+        Ok(PeerClient { headers, clients: Mutex::default() })
+    }
+
+    /// Probes a peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn probe(
+        &self,
+        address: SocketAddr,
+        probe: Probe,
+    ) -> Result<Probe, Error> {
+        self.clients(address)?.control.probe(probe).await
+    }
+
+    /// Probes a peer through another one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn probe_through(
+        &self,
+        address: SocketAddr,
+        through: ProbeThrough,
+    ) -> Result<Probe, Error> {
+        self.clients(address)?.control.probe_through(through).await
+    }
+
+    /// Asks a peer for a manifest.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn config_manifest(
+        &self,
+        address: SocketAddr,
+        query: ManifestQuery,
+    ) -> Result<ManifestReply, Error> {
+        self.clients(address)?.control.config_manifest(query).await
+    }
+
+    /// Asks a peer for a configuration chunk.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn config_chunk(
+        &self,
+        address: SocketAddr,
+        digest: Digest,
+    ) -> Result<ChunkReply, Error> {
+        self.clients(address)?.control.config_chunk(digest).await
+    }
+
+    /// Tells a peer of a newer configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn config_notify(
+        &self,
+        address: SocketAddr,
+        notice: ConfigNotice,
+    ) -> Result<(), Error> {
+        self.clients(address)?.control.config_notify(notice).await
+    }
+
+    /// Runs a call at the daemon that issued its ticket.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer. The call may have run.
+    pub async fn call_forward(
+        &self,
+        address: SocketAddr,
+        call: ForwardedCall,
+    ) -> Result<CallResult, Error> {
+        self.clients(address)?.forward.call_forward(call).await
+    }
+
+    /// Returns what a daemon knows of a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn call_status(
+        &self,
+        address: SocketAddr,
+        ticket: TicketId,
+    ) -> Result<TicketStatus, Error> {
+        self.clients(address)?.control.call_status(ticket).await
+    }
+
+    /// Closes a ticket at the daemon that issued it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer. The ticket may be closed.
+    pub async fn call_close(
+        &self,
+        address: SocketAddr,
+        ticket: TicketId,
+    ) -> Result<TicketStatus, Error> {
+        self.clients(address)?.control.call_close(ticket).await
+    }
+
+    fn clients(&self, address: SocketAddr) -> Result<Clients, Error> {
+        let mut clients = self.clients.lock();
+        if let Some(known) = clients.get(&address) {
+            return Ok(known.clone());
+        }
+        if clients.len() >= KEPT_CLIENTS {
+            *clients = SortedMap::new();
+        }
+        let build = |timeout| {
+            HttpClientBuilder::default()
+                .request_timeout(timeout)
+                .connect_timeout(CONNECT_TIMEOUT)
+                .set_headers(self.headers.clone())
+                .build(format!("http://{address}"))
+        };
+        let made = Clients {
+            control: build(CONTROL_TIMEOUT)?,
+            forward: build(FORWARD_TIMEOUT)?,
+        };
+        clients.insert(address, made.clone());
+        Ok(made)
+    }
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/pipeline/slots.rs
@@ -0,0 +1,227 @@
+//! Waits for a slot of a pool, as the scheduler decides.
+//!
+//! The scheduler in `briarladder_core::admission` decides alone; this module
+//! turns its decisions into futures. A future that is dropped gives up its
+//! place, and a [`Slot`] that is dropped frees it.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use briarladder_core::{
+    admission::{Changes, GrantId, Job, Offer, Refusal, Scheduler, WaitingId},
+    clock::SharedClock,
+    names::PoolName,
+    objects::Rank,
+    sorted::SortedMap,
+};
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+type Decision = Result<GrantId, Refusal>;
+
+/// The slots of all pools that this daemon may use.
+#[derive(Debug)]
+pub struct Slots {
+    clock: SharedClock,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    scheduler: Scheduler,
+    waiters: SortedMap<WaitingId, oneshot::Sender<Decision>>,
+}
+
+impl Slots {
+    /// Creates slots without any pool.
+    #[must_use]
+    pub fn new(clock: SharedClock) -> Arc<Slots> {
+        let scheduler = Scheduler::new(&[]);
+        let inner = Inner { scheduler, waiters: SortedMap::new() };
+        Arc::new(Slots { clock, inner: Mutex::new(inner) })
+    }
+
+    /// Puts the ranks of a configuration in force.
+    pub fn set_ranks(&self, ranks: &[Rank]) {
+        self.with(|inner, _| inner.scheduler.set_ranks(ranks));
+    }
+
+    /// Sets how many slots of a pool this daemon may use.
+    pub fn set_pool_slots(&self, pool: &PoolName, slots: u32) {
+        self.with(|inner, now| {
+            let changes = inner.scheduler.set_pool_slots(now, pool, slots);
+            inner.apply(now, changes);
+        });
+    }
+
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn queue_len_requests(&self) -> usize {
+        self.with(|inner, _| inner.scheduler.queue_len_requests())
+    }
+
+    /// Returns the number of running requests of a pool.
+    #[must_use]
+    pub fn running_requests(&self, pool: &PoolName) -> u32 {
+        self.with(|inner, _| inner.scheduler.running_requests(pool))
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns the scheduler's refusal, as soon as it is certain.
+    pub async fn acquire(
+        self: &Arc<Slots>,
+        job: &Job,
+    ) -> Result<Slot, Refusal> {
+        let offered =
+            self.with(|inner, now| match inner.scheduler.offer(now, job) {
+                Offer::Run(grant) => Offered::Run(grant),
+                Offer::Refuse(refusal) => Offered::Refuse(refusal),
+                Offer::Wait(waiting) => {
+                    let (sender, receiver) = oneshot::channel();
+                    inner.waiters.insert(waiting, sender);
+                    Offered::Wait(Waiter {
+                        slots: Arc::clone(self),
+                        waiting: Some(waiting),
+                        receiver,
+                    })
+                }
+            });
+        let grant = match offered {
+            Offered::Run(grant) => grant,
+            Offered::Refuse(refusal) => return Err(refusal),
+            Offered::Wait(waiter) => waiter.wait(job).await?,
+        };
+        let started_at = self.clock.now();
+        Ok(Slot { slots: Arc::clone(self), grant, started_at })
+    }
+
+    fn expire(&self) {
+        self.with(|inner, now| {
+            let changes = inner.scheduler.expire(now);
+            inner.apply(now, changes);
+        });
+    }
+
+    fn cancel(&self, waiting: WaitingId) {
+        self.with(|inner, _| {
+            inner.waiters.remove(&waiting);
+            inner.scheduler.cancel(waiting);
+        });
+    }
+
+    fn finish(&self, grant: GrantId, started_at: Instant) {
+        self.with(|inner, now| {
+            let service = now.saturating_duration_since(started_at);
+            let changes = inner.scheduler.finish(now, grant, service);
+            inner.apply(now, changes);
+        });
+    }
+
+    fn with<T>(&self, run: impl FnOnce(&mut Inner, Instant) -> T) -> T {
+        let now = self.clock.now();
+        run(&mut self.inner.lock(), now)
+    }
+}
+
+impl Inner {
+    fn apply(&mut self, now: Instant, changes: Changes) {
+        let mut pending = changes;
+        loop {
+            for given_up in pending.given_up {
+                if let Some(waiter) = self.waiters.remove(&given_up.waiting) {
+                    // Without a receiver nobody needs the refusal.
+                    let _ = waiter.send(Err(given_up.refusal));
+                }
+            }
+            let untaken = pending
+                .run
+                .into_iter()
+                .filter_map(|run| {
+                    let waiter = self.waiters.remove(&run.waiting);
+                    let sent = waiter.map(|w| w.send(Ok(run.grant)));
+                    (!matches!(sent, Some(Ok(())))).then_some(run.grant)
+                })
+                .collect::<Vec<_>>();
+            if untaken.is_empty() {
+                return;
+            }
+            // A future that was dropped takes no slot, so the slot goes to
+            // the next one in line.
+            pending = Changes::default();
+            for grant in untaken {
+                let freed = self.scheduler.finish(now, grant, Duration::ZERO);
+                pending.run.extend(freed.run);
+                pending.given_up.extend(freed.given_up);
+            }
+        }
+    }
+}
+
+enum Offered {
+    Run(GrantId),
+    Wait(Waiter),
+    Refuse(Refusal),
+}
+
+/// A place in the queue, given up when it is dropped.
+struct Waiter {
+    slots: Arc<Slots>,
+    waiting: Option<WaitingId>,
+    receiver: oneshot::Receiver<Decision>,
+}
+
+impl Waiter {
+    async fn wait(mut self, job: &Job) -> Decision {
+        let give_up_at =
+            job.deadline.checked_sub(job.remaining).unwrap_or(job.deadline);
+        let mut expiry =
+            std::pin::pin!(tokio::time::sleep_until(give_up_at.into()));
+        loop {
+            tokio::select! {
+                decision = &mut self.receiver => {
+                    self.waiting = None;
+                    // OK because the sender is only dropped after `cancel`,
+                    // which this future calls when it is dropped itself.
+                    return decision.unwrap();
+                }
+                () = &mut expiry => {
+                    self.slots.expire();
+                    let again = Duration::from_millis(1);
+                    let at = tokio::time::Instant::now() + again;
+                    expiry.as_mut().reset(at);
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        let Some(waiting) = self.waiting.take() else { return };
+        self.slots.cancel(waiting);
+        // The slot may have been granted just before.
+        if let Ok(Ok(grant)) = self.receiver.try_recv() {
+            let now = self.slots.clock.now();
+            self.slots.finish(grant, now);
+        }
+    }
+}
+
+/// A slot of a pool, freed when it is dropped.
+#[derive(Debug)]
+pub struct Slot {
+    slots: Arc<Slots>,
+    grant: GrantId,
+    started_at: Instant,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.slots.finish(self.grant, self.started_at);
+    }
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/pipeline/stage.rs
@@ -0,0 +1,508 @@
+//! Runs one stage: waits for a slot, picks a backend server, and repeats
+//! attempts as far as that is allowed.
+
+use std::{
+    ops::ControlFlow,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use briarladder_core::{
+    admission::{Job, RefusalReason},
+    ledger::NotRunProof,
+    load::LoadReport,
+    membership::Views,
+    names::ServerName,
+    objects::{Work, snapshot::ResolvedStage},
+    retry::{self, AttemptFailure, Decision, Earlier, Repeat},
+    routing::{AttemptResult, NoServer, Pick, Query, StageBytes},
+    stream::{Accepted, End, TokenStream},
+    timeline::{EventKind, Subject},
+};
+use briarladder_wire::backend::RunRequest;
+use serde::Serialize;
+use serde_json::value::{RawValue, to_raw_value};
+
+use super::{Delivery, Repetition, Request, to_ms};
+use crate::{
+    backend::{Attempt, CancelOnDrop, Connection},
+    daemon::Daemon,
+    refusal::{Refusal, RefusalKind},
+};
+
+/// How long to wait before looking for a free backend server again. A slot
+/// of the pool was granted, so one is about to become free.
+const BUSY_RECHECK: Duration = Duration::from_millis(2);
+
+/// The longest wait for fresh views after a pause. Peers answer a probe in
+/// milliseconds and are probed once a second.
+const VERIFY_WAIT: Duration = Duration::from_millis(1_200);
+
+/// How often to look whether the views are fresh.
+const VERIFY_RECHECK: Duration = Duration::from_millis(20);
+
+/// One stage of one request, about to run.
+pub(super) struct StageRun<'a> {
+    pub(super) daemon: &'a Arc<Daemon>,
+    pub(super) request: &'a Request,
+    pub(super) stage: &'a ResolvedStage,
+    pub(super) position: usize,
+    pub(super) previous: Option<Arc<RawValue>>,
+    pub(super) delivery: &'a Delivery,
+    pub(super) repetition: Repetition,
+}
+
+/// A stage that has its output.
+pub(super) struct StageDone {
+    pub(super) output: Arc<RawValue>,
+    pub(super) server: ServerName,
+    pub(super) attempts: u32,
+}
+
+/// What one attempt brought.
+struct Done {
+    output: Arc<RawValue>,
+    load: Option<LoadReport>,
+}
+
+impl StageRun<'_> {
+    /// Runs the stage.
+    pub(super) async fn run(&self) -> Result<StageDone, Refusal> {
+        let _slot = self.admit().await?;
+        self.verify_views().await;
+        let mut tokens = TokenStream::new(self.max_tokens());
+        let mut tried: Vec<ServerName> = Vec::new();
+        let mut attempts = 0;
+        let mut earlier = Earlier::NotRun;
+        loop {
+            let pick = self.pick(&tried).await?;
+            let server = pick.server.name.clone();
+            let result = self.attempt(&pick, attempts, &mut tokens).await?;
+            attempts += 1;
+            let failure = match result {
+                Ok(output) => {
+                    return Ok(StageDone { output, server, attempts });
+                }
+                Err(failure) => failure,
+            };
+            let tokens_received = tokens.received_tokens();
+            match self.decide(failure, earlier, tokens_received) {
+                Decision::RetryElsewhere => {
+                    self.record(EventKind::Retried { attempt: attempts });
+                }
+                Decision::Resume => self.record(EventKind::Resumed {
+                    attempt: attempts,
+                    token_index: tokens_received,
+                }),
+                Decision::FailNotRun | Decision::FailUnknown => {
+                    return Err(self.failed(&server, failure));
+                }
+            }
+            if !failure.proves_not_run() {
+                earlier = Earlier::MayHaveRun;
+            }
+            tried.push(server);
+        }
+    }
+
+    /// Waits for a slot of the stage's pool.
+    async fn admit(&self) -> Result<super::Slot, Refusal> {
+        let request = self.request;
+        let now = self.daemon.clock.now();
+        let job = {
+            let estimates = self.daemon.estimates.lock();
+            let rest = &request.pipeline.stages[self.position..];
+            Job {
+                pool: self.stage.pool.name.clone(),
+                rank: request.rank,
+                workspace: request.workspace.name.clone(),
+                caller: request.caller.clone(),
+                workspace_weight: request.workspace.weight,
+                caller_weight: request.caller_weight,
+                started: self.position > 0,
+                deadline: request.deadline,
+                service: estimates.stage(now, self.stage).mean,
+                remaining: estimates.remaining(now, rest),
+            }
+        };
+        let slot = self.daemon.slots.acquire(&job).await;
+        let waited = self.daemon.clock.now().saturating_duration_since(now);
+        match slot {
+            Ok(slot) => {
+                let wait_estimate_ms = to_ms(waited);
+                self.record(EventKind::Admitted { wait_estimate_ms });
+                Ok(slot)
+            }
+            Err(refusal) => {
+                let reason = refusal.reason;
+                self.daemon.metrics.refused(request.rank, reason);
+                self.record(EventKind::Refused {
+                    retry_after_ms: refusal.retry_after.map_or(0, to_ms),
+                    reason: reason.to_string().as_str().into(),
+                });
+                let kind = match reason {
+                    RefusalReason::NoSlots => RefusalKind::NoServer,
+                    _ => RefusalKind::Overloaded,
+                };
+                let mut refused = Refusal::new(kind, reason.to_string())
+                    .with_outcome(request.outcome_without_answer());
+                refused.retry_after = refusal.retry_after;
+                Err(refused)
+            }
+        }
+    }
+
+    /// Waits after a pause of the process until its views are fresh again.
+    /// The wait is bounded, so that a daemon that is cut off goes on with
+    /// what it knows.
+    async fn verify_views(&self) {
+        let give_up_at = self.daemon.clock.now() + VERIFY_WAIT;
+        while self.daemon.pauses.views() == Views::Unverified
+            && self.daemon.clock.now() < give_up_at
+        {
+            tokio::time::sleep(VERIFY_RECHECK).await;
+        }
+    }
+
+    /// Picks a backend server, and waits while all are busy.
+    async fn pick(&self, tried: &[ServerName]) -> Result<Pick, Refusal> {
+        let request = self.request;
+        loop {
+            let now = self.daemon.clock.now();
+            let time_left = request.time_left(now);
+            let mut query = Query::new(
+                &self.stage.pool.name,
+                time_left,
+                self.remaining(now),
+            );
+            query.exclude = tried;
+            if let Work::Generate { model_version, .. } =
+                &self.stage.stage.work
+            {
+                query.model_version = Some(model_version);
+            }
+            let picked = {
+                let mut router = self.daemon.router.lock();
+                let picked = router.pick(now, &query, &mut rand::rng());
+                if let Ok(pick) = &picked {
+                    router.sent(now, pick);
+                }
+                picked
+            };
+            match picked {
+                Ok(pick) => return Ok(pick),
+                Err(NoServer::AllBusy) if !time_left.is_zero() => {
+                    tokio::time::sleep(BUSY_RECHECK).await;
+                }
+                Err(reason) => {
+                    let detail =
+                        format!("stage {}: {reason}", self.stage.stage.name);
+                    return Err(Refusal::new(RefusalKind::NoServer, detail)
+                        .with_outcome(request.outcome_without_answer())
+                        .with_retry_after(Duration::from_secs(1)));
+                }
+            }
+        }
+    }
+
+    /// Runs one attempt. The outer error ends the request, the inner one
+    /// may be followed by another attempt.
+    async fn attempt(
+        &self,
+        pick: &Pick,
+        number: u32,
+        tokens: &mut TokenStream,
+    ) -> Result<Result<Arc<RawValue>, AttemptFailure>, Refusal> {
+        let counted = CountedAttempt::new(self.daemon, pick);
+        let message = self.message(number, tokens);
+        let now = self.daemon.clock.now();
+        let time_left = self.request.time_left(now);
+        let mut attempt = Attempt {
+            request: &message,
+            idempotency_key: self.request.idempotency_key.as_deref(),
+            connection: Connection::Pooled,
+            timeout: self.stage.timeout().min(time_left),
+        };
+        let key;
+        if let Repetition::Once(sequence) = self.repetition {
+            key = self.daemon.calls.key(sequence);
+            attempt.idempotency_key = Some(&key);
+            attempt.connection = Connection::New;
+            attempt.timeout = self.stage.timeout();
+            // Nothing may be awaited between this and the sending of the
+            // first byte, so that a process that wakes late checks first.
+            self.daemon.calls.dispatch(now, sequence, time_left)?;
+        }
+        self.request.set_dispatched();
+        let subject = self.subject().with_server(pick.server.name.clone());
+        let dispatched = EventKind::Dispatched { attempt: number };
+        self.daemon.events.record(subject.clone(), dispatched);
+
+        let result = match self.stage.stage.work {
+            Work::Generate { .. } => {
+                self.generate(pick, attempt, tokens).await
+            }
+            _ => self.call(pick, attempt).await,
+        };
+        let elapsed = counted.finish(&result);
+        match &result {
+            Ok(done) => self.succeeded(pick, subject, number, done, elapsed),
+            Err(failure) => {
+                let reason = failure.to_string().as_str().into();
+                let kind =
+                    EventKind::AttemptFailed { attempt: number, reason };
+                self.daemon.events.record(subject, kind);
+                self.withdraw(*failure);
+            }
+        }
+        Ok(result.map(|done| done.output))
+    }
+
+    async fn call(
+        &self,
+        pick: &Pick,
+        attempt: Attempt<'_>,
+    ) -> Result<Done, AttemptFailure> {
+        let backend = &self.daemon.backend;
+        let address = pick.server.address;
+        let cancel = match self.repetition {
+            Repetition::Allowed => Some(CancelOnDrop::new(
+                backend.clone(),
+                address,
+                self.request.id,
+            )),
+            Repetition::Once(_) => None,
+        };
+        let output = backend.run(address, attempt).await;
+        if output.is_ok()
+            && let Some(cancel) = cancel
+        {
+            cancel.disarm();
+        }
+        let output = output?;
+        Ok(Done { output: output.output, load: output.load })
+    }
+
+    async fn generate(
+        &self,
+        pick: &Pick,
+        attempt: Attempt<'_>,
+        tokens: &mut TokenStream,
+    ) -> Result<Done, AttemptFailure> {
+        let backend = &self.daemon.backend;
+        let address = pick.server.address;
+        let cancel =
+            CancelOnDrop::new(backend.clone(), address, self.request.id);
+        let number = tokens.begin_attempt();
+        let end = backend
+            .generate(address, attempt, |index, text| {
+                match tokens.accept(number, index, Arc::clone(&text)) {
+                    Accepted::New => self.delivery.send_token(index, &text),
+                    Accepted::Doubled | Accepted::Late => {}
+                    Accepted::Failed(fault) => {
+                        let server = &pick.server.name;
+                        log::warn!("stage: {server} failed: {fault}");
+                        return ControlFlow::Break(());
+                    }
+                }
+                ControlFlow::Continue(())
+            })
+            .await?;
+        cancel.disarm();
+        match tokens.end(number, end.total_tokens) {
+            End::Complete => {
+                Ok(Done { output: generated(tokens), load: end.load })
+            }
+            End::Incomplete { .. } | End::Late => Err(AttemptFailure::Broken),
+        }
+    }
+
+    fn max_tokens(&self) -> u32 {
+        match self.stage.stage.work {
+            Work::Generate { max_tokens, .. } => max_tokens,
+            _ => 0,
+        }
+    }
+
+    fn message(&self, number: u32, tokens: &TokenStream) -> RunRequest {
+        let work = &self.stage.stage.work;
+        let (model_version, max_tokens) = match work {
+            Work::Generate { model_version, max_tokens } => {
+                (Some(model_version.clone()), Some(*max_tokens))
+            }
+            _ => (None, None),
+        };
+        let operation = match work {
+            Work::Call { operation } => Some(Arc::from(operation.as_str())),
+            _ => None,
+        };
+        let time_left = self.request.time_left(self.daemon.clock.now());
+        RunRequest {
+            request_id: self.request.id,
+            stage: self.stage.stage.name.clone(),
+            attempt: number,
+            epoch: self.request.snapshot.epoch,
+            priority: self.request.rank.0,
+            deadline_ms: u64::from(to_ms(time_left)),
+            model_version,
+            max_tokens,
+            resume_tokens: tokens.resume_tokens().to_vec(),
+            operation,
+            input: Arc::clone(&self.request.input),
+            previous: self.previous.clone(),
+        }
+    }
+
+    fn succeeded(
+        &self,
+        pick: &Pick,
+        subject: Subject,
+        number: u32,
+        done: &Done,
+        elapsed: Duration,
+    ) {
+        let now = self.daemon.clock.now();
+        let sent_bytes = self.request.input.get().len()
+            + self.previous.as_ref().map_or(0, |p| p.get().len());
+        {
+            let mut router = self.daemon.router.lock();
+            let server = &pick.server.name;
+            if let Some(load) = &done.load {
+                router.apply_report(now, server, load);
+            }
+            let bytes = StageBytes {
+                sent_bytes: sent_bytes as u64,
+                received_bytes: done.output.get().len() as u64,
+            };
+            router.count_bytes(&self.stage.stage.name, server, bytes);
+        }
+        let mut estimates = self.daemon.estimates.lock();
+        estimates.observe(now, self.stage, elapsed);
+        drop(estimates);
+        let service_ms = to_ms(elapsed);
+        let kind = EventKind::StageDone { attempt: number, service_ms };
+        self.daemon.events.record(subject, kind);
+        self.daemon.metrics.stage(&self.stage.stage.name, elapsed);
+    }
+
+    /// Tells the ledger of a failure that proves that nothing ran.
+    fn withdraw(&self, failure: AttemptFailure) {
+        let Repetition::Once(sequence) = self.repetition else { return };
+        let proof = match failure {
+            AttemptFailure::ConnectFailed => NotRunProof::NotConnected,
+            AttemptFailure::RefusedNotRun => NotRunProof::Refused,
+            _ => return,
+        };
+        self.daemon.calls.withdraw(sequence, proof);
+    }
+
+    fn decide(
+        &self,
+        failure: AttemptFailure,
+        earlier: Earlier,
+        tokens_received: u32,
+    ) -> Decision {
+        let now = self.daemon.clock.now();
+        let attempt = retry::Attempt {
+            failure,
+            earlier,
+            repeat: match self.repetition {
+                Repetition::Allowed => Repeat::Allowed,
+                Repetition::Once(_) => Repeat::Never,
+            },
+            tokens_received,
+            time_left: self.request.time_left(now),
+            estimate: self.remaining(now),
+        };
+        retry::decide(now, &attempt, &mut self.daemon.retries.lock())
+    }
+
+    fn failed(&self, server: &ServerName, failure: AttemptFailure) -> Refusal {
+        let detail = format!(
+            "stage {} failed at backend server {server}: {failure}",
+            self.stage.stage.name
+        );
+        Refusal::new(RefusalKind::BackendFailed, detail)
+            .with_outcome(self.request.outcome_without_answer())
+    }
+
+    /// Returns the expected time of this and the later stages.
+    fn remaining(&self, now: Instant) -> Duration {
+        let rest = &self.request.pipeline.stages[self.position..];
+        self.daemon.estimates.lock().remaining(now, rest)
+    }
+
+    fn subject(&self) -> Subject {
+        self.request.subject().with_stage(self.stage.stage.name.clone())
+    }
+
+    fn record(&self, kind: EventKind) {
+        log::debug!(
+            "stage: {} request={} epoch={} {kind}",
+            self.stage.stage.name,
+            self.request.id,
+            self.request.snapshot.epoch
+        );
+        self.daemon.events.record(self.subject(), kind);
+    }
+}
+
+/// The output of a complete generation.
+#[derive(Serialize)]
+struct Generated {
+    text: String,
+    total_tokens: u32,
+}
+
+fn generated(tokens: &TokenStream) -> Arc<RawValue> {
+    let output = Generated {
+        text: tokens.text(),
+        total_tokens: tokens.received_tokens(),
+    };
+    // OK because the output has no map with keys that are not strings.
+    Arc::from(to_raw_value(&output).unwrap())
+}
+
+/// An attempt that the router counts until it ends, however it ends.
+struct CountedAttempt<'a> {
+    daemon: &'a Daemon,
+    server: ServerName,
+    sent_at: Instant,
+    finished: bool,
+}
+
+impl<'a> CountedAttempt<'a> {
+    fn new(daemon: &'a Daemon, pick: &Pick) -> CountedAttempt<'a> {
+        CountedAttempt {
+            daemon,
+            server: pick.server.name.clone(),
+            sent_at: daemon.clock.now(),
+            finished: false,
+        }
+    }
+
+    fn finish<T>(mut self, result: &Result<T, AttemptFailure>) -> Duration {
+        let result = match result {
+            Ok(_) => AttemptResult::Answered,
+            Err(failure) => AttemptResult::Failed(*failure),
+        };
+        self.end(result)
+    }
+
+    fn end(&mut self, result: AttemptResult) -> Duration {
+        self.finished = true;
+        let now = self.daemon.clock.now();
+        let elapsed = now.saturating_duration_since(self.sent_at);
+        let mut router = self.daemon.router.lock();
+        router.finished(now, &self.server, result, elapsed);
+        elapsed
+    }
+}
+
+impl Drop for CountedAttempt<'_> {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.end(AttemptResult::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/process.rs
@@ -0,0 +1,257 @@
+//! Starts a daemon, and stops it without cutting off a request.
+//!
+//! # Example
+//!
+//! ```no_run
+//! # async fn example() -> anyhow::Result<()> {
+//! use std::sync::Arc;
+//!
+//! use briarladder_core::clock::SystemClock;
+//! use briarladder_daemon::{process::Running, settings::Settings};
+//! use clap::Parser;
+//!
+//! let settings = Settings::parse();
+//! let running = Running::start(settings, Arc::new(SystemClock))?;
+//! println!("callers connect to {}", running.callers_address());
+//! running.stop().await;
+//! # Ok(())
+//! # }
+//! ```
+
+use std::{
+    io::Write,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
+
+use anyhow::Context;
+use briarladder_core::{
+    clock::{SharedClock, SystemClock},
+    timeline::{EventKind, Subject},
+};
+use jsonrpsee::server::ServerHandle as PeersHandle;
+use salvo::server::ServerHandle as CallersHandle;
+use tokio::{
+    net::TcpSocket,
+    signal::unix::{SignalKind, signal},
+    task::{JoinHandle, JoinSet},
+};
+
+use crate::{
+    blackboard::Phase,
+    controllers,
+    daemon::Daemon,
+    http::CallersServer,
+    peers,
+    settings::{LogFormat, Settings},
+};
+
+/// How often a stopping daemon looks whether it has work left.
+const DRAIN_RECHECK: Duration = Duration::from_millis(20);
+
+/// How long connections may take to close after the last answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1024;
+
+/// The exit code when a second signal ends a planned stop early.
+const EXIT_CODE_FORCED: i32 = 1;
+
+/// Runs the daemon of this process until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error that names the setting and the remedy when the daemon
+/// can't start.
+pub fn run(settings: Settings) -> anyhow::Result<()> {
+    init_logs(settings.log_format);
+    if let Err(errors) = settings.check() {
+        let lines: Vec<String> =
+            errors.iter().map(ToString::to_string).collect();
+        anyhow::bail!("the settings can't be used:\n{}", lines.join("\n"));
+    }
+    if settings.print_settings {
+        let mut out = std::io::stdout().lock();
+        writeln!(out, "{settings:#?}")?;
+        return Ok(());
+    }
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if settings.threads > 0 {
+        builder.worker_threads(settings.threads);
+    }
+    let runtime = builder.enable_all().build()?;
+    runtime.block_on(run_until_signal(settings))
+}
+
+async fn run_until_signal(settings: Settings) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let running = Running::start(settings, Arc::new(SystemClock))?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let stop = tokio::spawn(running.stop());
+    tokio::select! {
+        stopped = stop => stopped.context("the stop failed"),
+        _ = terminate.recv() => std::process::exit(EXIT_CODE_FORCED),
+        _ = interrupt.recv() => std::process::exit(EXIT_CODE_FORCED),
+    }
+}
+
+fn init_logs(format: LogFormat) {
+    let mut builder = env_logger::Builder::from_env(
+        env_logger::Env::default().default_filter_or("info"),
+    );
+    if format == LogFormat::Json {
+        builder.format(|out, record| {
+            let line = serde_json::json!({
+                "time": out.timestamp_millis().to_string(),
+                "level": record.level().as_str(),
+                "target": record.target(),
+                "message": record.args().to_string(),
+            });
+            writeln!(out, "{line}")
+        });
+    }
+    // A second daemon in one process finds the logger in place.
+    let _ = builder.try_init();
+}
+
+/// A daemon that serves.
+#[derive(Debug)]
+pub struct Running {
+    daemon: Arc<Daemon>,
+    callers_address: SocketAddr,
+    callers: CallersHandle,
+    callers_task: JoinHandle<anyhow::Result<()>>,
+    peers: PeersHandle,
+    controllers: JoinSet<()>,
+}
+
+impl Running {
+    /// Binds both listeners and starts all parts, in the runtime that it is
+    /// called in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a listener can't be bound or a part can't be
+    /// set up.
+    pub fn start(
+        settings: Settings,
+        clock: SharedClock,
+    ) -> anyhow::Result<Running> {
+        let callers = bind(settings.callers_listen, "--callers-listen")?;
+        let peers = bind(settings.peers_listen, "--peers-listen")?;
+        let callers_address = callers.local_addr()?;
+        let peer_address = match settings.peers_advertise {
+            Some(advertised) => advertised,
+            None => peers.local_addr()?,
+        };
+        let daemon = Daemon::new(settings, clock, peer_address)?;
+        let peers = peers::serve(&daemon, peers)?;
+        let server = CallersServer::new(Arc::clone(&daemon), callers)?;
+        let callers = server.handle();
+        let callers_task = tokio::spawn(server.serve());
+        let controllers = controllers::start(&daemon);
+        log::info!(
+            "process: {} serves callers on {callers_address} and peers on \
+             {peer_address}",
+            daemon.settings.vm
+        );
+        Ok(Running {
+            daemon,
+            callers_address,
+            callers,
+            callers_task,
+            peers,
+            controllers,
+        })
+    }
+
+    /// Returns where callers connect.
+    #[must_use]
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers_address
+    }
+
+    /// Returns the daemon.
+    #[must_use]
+    pub fn daemon(&self) -> &Arc<Daemon> {
+        &self.daemon
+    }
+
+    /// Stops without cutting off a request: not ready first, then no new
+    /// requests, then the end of the open ones.
+    pub async fn stop(self) {
+        let daemon = &self.daemon;
+        let settings = &daemon.settings;
+        log::info!("process: a planned stop begins");
+        daemon.events.record(Subject::default(), EventKind::StopBegun);
+        daemon.blackboard.set_phase(Phase::Announced);
+        let now = daemon.clock.now();
+        daemon.members.with(|members| members.leave(now));
+        let delay = Duration::from_millis(settings.balancer_delay_ms);
+        tokio::time::sleep(delay).await;
+
+        daemon.blackboard.set_phase(Phase::Draining);
+        daemon.calls.stop_issuing();
+        self.drain_tickets().await;
+        while daemon.open_requests_len() > 0 {
+            tokio::time::sleep(DRAIN_RECHECK).await;
+        }
+        let open_requests =
+            u32::try_from(daemon.open_requests_len()).unwrap_or(u32::MAX);
+        let ended = EventKind::StopEnded { open_requests };
+        daemon.events.record(Subject::default(), ended);
+        self.callers.stop_graceful(CLOSE_TIMEOUT);
+        // An error of the listener no longer matters.
+        let _ = self.callers_task.await;
+        let _ = self.peers.stop();
+        drop(self.controllers);
+        log::info!("process: the planned stop ended");
+    }
+
+    /// Honours issued tickets for the drain time, then closes the unused
+    /// ones and waits for the calls that run.
+    async fn drain_tickets(&self) {
+        let daemon = &self.daemon;
+        let settings = &daemon.settings;
+        let drain = Duration::from_millis(settings.drain_timeout_ms);
+        let until = daemon.clock.now() + drain;
+        let open = || daemon.calls.open_len(daemon.clock.now());
+        while open() > 0 && daemon.clock.now() < until {
+            tokio::time::sleep(DRAIN_RECHECK).await;
+        }
+        daemon.calls.close_unused();
+        while open() > 0 {
+            tokio::time::sleep(DRAIN_RECHECK).await;
+        }
+    }
+}
+
+fn bind(
+    address: SocketAddr,
+    flag: &'static str,
+) -> anyhow::Result<TcpListener> {
+    let listen = || -> std::io::Result<TcpListener> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        // Accepted sockets inherit the option. Without it, a token waits
+        // for the acknowledgement of the one before.
+        socket.set_nodelay(true)?;
+        socket.bind(address)?;
+        socket.listen(LISTEN_BACKLOG)?.into_std()
+    };
+    listen().with_context(|| {
+        format!(
+            "{flag} {address} can't be bound; choose a free port, or 0 for \
+             any"
+        )
+    })
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/refusal.rs
@@ -0,0 +1,203 @@
+//! Why a request got no answer, and what its caller is told.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_daemon::refusal::{Refusal, RefusalKind};
+//! use briarladder_wire::callers::Outcome;
+//!
+//! let refusal = Refusal::new(RefusalKind::Overloaded, "queue is full");
+//! assert_eq!(refusal.problem(None).outcome, Outcome::NotRun);
+//! ```
+
+use std::{borrow::Cow, time::Duration};
+
+use briarladder_core::ids::RequestId;
+use briarladder_wire::callers::{Outcome, Problem};
+use derive_more::{Display, Error};
+
+/// The kind of a refusal. Each has an entry in docs/callers.md.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum RefusalKind {
+    /// A header or the body breaks a rule.
+    #[display("invalid-request")]
+    InvalidRequest,
+    /// The pipeline, workspace or rank is not in the configuration.
+    #[display("not-found")]
+    NotFound,
+    /// The workspace may not use the pipeline.
+    #[display("not-allowed")]
+    NotAllowed,
+    /// The head or body is too large.
+    #[display("too-large")]
+    TooLarge,
+    /// The caller took too long to send the request.
+    #[display("too-slow")]
+    TooSlow,
+    /// The call may not repeat and has no ticket.
+    #[display("ticket-required")]
+    TicketRequired,
+    /// The ticket is not authentic or not for this workspace.
+    #[display("ticket-rejected")]
+    TicketRejected,
+    /// A limit of the workspace or caller is reached.
+    #[display("limit-reached")]
+    LimitReached,
+    /// There is too much work to finish this request in time.
+    #[display("overloaded")]
+    Overloaded,
+    /// The daemon has no configuration it may use, or is stopping.
+    #[display("not-ready")]
+    NotReady,
+    /// The request crashed backend servers.
+    #[display("poison")]
+    Poison,
+    /// No backend server can run a stage.
+    #[display("no-server")]
+    NoServer,
+    /// A backend server failed and the stage could not be repeated.
+    #[display("backend-failed")]
+    BackendFailed,
+    /// The deadline passed.
+    #[display("deadline-exceeded")]
+    DeadlineExceeded,
+    /// The daemon that holds the ticket can't be reached.
+    #[display("issuer-unreachable")]
+    IssuerUnreachable,
+}
+
+impl RefusalKind {
+    fn status(self) -> u16 {
+        match self {
+            RefusalKind::InvalidRequest => 400,
+            RefusalKind::TicketRejected => 401,
+            RefusalKind::NotAllowed => 403,
+            RefusalKind::NotFound => 404,
+            RefusalKind::TooSlow => 408,
+            RefusalKind::TooLarge => 413,
+            RefusalKind::Poison => 422,
+            RefusalKind::TicketRequired => 428,
+            RefusalKind::LimitReached => 429,
+            RefusalKind::BackendFailed => 502,
+            RefusalKind::Overloaded
+            | RefusalKind::NotReady
+            | RefusalKind::NoServer => 503,
+            RefusalKind::DeadlineExceeded | RefusalKind::IssuerUnreachable => {
+                504
+            }
+        }
+    }
+
+    fn title(self) -> &'static str {
+        match self {
+            RefusalKind::InvalidRequest => "The request is not valid",
+            RefusalKind::NotFound => "A name is not in the configuration",
+            RefusalKind::NotAllowed => "The workspace may not do this",
+            RefusalKind::TooLarge => "The request is too large",
+            RefusalKind::TooSlow => "The request was sent too slowly",
+            RefusalKind::TicketRequired => "The call needs a ticket",
+            RefusalKind::TicketRejected => "The ticket is not accepted",
+            RefusalKind::LimitReached => "A limit is reached",
+            RefusalKind::Overloaded => "The request can't finish in time",
+            RefusalKind::NotReady => "This daemon can't take requests",
+            RefusalKind::Poison => "The request crashed backend servers",
+            RefusalKind::NoServer => "No backend server is available",
+            RefusalKind::BackendFailed => "A backend server failed",
+            RefusalKind::DeadlineExceeded => "The deadline passed",
+            RefusalKind::IssuerUnreachable => {
+                "The daemon that holds the ticket can't be reached"
+            }
+        }
+    }
+
+    /// Returns what the kind says of the outcome when nothing else is known.
+    fn outcome(self) -> Outcome {
+        match self {
+            RefusalKind::BackendFailed
+            | RefusalKind::DeadlineExceeded
+            | RefusalKind::IssuerUnreachable
+            | RefusalKind::TicketRejected => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+}
+
+/// A request that gets no answer.
+#[derive(Clone, Debug, Display, Error)]
+#[display("{kind}: {detail}")]
+pub struct Refusal {
+    /// The kind.
+    pub kind: RefusalKind,
+    /// What is wrong and the remedy.
+    pub detail: Cow<'static, str>,
+    /// Whether the request ran.
+    pub outcome: Outcome,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Creates a refusal with the outcome that its kind implies.
+    pub fn new(
+        kind: RefusalKind,
+        detail: impl Into<Cow<'static, str>>,
+    ) -> Refusal {
+        Refusal {
+            kind,
+            detail: detail.into(),
+            outcome: kind.outcome(),
+            retry_after: None,
+        }
+    }
+
+    /// Sets when to come back.
+    #[must_use]
+    pub fn with_retry_after(mut self, retry_after: Duration) -> Refusal {
+        self.retry_after = Some(retry_after);
+        self
+    }
+
+    /// Sets what is known of the outcome.
+    #[must_use]
+    pub fn with_outcome(mut self, outcome: Outcome) -> Refusal {
+        self.outcome = outcome;
+        self
+    }
+
+    /// Returns the problem details for the caller.
+    #[must_use]
+    pub fn problem(&self, request_id: Option<RequestId>) -> Problem {
+        let retry_after_ms = self
+            .retry_after
+            .map(|after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+        Problem {
+            kind: format!("/problems/{}", self.kind).into(),
+            title: self.kind.title().into(),
+            status: self.kind.status(),
+            detail: self.detail.to_string(),
+            outcome: self.outcome,
+            request_id,
+            retry_after_ms,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a "not run" for kinds where a stage may have run.
+    #[test]
+    fn problem_outcome_by_kind() {
+        let unknown = [
+            RefusalKind::BackendFailed,
+            RefusalKind::DeadlineExceeded,
+            RefusalKind::IssuerUnreachable,
+            RefusalKind::TicketRejected,
+        ];
+        for kind in unknown {
+            let problem = Refusal::new(kind, "x").problem(None);
+            assert_eq!(problem.outcome, Outcome::Unknown, "{kind}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/briarladder-daemon/src/settings.rs
@@ -0,0 +1,303 @@
+//! The daemon's settings: flags and environment variables.
+//!
+//! Every flag has an environment variable of the same name with the prefix
+//! `BRIARLADDER_`. All values are checked at start.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_daemon::settings::Settings;
+//! use clap::Parser;
+//!
+//! let settings = Settings::try_parse_from([
+//!     "briarladderd", "--vm", "vm-1", "--zone", "recife-a",
+//!     "--platform", "127.0.0.1:9000", "--peer-key", "0123456789abcdef",
+//! ])
+//! .unwrap();
+//! assert!(settings.check().is_ok());
+//! ```
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use briarladder_core::names::{VmName, ZoneName};
+use clap::{Parser, ValueEnum};
+use derive_more::{Display, Error};
+
+/// The shortest key that peers and operators may use, in bytes.
+const MIN_PEER_KEY_BYTES: usize = 16;
+
+/// The form of the log lines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+pub enum LogFormat {
+    /// Text for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// A key that is never printed.
+#[derive(Clone, derive_more::FromStr)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Returns the secret text.
+    #[must_use]
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("(secret)")
+    }
+}
+
+/// The daemon of an entry VM of briarladder.
+#[derive(Clone, Debug, Parser)]
+#[command(name = "briarladderd", version)]
+pub struct Settings {
+    /// The name of this VM.
+    #[arg(long, env = "BRIARLADDER_VM")]
+    pub vm: VmName,
+    /// The availability zone of this VM.
+    #[arg(long, env = "BRIARLADDER_ZONE")]
+    pub zone: ZoneName,
+    /// Where callers connect. Port 0 takes a free port.
+    #[arg(
+        long,
+        env = "BRIARLADDER_CALLERS_LISTEN",
+        default_value = "127.0.0.1:0"
+    )]
+    pub callers_listen: SocketAddr,
+    /// Where peers and operators connect. Port 0 takes a free port.
+    #[arg(
+        long,
+        env = "BRIARLADDER_PEERS_LISTEN",
+        default_value = "127.0.0.1:0"
+    )]
+    pub peers_listen: SocketAddr,
+    /// The address that peers are told, if it differs from the one above.
+    #[arg(long, env = "BRIARLADDER_PEERS_ADVERTISE")]
+    pub peers_advertise: Option<SocketAddr>,
+    /// The address of the platform.
+    #[arg(long, env = "BRIARLADDER_PLATFORM")]
+    pub platform: SocketAddr,
+    /// The key that peers and operators show, at least 16 bytes.
+    #[arg(long, env = "BRIARLADDER_PEER_KEY", hide_env_values = true)]
+    pub peer_key: Secret,
+    /// Where metrics go, as statsd over UDP. Absent: nowhere.
+    #[arg(long, env = "BRIARLADDER_STATSD")]
+    pub statsd: Option<SocketAddr>,
+    /// The largest body of a request, in bytes.
+    #[arg(
+        long,
+        env = "BRIARLADDER_MAX_BODY_BYTES",
+        default_value_t = 256 * 1024
+    )]
+    pub max_body_bytes: usize,
+    /// The largest head of a request, in bytes.
+    #[arg(
+        long,
+        env = "BRIARLADDER_MAX_HEAD_BYTES",
+        default_value_t = 16 * 1024
+    )]
+    pub max_head_bytes: usize,
+    /// The largest output of one stage, in bytes.
+    #[arg(
+        long,
+        env = "BRIARLADDER_MAX_OUTPUT_BYTES",
+        default_value_t = 4 * 1024 * 1024
+    )]
+    pub max_output_bytes: usize,
+    /// The most requests that are open at once.
+    #[arg(
+        long,
+        env = "BRIARLADDER_MAX_OPEN_REQUESTS",
+        default_value_t = 4096
+    )]
+    pub max_open_requests: usize,
+    /// The most connections of callers at once.
+    #[arg(long, env = "BRIARLADDER_MAX_CONNECTIONS", default_value_t = 8192)]
+    pub max_connections: usize,
+    /// How long a caller may take to send head and body, in milliseconds.
+    #[arg(
+        long,
+        env = "BRIARLADDER_RECEIVE_TIMEOUT_MS",
+        default_value_t = 5_000
+    )]
+    pub receive_timeout_ms: u64,
+    /// How long the daemon reports not ready before it refuses new
+    /// requests, so that the balancer notices, in milliseconds.
+    #[arg(
+        long,
+        env = "BRIARLADDER_BALANCER_DELAY_MS",
+        default_value_t = 3_000
+    )]
+    pub balancer_delay_ms: u64,
+    /// How long issued tickets are honoured at a planned stop, in
+    /// milliseconds.
+    #[arg(
+        long,
+        env = "BRIARLADDER_DRAIN_TIMEOUT_MS",
+        default_value_t = 30_000
+    )]
+    pub drain_timeout_ms: u64,
+    /// Worker threads. 0 takes one a core.
+    #[arg(long, env = "BRIARLADDER_THREADS", default_value_t = 0)]
+    pub threads: usize,
+    /// The events that are kept for the timeline.
+    #[arg(long, env = "BRIARLADDER_EVENTS_KEPT", default_value_t = 16_384)]
+    pub events_kept: usize,
+    /// The form of the log lines. Levels are set in `RUST_LOG`.
+    #[arg(
+        long,
+        env = "BRIARLADDER_LOG_FORMAT",
+        value_enum,
+        default_value = "text"
+    )]
+    pub log_format: LogFormat,
+    /// Print the settings in force, without secrets, and stop.
+    #[arg(long)]
+    pub print_settings: bool,
+}
+
+/// A setting outside its range.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+#[display("{flag} is {value}; set it to {remedy}")]
+pub struct SettingsError {
+    flag: &'static str,
+    value: String,
+    remedy: &'static str,
+}
+
+impl Settings {
+    /// Checks the values that have a range.
+    ///
+    /// # Errors
+    ///
+    /// Returns every setting outside its range.
+    pub fn check(&self) -> Result<(), Vec<SettingsError>> {
+        let mut errors = Vec::new();
+        let mut check = |flag, ok: bool, value: String, remedy| {
+            if !ok {
+                errors.push(SettingsError { flag, value, remedy });
+            }
+        };
+        let key_bytes = self.peer_key.expose().len();
+        check(
+            "--peer-key",
+            key_bytes >= MIN_PEER_KEY_BYTES,
+            format!("{key_bytes} bytes long"),
+            "at least 16 bytes, the same at every daemon",
+        );
+        check(
+            "--max-body-bytes",
+            (1..=64 << 20).contains(&self.max_body_bytes),
+            self.max_body_bytes.to_string(),
+            "1 byte to 64 MiB",
+        );
+        check(
+            "--max-head-bytes",
+            (8 << 10..=1 << 20).contains(&self.max_head_bytes),
+            self.max_head_bytes.to_string(),
+            "8 KiB to 1 MiB",
+        );
+        check(
+            "--max-output-bytes",
+            (1 << 10..=256 << 20).contains(&self.max_output_bytes),
+            self.max_output_bytes.to_string(),
+            "1 KiB to 256 MiB",
+        );
+        check(
+            "--max-open-requests",
+            (1..=1_000_000).contains(&self.max_open_requests),
+            self.max_open_requests.to_string(),
+            "1 to 1000000",
+        );
+        check(
+            "--max-connections",
+            (1..=1_000_000).contains(&self.max_connections),
+            self.max_connections.to_string(),
+            "1 to 1000000",
+        );
+        check(
+            "--receive-timeout-ms",
+            (10..=600_000).contains(&self.receive_timeout_ms),
+            self.receive_timeout_ms.to_string(),
+            "10 to 600000 ms",
+        );
+        check(
+            "--events-kept",
+            (16..=1 << 20).contains(&self.events_kept),
+            self.events_kept.to_string(),
+            "16 to 1048576",
+        );
+        let unspecified = self
+            .peers_advertise
+            .unwrap_or(self.peers_listen)
+            .ip()
+            .is_unspecified();
+        check(
+            "--peers-advertise",
+            !unspecified,
+            "an address that peers can't reach".into(),
+            "the address of this VM",
+        );
+        if errors.is_empty() { Ok(()) } else { Err(errors) }
+    }
+
+    /// Returns how long a caller may take to send a request.
+    #[must_use]
+    pub fn receive_timeout(&self) -> Duration {
+        Duration::from_millis(self.receive_timeout_ms)
+    }
+
+    /// Returns the VM's name as a shared string, for events.
+    #[must_use]
+    pub fn process_name(&self) -> Arc<str> {
+        Arc::from(self.vm.as_str())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parse(extra: &[&str]) -> Settings {
+        let base = [
+            "briarladderd",
+            "--vm=vm-1",
+            "--zone=z",
+            "--platform=127.0.0.1:1",
+            "--peer-key=0123456789abcdef",
+        ];
+        Settings::try_parse_from(base.iter().chain(extra)).unwrap()
+    }
+
+    /// Guards against a daemon that starts with values that can't work.
+    #[test]
+    fn check_names_flag_and_remedy() {
+        let bad = [
+            "--max-body-bytes=0",
+            "--max-head-bytes=1",
+            "--max-output-bytes=1",
+            "--max-open-requests=0",
+            "--max-connections=0",
+            "--receive-timeout-ms=0",
+            "--events-kept=0",
+            "--peers-listen=0.0.0.0:0",
+        ];
+        let errors = parse(&bad).check().unwrap_err();
+        assert_eq!(errors.len(), bad.len());
+        assert!(errors[0].to_string().contains("--max-body-bytes is 0"));
+        assert_eq!(parse(&[]).check(), Ok(()));
+    }
+
+    /// Guards against secrets in logs and in `--print-settings`.
+    #[test]
+    fn debug_hides_peer_key() {
+        let text = format!("{:?}", parse(&[]));
+        assert!(!text.contains("0123456789abcdef"));
+    }
+}
--- a/crates/briarladder-wire/src/callers.rs
+++ b/crates/briarladder-wire/src/callers.rs
@@ -14,7 +14,10 @@
 
 use briarladder_core::{
     ids::RequestId,
-    names::{PipelineName, ServerName, StageName},
+    names::{
+        CallerName, PipelineName, RankName, ServerName, StageName,
+        WorkspaceName,
+    },
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -111,27 +114,54 @@
     pub expires_in_ms: u64,
 }
 
-/// The state of the call of a ticket.
+/// What is known of the call of a ticket.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(tag = "state", rename_all = "snake_case")]
-pub enum TicketStatus {
+pub struct TicketStatus {
+    /// The state of the call.
+    pub state: TicketState,
+    /// Why the call did not run, or why that is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub detail: Option<Arc<str>>,
+    /// The answer, unless it had to make room for later ones.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answer: Option<Arc<Answer>>,
+}
+
+/// The state of the call of a ticket.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TicketState {
     /// The ticket is not used yet and can still be.
     Unused,
     /// The call is running.
     Running,
-    /// The call ran, and this is its answer.
-    Answered {
-        /// The answer.
-        answer: Answer,
-    },
+    /// The call ran.
+    Answered,
     /// The call did not run and can't run any more.
-    NotRun {
-        /// Why it did not run.
-        detail: String,
-    },
+    NotRun,
     /// The call may have run.
-    Unknown {
-        /// Why it is not known.
-        detail: String,
-    },
+    Unknown,
+}
+
+/// What identifies and describes a request, apart from its body.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RequestHead {
+    /// The request.
+    pub request_id: RequestId,
+    /// The pipeline to run.
+    pub pipeline: PipelineName,
+    /// The workspace that asks.
+    pub workspace: WorkspaceName,
+    /// The caller inside the workspace.
+    pub caller: CallerName,
+    /// The rank, unless the pipeline's own is meant.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rank: Option<RankName>,
+    /// The time the caller gives, unless the pipeline's own is meant, in
+    /// milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<u64>,
+    /// The caller's own key, passed on to the backend server.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub idempotency_key: Option<Arc<str>>,
 }
--- a/crates/briarladder-wire/src/lib.rs
+++ b/crates/briarladder-wire/src/lib.rs
@@ -15,4 +15,5 @@
 
 pub mod backend;
 pub mod callers;
+pub mod peers;
 pub mod platform;
