--- a/crates/briarladder-core/src/config/bundle.rs
+++ b/crates/briarladder-core/src/config/bundle.rs
@@ -324,7 +324,8 @@
             }
             object
         };
-        let objects = [large(5_000), workspace(1, 1), workspace(2, 1)];
+        let mut objects = vec![large(5_000)];
+        objects.extend((1..20).map(|i| workspace(i, 1)));
         let bundle = Bundle::new(1, &objects).unwrap();
         assert_eq!(bundle.chunks.len(), 2);
         let error = Bundle::new(1, &[large(100_000)]).unwrap_err();
--- a/crates/briarladder-core/src/config/store/tests.rs
+++ b/crates/briarladder-core/src/config/store/tests.rs
@@ -80,6 +80,8 @@
     let outcome = offer(&mut store, &bundle(6, 1), now);
     assert!(matches!(outcome, Outcome::Ignored(r) if r == ignored));
     assert_eq!(store.readiness(), Readiness::BelowFloor { floor: 7 });
+    // Nothing is fetched for a set that can't be put in force.
+    assert!(store.missing().is_empty() && store.newest_manifest().is_none());
     // The platform answers first, the floor comes before confirmation.
     let mut store = EpochStore::new();
     let outcome = offer(&mut store, &bundle(6, 1), now);
@@ -113,6 +115,9 @@
     let now = Instant::now();
     let mut store = EpochStore::new();
     offer(&mut store, &bundle(6, 1), now);
+    // An older answer of the platform does not replace the held set.
+    let outcome = offer(&mut store, &bundle(5, 1), now);
+    assert!(matches!(outcome, Outcome::Ignored(IgnoreReason::NotNewer)));
     store.observe_floor(6, now);
     let outcome = store.confirm_floor(now);
     assert!(matches!(outcome, Some(Outcome::Adopted(_))));
@@ -152,9 +157,14 @@
         assert!(not_wanted(&outcome));
     }
     assert_eq!(epoch(&store), Some(1));
-    // The next epoch needs only the chunk that changed.
+    // The next epoch needs only the chunk that changed, and an older
+    // manifest does not replace it while it is collected.
+    let outcome = store.offer_manifest(bundle(3, 3).manifest, now);
+    let Outcome::Missing(missing) = outcome else { panic!("{outcome:?}") };
+    assert_eq!(missing.len(), 1);
     let outcome = store.offer_manifest(bundle(2, 2).manifest, now);
-    assert!(matches!(outcome, Outcome::Missing(m) if m.len() == 1));
+    assert!(matches!(outcome, Outcome::Ignored(IgnoreReason::NotNewer)));
+    assert_eq!(store.missing(), missing);
 }
 
 /// Guards against a bad set in force, a lost reason, and a rejection that
