Move the outcomes of the epoch store to their own file

Change: Outcome, Readiness, Rejection and their reasons are in outcome.rs; the paths under config are the same. Conclusion: no change in behaviour.

--- a/crates/briarladder-core/src/config/store/mod.rs
+++ b/crates/briarladder-core/src/config/store/mod.rs
@@ -19,9 +19,6 @@
 
 use std::{sync::Arc, time::Instant};
 
-use derive_more::Display;
-use serde::{Serialize, Serializer};
-
 use crate::{
     config::{
         Announcement, ChunkRef, Digest, Manifest, ManifestError, ManifestId,
@@ -29,115 +26,21 @@
         bundle::{is_listed, read},
     },
     objects::{
-        check::{Fault, check},
+        check::check,
         load::{LoadFault, Located},
-        snapshot::{ResolveError, Snapshot},
+        snapshot::Snapshot,
     },
     sorted::{SortedMap, SortedSet},
 };
 
+pub use outcome::{IgnoreReason, Outcome, Readiness, RejectReason, Rejection};
+
+mod outcome;
+
 /// Earlier manifests that are kept to send differences from them. A peer
 /// that is further behind gets the whole manifest.
 const HISTORY_MANIFESTS: usize = 8;
 
-/// Why nothing was done with a manifest or chunk.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub enum IgnoreReason {
-    /// The epoch is not newer than one that was put in force, rejected or
-    /// is being collected.
-    #[display("not newer")]
-    NotNewer,
-    /// A newer epoch has been in force elsewhere.
-    #[display("below the floor of epoch {floor}")]
-    BelowFloor {
-        /// The floor.
-        floor: u64,
-    },
-    /// No manifest that is being collected lists the chunk.
-    #[display("no manifest needs the chunk")]
-    NotWanted,
-    /// The bytes do not have the digest.
-    #[display("the bytes do not have the digest; fetch the chunk again")]
-    Corrupt,
-}
-
-/// Why a set was rejected.
-#[derive(Clone, Debug, Display, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RejectReason {
-    /// The manifest can't be used.
-    #[display("{_0}")]
-    BadManifest(ManifestError),
-    /// The chunks are not objects.
-    #[display("{} objects can't be read; first: {}", _0.len(), _0[0])]
-    Unreadable(Vec<LoadFault>),
-    /// The objects have faults.
-    #[display("{} faults; first: {}", _0.len(), _0[0])]
-    Faults(Vec<Fault>),
-    /// A reference that `objects::check` accepts and the snapshot does not.
-    #[display("{_0}")]
-    Unresolved(#[serde(serialize_with = "as_text")] ResolveError),
-    /// The epoch was published before with other content.
-    #[display("published before as {first}; publish a higher epoch")]
-    EpochReused {
-        /// The content that came first.
-        first: ManifestId,
-    },
-}
-
-fn as_text<S: Serializer>(
-    error: &ResolveError,
-    serializer: S,
-) -> Result<S::Ok, S::Error> {
-    serializer.collect_str(error)
-}
-
-/// A set that was rejected. The last good one stays in force.
-#[derive(Clone, Debug, Display, Eq, PartialEq, Serialize)]
-#[display("{id} rejected: {reason}")]
-pub struct Rejection {
-    /// The set.
-    pub id: ManifestId,
-    /// The reason.
-    pub reason: RejectReason,
-}
-
-/// What an event led to.
-#[derive(Clone, Debug)]
-pub enum Outcome {
-    /// Nothing changed.
-    Ignored(IgnoreReason),
-    /// These chunks are still needed.
-    Missing(Vec<ChunkRef>),
-    /// The set is good and waits for [`EpochStore::confirm_floor`].
-    Held(Arc<Snapshot>),
-    /// The set is now in force. Notify peers.
-    Adopted(Arc<Snapshot>),
-    /// The set was rejected. Notify peers, unless the reason is
-    /// [`RejectReason::EpochReused`].
-    Rejected(Rejection),
-}
-
-/// Whether the daemon may serve.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub enum Readiness {
-    /// A set is in force.
-    #[display("ready")]
-    Ready,
-    /// No good set arrived yet.
-    #[display("no configuration yet")]
-    NoConfiguration,
-    /// Peers and backend servers were not asked for their epochs yet.
-    #[display("the epoch floor is not confirmed yet")]
-    FloorUnconfirmed,
-    /// A newer epoch than any good set here has been in force elsewhere.
-    #[display("no configuration at or above the floor of epoch {floor}")]
-    BelowFloor {
-        /// The floor.
-        floor: u64,
-    },
-}
-
 /// Which epoch is in force, and what is known of others.
 #[derive(Debug, Default)]
 pub struct EpochStore {
