--- a/crates/briarladder-core/src/config/store/mod.rs
+++ b/crates/briarladder-core/src/config/store/mod.rs
@@ -19,125 +19,28 @@
 
 use std::{sync::Arc, time::Instant};
 
-use derive_more::Display;
-use serde::{Serialize, Serializer};
-
 use crate::{
     config::{
         Announcement, ChunkRef, Digest, Manifest, ManifestError, ManifestId,
         ManifestReply, Which,
-        bundle::{AssembleError, assemble},
+        bundle::{is_listed, read},
     },
     objects::{
-        check::{Fault, check},
+        check::check,
         load::{LoadFault, Located},
-        snapshot::{ResolveError, Snapshot},
+        snapshot::Snapshot,
     },
     sorted::{SortedMap, SortedSet},
 };
 
+pub use outcome::{IgnoreReason, Outcome, Readiness, RejectReason, Rejection};
+
+mod outcome;
+
 /// Earlier manifests that are kept to send differences from them. A peer
 /// that is further behind gets the whole manifest.
 const HISTORY_MANIFESTS: usize = 8;
 
-/// Why nothing was done with a manifest or chunk.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub enum IgnoreReason {
-    /// The epoch is not newer than one that was put in force, rejected or
-    /// is being collected.
-    #[display("not newer")]
-    NotNewer,
-    /// A newer epoch has been in force elsewhere.
-    #[display("below the floor of epoch {floor}")]
-    BelowFloor {
-        /// The floor.
-        floor: u64,
-    },
-    /// No manifest that is being collected lists the chunk.
-    #[display("no manifest needs the chunk")]
-    NotWanted,
-    /// The bytes do not have the digest.
-    #[display("the bytes do not have the digest; fetch the chunk again")]
-    Corrupt,
-}
-
-/// Why a set was rejected.
-#[derive(Clone, Debug, Display, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RejectReason {
-    /// The manifest can't be used.
-    #[display("{_0}")]
-    BadManifest(ManifestError),
-    /// The chunks are not objects.
-    #[display("{} objects can't be read; first: {}", _0.len(), _0[0])]
-    Unreadable(Vec<LoadFault>),
-    /// The objects have faults.
-    #[display("{} faults; first: {}", _0.len(), _0[0])]
-    Faults(Vec<Fault>),
-    /// A reference that `objects::check` accepts and the snapshot does not.
-    #[display("{_0}")]
-    Unresolved(#[serde(serialize_with = "as_text")] ResolveError),
-    /// The epoch was published before with other content.
-    #[display("published before as {first}; publish a higher epoch")]
-    EpochReused {
-        /// The content that came first.
-        first: ManifestId,
-    },
-}
-
-fn as_text<S: Serializer>(
-    error: &ResolveError,
-    serializer: S,
-) -> Result<S::Ok, S::Error> {
-    serializer.collect_str(error)
-}
-
-/// A set that was rejected. The last good one stays in force.
-#[derive(Clone, Debug, Display, Eq, PartialEq, Serialize)]
-#[display("{id} rejected: {reason}")]
-pub struct Rejection {
-    /// The set.
-    pub id: ManifestId,
-    /// The reason.
-    pub reason: RejectReason,
-}
-
-/// What an event led to.
-#[derive(Clone, Debug)]
-pub enum Outcome {
-    /// Nothing changed.
-    Ignored(IgnoreReason),
-    /// These chunks are still needed.
-    Missing(Vec<ChunkRef>),
-    /// The set is good and waits for [`EpochStore::confirm_floor`].
-    Held(Arc<Snapshot>),
-    /// The set is now in force. Notify peers.
-    Adopted(Arc<Snapshot>),
-    /// The set was rejected. Notify peers, unless the reason is
-    /// [`RejectReason::EpochReused`].
-    Rejected(Rejection),
-}
-
-/// Whether the daemon may serve.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub enum Readiness {
-    /// A set is in force.
-    #[display("ready")]
-    Ready,
-    /// No good set arrived yet.
-    #[display("no configuration yet")]
-    NoConfiguration,
-    /// Peers and backend servers were not asked for their epochs yet.
-    #[display("the epoch floor is not confirmed yet")]
-    FloorUnconfirmed,
-    /// A newer epoch than any good set here has been in force elsewhere.
-    #[display("no configuration at or above the floor of epoch {floor}")]
-    BelowFloor {
-        /// The floor.
-        floor: u64,
-    },
-}
-
 /// Which epoch is in force, and what is known of others.
 #[derive(Debug, Default)]
 pub struct EpochStore {
@@ -155,7 +58,15 @@
     /// The manifest whose chunks are being collected.
     pending: Option<Manifest>,
     rejected: Option<Rejection>,
-    chunks: SortedMap<Digest, Arc<[u8]>>,
+    chunks: SortedMap<Digest, Verified>,
+}
+
+/// A chunk with the right digest. It is read once, when it arrives: to
+/// read the whole set again took half of the time of a change.
+#[derive(Debug)]
+struct Verified {
+    bytes: Arc<[u8]>,
+    objects: Result<Vec<Located>, Vec<LoadFault>>,
 }
 
 impl EpochStore {
@@ -279,11 +190,12 @@
         let Some(wanted) = wanted else {
             return Outcome::Ignored(IgnoreReason::NotWanted);
         };
-        let len_bytes = bytes.len() as u64;
-        if len_bytes != wanted.len_bytes || Digest::of(bytes) != *digest {
+        if !is_listed(wanted, bytes) {
             return Outcome::Ignored(IgnoreReason::Corrupt);
         }
-        self.chunks.insert(*digest, bytes.into());
+        let objects = read(wanted, bytes);
+        let chunk = Verified { bytes: bytes.into(), objects };
+        self.chunks.insert(*digest, chunk);
         self.collect(now)
     }
 
@@ -321,18 +233,24 @@
     }
 
     fn validate(&self, manifest: &Manifest) -> Result<Snapshot, RejectReason> {
-        let chunk = |digest: &Digest| self.chunks.get(digest).map(|c| &c[..]);
-        let objects = assemble(manifest, chunk).map_err(|e| match e {
-            AssembleError::Unreadable { faults } => {
-                RejectReason::Unreadable(faults)
-            }
-            // Each chunk was verified when it arrived, so what is left is
-            // a manifest with two lengths for one digest, or not UTF-8.
-            AssembleError::Missing { name }
-            | AssembleError::Corrupt { name } => {
-                RejectReason::BadManifest(ManifestError::NotText { name })
+        let (mut objects, mut unreadable) = (Vec::new(), Vec::new());
+        for listed in &manifest.chunks {
+            // The same digest may be listed twice, with two lengths.
+            let chunk = self.chunks.get(&listed.digest);
+            let chunk = chunk
+                .filter(|c| c.bytes.len() as u64 == listed.len_bytes)
+                .ok_or_else(|| ManifestError::WrongLength {
+                    name: listed.name.clone(),
+                })
+                .map_err(RejectReason::BadManifest)?;
+            match &chunk.objects {
+                Ok(read) => objects.extend_from_slice(read),
+                Err(faults) => unreadable.extend_from_slice(faults),
             }
-        })?;
+        }
+        if !unreadable.is_empty() {
+            return Err(RejectReason::Unreadable(unreadable));
+        }
         let faults = check(&objects);
         if !faults.is_empty() {
             return Err(RejectReason::Faults(faults));
@@ -483,7 +401,7 @@
     /// Returns a chunk for a peer.
     #[must_use]
     pub fn chunk(&self, digest: &Digest) -> Option<Arc<[u8]>> {
-        self.chunks.get(digest).cloned()
+        self.chunks.get(digest).map(|chunk| Arc::clone(&chunk.bytes))
     }
 }
 
--- a/crates/briarladder-core/src/config/store/tests.rs
+++ b/crates/briarladder-core/src/config/store/tests.rs
@@ -80,6 +80,8 @@
     let outcome = offer(&mut store, &bundle(6, 1), now);
     assert!(matches!(outcome, Outcome::Ignored(r) if r == ignored));
     assert_eq!(store.readiness(), Readiness::BelowFloor { floor: 7 });
+    // Nothing is fetched for a set that can't be put in force.
+    assert!(store.missing().is_empty() && store.newest_manifest().is_none());
     // The platform answers first, the floor comes before confirmation.
     let mut store = EpochStore::new();
     let outcome = offer(&mut store, &bundle(6, 1), now);
@@ -113,6 +115,9 @@
     let now = Instant::now();
     let mut store = EpochStore::new();
     offer(&mut store, &bundle(6, 1), now);
+    // An older answer of the platform does not replace the held set.
+    let outcome = offer(&mut store, &bundle(5, 1), now);
+    assert!(matches!(outcome, Outcome::Ignored(IgnoreReason::NotNewer)));
     store.observe_floor(6, now);
     let outcome = store.confirm_floor(now);
     assert!(matches!(outcome, Some(Outcome::Adopted(_))));
@@ -152,9 +157,14 @@
         assert!(not_wanted(&outcome));
     }
     assert_eq!(epoch(&store), Some(1));
-    // The next epoch needs only the chunk that changed.
+    // The next epoch needs only the chunk that changed, and an older
+    // manifest does not replace it while it is collected.
+    let outcome = store.offer_manifest(bundle(3, 3).manifest, now);
+    let Outcome::Missing(missing) = outcome else { panic!("{outcome:?}") };
+    assert_eq!(missing.len(), 1);
     let outcome = store.offer_manifest(bundle(2, 2).manifest, now);
-    assert!(matches!(outcome, Outcome::Missing(m) if m.len() == 1));
+    assert!(matches!(outcome, Outcome::Ignored(IgnoreReason::NotNewer)));
+    assert_eq!(store.missing(), missing);
 }
 
 /// Guards against a bad set in force, a lost reason, and a rejection that
@@ -198,6 +208,16 @@
     assert_eq!((epoch(&store), store.rejected()), (Some(3), None));
 }
 
+fn unreadable(outcome: &Outcome) -> bool {
+    let Outcome::Rejected(rejection) = outcome else { return false };
+    matches!(&rejection.reason, RejectReason::Unreadable(f) if f.len() == 1)
+}
+
+fn bad_manifest(outcome: &Outcome) -> bool {
+    let Outcome::Rejected(rejection) = outcome else { return false };
+    matches!(rejection.reason, RejectReason::BadManifest(_))
+}
+
 /// Guards against a daemon that stops at a manifest or chunk it can't read.
 #[test]
 fn unreadable_set_is_rejected() {
@@ -210,16 +230,30 @@
     bad.manifest.chunks[0].len_bytes = text.len() as u64;
     bad.chunks[0] = crate::config::Chunk { digest, bytes: text.into() };
     let outcome = offer(&mut store, &bad, now);
-    let unreadable = |reason: &RejectReason| matches!(reason, RejectReason::Unreadable(faults) if faults.len() == 1);
-    assert!(matches!(outcome, Outcome::Rejected(r) if unreadable(&r.reason)));
-    let mut twice = bundle(2, 1).manifest;
+    assert!(unreadable(&outcome));
+    // Bytes that are not UTF-8 are a fault too, not a reason to stop.
+    let bytes: &[u8] = &[b'[', 0xff, b']'];
+    let digest = Digest::of(bytes);
+    bad.manifest.epoch = 2;
+    bad.manifest.chunks[0].digest = digest;
+    bad.manifest.chunks[0].len_bytes = bytes.len() as u64;
+    bad.chunks[0] = crate::config::Chunk { digest, bytes: bytes.into() };
+    let outcome = offer(&mut store, &bad, now);
+    assert!(unreadable(&outcome));
+    // One digest with two lengths.
+    let mut lengths = bundle(3, 1);
+    let mut copy = lengths.manifest.chunks[0].clone();
+    copy.name = serde_json::from_str("\"copy\"").unwrap();
+    copy.len_bytes += 1;
+    lengths.manifest.chunks.push(copy);
+    let outcome = offer(&mut store, &lengths, now);
+    assert!(bad_manifest(&outcome));
+    let mut twice = bundle(4, 1).manifest;
     twice.chunks.push(twice.chunks[0].clone());
     let outcome = store.offer_manifest(twice, now);
-    let bad =
-        |reason: &RejectReason| matches!(reason, RejectReason::BadManifest(_));
-    assert!(matches!(outcome, Outcome::Rejected(r) if bad(&r.reason)));
-    offer(&mut store, &bundle(3, 1), now);
-    assert_eq!(epoch(&store), Some(3));
+    assert!(bad_manifest(&outcome));
+    offer(&mut store, &bundle(5, 1), now);
+    assert_eq!(epoch(&store), Some(5));
 }
 
 /// Guards against two contents of one epoch in force one after the other,
