Remember home positions and find homes with one seed per key

Change: rendezvous::top seeds once and keeps the first few; homes and holders remember positions until the members change.

--- a/crates/briarladder-core/src/limits/holder.rs
+++ b/crates/briarladder-core/src/limits/holder.rs
@@ -8,6 +8,10 @@
 };
 use crate::{names::VmName, sorted::SortedMap};
 
+/// Unused limits whose homes are remembered. Finding them takes one hash
+/// for each member.
+const MAX_IDLE_KEYS: usize = 8_192;
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Refused {
     No,
@@ -44,6 +48,10 @@
         self.sources.iter().map(|source| source.live_requests(now)).sum()
     }
 
+    fn is_used(&self, now: Instant) -> bool {
+        self.in_use_requests > 0 || self.live_requests(now) > 0
+    }
+
     /// Returns the open requests that each source covers. Open requests that
     /// no live lease of a current home covers count for one from which
     /// nothing is leased yet, which is a new home after a change of members.
@@ -89,6 +97,7 @@
     /// count until they expire or [`Holder::renewals`] moves them.
     pub fn set_members(&mut self, now: Instant, members: Members) {
         self.members = members;
+        self.keys.retain(|_, held| held.is_used(now));
         for (key, held) in self.keys.iter_mut() {
             let mut before = std::mem::take(&mut held.sources);
             held.sources = sources(key, &self.members, now);
@@ -217,9 +226,9 @@
     ///
     /// [`RENEWAL_INTERVAL`]: super::RENEWAL_INTERVAL
     pub fn renewals(&mut self, now: Instant) -> Vec<LeaseRequest> {
-        self.keys.retain(|_, held| {
-            held.in_use_requests > 0 || held.live_requests(now) > 0
-        });
+        if self.keys.len() > MAX_IDLE_KEYS {
+            self.keys.retain(|_, held| held.is_used(now));
+        }
         let mut requests = Vec::new();
         for (key, held) in self.keys.iter() {
             for (source, covered) in held.sources.iter().zip(held.covered(now))
--- a/crates/briarladder-core/src/limits/home.rs
+++ b/crates/briarladder-core/src/limits/home.rs
@@ -18,8 +18,21 @@
     until: Instant,
 }
 
+/// Limits without leases whose position is remembered. Finding it takes one
+/// hash for each member.
+const MAX_IDLE_KEYS: usize = 8_192;
+
+#[derive(Clone, Copy, Debug)]
+struct Position {
+    at: usize,
+    homes: usize,
+}
+
 #[derive(Debug)]
 struct Leased {
+    /// The position among the homes in the view of this number.
+    position: Option<Position>,
+    view_number: u64,
     /// Until then, leases of an earlier home may be live.
     fresh_until: Option<Instant>,
     holders: SortedMap<VmName, Lease>,
@@ -27,6 +40,7 @@
 
 #[derive(Debug)]
 struct View {
+    number: u64,
     from: Instant,
     members: Members,
 }
@@ -47,13 +61,14 @@
     /// that it waits for the leases of its predecessors.
     #[must_use]
     pub fn new(now: Instant, name: VmName, members: Members) -> Home {
-        let views = VecDeque::from([View { from: now, members }]);
+        let views = VecDeque::from([View { number: 0, from: now, members }]);
         Home { name, views, keys: SortedMap::new() }
     }
 
     /// Puts a new list of live daemons in force.
     pub fn set_members(&mut self, now: Instant, members: Members) {
-        self.views.push_back(View { from: now, members });
+        let number = self.views.back().map_or(0, |view| view.number + 1);
+        self.views.push_back(View { number, from: now, members });
         // The view before the oldest kept one ended over a lifetime ago.
         while self.views.len() > 1
             && now.saturating_duration_since(self.views[1].from)
@@ -61,6 +76,13 @@
         {
             self.views.pop_front();
         }
+        self.drop_idle(now);
+    }
+
+    fn drop_idle(&mut self, now: Instant) {
+        if self.keys.len() <= MAX_IDLE_KEYS {
+            return;
+        }
         self.keys.retain(|_, leased| {
             leased.holders.retain(|_, lease| lease.until > now);
             leased.fresh_until.is_some_and(|until| until > now)
@@ -74,45 +96,59 @@
         now: Instant,
         request: &LeaseRequest,
     ) -> LeaseAnswer {
-        let Some(view) = self.views.back() else {
-            return LeaseAnswer::NotHome;
-        };
-        let homes = request.key.homes(&view.members);
-        let Some(position) = homes.iter().position(|h| *h == self.name) else {
-            return LeaseAnswer::NotHome;
-        };
-        let part =
-            part_of_limit(request.limit_requests, position, homes.len());
         if !self.keys.contains_key(&request.key) {
-            let fresh_until = self.fresh_until(&request.key);
-            let holders = SortedMap::new();
-            self.keys
-                .insert(request.key.clone(), Leased { fresh_until, holders });
+            self.drop_idle(now);
         }
-        let Some(leased) = self.keys.get_mut(&request.key) else {
+        let (views, name) = (&self.views, &self.name);
+        let leased =
+            self.keys.entry_or_insert_with(request.key.clone(), || Leased {
+                position: None,
+                view_number: u64::MAX,
+                fresh_until: None,
+                holders: SortedMap::new(),
+            });
+        leased.place(name, views, &request.key);
+        let Some(position) = leased.position else {
             return LeaseAnswer::NotHome;
         };
+        let part =
+            part_of_limit(request.limit_requests, position.at, position.homes);
         let units_requests = leased.set(now, part, request);
-        if leased.holders.is_empty()
-            && leased.fresh_until.is_none_or(|until| until <= now)
-        {
-            self.keys.remove(&request.key);
-        }
         LeaseAnswer::Granted { units_requests }
     }
-
-    /// Returns until when leases of an earlier home of the key may be live.
-    /// None if this daemon was its home in all recent views.
-    fn fresh_until(&self, key: &LimitKey) -> Option<Instant> {
-        let not_home = self.views.iter().rposition(|view| {
-            !key.homes(&view.members).contains(&self.name)
-        })?;
-        let since = self.views.get(not_home + 1)?.from;
-        Some(since + LEASE_LIFETIME)
-    }
 }
 
 impl Leased {
+    /// Finds the position in the current view. If this daemon was not a home
+    /// in a recent view, leases of an earlier home may be live.
+    fn place(
+        &mut self,
+        name: &VmName,
+        views: &VecDeque<View>,
+        key: &LimitKey,
+    ) {
+        let Some(current) = views.back() else { return };
+        if self.view_number == current.number {
+            return;
+        }
+        // Nothing is known of earlier views of a new entry.
+        let known = self.view_number != u64::MAX;
+        for view in views {
+            if known && view.number <= self.view_number {
+                continue;
+            }
+            let homes = key.homes(&view.members);
+            let at = homes.iter().position(|home| home == name);
+            let was_home = self.position.is_some();
+            self.position = at.map(|at| Position { at, homes: homes.len() });
+            let first = view.number == views[0].number;
+            if at.is_some() && !was_home && !first {
+                self.fresh_until = Some(view.from + LEASE_LIFETIME);
+            }
+        }
+        self.view_number = current.number;
+    }
+
     fn set(
         &mut self,
         now: Instant,
--- a/crates/briarladder-core/src/limits/mod.rs
+++ b/crates/briarladder-core/src/limits/mod.rs
@@ -95,22 +95,8 @@
             Some(caller) => format!("{}/{caller}", self.workspace),
             None => self.workspace.to_string(),
         };
-        let mut homes: Vec<(u64, &VmName)> = Vec::with_capacity(HOMES + 1);
-        for member in members {
-            // Equal scores fall back to the name, as in `rendezvous::order`;
-            // sorting all 2,500 members for the first three is too slow.
-            let scored = (rendezvous::score(&text, member.as_str()), member);
-            let before = |other: &(u64, &VmName)| {
-                other.0 > scored.0
-                    || (other.0 == scored.0 && other.1 < scored.1)
-            };
-            let at = homes.partition_point(before);
-            if at < HOMES {
-                homes.insert(at, scored);
-                homes.truncate(HOMES);
-            }
-        }
-        homes.into_iter().map(|(_, member)| member.clone()).collect()
+        let homes = rendezvous::top(&text, members, HOMES);
+        homes.into_iter().cloned().collect()
     }
 }
 
--- a/crates/briarladder-core/src/rendezvous.rs
+++ b/crates/briarladder-core/src/rendezvous.rs
@@ -38,6 +38,30 @@
     scored.into_iter().map(|(_, candidate)| candidate).collect()
 }
 
+/// Returns the first `count` candidates in rendezvous order for a key, in
+/// order. Faster than [`order`] when `count` is small.
+pub fn top<'a, T: AsRef<str>>(
+    key: &str,
+    candidates: impl IntoIterator<Item = &'a T>,
+    count: usize,
+) -> Vec<&'a T> {
+    let secrets = RapidSecrets::seed(rapidhash_v3(key.as_bytes()));
+    let mut top: Vec<(u64, &T)> = Vec::with_capacity(count + 1);
+    for candidate in candidates {
+        let name = candidate.as_ref();
+        let score = rapidhash_v3_seeded(name.as_bytes(), &secrets);
+        let at = top.partition_point(|(other_score, other)| {
+            *other_score > score
+                || (*other_score == score && other.as_ref() < name)
+        });
+        if at < count {
+            top.insert(at, (score, candidate));
+            top.truncate(count);
+        }
+    }
+    top.into_iter().map(|(_, candidate)| candidate).collect()
+}
+
 /// Returns the first candidate in rendezvous order for a key.
 pub fn first<'a, T: AsRef<str>>(
     key: &str,
@@ -64,6 +88,16 @@
         assert_eq!(first("k", &names), order("k", &names).first().copied());
     }
 
+    /// Guards against two ways to compute the order that differ.
+    #[test]
+    fn top_is_start_of_order() {
+        let names: Vec<String> = (0..50).map(|i| format!("vm-{i}")).collect();
+        for count in [0, 1, 3, 60] {
+            let order = order("k", &names);
+            assert_eq!(top("k", &names, count), order[..count.min(50)]);
+        }
+    }
+
     /// Guards against a hash that sends most keys to one candidate.
     #[test]
     fn first_spreads_keys() {
