--- a/crates/briarladder-core/benches/routing.rs
+++ b/crates/briarladder-core/benches/routing.rs
@@ -13,7 +13,7 @@
     objects::{
         Fleet, Object, Pool, Region, Role, Server, Zone, snapshot::Snapshot,
     },
-    routing::{CacheEvent, Query, Router, Settings},
+    routing::{AttemptResult, CacheEvent, Query, Router, Settings},
 };
 use criterion::{Criterion, criterion_group, criterion_main};
 use rand::{SeedableRng, rngs::StdRng};
@@ -119,13 +119,17 @@
         });
     }
     let mut router = router(now, None, mixed);
+    let snapshot = snapshot();
+    criterion.bench_function("apply_snapshot", |bencher| {
+        bencher.iter(|| router.apply_snapshot(now, black_box(&snapshot)));
+    });
     let mut rng = StdRng::seed_from_u64(1);
     let query = Query::new(&pool, second, second / 10);
     criterion.bench_function("pick_sent_finished/subset", |bencher| {
         bencher.iter(|| {
             let pick = router.pick(now, black_box(&query), &mut rng).unwrap();
             router.sent(now, &pick);
-            let result = briarladder_core::routing::AttemptResult::Cancelled;
+            let result = AttemptResult::Cancelled;
             router.finished(now, &pick.server.name, result, Duration::ZERO);
         });
     });
--- a/crates/briarladder-core/src/routing/mod.rs
+++ b/crates/briarladder-core/src/routing/mod.rs
@@ -43,6 +43,7 @@
 mod pool;
 mod server;
 mod types;
+mod typical;
 
 pub use bytes::{CrossRegionBytes, StageBytes};
 pub use cache::CacheEvent;
@@ -89,12 +90,12 @@
     pub fn apply_snapshot(&mut self, now: Instant, snapshot: &Snapshot) {
         self.region = snapshot.region_of(&self.settings.zone).cloned();
         let old_pools = std::mem::take(&mut self.pools);
-        let mut prefixes = Vec::new();
+        let mut old = Vec::new();
         let mut all = Vec::new();
         for pool in old_pools {
             let names = pool.servers.iter().map(|s| s.resolved.name.clone());
             let names: Vec<ServerName> = names.collect();
-            prefixes.push((pool.name, names, pool.prefixes));
+            old.push((pool.name, names, pool.prefixes, pool.typical));
             let servers = pool.servers.into_iter();
             all.extend(servers.map(|s| (s.resolved.name.clone(), s)));
         }
@@ -109,9 +110,10 @@
             let mut view =
                 PoolView::new(pool.name.clone(), &self.settings.vm, servers);
             view.refresh_versions(&self.settings);
-            let old = prefixes.iter().find(|(name, ..)| *name == pool.name);
-            if let Some((_, names, index)) = old {
+            let old = old.iter().find(|(name, ..)| *name == pool.name);
+            if let Some((_, names, index, typical)) = old {
                 view.keep_prefixes(names, index);
+                view.typical = *typical;
             }
             self.pools.push(view);
         }
@@ -177,6 +179,11 @@
         let view = &mut pool.servers[at];
         let usable = view.is_usable();
         let effect = view.apply_report(now, report);
+        if let (true, Some(fill)) =
+            (effect != ReportEffect::Ignored, view.others_fill())
+        {
+            pool.typical.add_others_fill(fill);
+        }
         if effect == ReportEffect::Restarted {
             pool.prefixes.forget(at, &mut view.cursor);
         }
@@ -284,10 +291,11 @@
         let Some(pool) = self.pool(pool) else { return slots };
         for server in pool.near_members() {
             slots.near_slots_requests += server.slots();
-            slots.near_free_requests += server.free_slots(now);
+            slots.near_free_requests += server.free_slots(now, &pool.typical);
         }
         for server in pool.remote_members() {
-            slots.remote_free_requests += server.free_slots(now);
+            slots.remote_free_requests +=
+                server.free_slots(now, &pool.typical);
         }
         slots.in_flight_requests =
             pool.servers.iter().map(|server| server.in_flight).sum();
@@ -309,6 +317,7 @@
             for at in &view.members() {
                 let since = view.servers[*at].poll_due_at(
                     now,
+                    &view.typical,
                     self.settings.poll_interval,
                     self.settings.busy_poll_interval,
                 );
--- a/crates/briarladder-core/src/routing/pool.rs
+++ b/crates/briarladder-core/src/routing/pool.rs
@@ -12,7 +12,7 @@
     rendezvous,
     routing::{
         AttemptResult, Distance, LinkUse, NoServer, PickKind, Query, Settings,
-        Sharing, cache::PrefixIndex, server::ServerView,
+        Sharing, cache::PrefixIndex, server::ServerView, typical::Typical,
     },
     sorted::{SortedMap, SortedSet},
 };
@@ -31,9 +31,6 @@
 /// The ejected servers considered when none is good, for each distance.
 const FALLBACK_CANDIDATES: usize = 64;
 
-/// The weight of the newest sample in the pool's mean service time.
-const ELAPSED_WEIGHT: f64 = 0.02;
-
 /// Positions in [`PoolView::servers`], by [`Distance`].
 #[derive(Clone, Debug, Default)]
 struct ByDistance([Vec<usize>; 3]);
@@ -81,7 +78,7 @@
     any_version: ByDistance,
     /// The subset for each version that some server has.
     versions: SortedMap<ModelVersionName, ByDistance>,
-    mean_elapsed_s: f64,
+    pub(super) typical: Typical,
 }
 
 impl PoolView {
@@ -111,7 +108,7 @@
             order,
             any_version: ByDistance::default(),
             versions: SortedMap::new(),
-            mean_elapsed_s: 0.0,
+            typical: Typical::new(),
         }
     }
 
@@ -208,12 +205,7 @@
         elapsed: Duration,
     ) {
         if result == AttemptResult::Answered {
-            let sample = elapsed.as_secs_f64();
-            let mean = &mut self.mean_elapsed_s;
-            if *mean == 0.0 {
-                *mean = sample;
-            }
-            *mean += (sample - *mean) * ELAPSED_WEIGHT;
+            self.typical.add_elapsed(elapsed);
         }
         self.servers[at].finished(now, result, elapsed);
     }
@@ -329,9 +321,9 @@
 
     fn candidate(&self, now: Instant, at: usize) -> Candidate {
         let server = &self.servers[at];
-        let load_requests = server.effective_load(now);
+        let load_requests = server.effective_load(now, &self.typical);
         let slots = f64::from(server.slots().max(1));
-        let slowness = server.slowness(now, self.mean_elapsed_s);
+        let slowness = server.slowness(now, &self.typical);
         Candidate {
             at,
             load_requests,
@@ -349,8 +341,8 @@
     fn is_eligible(&self, now: Instant, at: usize, query: &Query<'_>) -> bool {
         let server = &self.servers[at];
         let has_room = match query.sharing {
-            Sharing::Shared => server.free_slots(now) > 0,
-            Sharing::Alone => server.is_idle(now),
+            Sharing::Shared => server.free_slots(now, &self.typical) > 0,
+            Sharing::Alone => server.is_idle(now, &self.typical),
         };
         has_room && server.is_usable() && !self.is_excluded(at, query)
     }
--- a/crates/briarladder-core/src/routing/server.rs
+++ b/crates/briarladder-core/src/routing/server.rs
@@ -14,22 +14,17 @@
     retry::AttemptFailure,
     routing::{
         AttemptResult, Distance, ListedState, Sharing, cache::CacheCursor,
+        typical::Typical,
     },
 };
 
-/// A report is taken at face value for this long; one poll interval.
-const REPORT_FRESH: Duration = Duration::from_secs(2);
-
-/// The time after that in which a report comes to say nothing of the load.
-const REPORT_FADES: Duration = Duration::from_secs(4);
-
 /// Up to this age a report excludes that the server has been leaving for 3 s,
 /// with some time for the attempt to arrive.
 const STATE_KNOWN: Duration = Duration::from_millis(2_500);
 
-/// The share of slots assumed in use where no report says otherwise. Half
-/// keeps a silent server behind idle ones and in front of full ones.
-const UNKNOWN_FILL: f64 = 0.5;
+/// From this age on, a report no longer keeps a suspect off a server that
+/// was not idle; otherwise it could wait for ever.
+const IDLE_UNKNOWN: Duration = Duration::from_secs(6);
 
 /// How long a server that refused an attempt counts as full.
 const FULL_AFTER_REFUSAL: Duration = Duration::from_millis(100);
@@ -179,29 +174,48 @@
 
     /// Returns the expected number of requests on the server: own attempts
     /// in flight, plus those of others. The latter fade from the reported
-    /// number to [`UNKNOWN_FILL`] as the report ages.
-    pub(super) fn effective_load(&self, now: Instant) -> f64 {
+    /// number to what is typical for the pool as the report ages.
+    pub(super) fn effective_load(
+        &self,
+        now: Instant,
+        typical: &Typical,
+    ) -> f64 {
         let own = f64::from(self.in_flight);
-        let unknown = f64::from(self.slots()) * UNKNOWN_FILL;
+        let slots = f64::from(self.slots());
+        let unknown = slots * typical.unknown_fill();
         let Some(report) = &self.report else { return own + unknown };
-        let sent = u32::try_from(self.sent_since.len()).unwrap_or(u32::MAX);
-        let reported = f64::from(report.load_requests) + f64::from(sent);
-        let others = (reported - own).max(0.0);
+        let others = self.reported_others(report);
         let age = now.saturating_duration_since(report.at);
-        let stale = age.saturating_sub(REPORT_FRESH);
+        let stale = age.saturating_sub(typical.report_fresh);
         if stale.is_zero() {
             return own + others;
         }
-        let faded = stale.div_duration_f64(REPORT_FADES).min(1.0);
+        // A backlog lasts as many service times as it is longer than the
+        // slots.
+        let backlog = f64::from(report.load_requests) / slots.max(1.0);
+        let fading = typical.report_fades.mul_f64(backlog.max(1.0));
+        let faded = stale.div_duration_f64(fading).min(1.0);
         own + others * (1.0 - faded) + unknown * faded
     }
 
+    fn reported_others(&self, report: &Reported) -> f64 {
+        let sent = u32::try_from(self.sent_since.len()).unwrap_or(u32::MAX);
+        let reported = f64::from(report.load_requests) + f64::from(sent);
+        (reported - f64::from(self.in_flight)).max(0.0)
+    }
+
+    /// Returns the share of slots that others use by the last report.
+    pub(super) fn others_fill(&self) -> Option<f64> {
+        let others = self.reported_others(self.report.as_ref()?);
+        Some(others / f64::from(self.slots().max(1)))
+    }
+
     /// Returns the slots that are free by the effective load.
-    pub(super) fn free_slots(&self, now: Instant) -> u32 {
+    pub(super) fn free_slots(&self, now: Instant, typical: &Typical) -> u32 {
         if self.reserved || self.full_until.is_some_and(|until| now < until) {
             return 0;
         }
-        let free = f64::from(self.slots()) - self.effective_load(now);
+        let free = f64::from(self.slots()) - self.effective_load(now, typical);
         // The value lies between 0 and the slots, a `u32`.
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let free = free.ceil().max(0.0) as u32;
@@ -209,24 +223,25 @@
     }
 
     /// Returns whether nothing runs on the server as far as is known.
-    pub(super) fn is_idle(&self, now: Instant) -> bool {
+    pub(super) fn is_idle(&self, now: Instant, typical: &Typical) -> bool {
         let reported_idle = self.report.as_ref().is_none_or(|report| {
             report.load_requests == 0
-                || now.saturating_duration_since(report.at)
-                    >= REPORT_FRESH + REPORT_FADES
+                || now.saturating_duration_since(report.at) >= IDLE_UNKNOWN
         });
-        self.in_flight == 0 && reported_idle && self.free_slots(now) > 0
+        self.in_flight == 0
+            && reported_idle
+            && self.free_slots(now, typical) > 0
     }
 
     /// Returns how much slower the server answers than its pool on average.
-    pub(super) fn slowness(&self, now: Instant, pool_elapsed_s: f64) -> f64 {
+    pub(super) fn slowness(&self, now: Instant, typical: &Typical) -> f64 {
         let recent = self.answered_at.is_some_and(|at| {
             now.saturating_duration_since(at) < ELAPSED_EXPIRED
         });
-        if !recent || pool_elapsed_s <= 0.0 {
+        if !recent || typical.elapsed_s <= 0.0 {
             return 1.0;
         }
-        (self.mean_elapsed_s / pool_elapsed_s).clamp(1.0, MAX_SLOWNESS)
+        (self.mean_elapsed_s / typical.elapsed_s).clamp(1.0, MAX_SLOWNESS)
     }
 
     pub(super) fn is_leaving(&self) -> bool {
@@ -427,13 +442,17 @@
     pub(super) fn poll_due_at(
         &self,
         now: Instant,
+        typical: &Typical,
         interval: Duration,
         busy_interval: Duration,
     ) -> Option<Instant> {
         let reported = self.report.as_ref().map(|report| report.at);
         let last = reported.max(self.polled_at)?;
-        let interval =
-            if self.free_slots(now) == 0 { busy_interval } else { interval };
+        let interval = if self.free_slots(now, typical) == 0 {
+            busy_interval
+        } else {
+            interval
+        };
         Some(last + interval)
     }
 
--- a/crates/briarladder-core/src/routing/tests.rs
+++ b/crates/briarladder-core/src/routing/tests.rs
@@ -251,6 +251,35 @@
     assert_eq!(fixture.free(), SLOTS / 2);
 }
 
+/// Guards against many daemons that believe one report for longer than the
+/// requests in it last.
+#[test]
+fn effective_load_fades_within_service_time() {
+    let mut fixture = Fixture::new(&["recife-a-1"]);
+    let server = name("recife-a-1");
+    let answered = AttemptResult::Answered;
+    fixture.router.finished(fixture.now, &server, answered, 200 * MS);
+    fixture.report("recife-a-1", &report(1, 1, SLOTS));
+    fixture.now += 20 * MS;
+    assert_eq!(fixture.free(), 0);
+    fixture.now += 80 * MS;
+    assert_eq!(fixture.free(), SLOTS / 2);
+}
+
+/// Guards against a backlog that is forgotten before it can have drained.
+#[test]
+fn effective_load_keeps_backlog() {
+    let mut fixture = Fixture::new(&["recife-a-1"]);
+    let server = name("recife-a-1");
+    let answered = AttemptResult::Answered;
+    fixture.router.finished(fixture.now, &server, answered, 200 * MS);
+    fixture.report("recife-a-1", &report(1, 1, 10 * SLOTS));
+    fixture.now += 500 * MS;
+    assert_eq!(fixture.free(), 0);
+    fixture.now += 350 * MS;
+    assert!(fixture.free() > 0);
+}
+
 /// Guards against preferring a server that no longer says how loaded it is.
 #[test]
 fn pick_prefers_known_state() {
