--- a/crates/briarladder-core/src/routing/mod.rs
+++ b/crates/briarladder-core/src/routing/mod.rs
@@ -88,7 +88,40 @@
     /// Takes the servers of a snapshot. What is known of servers that stay
     /// in their pool at their address is kept.
     pub fn apply_snapshot(&mut self, now: Instant, snapshot: &Snapshot) {
-        self.region = snapshot.region_of(&self.settings.zone).cloned();
+        let region = snapshot.region_of(&self.settings.zone).cloned();
+        let pools = snapshot.pools.values();
+        let same = region == self.region
+            && self.pools.len() == pools.len()
+            && self.pools.iter().zip(pools).all(|(a, b)| a.has_servers_of(b));
+        self.region = region;
+        if same {
+            self.renew(snapshot);
+        } else {
+            self.rebuild(now, snapshot);
+        }
+    }
+
+    /// Takes the values of a snapshot with the same servers, as most are.
+    fn renew(&mut self, snapshot: &Snapshot) {
+        for (view, pool) in self.pools.iter_mut().zip(snapshot.pools.values())
+        {
+            let mut same_versions = true;
+            for (server, new) in view.servers.iter_mut().zip(&pool.servers) {
+                let old = &server.resolved.model_versions;
+                same_versions &= *old == new.model_versions;
+                server.resolved = Arc::clone(new);
+                if let Some(region) = &self.region {
+                    let cost = snapshot.link_cost(region, &new.region);
+                    server.set_link(cost.one_way, cost.billed);
+                }
+            }
+            if !same_versions {
+                view.refresh_versions(&self.settings);
+            }
+        }
+    }
+
+    fn rebuild(&mut self, now: Instant, snapshot: &Snapshot) {
         let old_pools = std::mem::take(&mut self.pools);
         let mut old = Vec::new();
         let mut all = Vec::new();
--- a/crates/briarladder-core/src/routing/pool.rs
+++ b/crates/briarladder-core/src/routing/pool.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     names::{ModelVersionName, PoolName, ServerName, VmName},
+    objects::snapshot::{ResolvedPool, ResolvedServer},
     rendezvous,
     routing::{
         AttemptResult, Distance, LinkUse, NoServer, PickKind, Query, Settings,
@@ -112,6 +113,21 @@
         }
     }
 
+    /// Returns whether the servers and their places are those of a pool.
+    pub(super) fn has_servers_of(&self, pool: &ResolvedPool) -> bool {
+        let same_place = |a: &ResolvedServer, b: &ResolvedServer| {
+            (&a.name, a.address, &a.zone, &a.region)
+                == (&b.name, b.address, &b.zone, &b.region)
+        };
+        self.name == pool.name
+            && self.servers.len() == pool.servers.len()
+            && self
+                .servers
+                .iter()
+                .zip(&pool.servers)
+                .all(|(a, b)| same_place(&a.resolved, b))
+    }
+
     /// Takes over the prefixes of servers that are still in the pool. The
     /// positions of `names` are those in the old pool.
     pub(super) fn keep_prefixes(
--- a/crates/briarladder-core/src/routing/tests.rs
+++ b/crates/briarladder-core/src/routing/tests.rs
@@ -14,6 +14,7 @@
     retry::AttemptFailure,
 };
 
+mod affinity;
 mod faults;
 mod links;
 
@@ -30,6 +31,7 @@
     rng: StdRng,
     router: Router,
     billed: bool,
+    declared: &'static str,
 }
 
 fn name(text: &str) -> ServerName {
@@ -38,7 +40,12 @@
 
 /// Builds the regions `recife` and `campinas`. A server belongs to the zone
 /// that its name starts with.
-fn snapshot(servers: &[&str], billed: bool, port: u16) -> Snapshot {
+fn snapshot(
+    servers: &[&str],
+    billed: bool,
+    declared: &str,
+    port: u16,
+) -> Snapshot {
     let zone = |zone: &str| Zone {
         name: ZoneName::new(zone).unwrap(),
         servers: servers
@@ -58,7 +65,7 @@
                 name: POOL.clone(),
                 role: Role::Engine,
                 slots_requests: SLOTS,
-                model_versions: vec![version("v1")],
+                model_versions: vec![version(declared)],
                 checks_fencing: true,
             }],
             zones,
@@ -115,13 +122,14 @@
             rng: StdRng::seed_from_u64(1),
             router: Router::new(Settings::new(vm, zone)),
             billed,
+            declared: "v1",
         };
         fixture.publish(servers, 80);
         fixture
     }
 
     fn publish(&mut self, servers: &[&str], port: u16) {
-        let snapshot = snapshot(servers, self.billed, port);
+        let snapshot = snapshot(servers, self.billed, self.declared, port);
         self.router.apply_snapshot(self.now, &snapshot);
     }
 
@@ -344,6 +352,28 @@
     assert_eq!(fixture.picked(), ["recife-a-1"]);
 }
 
+/// Guards against a publication with the same servers that loses the load
+/// view, the versions or the price of a link.
+#[test]
+fn apply_snapshot_renews_same_servers() {
+    let servers = ["recife-a-1", "campinas-a-1"];
+    let mut fixture = Fixture::new(&servers);
+    fixture.report("recife-a-1", &report(1, 1, SLOTS));
+    assert_eq!(fixture.pick().unwrap_err(), NoServer::AllBusy);
+    fixture.publish(&servers, 80);
+    assert_eq!(fixture.pick().unwrap_err(), NoServer::AllBusy);
+    fixture.billed = false;
+    fixture.declared = "v2";
+    fixture.publish(&servers, 80);
+    let v2 = version("v2");
+    let pick = fixture.pick_with(|q| q.model_version = Some(&v2)).unwrap();
+    assert_eq!(pick.server.name.as_str(), "campinas-a-1");
+    fixture.declared = "v1";
+    fixture.publish(&servers, 80);
+    let none = fixture.pick_with(|q| q.model_version = Some(&v2));
+    assert_eq!(none.unwrap_err(), NoServer::ModelVersionMissing);
+}
+
 /// Guards against sending to a server without the version, in particular
 /// after an upgrade that stopped halfway.
 #[test]
@@ -397,71 +427,6 @@
     assert_eq!(fixture.picked().len(), 2);
 }
 
-fn stored(prefix_hash: u64) -> [CacheEvent; 1] {
-    [CacheEvent::Stored { prefix_hash }]
-}
-
-/// Returns a fixture in which `recife-a-2` of three holds prefix 7.
-fn cached() -> Fixture {
-    let servers = ["recife-a-1", "recife-a-2", "recife-a-3"];
-    let mut fixture = Fixture::new(&servers);
-    for server in servers {
-        fixture.report(server, &report(1, 1, 0));
-    }
-    let holder = name("recife-a-2");
-    fixture.router.apply_cache_events(&holder, 5, &stored(7));
-    fixture
-}
-
-fn cached_pick(fixture: &mut Fixture) -> PickKind {
-    fixture.pick_with(|q| q.prefix_hash = Some(7)).unwrap().kind
-}
-
-/// Guards against losing the use of a cache, also over a publication that
-/// moves the server's position.
-#[test]
-fn affinity_survives_snapshot() {
-    let mut fixture = cached();
-    assert_eq!(cached_pick(&mut fixture), PickKind::CachedPrefix);
-    fixture.publish(&["recife-a-0", "recife-a-1", "recife-a-2"], 80);
-    let pick = fixture.pick_with(|q| q.prefix_hash = Some(7)).unwrap();
-    assert_eq!(pick.kind, PickKind::CachedPrefix);
-    assert_eq!(pick.server.name.as_str(), "recife-a-2");
-}
-
-/// Guards against a popular prefix that overloads its holder.
-#[test]
-fn affinity_is_bounded_by_load() {
-    let mut fixture = cached();
-    fixture.report("recife-a-2", &report(1, 2, 1));
-    assert_eq!(cached_pick(&mut fixture), PickKind::CachedPrefix);
-    fixture.report("recife-a-2", &report(1, 3, 2));
-    assert_eq!(cached_pick(&mut fixture), PickKind::Load);
-}
-
-/// Guards against trusting a cache view that missed evictions, by a gap, a
-/// repeated answer or a restart.
-#[test]
-fn affinity_drops_on_gap() {
-    let holder = name("recife-a-2");
-    let mut fixture = cached();
-    fixture.router.apply_cache_events(&holder, 7, &stored(8));
-    assert_eq!(cached_pick(&mut fixture), PickKind::Load);
-    let hash = Some(8);
-    let pick = fixture.pick_with(|q| q.prefix_hash = hash).unwrap();
-    assert_eq!(pick.kind, PickKind::CachedPrefix);
-
-    let mut fixture = cached();
-    let evicted = [CacheEvent::Evicted { prefix_hash: 7 }];
-    fixture.router.apply_cache_events(&holder, 6, &evicted);
-    fixture.router.apply_cache_events(&holder, 5, &stored(7));
-    assert_eq!(cached_pick(&mut fixture), PickKind::Load);
-
-    let mut fixture = cached();
-    fixture.report("recife-a-2", &report(2, 1, 0));
-    assert_eq!(cached_pick(&mut fixture), PickKind::Load);
-}
-
 /// Guards against polling servers whose responses bring reports, and against
 /// never polling one that is silent.
 #[test]
--- /dev/null
+++ b/crates/briarladder-core/src/routing/tests/affinity.rs
@@ -0,0 +1,68 @@
+//! Cached prefixes.
+
+use super::*;
+
+fn stored(prefix_hash: u64) -> [CacheEvent; 1] {
+    [CacheEvent::Stored { prefix_hash }]
+}
+
+/// Returns a fixture in which `recife-a-2` of three holds prefix 7.
+fn cached() -> Fixture {
+    let servers = ["recife-a-1", "recife-a-2", "recife-a-3"];
+    let mut fixture = Fixture::new(&servers);
+    for server in servers {
+        fixture.report(server, &report(1, 1, 0));
+    }
+    let holder = name("recife-a-2");
+    fixture.router.apply_cache_events(&holder, 5, &stored(7));
+    fixture
+}
+
+fn cached_pick(fixture: &mut Fixture) -> PickKind {
+    fixture.pick_with(|q| q.prefix_hash = Some(7)).unwrap().kind
+}
+
+/// Guards against losing the use of a cache, also over a publication that
+/// moves the server's position.
+#[test]
+fn affinity_survives_snapshot() {
+    let mut fixture = cached();
+    assert_eq!(cached_pick(&mut fixture), PickKind::CachedPrefix);
+    fixture.publish(&["recife-a-0", "recife-a-1", "recife-a-2"], 80);
+    let pick = fixture.pick_with(|q| q.prefix_hash = Some(7)).unwrap();
+    assert_eq!(pick.kind, PickKind::CachedPrefix);
+    assert_eq!(pick.server.name.as_str(), "recife-a-2");
+}
+
+/// Guards against a popular prefix that overloads its holder.
+#[test]
+fn affinity_is_bounded_by_load() {
+    let mut fixture = cached();
+    fixture.report("recife-a-2", &report(1, 2, 1));
+    assert_eq!(cached_pick(&mut fixture), PickKind::CachedPrefix);
+    fixture.report("recife-a-2", &report(1, 3, 2));
+    assert_eq!(cached_pick(&mut fixture), PickKind::Load);
+}
+
+/// Guards against trusting a cache view that missed evictions, by a gap, a
+/// repeated answer or a restart.
+#[test]
+fn affinity_drops_on_gap() {
+    let holder = name("recife-a-2");
+    let mut fixture = cached();
+    fixture.router.apply_cache_events(&holder, 7, &stored(8));
+    assert_eq!(cached_pick(&mut fixture), PickKind::Load);
+    let hash = Some(8);
+    let pick = fixture.pick_with(|q| q.prefix_hash = hash).unwrap();
+    assert_eq!(pick.kind, PickKind::CachedPrefix);
+
+    let mut fixture = cached();
+    let evicted = [CacheEvent::Evicted { prefix_hash: 7 }];
+    fixture.router.apply_cache_events(&holder, 6, &evicted);
+    fixture.router.apply_cache_events(&holder, 5, &stored(7));
+    assert_eq!(cached_pick(&mut fixture), PickKind::Load);
+
+    let mut fixture = cached();
+    fixture.report("recife-a-2", &report(2, 1, 0));
+    assert_eq!(cached_pick(&mut fixture), PickKind::Load);
+}
