--- a/crates/briarladder-core/src/routing/mod.rs
+++ b/crates/briarladder-core/src/routing/mod.rs
@@ -43,6 +43,7 @@
 mod pool;
 mod server;
 mod types;
+mod typical;
 
 pub use bytes::{CrossRegionBytes, StageBytes};
 pub use cache::CacheEvent;
@@ -87,14 +88,47 @@
     /// Takes the servers of a snapshot. What is known of servers that stay
     /// in their pool at their address is kept.
     pub fn apply_snapshot(&mut self, now: Instant, snapshot: &Snapshot) {
-        self.region = snapshot.region_of(&self.settings.zone).cloned();
+        let region = snapshot.region_of(&self.settings.zone).cloned();
+        let pools = snapshot.pools.values();
+        let same = region == self.region
+            && self.pools.len() == pools.len()
+            && self.pools.iter().zip(pools).all(|(a, b)| a.has_servers_of(b));
+        self.region = region;
+        if same {
+            self.renew(snapshot);
+        } else {
+            self.rebuild(now, snapshot);
+        }
+    }
+
+    /// Takes the values of a snapshot with the same servers, as most are.
+    fn renew(&mut self, snapshot: &Snapshot) {
+        for (view, pool) in self.pools.iter_mut().zip(snapshot.pools.values())
+        {
+            let mut same_versions = true;
+            for (server, new) in view.servers.iter_mut().zip(&pool.servers) {
+                let old = &server.resolved.model_versions;
+                same_versions &= *old == new.model_versions;
+                server.resolved = Arc::clone(new);
+                if let Some(region) = &self.region {
+                    let cost = snapshot.link_cost(region, &new.region);
+                    server.set_link(cost.one_way, cost.billed);
+                }
+            }
+            if !same_versions {
+                view.refresh_versions(&self.settings);
+            }
+        }
+    }
+
+    fn rebuild(&mut self, now: Instant, snapshot: &Snapshot) {
         let old_pools = std::mem::take(&mut self.pools);
-        let mut prefixes = Vec::new();
+        let mut old = Vec::new();
         let mut all = Vec::new();
         for pool in old_pools {
             let names = pool.servers.iter().map(|s| s.resolved.name.clone());
             let names: Vec<ServerName> = names.collect();
-            prefixes.push((pool.name, names, pool.prefixes));
+            old.push((pool.name, names, pool.prefixes, pool.typical));
             let servers = pool.servers.into_iter();
             all.extend(servers.map(|s| (s.resolved.name.clone(), s)));
         }
@@ -109,9 +143,10 @@
             let mut view =
                 PoolView::new(pool.name.clone(), &self.settings.vm, servers);
             view.refresh_versions(&self.settings);
-            let old = prefixes.iter().find(|(name, ..)| *name == pool.name);
-            if let Some((_, names, index)) = old {
+            let old = old.iter().find(|(name, ..)| *name == pool.name);
+            if let Some((_, names, index, typical)) = old {
                 view.keep_prefixes(names, index);
+                view.typical = *typical;
             }
             self.pools.push(view);
         }
@@ -177,6 +212,11 @@
         let view = &mut pool.servers[at];
         let usable = view.is_usable();
         let effect = view.apply_report(now, report);
+        if let (true, Some(fill)) =
+            (effect != ReportEffect::Ignored, view.others_fill())
+        {
+            pool.typical.add_others_fill(fill);
+        }
         if effect == ReportEffect::Restarted {
             pool.prefixes.forget(at, &mut view.cursor);
         }
@@ -284,10 +324,11 @@
         let Some(pool) = self.pool(pool) else { return slots };
         for server in pool.near_members() {
             slots.near_slots_requests += server.slots();
-            slots.near_free_requests += server.free_slots(now);
+            slots.near_free_requests += server.free_slots(now, &pool.typical);
         }
         for server in pool.remote_members() {
-            slots.remote_free_requests += server.free_slots(now);
+            slots.remote_free_requests +=
+                server.free_slots(now, &pool.typical);
         }
         slots.in_flight_requests =
             pool.servers.iter().map(|server| server.in_flight).sum();
@@ -309,6 +350,7 @@
             for at in &view.members() {
                 let since = view.servers[*at].poll_due_at(
                     now,
+                    &view.typical,
                     self.settings.poll_interval,
                     self.settings.busy_poll_interval,
                 );
