Send news of deaths before first words of listed members

Hundreds of first words filled the bounded queue of updates, and the news of the death waited behind them or was dropped. Change: a first word that only confirms the platform's list goes after all other updates, is sent a third as often and displaces none. Two tests guard the order of updates and members that answer against a lagging list.

--- a/crates/briarladder-core/src/membership/gossip.rs
+++ b/crates/briarladder-core/src/membership/gossip.rs
@@ -21,7 +21,7 @@
     sends_left: u32,
 }
 
-/// The updates to send, oldest first.
+/// The updates to send. The last one goes first.
 #[derive(Debug, Default)]
 pub(super) struct Gossip {
     queue: Vec<Queued>,
@@ -34,11 +34,26 @@
         if self.queue.len() == MAX_QUEUED_UPDATES {
             self.queue.remove(0);
         }
-        let doublings = members.max(1).ilog2() + 1;
-        let sends_left = SENDS_PER_DOUBLING * doublings;
+        let sends_left = SENDS_PER_DOUBLING * doublings(members);
         self.queue.push(Queued { update, sends_left });
     }
 
+    /// Adds an update that gives the incarnation of a member which all know
+    /// from the platform's list. It goes after all others and is sent less
+    /// often: when a fleet starts, hundreds of them would otherwise hold up
+    /// the news of a death for minutes.
+    pub(super) fn push_confirmation(
+        &mut self,
+        update: Update,
+        members: usize,
+    ) {
+        self.queue.retain(|queued| queued.update.name != update.name);
+        if self.queue.len() < MAX_QUEUED_UPDATES {
+            let sends_left = doublings(members);
+            self.queue.insert(0, Queued { update, sends_left });
+        }
+    }
+
     /// Returns the newest updates for one message and counts them as sent.
     pub(super) fn take(&mut self) -> Vec<Update> {
         let newest = self.queue.iter_mut().rev().take(MAX_UPDATES_PER_MESSAGE);
@@ -52,3 +67,7 @@
         updates
     }
 }
+
+fn doublings(members: usize) -> u32 {
+    members.max(1).ilog2() + 1
+}
--- a/crates/briarladder-core/src/membership/members.rs
+++ b/crates/briarladder-core/src/membership/members.rs
@@ -237,6 +237,7 @@
             });
         };
         let from = member.state;
+        let was_listed_only = member.incarnation.is_none();
         if member.incarnation < Some(update.incarnation) {
             let listed = member.listed;
             *member = Member { listed, ..member_from(update, now) };
@@ -262,8 +263,13 @@
             }
         }
         let to = member.state;
-        self.gossip.push(Update { state: to, ..update.clone() }, members);
+        let update = Update { state: to, ..update.clone() };
         let name = update.name.clone();
+        if was_listed_only && from == to {
+            self.gossip.push_confirmation(update, members);
+        } else {
+            self.gossip.push(update, members);
+        }
         Observed::Applied(Change { name, from: Some(from), to })
     }
 
--- a/crates/briarladder-core/src/membership/tests.rs
+++ b/crates/briarladder-core/src/membership/tests.rs
@@ -131,6 +131,20 @@
     assert_eq!(members.seed(dead_at, 5, &list), []);
 }
 
+/// Guards against a lagging list that withdraws a member that answers, or
+/// sends probes to the address of an earlier run.
+#[test]
+fn seed_yields_to_first_word() {
+    let now = Instant::now();
+    let mut members = members(now);
+    let mut old = seed(1, 0, SeedState::Leaving);
+    old.address = ([10, 0, 0, 9], 7_000).into();
+    let before = members.get(&vm(1)).unwrap().address;
+    assert_eq!(members.seed(now, 1, &[old]), []);
+    assert_eq!(state(&members, 1), MemberState::Ready);
+    assert_eq!(members.get(&vm(1)).unwrap().address, before);
+}
+
 /// Guards against a member known only from the list that stays alive
 /// without ever answering, or that the next list revives.
 #[test]
@@ -262,6 +276,29 @@
     assert!(bounds.contains(&sent), "{sent}");
 }
 
+/// Guards against news of a death that waits behind, or is dropped for, the
+/// first words of listed members while a fleet starts.
+#[test]
+fn heartbeat_prefers_changes() {
+    let now = Instant::now();
+    let mut members = Members::new(identity(0, 5), now);
+    let list: Vec<Seed> =
+        (1..200).map(|n| seed(n, 0, SeedState::Live)).collect();
+    members.seed(now, 1, &list);
+    let first_words = |members: &mut Members, numbers| {
+        for number in numbers {
+            members.observe(now, &said(number, 5, 0, MemberState::Ready));
+        }
+    };
+    first_words(&mut members, 1..100);
+    let dead = said(1, 5, 0, MemberState::Dead);
+    members.observe(now, &dead);
+    first_words(&mut members, 100..200);
+    let updates = members.heartbeat_for(&vm(0), STAMP).updates;
+    assert_eq!(updates[0], dead);
+    assert_eq!(updates.len(), MAX_UPDATES_PER_MESSAGE);
+}
+
 /// Guards against a restart whose incarnation is lower than before.
 #[test]
 fn new_incarnation_grows_with_time() {
