Let stand-ins wait until a death is known to all

Cause: a stand-in acted 10 s after the daemon before it, on the estimate that a death is known after 4 to 6 s. membership_cost measures up to 12 s. Change: the stand-in delay is 15 s. Figures: delay 10 s before, 15 s after; worst measured detection 12.0 s. Conclusion: two senders act on one server only where their views differ for longer than detection takes.

--- a/crates/briarladder-core/src/orders/decide.rs
+++ b/crates/briarladder-core/src/orders/decide.rs
@@ -14,10 +14,10 @@
     sorted::{SortedMap, SortedSet},
 };
 
-/// How much later each next daemon in sender order acts. It exceeds the 4 to
-/// 6 s in which a dead daemon is found and dropped from the order, so that a
-/// stand-in acts only where the views of the daemons differ.
-pub const STAND_IN_DELAY: Duration = Duration::from_secs(10);
+/// How much later each next daemon in sender order acts. All daemons know of
+/// a death after 12 s at most (example `membership_cost`), so a stand-in
+/// acts only where the views of the daemons differ.
+pub const STAND_IN_DELAY: Duration = Duration::from_secs(15);
 
 /// How long after the expected end of a load the order is sent again.
 pub const RESEND_AFTER: Duration = Duration::from_secs(10);
--- a/crates/briarladder-core/src/orders/tests.rs
+++ b/crates/briarladder-core/src/orders/tests.rs
@@ -242,9 +242,9 @@
     };
     let now = Duration::ZERO;
     assert_eq!(decide(0, now, None), send(5, &["v2"]));
-    assert_eq!(decide(1, now, None), wait(11, WaitReason::StandIn));
-    assert_eq!(decide(2, now, None), wait(22, WaitReason::StandIn));
-    let turn = Duration::from_secs(11);
+    assert_eq!(decide(1, now, None), wait(16, WaitReason::StandIn));
+    assert_eq!(decide(2, now, None), wait(32, WaitReason::StandIn));
+    let turn = Duration::from_secs(16);
     assert_eq!(decide(1, turn, None), send(5, &["v2"]));
     assert_eq!(decide(0, now, Some(now)), wait(11, WaitReason::Loading));
     assert_eq!(decide(0, turn, Some(turn)), send(5, &["v2"]));
