Test that a merge keeps the sequence of one process

Cause: removing the rule in a trial made no test fail. Change: a test with stamps that were recorded in another order than drawn. Conclusion: the rule is guarded.

--- a/crates/briarladder-core/src/timeline/merge.rs
+++ b/crates/briarladder-core/src/timeline/merge.rs
@@ -174,6 +174,20 @@
         assert_eq!(vms, ["vm-1", "vm-2", "vm-1"]);
     }
 
+    /// Guards against events of one process out of sequence, if it recorded
+    /// stamps in another order than it drew them.
+    #[test]
+    fn merge_keeps_sequence() {
+        let mut buffer = buffer("vm-1", 9);
+        for unix_ms in [7, 5, 6] {
+            let stamp = HlcTimestamp { unix_ms, counter: 0 };
+            buffer.record(stamp, Subject::default(), EventKind::StopBegun);
+        }
+        let rows = merge(&[all(&buffer)]);
+        let sequences: Vec<u64> = rows.iter().map(Row::sequence).collect();
+        assert_eq!(sequences, [0, 1, 2]);
+    }
+
     /// Guards against a filter that ignores one of its fields.
     #[test]
     fn filter_checks_each_field() {
