Test that membership survives a partition

Cause: no test ran several views against each other through a partition with a list that lags. Change: six views are cut, healed, and one leaves meanwhile, over 20 seeds. Members::list_version makes the version of the list readable. Conclusion: both sides find each other again, and the list revives nobody.

--- a/crates/briarladder-core/src/membership/members.rs
+++ b/crates/briarladder-core/src/membership/members.rs
@@ -392,6 +392,12 @@
         self.by_name.values()
     }
 
+    /// Returns the version of the platform's list that was taken over last.
+    #[must_use]
+    pub fn list_version(&self) -> u64 {
+        self.list_version
+    }
+
     /// Returns the highest epoch that any member has, or had, in force.
     #[must_use]
     pub fn highest_epoch(&self) -> u64 {
--- a/crates/briarladder-core/src/membership/tests.rs
+++ b/crates/briarladder-core/src/membership/tests.rs
@@ -327,3 +327,87 @@
     peer.heard(now, &leaving.heartbeat_for(&vm(0), STAMP));
     assert_eq!(state(&peer, 1), MemberState::Leaving);
 }
+
+/// Six daemons that probe each other; a probe across a cut fails at once.
+struct Fleet {
+    now: Instant,
+    views: Vec<Members>,
+    rng: SmallRng,
+    /// Daemons below this number can't reach the others.
+    cut: usize,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Fleet {
+        let now = Instant::now();
+        let views = (0..6).map(|n| Members::new(identity(n, 5), now));
+        let rng = SmallRng::seed_from_u64(seed);
+        Fleet { now, views: views.collect(), rng, cut: 0 }
+    }
+
+    fn reach(&self, a: usize, b: usize) -> bool {
+        (a < self.cut) == (b < self.cut)
+    }
+
+    /// Runs for some seconds with a list that never changes its content.
+    fn run(&mut self, seconds: u64) {
+        let list: Vec<Seed> =
+            (0..6).map(|n| seed(n, 0, SeedState::Live)).collect();
+        for _ in 0..seconds * 10 {
+            self.now += TICK;
+            for at in 0..self.views.len() {
+                let version = self.views[at].list_version() + 1;
+                self.views[at].seed(self.now, version, &list);
+                self.views[at].tick(self.now);
+                let view = &mut self.views[at];
+                if let Some(target) = view.next_probe(self.now, &mut self.rng)
+                {
+                    self.probe(at, &target);
+                }
+            }
+        }
+    }
+
+    fn probe(&mut self, from: usize, target: &ProbeTarget) {
+        let to = (0..6).find(|n| vm(*n) == target.name).unwrap();
+        if !self.reach(from, to) {
+            let view = &mut self.views[from];
+            view.probe_failed(self.now, target, &mut self.rng);
+            return;
+        }
+        let probe = self.views[from].heartbeat_for(&vm(to), STAMP);
+        self.views[to].heard(self.now, &probe);
+        let answer = self.views[to].heartbeat_for(&vm(from), STAMP);
+        self.views[from].probe_answered(self.now, &answer);
+    }
+
+    fn live(&self, at: usize) -> Vec<VmName> {
+        self.views[at].live_in_zone(&zone(0))
+    }
+}
+
+/// Guards against a partition whose sides never find each other again,
+/// whose list keeps the lost side alive, or that revives a leaving member.
+#[test]
+fn partition_splits_and_heals() {
+    let all: Vec<VmName> = (0..6).map(vm).collect();
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(seed);
+        fleet.run(30);
+        fleet.cut = 2;
+        fleet.run(60);
+        for at in 0..6 {
+            let side = if at < 2 { &all[..2] } else { &all[2..] };
+            assert_eq!(fleet.live(at), side, "seed {seed} daemon {at}");
+        }
+        let now = fleet.now;
+        fleet.views[1].leave(now);
+        fleet.cut = 0;
+        fleet.run(60);
+        let without_1 = [&all[..1], &all[2..]].concat();
+        for at in 0..6 {
+            assert_eq!(fleet.live(at), without_1, "seed {seed} daemon {at}");
+            assert_eq!(state(&fleet.views[at], 1), MemberState::Leaving);
+        }
+    }
+}
