--- a/crates/briarladder-core/src/membership/tests.rs
+++ b/crates/briarladder-core/src/membership/tests.rs
@@ -131,6 +131,20 @@
     assert_eq!(members.seed(dead_at, 5, &list), []);
 }
 
+/// Guards against a lagging list that withdraws a member that answers, or
+/// sends probes to the address of an earlier run.
+#[test]
+fn seed_yields_to_first_word() {
+    let now = Instant::now();
+    let mut members = members(now);
+    let mut old = seed(1, 0, SeedState::Leaving);
+    old.address = ([10, 0, 0, 9], 7_000).into();
+    let before = members.get(&vm(1)).unwrap().address;
+    assert_eq!(members.seed(now, 1, &[old]), []);
+    assert_eq!(state(&members, 1), MemberState::Ready);
+    assert_eq!(members.get(&vm(1)).unwrap().address, before);
+}
+
 /// Guards against a member known only from the list that stays alive
 /// without ever answering, or that the next list revives.
 #[test]
@@ -262,6 +276,29 @@
     assert!(bounds.contains(&sent), "{sent}");
 }
 
+/// Guards against news of a death that waits behind, or is dropped for, the
+/// first words of listed members while a fleet starts.
+#[test]
+fn heartbeat_prefers_changes() {
+    let now = Instant::now();
+    let mut members = Members::new(identity(0, 5), now);
+    let list: Vec<Seed> =
+        (1..200).map(|n| seed(n, 0, SeedState::Live)).collect();
+    members.seed(now, 1, &list);
+    let first_words = |members: &mut Members, numbers| {
+        for number in numbers {
+            members.observe(now, &said(number, 5, 0, MemberState::Ready));
+        }
+    };
+    first_words(&mut members, 1..100);
+    let dead = said(1, 5, 0, MemberState::Dead);
+    members.observe(now, &dead);
+    first_words(&mut members, 100..200);
+    let updates = members.heartbeat_for(&vm(0), STAMP).updates;
+    assert_eq!(updates[0], dead);
+    assert_eq!(updates.len(), MAX_UPDATES_PER_MESSAGE);
+}
+
 /// Guards against a restart whose incarnation is lower than before.
 #[test]
 fn new_incarnation_grows_with_time() {
@@ -290,3 +327,87 @@
     peer.heard(now, &leaving.heartbeat_for(&vm(0), STAMP));
     assert_eq!(state(&peer, 1), MemberState::Leaving);
 }
+
+/// Six daemons that probe each other; a probe across a cut fails at once.
+struct Fleet {
+    now: Instant,
+    views: Vec<Members>,
+    rng: SmallRng,
+    /// Daemons below this number can't reach the others.
+    cut: usize,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Fleet {
+        let now = Instant::now();
+        let views = (0..6).map(|n| Members::new(identity(n, 5), now));
+        let rng = SmallRng::seed_from_u64(seed);
+        Fleet { now, views: views.collect(), rng, cut: 0 }
+    }
+
+    fn reach(&self, a: usize, b: usize) -> bool {
+        (a < self.cut) == (b < self.cut)
+    }
+
+    /// Runs for some seconds with a list that never changes its content.
+    fn run(&mut self, seconds: u64) {
+        let list: Vec<Seed> =
+            (0..6).map(|n| seed(n, 0, SeedState::Live)).collect();
+        for _ in 0..seconds * 10 {
+            self.now += TICK;
+            for at in 0..self.views.len() {
+                let version = self.views[at].list_version() + 1;
+                self.views[at].seed(self.now, version, &list);
+                self.views[at].tick(self.now);
+                let view = &mut self.views[at];
+                if let Some(target) = view.next_probe(self.now, &mut self.rng)
+                {
+                    self.probe(at, &target);
+                }
+            }
+        }
+    }
+
+    fn probe(&mut self, from: usize, target: &ProbeTarget) {
+        let to = (0..6).find(|n| vm(*n) == target.name).unwrap();
+        if !self.reach(from, to) {
+            let view = &mut self.views[from];
+            view.probe_failed(self.now, target, &mut self.rng);
+            return;
+        }
+        let probe = self.views[from].heartbeat_for(&vm(to), STAMP);
+        self.views[to].heard(self.now, &probe);
+        let answer = self.views[to].heartbeat_for(&vm(from), STAMP);
+        self.views[from].probe_answered(self.now, &answer);
+    }
+
+    fn live(&self, at: usize) -> Vec<VmName> {
+        self.views[at].live_in_zone(&zone(0))
+    }
+}
+
+/// Guards against a partition whose sides never find each other again,
+/// whose list keeps the lost side alive, or that revives a leaving member.
+#[test]
+fn partition_splits_and_heals() {
+    let all: Vec<VmName> = (0..6).map(vm).collect();
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(seed);
+        fleet.run(30);
+        fleet.cut = 2;
+        fleet.run(60);
+        for at in 0..6 {
+            let side = if at < 2 { &all[..2] } else { &all[2..] };
+            assert_eq!(fleet.live(at), side, "seed {seed} daemon {at}");
+        }
+        let now = fleet.now;
+        fleet.views[1].leave(now);
+        fleet.cut = 0;
+        fleet.run(60);
+        let without_1 = [&all[..1], &all[2..]].concat();
+        for at in 0..6 {
+            assert_eq!(fleet.live(at), without_1, "seed {seed} daemon {at}");
+            assert_eq!(state(&fleet.views[at], 1), MemberState::Leaving);
+        }
+    }
+}
