Hold back requests that crash backend servers

Cause: a caller that resends such a request at any daemon takes down one backend server after the other. Change: the daemon asks `poison` before the first stage and after each crash, confirms a crash by a refused connection or a new incarnation, and tells the fleet: every peer of the zone, and one daemon of each other zone, which passes the notice on. Figures: the request sent 9 times at 6 daemons crashes at most 2 servers and is then refused with 422, while another request is answered.

--- /dev/null
+++ b/crates/briarladder-cli/tests/poison.rs
@@ -0,0 +1,79 @@
+//! A request that crashes the backend servers that run it, over a whole
+//! deployment.
+
+use std::{sync::Arc, time::Duration};
+
+use briarladder_cli::{
+    fleet::{Fleet, FleetSettings},
+    samples::Sample,
+};
+use briarladder_standins::{
+    cluster::ClusterSettings,
+    fault::{Fault, Pattern, Rule},
+};
+use briarladder_wire::callers::{Problem, WORKSPACE_HEADER};
+use serde_json::json;
+
+const MARKER: &str = "crash-the-server";
+
+async fn fleet() -> Fleet {
+    let cluster =
+        ClusterSettings { time_scale: 0.01, ..ClusterSettings::default() };
+    let settings = FleetSettings { cluster, ..FleetSettings::default() };
+    let objects = Sample::Dobradura.objects().unwrap();
+    Fleet::start(objects, settings).await.unwrap()
+}
+
+async fn send(fleet: &Fleet, daemon: usize, sheet: &str) -> reqwest::Response {
+    let address = fleet.addresses()[daemon];
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    client
+        .post(format!("http://{address}/v1/pipelines/fold-plan-stable"))
+        .header(WORKSPACE_HEADER, "tour-operators")
+        .json(&json!({ "sheet": sheet }))
+        .send()
+        .await
+        .unwrap()
+}
+
+/// Guards against a caller that resends such a request at other daemons and
+/// crashes one backend server after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn resent_request_stops_at_second_crash() {
+    let fleet = fleet().await;
+    for backend in fleet.cluster().backends() {
+        backend.faults().add(Rule {
+            pattern: Pattern {
+                body: Some(Arc::from(MARKER)),
+                ..Pattern::default()
+            },
+            fault: Fault::Crash,
+            times: None,
+        });
+    }
+    for daemon in [0, 1, 2, 3, 4, 5, 0, 3] {
+        let response = send(&fleet, daemon, MARKER).await;
+        assert!(!response.status().is_success());
+        // Notices reach the other daemons within this time.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let refused = send(&fleet, 2, MARKER).await;
+    assert_eq!(refused.status().as_u16(), 422);
+    let problem: Problem = refused.json().await.unwrap();
+    assert_eq!(problem.kind, "/problems/poison");
+    assert!(problem.retry_after_ms.is_some());
+
+    let crashes = fleet
+        .cluster()
+        .journal()
+        .entries()
+        .iter()
+        .filter(|entry| {
+            matches!(entry.end, briarladder_standins::journal::End::Cut)
+        })
+        .count();
+    assert!(crashes <= 2, "{crashes} crashes");
+    let innocent = send(&fleet, 2, "a-harmless-sheet").await;
+    assert!(innocent.status().is_success(), "{innocent:?}");
+    fleet.stop().await;
+}
--- a/crates/briarladder-core/src/routing/mod.rs
+++ b/crates/briarladder-core/src/routing/mod.rs
@@ -32,6 +32,7 @@
 use rand::Rng;
 
 use crate::{
+    ids::Incarnation,
     load::LoadReport,
     names::{PoolName, RegionName, ServerName, StageName},
     objects::snapshot::{ResolvedServer, Snapshot},
@@ -292,6 +293,13 @@
         })
     }
 
+    /// Returns the incarnation of a server's last report.
+    #[must_use]
+    pub fn incarnation(&self, server: &ServerName) -> Option<Incarnation> {
+        let location = self.index.get(server)?;
+        self.pools[location.pool].servers[location.at].incarnation()
+    }
+
     /// Counts an attempt, before its first byte is sent.
     pub fn sent(&mut self, now: Instant, pick: &Pick) {
         if let Some((pool, at)) = self.locate(&pick.server.name) {
--- a/crates/briarladder-core/src/routing/server.rs
+++ b/crates/briarladder-core/src/routing/server.rs
@@ -277,6 +277,10 @@
         }
     }
 
+    pub(super) fn incarnation(&self) -> Option<Incarnation> {
+        self.report.as_ref().map(|report| report.incarnation)
+    }
+
     pub(super) fn set_listed(&mut self, now: Instant, state: ListedState) {
         if self.listed != state {
             self.listed = state;
--- a/crates/briarladder-daemon/src/controllers/membership.rs
+++ b/crates/briarladder-daemon/src/controllers/membership.rs
@@ -15,7 +15,7 @@
         Change, Heartbeat, Identity, Members, Observed, PauseDetector,
         ProbeTarget, Seed, SeedState, TICK, View, Views,
     },
-    names::{ServerName, VmName},
+    names::{ServerName, VmName, ZoneName},
     routing::ListedState,
     timeline::{EventKind, Subject},
 };
@@ -142,6 +142,34 @@
     })
 }
 
+/// A live peer of another zone.
+#[derive(Clone, Debug)]
+pub struct FarPeer {
+    /// The VM.
+    pub name: VmName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it serves peers.
+    pub address: SocketAddr,
+}
+
+/// Returns the live peers of all other zones.
+#[must_use]
+pub fn other_zone_peers(daemon: &Daemon) -> Vec<FarPeer> {
+    let zone = &daemon.settings.zone;
+    daemon.members.with(|members| {
+        members
+            .iter()
+            .filter(|m| m.zone != *zone && m.is_assignable())
+            .map(|m| FarPeer {
+                name: m.name.clone(),
+                zone: m.zone.clone(),
+                address: m.address,
+            })
+            .collect()
+    })
+}
+
 /// Returns the address of a peer with the highest epoch.
 #[must_use]
 pub fn peer_with_newer(daemon: &Daemon) -> Option<SocketAddr> {
--- a/crates/briarladder-daemon/src/controllers/mod.rs
+++ b/crates/briarladder-daemon/src/controllers/mod.rs
@@ -5,6 +5,7 @@
 //! | `config` | the configuration in force |
 //! | `membership` | which daemons are live |
 //! | `load` | the load of backend servers, and the slots of each pool |
+//! | `notices` | requests that crash backend servers |
 
 use std::sync::Arc;
 
@@ -15,6 +16,7 @@
 pub mod config;
 pub mod load;
 pub mod membership;
+pub mod notices;
 mod platform;
 
 pub use platform::PlatformClient;
--- a/crates/briarladder-daemon/src/daemon.rs
+++ b/crates/briarladder-daemon/src/daemon.rs
@@ -11,6 +11,7 @@
     ids::Incarnation,
     membership::{Identity, new_incarnation},
     objects::snapshot::Snapshot,
+    poison::Suspects,
     retry::Budget,
     routing::{self, Router},
     ticket::Claims,
@@ -60,6 +61,8 @@
     pub estimates: Mutex<Estimates>,
     /// The retry budget.
     pub retries: Mutex<Budget>,
+    /// The requests that may crash backend servers.
+    pub suspects: Mutex<Suspects>,
     /// The calls that may not repeat.
     pub calls: Calls,
     /// The client to backend servers.
@@ -110,6 +113,7 @@
             router: Mutex::new(Router::new(place)),
             estimates: Mutex::new(Estimates::new()),
             retries: Mutex::new(Budget::new(clock.now())),
+            suspects: Mutex::new(Suspects::new()),
             calls: Calls::new(incarnation),
             backend: BackendClient::new(settings.max_output_bytes)?,
             peers: PeerClient::new(&settings.peer_key)?,
--- a/crates/briarladder-daemon/src/peers/client.rs
+++ b/crates/briarladder-daemon/src/peers/client.rs
@@ -11,7 +11,7 @@
     callers::TicketStatus,
     peers::{
         CallResult, ChunkReply, ConfigNotice, ForwardedCall, ManifestQuery,
-        PEER_KEY_HEADER, PeersClient, Probe, ProbeThrough,
+        PEER_KEY_HEADER, PeersClient, PoisonNotice, Probe, ProbeThrough,
     },
 };
 use http::{HeaderMap, HeaderValue};
@@ -129,6 +129,19 @@
         self.clients(address)?.control.config_notify(notice).await
     }
 
+    /// Tells a peer of a request that may crash backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn poison_notify(
+        &self,
+        address: SocketAddr,
+        message: PoisonNotice,
+    ) -> Result<(), Error> {
+        self.clients(address)?.control.poison_notify(message).await
+    }
+
     /// Runs a call at the daemon that issued its ticket.
     ///
     /// # Errors
--- a/crates/briarladder-daemon/src/peers/mod.rs
+++ b/crates/briarladder-daemon/src/peers/mod.rs
@@ -14,7 +14,7 @@
     callers::TicketStatus,
     peers::{
         CallResult, ChunkReply, ConfigNotice, ForwardedCall, ManifestQuery,
-        PEER_KEY_HEADER, PeersServer, Probe, ProbeThrough,
+        PEER_KEY_HEADER, PeersServer, PoisonNotice, Probe, ProbeThrough,
     },
 };
 use http::{Request, Response, StatusCode};
@@ -26,7 +26,7 @@
 use tower_http::validate_request::ValidateRequestHeaderLayer;
 
 use crate::{
-    controllers::{config, membership},
+    controllers::{config, membership, notices},
     daemon::Daemon,
     pipeline::ticketed,
     settings::Secret,
@@ -154,6 +154,11 @@
         Ok(())
     }
 
+    async fn poison_notify(&self, message: PoisonNotice) -> RpcResult<()> {
+        notices::receive(&self.0, &message);
+        Ok(())
+    }
+
     async fn call_forward(
         &self,
         call: ForwardedCall,
--- a/crates/briarladder-daemon/src/pipeline/mod.rs
+++ b/crates/briarladder-daemon/src/pipeline/mod.rs
@@ -5,6 +5,7 @@
 //! | check against the configuration | `request` |
 //! | wait for a slot of each stage's pool | `slots` |
 //! | pick a backend server, run and repeat attempts | `stage` |
+//! | hold back requests that crash servers | `suspicion` |
 //! | run a call that may not repeat | `ticketed` |
 
 use std::{sync::Arc, time::Duration};
@@ -23,10 +24,12 @@
 mod request;
 mod slots;
 mod stage;
+mod suspicion;
 pub mod ticketed;
 
 pub use request::Request;
 pub use slots::{Slot, Slots};
+use suspicion::Clearance;
 pub use ticketed::Calls;
 
 /// What a streaming caller receives.
@@ -117,6 +120,7 @@
     repetition: Repetition,
 ) -> Result<Answer, Refusal> {
     daemon.retries.lock().request_started();
+    let clearance = Clearance::obtain(daemon, request).await?;
     let last = request.pipeline.stages.len() - 1;
     let mut records = Vec::with_capacity(request.pipeline.stages.len());
     let mut previous: Option<Arc<RawValue>> = None;
@@ -125,6 +129,7 @@
         let run = stage::StageRun {
             daemon,
             request,
+            clearance: &clearance,
             stage,
             position,
             previous: previous.clone(),
@@ -158,6 +163,7 @@
         });
         previous = Some(done.output);
     }
+    clearance.succeeded();
     Ok(Answer {
         request_id: request.id,
         pipeline: request.pipeline.name.clone(),
--- a/crates/briarladder-daemon/src/pipeline/request.rs
+++ b/crates/briarladder-daemon/src/pipeline/request.rs
@@ -15,6 +15,7 @@
         Workspace,
         snapshot::{RankIndex, ResolvedPipeline, Snapshot},
     },
+    poison::ContentHash,
     timeline::Subject,
 };
 use briarladder_wire::callers::{Outcome, RequestHead};
@@ -45,6 +46,8 @@
     pub deadline: Instant,
     /// What the caller sent.
     pub input: Arc<RawValue>,
+    /// Identifies the request by its content.
+    pub content: ContentHash,
     /// The caller's own key.
     pub idempotency_key: Option<Arc<str>>,
     /// Whether any stage may have run.
@@ -95,6 +98,11 @@
             .map_or(1, |caller| caller.weight);
         Ok(Request {
             id: head.request_id,
+            content: ContentHash::of(
+                &head.pipeline,
+                &head.workspace,
+                input.get().as_bytes(),
+            ),
             pipeline,
             workspace,
             caller: head.caller.clone(),
--- a/crates/briarladder-daemon/src/pipeline/stage.rs
+++ b/crates/briarladder-daemon/src/pipeline/stage.rs
@@ -23,7 +23,7 @@
 use serde::Serialize;
 use serde_json::value::{RawValue, to_raw_value};
 
-use super::{Delivery, Repetition, Request, to_ms};
+use super::{Delivery, Repetition, Request, suspicion::Clearance, to_ms};
 use crate::{
     backend::{Attempt, CancelOnDrop, Connection},
     daemon::Daemon,
@@ -45,6 +45,7 @@
 pub(super) struct StageRun<'a> {
     pub(super) daemon: &'a Arc<Daemon>,
     pub(super) request: &'a Request,
+    pub(super) clearance: &'a Clearance<'a>,
     pub(super) stage: &'a ResolvedStage,
     pub(super) position: usize,
     pub(super) previous: Option<Arc<RawValue>>,
@@ -77,6 +78,7 @@
         loop {
             let pick = self.pick(&tried).await?;
             let server = pick.server.name.clone();
+            let incarnation = self.daemon.router.lock().incarnation(&server);
             let result = self.attempt(&pick, attempts, &mut tokens).await?;
             attempts += 1;
             let failure = match result {
@@ -85,6 +87,7 @@
                 }
                 Err(failure) => failure,
             };
+            self.clearance.failed(&pick.server, incarnation, failure).await?;
             let tokens_received = tokens.received_tokens();
             match self.decide(failure, earlier, tokens_received) {
                 Decision::RetryElsewhere => {
@@ -176,6 +179,7 @@
                 self.remaining(now),
             );
             query.exclude = tried;
+            query.sharing = self.clearance.sharing();
             if let Work::Generate { model_version, .. } =
                 &self.stage.stage.work
             {
--- a/crates/briarladder-wire/src/peers.rs
+++ b/crates/briarladder-wire/src/peers.rs
@@ -17,6 +17,7 @@
 use briarladder_core::{
     config::{Announcement, Digest, ManifestId, ManifestReply, Which},
     membership::Heartbeat,
+    poison::Notice,
     ticket::TicketId,
 };
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
@@ -94,6 +95,25 @@
     pub announcement: Announcement,
 }
 
+/// What a daemon learned of a request that may crash backend servers.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PoisonNotice {
+    /// What it learned.
+    pub notice: Notice,
+    /// Whether to pass the notice on.
+    pub reach: Reach,
+}
+
+/// Who a notice is meant for.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reach {
+    /// The receiver alone.
+    Receiver,
+    /// The receiver and the peers of its zone.
+    Zone,
+}
+
 /// The calls that a daemon answers to peers and operators.
 #[rpc(client, server)]
 pub trait Peers {
@@ -120,6 +140,10 @@
     #[method(name = "config_notify")]
     async fn config_notify(&self, notice: ConfigNotice) -> RpcResult<()>;
 
+    /// Takes notice of a request that may crash backend servers.
+    #[method(name = "poison_notify")]
+    async fn poison_notify(&self, message: PoisonNotice) -> RpcResult<()>;
+
     /// Runs a call whose ticket this daemon issued.
     #[method(name = "call_forward")]
     async fn call_forward(&self, call: ForwardedCall)
