Hand the leases of a limit over to its new home

Cause: a new home granted nothing for one lease lifetime, and in a fast scale-up most homes are new.

Change: Home::set_members returns the leases of limits that moved, and Home::accept takes them in; without a handover the wait stays.

--- a/crates/briarladder-core/examples/scale_up.rs
+++ b/crates/briarladder-core/examples/scale_up.rs
@@ -169,13 +169,16 @@
         ask: &briarladder_core::limits::LeaseRequest,
     ) {
         self.lease_requests += 1;
-        let home = ask.home.as_str().strip_prefix("vm-").unwrap();
-        let home: usize = home.parse().unwrap();
+        let home = daemon_number(&ask.home);
         let answer = self.daemons[home].1.lease(now, ask);
         self.daemons[daemon].0.answer(now, ask, answer);
     }
 }
 
+fn daemon_number(name: &VmName) -> usize {
+    name.as_str().strip_prefix("vm-").unwrap().parse().unwrap()
+}
+
 impl Way for Leases {
     fn set_daemons(&mut self, now: Instant, count: usize) {
         let before = Arc::clone(&self.members);
@@ -192,9 +195,15 @@
             let home = Home::new(now, name, Arc::clone(known));
             self.daemons.push((holder, home));
         }
+        let mut handovers = Vec::new();
         for (holder, home) in &mut self.daemons {
             holder.set_members(now, Arc::clone(&self.members));
-            home.set_members(now, Arc::clone(&self.members));
+            let members = Arc::clone(&self.members);
+            handovers.extend(home.set_members(now, members));
+        }
+        for handover in handovers {
+            let home = daemon_number(&handover.to);
+            self.daemons[home].1.accept(now, &handover);
         }
     }
 
--- a/crates/briarladder-core/src/limits/home.rs
+++ b/crates/briarladder-core/src/limits/home.rs
@@ -3,8 +3,8 @@
 use std::{collections::VecDeque, time::Instant};
 
 use super::{
-    LEASE_LIFETIME, LeaseAnswer, LeaseRequest, LimitKey, Members,
-    part_of_limit,
+    HandedLease, Handover, LEASE_LIFETIME, LeaseAnswer, LeaseRequest,
+    LimitKey, Members, part_of_limit,
 };
 use crate::{names::VmName, sorted::SortedMap};
 
@@ -33,6 +33,8 @@
     /// The position among the homes in the view of this number.
     position: Option<Position>,
     view_number: u64,
+    /// Whether the replaced home has sent its leases.
+    handed_over: bool,
     /// Until then, leases of an earlier home may be live.
     fresh_until: Option<Instant>,
     holders: SortedMap<VmName, Lease>,
@@ -66,7 +68,17 @@
     }
 
     /// Puts a new list of live daemons in force.
-    pub fn set_members(&mut self, now: Instant, members: Members) {
+    ///
+    /// Returns the leases to hand over to new homes. A new home that
+    /// receives them grants at once; otherwise it waits for one
+    /// [`LEASE_LIFETIME`], in which the leases of the replaced home expire.
+    #[must_use = "new homes refuse requests until they receive the leases"]
+    pub fn set_members(
+        &mut self,
+        now: Instant,
+        members: Members,
+    ) -> Vec<Handover> {
+        let handovers = self.handovers(now, &members);
         let number = self.views.back().map_or(0, |view| view.number + 1);
         self.views.push_back(View { number, from: now, members });
         // The view before the oldest kept one ended over a lifetime ago.
@@ -77,6 +89,66 @@
             self.views.pop_front();
         }
         self.drop_idle(now);
+        handovers
+    }
+
+    fn handovers(&mut self, now: Instant, next: &Members) -> Vec<Handover> {
+        let Some(view) = self.views.back() else { return Vec::new() };
+        let mut handovers = Vec::new();
+        for (key, leased) in self.keys.iter_mut() {
+            leased.holders.retain(|_, lease| lease.until > now);
+            if leased.holders.is_empty() {
+                continue;
+            }
+            let before = key.homes(&view.members);
+            let after = key.homes(next);
+            // Each replaced home has its own successor.
+            let replaced = before.iter().filter(|h| !after.contains(h));
+            let added = after.iter().filter(|h| !before.contains(h));
+            let to = replaced
+                .zip(added)
+                .find_map(|(old, new)| (*old == self.name).then_some(new));
+            let Some(to) = to else { continue };
+            let leases =
+                leased.holders.iter().map(|(holder, lease)| HandedLease {
+                    holder: holder.clone(),
+                    units_requests: lease.units_requests,
+                    remaining: lease.until - now,
+                });
+            handovers.push(Handover {
+                to: to.clone(),
+                key: key.clone(),
+                leases: leases.collect(),
+            });
+            leased.holders = SortedMap::new();
+            leased.handed_over = false;
+        }
+        handovers
+    }
+
+    /// Takes over the leases of a replaced home, before or after the new
+    /// list of members has arrived here.
+    pub fn accept(&mut self, now: Instant, handover: &Handover) {
+        let leased =
+            self.keys.entry_or_insert_with(handover.key.clone(), || Leased {
+                position: None,
+                view_number: u64::MAX,
+                handed_over: true,
+                fresh_until: None,
+                holders: SortedMap::new(),
+            });
+        leased.handed_over = true;
+        leased.fresh_until = None;
+        for lease in &handover.leases {
+            // A lease that the holder has renewed here already is newer.
+            let known = leased.holders.contains_key(&lease.holder);
+            if !known {
+                let until = now + lease.remaining.min(LEASE_LIFETIME);
+                let units_requests = lease.units_requests;
+                let entry = Lease { units_requests, until };
+                leased.holders.insert(lease.holder.clone(), entry);
+            }
+        }
     }
 
     fn drop_idle(&mut self, now: Instant) {
@@ -104,6 +176,7 @@
             self.keys.entry_or_insert_with(request.key.clone(), || Leased {
                 position: None,
                 view_number: u64::MAX,
+                handed_over: false,
                 fresh_until: None,
                 holders: SortedMap::new(),
             });
@@ -142,7 +215,7 @@
             let was_home = self.position.is_some();
             self.position = at.map(|at| Position { at, homes: homes.len() });
             let first = view.number == views[0].number;
-            if at.is_some() && !was_home && !first {
+            if at.is_some() && !was_home && !first && !self.handed_over {
                 self.fresh_until = Some(view.from + LEASE_LIFETIME);
             }
         }
--- a/crates/briarladder-core/src/limits/mod.rs
+++ b/crates/briarladder-core/src/limits/mod.rs
@@ -143,6 +143,29 @@
     Unreachable,
 }
 
+/// The leases of one limit, sent by a home that a change of members has
+/// replaced to the home that replaces it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Handover {
+    /// The new home.
+    pub to: VmName,
+    /// The limit.
+    pub key: LimitKey,
+    /// The live leases.
+    pub leases: Vec<HandedLease>,
+}
+
+/// One lease in a [`Handover`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HandedLease {
+    /// The daemon that holds it.
+    pub holder: VmName,
+    /// The units it holds.
+    pub units_requests: u32,
+    /// How long they still count.
+    pub remaining: Duration,
+}
+
 /// Whether a request may be opened.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Opening {
--- a/crates/briarladder-core/src/limits/tests.rs
+++ b/crates/briarladder-core/src/limits/tests.rs
@@ -58,9 +58,18 @@
         let name = vm(count - 1);
         let holder = Holder::new(name.clone(), Arc::clone(&self.members));
         self.daemons.push((holder, Home::new(self.now, name, before)));
+        let mut handovers = Vec::new();
         for (holder, home) in &mut self.daemons {
             holder.set_members(self.now, Arc::clone(&self.members));
-            home.set_members(self.now, Arc::clone(&self.members));
+            let members = Arc::clone(&self.members);
+            handovers.extend(home.set_members(self.now, members));
+        }
+        if self.fault == Fault::None {
+            for handover in handovers {
+                let to = self.members.iter().position(|m| *m == handover.to);
+                let home = &mut self.daemons[to.unwrap()].1;
+                home.accept(self.now, &handover);
+            }
         }
     }
 
@@ -168,6 +177,13 @@
 /// the units in use, so each home but one may be over by one.
 #[test]
 fn set_members_keeps_limit() {
+    for fault in [Fault::None, Fault::RequestLost] {
+        joins_keep_limit(fault);
+    }
+}
+
+/// `fault` applies to the messages of the change itself.
+fn joins_keep_limit(fault: Fault) {
     let bound = 20 + u32::try_from(HOMES).unwrap() - 1;
     let mut fleet = Fleet::new(4);
     for _ in 0..12 {
@@ -175,7 +191,9 @@
             while fleet.open(at, 20) {}
         }
         assert!(fleet.open_requests() <= bound);
+        fleet.fault = fault;
         fleet.join();
+        fleet.fault = Fault::None;
         for at in 0..fleet.daemons.len() {
             while fleet.open(at, 20) {}
         }
@@ -194,6 +212,24 @@
     assert_eq!(fleet.open_requests(), 20);
 }
 
+/// Guards against free units that can't be leased for a lease lifetime after
+/// each join, which refused a third of the requests in a fast scale-up.
+#[test]
+fn set_members_hands_over() {
+    let mut fleet = Fleet::new(4);
+    for round in 0..12 {
+        let opened = (0..20).filter(|i| fleet.open(i % 4, 20)).count();
+        assert!(opened >= 18, "round {round}: {opened}");
+        fleet.join();
+        for at in 0..4 {
+            while fleet.daemons[at].0.in_use_requests(&key()) > 0 {
+                fleet.daemons[at].0.close(&key());
+            }
+        }
+        fleet.advance(RENEWAL_INTERVAL);
+    }
+}
+
 /// Guards against a fault that makes a limit useless: each fault for opening
 /// and for renewal. Afterwards the whole limit is available, not more.
 #[test]
