Hold workspaces and callers to their limits over the fleet

Cause: limits of open requests were checked nowhere; a limit that each daemon applies alone is admitted as many times as there are daemons. Change: a request opens under units leased from the home daemons of its workspace and caller; leases are renewed, given back and handed over when the members change.

--- a/crates/briarladder-cli/tests/poison.rs
+++ b/crates/briarladder-cli/tests/poison.rs
@@ -74,6 +74,8 @@
         .count();
     assert!(crashes <= 2, "{crashes} crashes");
     let innocent = send(&fleet, 2, "a-harmless-sheet").await;
-    assert!(innocent.status().is_success(), "{innocent:?}");
+    let status = innocent.status();
+    let answer = innocent.text().await.unwrap();
+    assert!(status.is_success(), "{status}: {answer}");
     fleet.stop().await;
 }
--- a/crates/briarladder-core/src/limits/mod.rs
+++ b/crates/briarladder-core/src/limits/mod.rs
@@ -36,6 +36,7 @@
 use std::{sync::Arc, time::Duration};
 
 use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     names::{CallerName, VmName, WorkspaceName},
@@ -66,7 +67,9 @@
 pub const REFUSAL_MEMORY: Duration = Duration::from_millis(50);
 
 /// What a limit applies to.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
 pub struct LimitKey {
     workspace: WorkspaceName,
     caller: Option<CallerName>,
@@ -112,7 +115,7 @@
 
 /// A holder's request to a home. It states totals, so that a repeated
 /// request changes nothing.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaseRequest {
     /// The home that is asked.
     pub home: VmName,
@@ -130,7 +133,8 @@
 }
 
 /// A home's answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum LeaseAnswer {
     /// The holder now holds this total for [`LEASE_LIFETIME`].
     Granted {
@@ -145,7 +149,7 @@
 
 /// The leases of one limit, sent by a home that a change of members has
 /// replaced to the home that replaces it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Handover {
     /// The new home.
     pub to: VmName,
@@ -156,7 +160,7 @@
 }
 
 /// One lease in a [`Handover`].
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HandedLease {
     /// The daemon that holds it.
     pub holder: VmName,
--- a/crates/briarladder-daemon/src/controllers/mod.rs
+++ b/crates/briarladder-daemon/src/controllers/mod.rs
@@ -5,6 +5,7 @@
 //! | `config` | the configuration in force |
 //! | `membership` | which daemons are live |
 //! | `load` | the load of backend servers, and the slots of each pool |
+//! | `leases` | the leases of limits |
 //! | `notices` | requests that crash backend servers |
 
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use crate::daemon::Daemon;
 
 pub mod config;
+pub mod leases;
 pub mod load;
 pub mod membership;
 pub mod notices;
@@ -29,6 +31,7 @@
     tasks.spawn(config::follow_peers(Arc::clone(daemon)));
     tasks.spawn(membership::probe(Arc::clone(daemon)));
     tasks.spawn(membership::read_list(Arc::clone(daemon)));
+    tasks.spawn(leases::renew(Arc::clone(daemon)));
     tasks.spawn(load::poll(Arc::clone(daemon)));
     tasks
 }
--- a/crates/briarladder-daemon/src/daemon.rs
+++ b/crates/briarladder-daemon/src/daemon.rs
@@ -35,7 +35,7 @@
     events::Events,
     metrics::Metrics,
     peers::PeerClient,
-    pipeline::{Calls, Slots, ticketed},
+    pipeline::{Calls, Slots, limits::Limits, ticketed},
     refusal::{Refusal, RefusalKind},
     settings::Settings,
 };
@@ -63,6 +63,8 @@
     pub retries: Mutex<Budget>,
     /// The requests that may crash backend servers.
     pub suspects: Mutex<Suspects>,
+    /// The limits of open requests.
+    pub limits: Limits,
     /// The calls that may not repeat.
     pub calls: Calls,
     /// The client to backend servers.
@@ -114,6 +116,7 @@
             estimates: Mutex::new(Estimates::new()),
             retries: Mutex::new(Budget::new(clock.now())),
             suspects: Mutex::new(Suspects::new()),
+            limits: Limits::new(Arc::clone(&clock), &settings.vm),
             calls: Calls::new(incarnation),
             backend: BackendClient::new(settings.max_output_bytes)?,
             peers: PeerClient::new(&settings.peer_key)?,
--- a/crates/briarladder-daemon/src/peers/client.rs
+++ b/crates/briarladder-daemon/src/peers/client.rs
@@ -4,6 +4,7 @@
 
 use briarladder_core::{
     config::{Digest, ManifestReply},
+    limits::{Handover, LeaseAnswer, LeaseRequest},
     sorted::SortedMap,
     ticket::TicketId,
 };
@@ -129,6 +130,32 @@
         self.clients(address)?.control.config_notify(notice).await
     }
 
+    /// Asks a home for units of a limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn limits_lease(
+        &self,
+        address: SocketAddr,
+        request: LeaseRequest,
+    ) -> Result<LeaseAnswer, Error> {
+        self.clients(address)?.control.limits_lease(request).await
+    }
+
+    /// Hands the leases of a limit over to its new home.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn limits_hand_over(
+        &self,
+        address: SocketAddr,
+        handover: Handover,
+    ) -> Result<(), Error> {
+        self.clients(address)?.control.limits_hand_over(handover).await
+    }
+
     /// Tells a peer of a request that may crash backend servers.
     ///
     /// # Errors
--- a/crates/briarladder-daemon/src/peers/mod.rs
+++ b/crates/briarladder-daemon/src/peers/mod.rs
@@ -8,6 +8,7 @@
 
 use briarladder_core::{
     config::{Digest, ManifestReply},
+    limits::{Handover, LeaseAnswer, LeaseRequest},
     ticket::TicketId,
 };
 use briarladder_wire::{
@@ -154,6 +155,18 @@
         Ok(())
     }
 
+    async fn limits_lease(
+        &self,
+        request: LeaseRequest,
+    ) -> RpcResult<LeaseAnswer> {
+        Ok(self.0.limits.lease(&request))
+    }
+
+    async fn limits_hand_over(&self, handover: Handover) -> RpcResult<()> {
+        self.0.limits.take_over(&handover);
+        Ok(())
+    }
+
     async fn poison_notify(&self, message: PoisonNotice) -> RpcResult<()> {
         notices::receive(&self.0, &message);
         Ok(())
--- /dev/null
+++ b/crates/briarladder-daemon/src/pipeline/limits.rs
@@ -0,0 +1,186 @@
+//! Limits of open requests over the fleet.
+//!
+//! The decisions are in `briarladder_core::limits`: this daemon opens
+//! requests under units that it leases from the home daemons of each limit,
+//! and is itself a home of some.
+
+use std::{sync::Arc, time::Duration};
+
+use briarladder_core::{
+    clock::SharedClock,
+    limits::{
+        Handover, Holder, Home, LeaseAnswer, LeaseRequest, LimitKey,
+        LimitReached, Members, Opening,
+    },
+    names::VmName,
+};
+use parking_lot::Mutex;
+
+use super::Request;
+use crate::{
+    daemon::Daemon,
+    refusal::{Refusal, RefusalKind},
+};
+
+/// The longest wait for a home's answer. Regions are 20 ms apart, so a home
+/// that takes longer is slow or gone, and another one is asked.
+const LEASE_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// The most homes that are asked for one request. Each limit has three, and
+/// a change of the members may bring in others.
+const MAX_ASKS: usize = 8;
+
+/// The leases of this daemon, as holder and as home.
+#[derive(Debug)]
+pub struct Limits {
+    clock: SharedClock,
+    holder: Mutex<Holder>,
+    home: Mutex<Home>,
+    members: Mutex<Members>,
+}
+
+impl Limits {
+    /// Creates the limits of a starting daemon.
+    #[must_use]
+    pub fn new(clock: SharedClock, vm: &VmName) -> Limits {
+        let now = clock.now();
+        let nobody: Members = Arc::from([]);
+        Limits {
+            clock,
+            holder: Mutex::new(Holder::new(vm.clone(), Arc::clone(&nobody))),
+            // It waits for the leases of the homes before it.
+            home: Mutex::new(Home::new(now, vm.clone(), Arc::clone(&nobody))),
+            members: Mutex::new(nobody),
+        }
+    }
+
+    /// Puts a list of live daemons in force, if it differs, and returns the
+    /// leases to hand over to new homes.
+    #[must_use]
+    pub fn set_members(&self, live: Members) -> Vec<Handover> {
+        {
+            let mut members = self.members.lock();
+            if *members == live {
+                return Vec::new();
+            }
+            *members = Arc::clone(&live);
+        }
+        let now = self.clock.now();
+        self.holder.lock().set_members(now, Arc::clone(&live));
+        self.home.lock().set_members(now, live)
+    }
+
+    /// Takes over the leases of a home that this daemon replaces.
+    pub fn take_over(&self, handover: &Handover) {
+        self.home.lock().accept(self.clock.now(), handover);
+    }
+
+    /// Answers a holder.
+    #[must_use]
+    pub fn lease(&self, request: &LeaseRequest) -> LeaseAnswer {
+        self.home.lock().lease(self.clock.now(), request)
+    }
+
+    /// Returns the requests that renew this daemon's leases.
+    #[must_use]
+    pub fn renewals(&self) -> Vec<LeaseRequest> {
+        self.holder.lock().renewals(self.clock.now())
+    }
+
+    fn open(&self, key: &LimitKey, limit_requests: u32) -> Opening {
+        self.holder.lock().open(self.clock.now(), key, limit_requests)
+    }
+}
+
+/// An open request, counted against its limits until it is dropped.
+#[derive(Debug)]
+pub(super) struct Opened<'a> {
+    daemon: &'a Arc<Daemon>,
+    keys: Vec<LimitKey>,
+}
+
+impl Drop for Opened<'_> {
+    fn drop(&mut self) {
+        let now = self.daemon.clock.now();
+        let mut holder = self.daemon.limits.holder.lock();
+        for key in &self.keys {
+            let Some(unit) = holder.close(now, key) else { continue };
+            let daemon = Arc::clone(self.daemon);
+            // Without a runtime the process is ending, and its leases with
+            // it.
+            if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+                runtime.spawn(async move { exchange(&daemon, &unit).await });
+            }
+        }
+    }
+}
+
+/// Opens a request under the limits of its workspace and its caller.
+///
+/// # Errors
+///
+/// Returns a refusal when a limit is reached.
+pub(super) async fn open<'a>(
+    daemon: &'a Arc<Daemon>,
+    request: &Request,
+) -> Result<Opened<'a>, Refusal> {
+    let workspace = &request.workspace;
+    let name = &workspace.name;
+    let mut opened = Opened { daemon, keys: Vec::new() };
+    let limits = [
+        (LimitKey::of_workspace(name.clone()), workspace.max_open_requests),
+        (
+            LimitKey::of_caller(name.clone(), request.caller.clone()),
+            workspace.caller_max_open_requests,
+        ),
+    ];
+    for (key, limit_requests) in limits {
+        if let Err(reached) = open_one(daemon, &key, limit_requests).await {
+            let detail = format!("workspace {name}: {reached}");
+            return Err(Refusal::new(RefusalKind::LimitReached, detail)
+                .with_retry_after(reached.retry_after));
+        }
+        opened.keys.push(key);
+    }
+    Ok(opened)
+}
+
+async fn open_one(
+    daemon: &Daemon,
+    key: &LimitKey,
+    limit_requests: u32,
+) -> Result<(), LimitReached> {
+    for _ in 0..MAX_ASKS {
+        match daemon.limits.open(key, limit_requests) {
+            Opening::Opened => return Ok(()),
+            Opening::Refused(reached) => return Err(reached),
+            Opening::Ask(request) => exchange(daemon, &request).await,
+        }
+    }
+    Err(LimitReached { limit_requests, retry_after: LEASE_TIMEOUT })
+}
+
+/// Sends a request to its home, and takes the answer in.
+pub async fn exchange(daemon: &Daemon, request: &LeaseRequest) {
+    let answer = ask(daemon, request).await;
+    let now = daemon.clock.now();
+    daemon.limits.holder.lock().answer(now, request, answer);
+}
+
+async fn ask(daemon: &Daemon, request: &LeaseRequest) -> LeaseAnswer {
+    if request.home == daemon.settings.vm {
+        return daemon.limits.lease(request);
+    }
+    let address =
+        daemon.members.with(|m| m.get(&request.home).map(|m| m.address));
+    let Some(address) = address else { return LeaseAnswer::Unreachable };
+    let call = daemon.peers.limits_lease(address, request.clone());
+    match tokio::time::timeout(LEASE_TIMEOUT, call).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) => {
+            log::debug!("limits: {} gave no lease: {error}", request.home);
+            LeaseAnswer::Unreachable
+        }
+        Err(_) => LeaseAnswer::Unreachable,
+    }
+}
--- a/crates/briarladder-daemon/src/pipeline/mod.rs
+++ b/crates/briarladder-daemon/src/pipeline/mod.rs
@@ -5,6 +5,7 @@
 //! | check against the configuration | `request` |
 //! | wait for a slot of each stage's pool | `slots` |
 //! | pick a backend server, run and repeat attempts | `stage` |
+//! | count against the limits of workspace and caller | `limits` |
 //! | hold back requests that crash servers | `suspicion` |
 //! | run a call that may not repeat | `ticketed` |
 
@@ -21,6 +22,7 @@
     refusal::{Refusal, RefusalKind},
 };
 
+pub mod limits;
 mod request;
 mod slots;
 mod stage;
@@ -120,6 +122,7 @@
     repetition: Repetition,
 ) -> Result<Answer, Refusal> {
     daemon.retries.lock().request_started();
+    let _opened = limits::open(daemon, request).await?;
     let clearance = Clearance::obtain(daemon, request).await?;
     let last = request.pipeline.stages.len() - 1;
     let mut records = Vec::with_capacity(request.pipeline.stages.len());
--- a/crates/briarladder-wire/src/peers.rs
+++ b/crates/briarladder-wire/src/peers.rs
@@ -16,6 +16,7 @@
 
 use briarladder_core::{
     config::{Announcement, Digest, ManifestId, ManifestReply, Which},
+    limits::{Handover, LeaseAnswer, LeaseRequest},
     membership::Heartbeat,
     poison::Notice,
     ticket::TicketId,
@@ -140,6 +141,17 @@
     #[method(name = "config_notify")]
     async fn config_notify(&self, notice: ConfigNotice) -> RpcResult<()>;
 
+    /// Leases units of a limit of which this daemon is a home.
+    #[method(name = "limits_lease")]
+    async fn limits_lease(
+        &self,
+        request: LeaseRequest,
+    ) -> RpcResult<LeaseAnswer>;
+
+    /// Takes over the leases of a home that this daemon replaces.
+    #[method(name = "limits_hand_over")]
+    async fn limits_hand_over(&self, handover: Handover) -> RpcResult<()>;
+
     /// Takes notice of a request that may crash backend servers.
     #[method(name = "poison_notify")]
     async fn poison_notify(&self, message: PoisonNotice) -> RpcResult<()>;
