Move leases of a replaced home to its successor in the holder too

Cause: a unit leased from a home that a change of members had replaced could not be given back, and was lost until its lease expired.

Change: Holder::set_members pairs replaced homes with their successors, as the handover between homes does; closing returns the unit to the successor.

Conclusion: holder and home agree on where a unit is leased.

--- a/crates/briarladder-core/src/limits/holder.rs
+++ b/crates/briarladder-core/src/limits/holder.rs
@@ -48,6 +48,14 @@
         self.sources.iter().map(|source| source.live_requests(now)).sum()
     }
 
+    /// Returns the position of the home that covers what earlier homes did.
+    fn new_home(&self, now: Instant) -> usize {
+        let new_home = self.sources.iter().position(|source| {
+            source.current && source.live_requests(now) == 0
+        });
+        new_home.unwrap_or(0)
+    }
+
     fn is_used(&self, now: Instant) -> bool {
         self.in_use_requests > 0 || self.live_requests(now) > 0
     }
@@ -86,10 +94,7 @@
                 covered
             })
             .collect();
-        let new_home = self.sources.iter().position(|source| {
-            source.current && source.live_requests(now) == 0
-        });
-        if let Some(covered) = covered.get_mut(new_home.unwrap_or(0)) {
+        if let Some(covered) = covered.get_mut(self.new_home(now)) {
             *covered += left;
         }
         covered
@@ -118,6 +123,11 @@
         self.keys.retain(|_, held| held.is_used(now));
         for (key, held) in self.keys.iter_mut() {
             let mut before = std::mem::take(&mut held.sources);
+            let was_home: Vec<VmName> = before
+                .iter()
+                .filter(|source| source.current)
+                .map(|source| source.home.clone())
+                .collect();
             held.sources = sources(key, &self.members, now);
             for source in &mut held.sources {
                 let known = before.iter().position(|s| s.home == source.home);
@@ -125,6 +135,18 @@
                     *source = Source { current: true, ..before.remove(at) };
                 }
             }
+            // Each replaced home hands over to its own successor, in the
+            // order in which `Home::set_members` pairs them.
+            let added = held
+                .sources
+                .iter_mut()
+                .filter(|source| !was_home.contains(&source.home));
+            let replaced = before.iter_mut().filter(|s| s.current);
+            for (source, replaced) in added.zip(replaced) {
+                source.units_requests = replaced.units_requests;
+                source.until = replaced.until;
+                replaced.until = now;
+            }
             before.retain(|source| source.live_requests(now) > 0);
             let earlier = before.into_iter();
             held.sources
@@ -206,11 +228,13 @@
         answer: LeaseAnswer,
     ) {
         let Some(held) = self.keys.get_mut(&request.key) else { return };
-        let Some(source) =
-            held.sources.iter_mut().find(|s| s.home == request.home)
+        let new_home = held.new_home(now);
+        let Some(at) =
+            held.sources.iter().position(|s| s.home == request.home)
         else {
             return;
         };
+        let source = &mut held.sources[at];
         let until = now + REFUSAL_MEMORY;
         match answer {
             LeaseAnswer::Granted { units_requests } => {
@@ -221,7 +245,7 @@
                 if grows && units_requests <= before {
                     source.refused = Refused::NoUnits { until };
                 }
-                if request.in_use_requests > before {
+                if at == new_home {
                     // It covers what earlier homes did.
                     held.sources.retain(|source| source.current);
                 }
@@ -249,12 +273,15 @@
         if held.limit_requests as usize >= self.members.len() {
             return None;
         }
-        let (source, covered) =
-            held.sources.iter().zip(held.covered(now)).rfind(
-                |(source, covered)| {
-                    source.current && source.live_requests(now) > *covered
-                },
-            )?;
+        let covered = held.covered(now);
+        let spare = (0..covered.len()).rev().find(|at| {
+            let source = &held.sources[*at];
+            source.current && source.live_requests(now) > covered[*at]
+        });
+        // The unit of an earlier home has moved to the new one.
+        let moved = held.sources.iter().any(|source| !source.current);
+        let at = spare.or(moved.then(|| held.new_home(now)))?;
+        let (source, covered) = (held.sources.get(at)?, *covered.get(at)?);
         Some(held.to_request(&self.name, key, source, covered))
     }
 
--- a/crates/briarladder-core/src/limits/tests.rs
+++ b/crates/briarladder-core/src/limits/tests.rs
@@ -247,6 +247,22 @@
     assert!(!fleet.open(2, 6));
 }
 
+/// Guards against a unit that is not given back because its home has been
+/// replaced since it was leased.
+#[test]
+fn close_returns_unit_to_new_home() {
+    for last in 4..16 {
+        let mut fleet = Fleet::new(4);
+        while fleet.open(0, 3) {}
+        while fleet.members.len() < last {
+            fleet.join();
+        }
+        fleet.close(0);
+        fleet.now += REFUSAL_MEMORY;
+        assert!(fleet.open(1, 3), "{last} daemons");
+    }
+}
+
 /// Guards against a fault that makes a limit useless: each fault for opening
 /// and for renewal. Afterwards the whole limit is available, not more.
 #[test]
