Ask a broken backend server again whether it crashed

Cause: a server that is just crashing may still accept the connection of the check and cut it. Change: an improper answer is asked for again every 10 ms, up to the same 300 ms.

--- a/crates/briarladder-daemon/src/pipeline/suspicion.rs
+++ b/crates/briarladder-daemon/src/pipeline/suspicion.rs
@@ -29,6 +29,9 @@
 /// answers in milliseconds, and the request waits for it.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How often to ask a server that does not answer properly.
+const CONFIRM_RECHECK: Duration = Duration::from_millis(10);
+
 /// The permission of one request to run.
 pub(super) struct Clearance<'a> {
     daemon: &'a Arc<Daemon>,
@@ -77,18 +80,28 @@
         Ok(())
     }
 
-    /// Returns whether a server whose connection broke has crashed.
+    /// Returns whether a server whose connection broke has crashed: it
+    /// refuses connections or has another incarnation.
     async fn crashed(
         &self,
         server: &ResolvedServer,
         before: Option<Incarnation>,
     ) -> bool {
-        let load = self.daemon.backend.load(server.address);
-        match tokio::time::timeout(CONFIRM_TIMEOUT, load).await {
-            Ok(Ok(report)) => before.is_some_and(|i| i != report.incarnation),
-            Ok(Err(failure)) => failure == AttemptFailure::ConnectFailed,
-            Err(_) => false,
+        let give_up_at = self.daemon.clock.now() + CONFIRM_TIMEOUT;
+        while self.daemon.clock.now() < give_up_at {
+            let load = self.daemon.backend.load(server.address);
+            match tokio::time::timeout(CONFIRM_TIMEOUT, load).await {
+                Ok(Ok(report)) => {
+                    return before.is_some_and(|i| i != report.incarnation);
+                }
+                Ok(Err(AttemptFailure::ConnectFailed)) => return true,
+                // A server that is just crashing may still accept a
+                // connection, and cut it.
+                Ok(Err(_)) => tokio::time::sleep(CONFIRM_RECHECK).await,
+                Err(_) => return false,
+            }
         }
+        false
     }
 
     /// Takes the complete answer.
