Find the outcome of a ticket whose daemon is gone

Cause: the ledger is lost with its daemon, so every status query after a planned stop said "unknown", though the outcomes were known at the stop. Change: a stopping daemon leaves its final outcomes with two peers in rendezvous order of its incarnation. A status query that the issuer does not answer asks four peers, and then the plain services that may have run the call; these can show that it ran, and never that it did not. Conclusion: "unknown" is left for unused tickets of daemons that died, and for calls that no service recorded.

--- a/crates/briarladder-daemon/src/controllers/membership.rs
+++ b/crates/briarladder-daemon/src/controllers/membership.rs
@@ -142,6 +142,18 @@
     })
 }
 
+/// Returns the live peers of all zones, without this daemon.
+#[must_use]
+pub fn all_peers(daemon: &Daemon) -> Vec<Peer> {
+    daemon.members.with(|members| {
+        members
+            .iter()
+            .filter(|m| m.is_assignable() && m.name != daemon.settings.vm)
+            .map(|m| Peer { name: m.name.clone(), address: m.address })
+            .collect()
+    })
+}
+
 /// A live peer of another zone.
 #[derive(Clone, Debug)]
 pub struct FarPeer {
--- a/crates/briarladder-daemon/src/daemon.rs
+++ b/crates/briarladder-daemon/src/daemon.rs
@@ -18,7 +18,7 @@
     timeline::Process,
 };
 use briarladder_wire::{
-    callers::TicketStatus,
+    callers::{TicketState, TicketStatus},
     peers::{CallResult, ForwardedCall},
 };
 use parking_lot::Mutex;
@@ -35,7 +35,12 @@
     events::Events,
     metrics::Metrics,
     peers::PeerClient,
-    pipeline::{Calls, Slots, limits::Limits, ticketed},
+    pipeline::{
+        Calls, Slots,
+        limits::Limits,
+        outcomes::{self, Outcomes},
+        ticketed,
+    },
     refusal::{Refusal, RefusalKind},
     settings::Settings,
 };
@@ -67,6 +72,8 @@
     pub limits: Limits,
     /// The calls that may not repeat.
     pub calls: Calls,
+    /// The outcomes that stopped daemons left here.
+    pub outcomes: Outcomes,
     /// The client to backend servers.
     pub backend: BackendClient,
     /// The client to peers.
@@ -118,6 +125,7 @@
             suspects: Mutex::new(Suspects::new()),
             limits: Limits::new(Arc::clone(&clock), &settings.vm),
             calls: Calls::new(incarnation),
+            outcomes: Outcomes::default(),
             backend: BackendClient::new(settings.max_output_bytes)?,
             peers: PeerClient::new(&settings.peer_key)?,
             events: Events::new(
@@ -215,14 +223,19 @@
         if claims.id.incarnation == self.incarnation {
             return ticketed::call_status(self, claims.id);
         }
-        let status =
+        let asked =
             self.peers.call_status(claims.peer_address, claims.id).await;
-        status.unwrap_or_else(|error| {
+        let status = asked.unwrap_or_else(|error| {
             log::warn!("peers: status of {} failed: {error}", claims.id);
             ticketed::unknown_status(
                 "the daemon that issued the ticket can't be reached",
             )
-        })
+        });
+        if status.state != TicketState::Unknown {
+            return status;
+        }
+        let found = outcomes::search(self, claims.id, &claims.workspace);
+        found.await.unwrap_or(status)
     }
 
     /// Closes the ticket of a call that has not begun.
--- a/crates/briarladder-daemon/src/peers/client.rs
+++ b/crates/briarladder-daemon/src/peers/client.rs
@@ -11,8 +11,9 @@
 use briarladder_wire::{
     callers::TicketStatus,
     peers::{
-        CallResult, ChunkReply, ConfigNotice, ForwardedCall, ManifestQuery,
-        PEER_KEY_HEADER, PeersClient, PoisonNotice, Probe, ProbeThrough,
+        CallResult, ChunkReply, ConfigNotice, FinalOutcomes, ForwardedCall,
+        ManifestQuery, OutcomeReply, PEER_KEY_HEADER, PeersClient,
+        PoisonNotice, Probe, ProbeThrough,
     },
 };
 use http::{HeaderMap, HeaderValue};
@@ -169,6 +170,32 @@
         self.clients(address)?.control.poison_notify(message).await
     }
 
+    /// Leaves the final outcomes of this daemon with a peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn outcomes_accept(
+        &self,
+        address: SocketAddr,
+        outcomes: FinalOutcomes,
+    ) -> Result<(), Error> {
+        self.clients(address)?.control.outcomes_accept(outcomes).await
+    }
+
+    /// Asks a peer for the outcome of a ticket whose daemon stopped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no answer.
+    pub async fn outcomes_find(
+        &self,
+        address: SocketAddr,
+        ticket: TicketId,
+    ) -> Result<OutcomeReply, Error> {
+        self.clients(address)?.control.outcomes_find(ticket).await
+    }
+
     /// Runs a call at the daemon that issued its ticket.
     ///
     /// # Errors
--- a/crates/briarladder-daemon/src/peers/mod.rs
+++ b/crates/briarladder-daemon/src/peers/mod.rs
@@ -14,8 +14,9 @@
 use briarladder_wire::{
     callers::TicketStatus,
     peers::{
-        CallResult, ChunkReply, ConfigNotice, ForwardedCall, ManifestQuery,
-        PEER_KEY_HEADER, PeersServer, PoisonNotice, Probe, ProbeThrough,
+        CallResult, ChunkReply, ConfigNotice, FinalOutcomes, ForwardedCall,
+        ManifestQuery, OutcomeReply, PEER_KEY_HEADER, PeersServer,
+        PoisonNotice, Probe, ProbeThrough,
     },
 };
 use http::{Request, Response, StatusCode};
@@ -172,6 +173,18 @@
         Ok(())
     }
 
+    async fn outcomes_accept(&self, outcomes: FinalOutcomes) -> RpcResult<()> {
+        self.0.outcomes.accept(outcomes);
+        Ok(())
+    }
+
+    async fn outcomes_find(
+        &self,
+        ticket: TicketId,
+    ) -> RpcResult<OutcomeReply> {
+        Ok(OutcomeReply { status: self.0.outcomes.find(ticket) })
+    }
+
     async fn call_forward(
         &self,
         call: ForwardedCall,
--- a/crates/briarladder-daemon/src/pipeline/mod.rs
+++ b/crates/briarladder-daemon/src/pipeline/mod.rs
@@ -7,6 +7,7 @@
 //! | pick a backend server, run and repeat attempts | `stage` |
 //! | count against the limits of workspace and caller | `limits` |
 //! | hold back requests that crash servers | `suspicion` |
+//! | find the outcome of a call whose daemon is gone | `outcomes` |
 //! | run a call that may not repeat | `ticketed` |
 
 use std::{sync::Arc, time::Duration};
@@ -23,6 +24,7 @@
 };
 
 pub mod limits;
+pub mod outcomes;
 mod request;
 mod slots;
 mod stage;
--- a/crates/briarladder-daemon/src/pipeline/ticketed.rs
+++ b/crates/briarladder-daemon/src/pipeline/ticketed.rs
@@ -12,7 +12,8 @@
 use briarladder_core::{
     ids::Incarnation,
     ledger::{
-        Begin, Finished, Ledger, LedgerFull, LedgerLimits, NotRunProof, Status,
+        Begin, FinalOutcome, Finished, Ledger, LedgerFull, LedgerLimits,
+        NotRunProof, Status,
     },
     objects::Fleet,
     sorted::SortedMap,
@@ -20,7 +21,7 @@
 };
 use briarladder_wire::{
     callers::{Answer, Outcome, TicketState, TicketStatus},
-    peers::{CallResult, ForwardedCall},
+    peers::{CallResult, ForwardedCall, TicketOutcome},
 };
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -137,6 +138,17 @@
         self.with(|inner| inner.ledger.open_len(now))
     }
 
+    /// Returns the final outcome of every ticket.
+    #[must_use]
+    pub fn final_outcomes(&self) -> Vec<TicketOutcome> {
+        let outcomes = self.with(|inner| inner.ledger.final_outcomes());
+        let to_wire = |outcome: FinalOutcome<Arc<Answer>>| TicketOutcome {
+            sequence: outcome.sequence,
+            status: to_status(Status::Finished(outcome.finished)),
+        };
+        outcomes.into_iter().map(to_wire).collect()
+    }
+
     /// Closes every unused ticket.
     pub fn close_unused(&self) {
         let detail = Arc::from("the daemon stopped before the call began");
@@ -210,6 +222,7 @@
         state: TicketState::Unknown,
         detail: Some(Arc::from(detail)),
         answer: None,
+        output: None,
     }
 }
 
@@ -366,13 +379,21 @@
 }
 
 fn to_status(status: Status<Arc<Answer>>) -> TicketStatus {
-    let of = |state, detail| TicketStatus { state, detail, answer: None };
+    let of = |state, detail| TicketStatus {
+        state,
+        detail,
+        answer: None,
+        output: None,
+    };
     match status {
         Status::Unused => of(TicketState::Unused, None),
         Status::Running => of(TicketState::Running, None),
-        Status::Finished(Finished::Answered(answer)) => {
-            TicketStatus { state: TicketState::Answered, detail: None, answer }
-        }
+        Status::Finished(Finished::Answered(answer)) => TicketStatus {
+            state: TicketState::Answered,
+            detail: None,
+            answer,
+            output: None,
+        },
         Status::Finished(Finished::NotRun(detail)) => {
             of(TicketState::NotRun, Some(detail))
         }
--- a/crates/briarladder-daemon/src/process.rs
+++ b/crates/briarladder-daemon/src/process.rs
@@ -44,6 +44,7 @@
     daemon::Daemon,
     http::CallersServer,
     peers,
+    pipeline::outcomes,
     settings::{LogFormat, Settings},
 };
 
@@ -202,6 +203,7 @@
         while daemon.open_requests_len() > 0 {
             tokio::time::sleep(DRAIN_RECHECK).await;
         }
+        outcomes::hand_over(daemon).await;
         let open_requests =
             u32::try_from(daemon.open_requests_len()).unwrap_or(u32::MAX);
         let ended = EventKind::StopEnded { open_requests };
@@ -214,6 +216,16 @@
         log::info!("process: the planned stop ended");
     }
 
+    /// Ends at once, as far as that is possible inside one process: both
+    /// listeners close and the views are kept no longer. Requests that are
+    /// running go on. For tests and benchmarks.
+    pub fn kill(self) {
+        self.callers_task.abort();
+        self.callers.stop_forceful();
+        // The listener may have stopped by itself before.
+        let _ = self.peers.stop();
+    }
+
     /// Honours issued tickets for the drain time, then closes the unused
     /// ones and waits for the calls that run.
     async fn drain_tickets(&self) {
--- a/crates/briarladder-wire/src/callers.rs
+++ b/crates/briarladder-wire/src/callers.rs
@@ -125,6 +125,10 @@
     /// The answer, unless it had to make room for later ones.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub answer: Option<Arc<Answer>>,
+    /// The output of the last stage as its plain service recorded it, if
+    /// the answer itself is lost.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub output: Option<Arc<RawValue>>,
 }
 
 /// The state of the call of a ticket.
--- a/crates/briarladder-wire/src/peers.rs
+++ b/crates/briarladder-wire/src/peers.rs
@@ -16,6 +16,7 @@
 
 use briarladder_core::{
     config::{Announcement, Digest, ManifestId, ManifestReply, Which},
+    ids::Incarnation,
     limits::{Handover, LeaseAnswer, LeaseRequest},
     membership::Heartbeat,
     poison::Notice,
@@ -115,6 +116,32 @@
     Zone,
 }
 
+/// The final outcomes of the tickets of a daemon that stops.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct FinalOutcomes {
+    /// The daemon.
+    pub incarnation: Incarnation,
+    /// The outcomes, of which there may be more in other messages.
+    pub outcomes: Vec<TicketOutcome>,
+}
+
+/// The final outcome of one ticket.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct TicketOutcome {
+    /// The ticket's number.
+    pub sequence: u64,
+    /// What became of its call.
+    pub status: TicketStatus,
+}
+
+/// The outcome of a ticket of another daemon, if the peer holds it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OutcomeReply {
+    /// What became of its call.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub status: Option<TicketStatus>,
+}
+
 /// The calls that a daemon answers to peers and operators.
 #[rpc(client, server)]
 pub trait Peers {
@@ -156,6 +183,15 @@
     #[method(name = "poison_notify")]
     async fn poison_notify(&self, message: PoisonNotice) -> RpcResult<()>;
 
+    /// Takes the final outcomes of a daemon that stops.
+    #[method(name = "outcomes_accept")]
+    async fn outcomes_accept(&self, outcomes: FinalOutcomes) -> RpcResult<()>;
+
+    /// Returns the outcome of a ticket whose daemon stopped.
+    #[method(name = "outcomes_find")]
+    async fn outcomes_find(&self, ticket: TicketId)
+    -> RpcResult<OutcomeReply>;
+
     /// Runs a call whose ticket this daemon issued.
     #[method(name = "call_forward")]
     async fn call_forward(&self, call: ForwardedCall)
