Ask backend servers for the floor before an epoch is in force

Cause: a fresh daemon that knew no peers trusted the platform as soon as it had read the list of VMs. Load reports, which carry the highest epoch that a backend server has seen, are only read once a set is in force. When the platform was stale and the other daemons were gone, the daemon put an epoch below the floor in force and served it.

Change: when a set waits for the floor, a few backend servers of each of its pools are asked for their load reports first. The wait of 3 s still bounds the whole.

Before: readyz answered 200 under epoch 2 although backend servers had run epoch 3 (fresh_daemon_below_the_floor_is_not_ready failed). After: 503 with the floor for the 4 s that the test looks, and 200 once the platform serves epoch 3.

Conclusion: a daemon without peers no longer falls below the floor, as long as one asked backend server remembers it.

--- a/crates/briarladder-daemon/src/controllers/config.rs
+++ b/crates/briarladder-daemon/src/controllers/config.rs
@@ -4,7 +4,14 @@
 //! watch the platform, the others hear from peers, and whoever stays behind
 //! reads the platform itself.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use briarladder_core::{
     config::{
@@ -18,6 +25,7 @@
     timeline::{EventKind, Subject},
 };
 use briarladder_wire::peers::{ConfigNotice, ManifestQuery};
+use futures_util::future::join_all;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -29,6 +37,11 @@
 /// daemon that is cut off from all of them must still start.
 const FLOOR_WAIT: Duration = Duration::from_secs(3);
 
+/// The backend servers of each pool that a fresh daemon asks for the epoch
+/// they have seen. One that ran a request of the newest epoch is enough; four
+/// allow for some that are down.
+const ASKED_SERVERS_PER_POOL: usize = 4;
+
 /// The time between two looks at whether something is missing.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -41,6 +54,8 @@
     store: Mutex<EpochStore>,
     /// Woken when a peer may have something newer.
     news: Notify,
+    /// Whether backend servers told which epochs they have seen.
+    asked_servers: AtomicBool,
 }
 
 impl ConfigState {
@@ -123,7 +138,7 @@
         let _ = tokio::time::timeout(FOLLOW_INTERVAL, news).await;
         let now = daemon.clock.now();
         if !confirmed
-            && (super::membership::asked_peers(&daemon)
+            && (asked_all(&daemon)
                 || now.saturating_duration_since(started_at) >= FLOOR_WAIT)
         {
             confirmed = true;
@@ -145,6 +160,30 @@
     }
 }
 
+/// Returns whether peers and backend servers told their epochs.
+fn asked_all(daemon: &Daemon) -> bool {
+    daemon.config.asked_servers.load(Ordering::Acquire)
+        && super::membership::asked_peers(daemon)
+}
+
+/// Asks backend servers of a set that is not in force yet which epochs they
+/// have seen. A daemon without peers has no other source for the floor when
+/// the platform is stale.
+async fn ask_servers(daemon: Arc<Daemon>, snapshot: Arc<Snapshot>) {
+    let zone = &daemon.settings.zone;
+    let servers = snapshot.pools.values().flat_map(|pool| {
+        let near = pool.servers.iter().filter(|s| s.zone == *zone);
+        let far = pool.servers.iter().filter(|s| s.zone != *zone);
+        near.chain(far).take(ASKED_SERVERS_PER_POOL)
+    });
+    let reports = servers.map(|server| daemon.backend.load(server.address));
+    for report in join_all(reports).await.into_iter().flatten() {
+        hear_floor(&daemon, report.epoch_seen);
+    }
+    daemon.config.asked_servers.store(true, Ordering::Release);
+    daemon.config.news.notify_one();
+}
+
 /// Where a manifest came from, and where its chunks are.
 #[derive(Clone, Copy, Debug)]
 enum Source {
@@ -228,6 +267,7 @@
         Outcome::Held(snapshot) => {
             let epoch = snapshot.epoch;
             log::info!("config: epoch {epoch} waits for the floor");
+            tokio::spawn(ask_servers(Arc::clone(daemon), snapshot));
         }
         Outcome::Adopted(snapshot) => {
             let epoch = snapshot.epoch;
