Answer 408 to a body that comes too slowly

Cause: the listener's own time-out for a body equalled the time-out of the request's handler. The listener's error reached the handler first, which told the caller that the request was invalid (400) instead of too slow.

Change: the listener waits one second longer than the handler.

Before: 400 invalid-request for a body that stops half-way. After: 408 too-slow (too_large_and_too_slow_are_refused).

Conclusion: callers get the cause that they can act on.

--- a/crates/briarladder-daemon/src/http/mod.rs
+++ b/crates/briarladder-daemon/src/http/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! docs/callers.md describes the interface for callers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use salvo::{
     Router, Server, conn::tcp::TcpAcceptor, fuse::FuseConfig,
@@ -23,6 +23,11 @@
 mod requests;
 mod tickets;
 
+/// How much longer the listener waits for a body than the request's handler.
+/// With equal times, the listener's error reached the handler first, and a
+/// slow caller was told 400 instead of 408.
+const BODY_FUSE_MARGIN: Duration = Duration::from_secs(1);
+
 /// The callers' server, bound and not yet serving.
 pub struct CallersServer {
     server: Server<TcpAcceptor>,
@@ -50,7 +55,7 @@
         let timeout = daemon.settings.receive_timeout();
         let fuse = FuseConfig::default()
             .with_http1_header_timeout(timeout)
-            .with_request_body_timeout(timeout);
+            .with_request_body_timeout(timeout + BODY_FUSE_MARGIN);
         let mut server = Server::new(acceptor)
             .fuse_config(fuse)
             .max_connections(daemon.settings.max_connections);
