Refuse tickets as not ready while there are no keys

Cause: a daemon without a configuration has no ticket keys, so that it answered 401 for every ticket. A caller must take that for a forged ticket.

Change: without a configuration the answer is 503 not-ready with outcome unknown, for calls, status queries and closes.

After: 503 not-ready.

Conclusion: the caller asks another daemon, which knows the ticket.

--- a/crates/briarladder-daemon/src/http/tickets.rs
+++ b/crates/briarladder-daemon/src/http/tickets.rs
@@ -74,6 +74,11 @@
     ticket: &str,
     workspace: &WorkspaceName,
 ) -> Result<Claims, Refusal> {
+    // Without a configuration there are no keys, which says nothing about
+    // the ticket.
+    daemon
+        .snapshot()
+        .map_err(|refusal| refusal.with_outcome(Outcome::Unknown))?;
     let configuration = daemon.blackboard.configuration();
     let claims = configuration.keys.authenticate(ticket).map_err(|error| {
         let outcome = match error {
