End a forwarded call by its deadline

Cause: the daemon that forwards a ticketed call waited up to 10 s for the daemon that issued the ticket, whatever the deadline of the call.

Change: the wait ends at the caller's deadline with 504 deadline-exceeded and outcome unknown.

After: refused between 0.5 s and 2 s.

Conclusion: a partition no longer holds callers past their deadline.

--- a/crates/briarladder-cli/tests/whole_path.rs
+++ b/crates/briarladder-cli/tests/whole_path.rs
@@ -4,16 +4,20 @@
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use briarladder_core::{load::ServerState, objects::Object};
-use briarladder_standins::fault::{Fault, Pattern, Rule};
+use briarladder_standins::{
+    fault::{Fault, Pattern, Rule},
+    platform::PlatformFault,
+};
 use briarladder_wire::callers::{Outcome, TicketState};
 use support::{
     caller::{Call, Caller},
     fleet::{RECHECK, TestFleet, TestFleetSettings},
     history::CallKind,
     invariants::assert_invariants,
+    proxy::Link,
 };
 
 async fn start() -> TestFleet {
@@ -196,6 +200,47 @@
     assert_invariants(&fleet, vec![before, again, late]);
 }
 
+/// Guards against a caller that waits past its deadline because the daemon
+/// that issued its ticket does not answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_call_ends_by_its_deadline() {
+    let fleet = start().await;
+    let caller = Caller::new();
+    let (a, b) = (fleet.place(0), fleet.place(1));
+    let ticket = caller.ticket(&a).await.unwrap();
+    let call = Call {
+        deadline_ms: Some(500),
+        ..Call::new(CallKind::Ticketed, "held").with_ticket(ticket)
+    };
+    fleet.daemons()[0].set_peer_link(Link::Held);
+    let began = Instant::now();
+    let record = caller.send(&b, &call).await;
+    let elapsed = began.elapsed();
+    record.assert_refused("deadline-exceeded", Outcome::Unknown);
+    assert!(elapsed >= Duration::from_millis(500), "{elapsed:?}");
+    assert!(elapsed < Duration::from_secs(2), "{elapsed:?}");
+    fleet.daemons()[0].set_peer_link(Link::Open);
+    assert_invariants(&fleet, vec![record]);
+}
+
+/// Guards against a daemon without a configuration, and so without keys,
+/// that calls a good ticket forged.
+#[tokio::test(flavor = "multi_thread")]
+async fn unready_daemon_says_nothing_of_a_ticket() {
+    let mut fleet = start().await;
+    let caller = Caller::new();
+    let ticket = caller.ticket(&fleet.place(0)).await.unwrap();
+    let refuses = PlatformFault::Refuses;
+    fleet.platform().set_fault(refuses).await.unwrap();
+    let vm = fleet.start_daemon("east-a").await.unwrap();
+    let fresh = fleet.place(2);
+    assert_eq!(fresh.vm, vm);
+    let call = Call::new(CallKind::Ticketed, "early").with_ticket(ticket);
+    let record = caller.send(&fresh, &call).await;
+    record.assert_refused("not-ready", Outcome::Unknown);
+    assert_invariants(&fleet, vec![record]);
+}
+
 /// Guards against a request whose stages run under two epochs.
 #[tokio::test(flavor = "multi_thread")]
 async fn new_epoch_does_not_mix() {
--- a/crates/briarladder-daemon/src/daemon.rs
+++ b/crates/briarladder-daemon/src/daemon.rs
@@ -189,9 +189,19 @@
             return ticketed::run_call(self, call).await;
         }
         let request_id = call.head.request_id;
-        match self.peers.call_forward(issuer, call).await {
-            Ok(result) => result,
-            Err(error) => {
+        let longest_wait = ticketed::longest_wait(self, &call);
+        let forward = self.peers.call_forward(issuer, call);
+        match tokio::time::timeout(longest_wait, forward).await {
+            Ok(Ok(result)) => result,
+            Err(_) => {
+                let refusal = Refusal::new(
+                    RefusalKind::DeadlineExceeded,
+                    "the deadline passed before the daemon that issued the \
+                     ticket answered; ask for the status of the ticket",
+                );
+                CallResult::Refused(refusal.problem(Some(request_id)))
+            }
+            Ok(Err(error)) => {
                 log::warn!("peers: forward of {request_id} failed: {error}");
                 let refusal = Refusal::new(
                     RefusalKind::IssuerUnreachable,
--- a/crates/briarladder-daemon/src/pipeline/ticketed.rs
+++ b/crates/briarladder-daemon/src/pipeline/ticketed.rs
@@ -323,7 +323,9 @@
     })
 }
 
-fn longest_wait(daemon: &Daemon, call: &ForwardedCall) -> Duration {
+/// Returns how long the caller of a call waits for its outcome.
+#[must_use]
+pub fn longest_wait(daemon: &Daemon, call: &ForwardedCall) -> Duration {
     let asked = call.head.deadline_ms.map(Duration::from_millis);
     let longest = daemon.snapshot().ok().and_then(|snapshot| {
         let pipeline = snapshot.pipelines.get(&call.head.pipeline)?;
