Measure one daemon in a process of its own

`briarladder bench daemon` starts briarladderd with one thread before stand-ins that answer at once, and reads its CPU time and memory from /proc, so that figures stay comparable on a busy machine.

--- /dev/null
+++ b/crates/briarladder-cli/src/bench/daemon.rs
@@ -0,0 +1,278 @@
+//! `briarladder bench daemon`: the speed of one daemon on one core.
+//!
+//! The daemon is the real binary in a process of its own; the stand-ins and
+//! the load generator run in the process of the benchmark. CPU time and
+//! memory are those of the daemon's process, so they stay comparable on a
+//! busy machine.
+
+use std::{
+    path::PathBuf,
+    process::ExitCode,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+mod deployment;
+mod load;
+mod usage;
+
+use self::{
+    deployment::{Deployment, Pace},
+    load::{Caller, Kind},
+};
+
+/// The threads of the load generator and the stand-ins.
+const GENERATOR_THREADS: usize = 6;
+
+/// A tenth of the target of 2,000 requests a second.
+const OPEN_REQUESTS_PER_S: u32 = 200;
+
+/// A tenth of the target of 100,000 tokens a second.
+const OPEN_TOKENS_PER_S: u32 = 10_000;
+
+/// Measures one daemon with one thread: CPU time, throughput, added latency
+/// and memory.
+#[derive(Clone, Debug, clap::Args)]
+#[command(after_help = "Examples:\n  \
+    briarladder bench daemon\n  \
+    briarladder bench daemon --seconds 3 --json")]
+pub struct Args {
+    /// The four-stage requests that are open at once in the closed loop.
+    #[arg(
+        long,
+        default_value_t = 32,
+        value_parser = clap::value_parser!(u16).range(1..=512)
+    )]
+    requests: u16,
+    /// The streams that are open at once in the closed loop.
+    #[arg(
+        long,
+        default_value_t = 400,
+        value_parser = clap::value_parser!(u16).range(1..=2000)
+    )]
+    streams: u16,
+    /// The length of each part, in seconds.
+    #[arg(
+        long,
+        default_value_t = 5,
+        value_parser = clap::value_parser!(u64).range(1..=60)
+    )]
+    seconds: u64,
+    /// Print the figures as JSON.
+    #[arg(long)]
+    json: bool,
+    /// The daemon's binary. Left out, the one beside this command.
+    #[arg(long)]
+    daemon: Option<PathBuf>,
+}
+
+/// The cost of one kind of load in the closed loop.
+#[derive(Clone, Debug, Serialize)]
+struct Cost {
+    /// Requests, or tokens of streams.
+    units_per_s: f64,
+    /// CPU time of the daemon for each request or token.
+    cpu_us_per_unit: f64,
+    /// The part of it in the kernel, which moves the bytes.
+    kernel_us_per_unit: f64,
+    /// The share of one core that the daemon used.
+    cpu_cores: f64,
+}
+
+/// The latency of one kind of load in the open loop.
+#[derive(Clone, Debug, Serialize)]
+#[expect(clippy::struct_field_names, reason = "field names end in their unit")]
+struct Latency {
+    /// The time at the caller.
+    caller_p50_us: u64,
+    caller_p99_us: u64,
+    /// The time of the same calls sent to the stand-ins directly.
+    direct_p50_us: u64,
+    direct_p99_us: u64,
+    /// The time at the caller less the median of the direct calls.
+    added_p50_us: u64,
+    added_p99_us: u64,
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+#[expect(clippy::struct_field_names, reason = "field names end in their unit")]
+struct Memory {
+    idle_kib: u64,
+    loaded_kib: u64,
+    peak_kib: u64,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Report {
+    requests: Cost,
+    /// Tokens that engines send as fast as they can, many in one read.
+    tokens_at_once: Cost,
+    /// Tokens that engines send one by one, each in its own read.
+    tokens_paced: Cost,
+    request_latency: Latency,
+    stream_latency: Latency,
+    memory: Memory,
+}
+
+/// Runs the benchmark.
+///
+/// # Errors
+///
+/// Returns an error when a part can't start or a request gets no answer.
+pub fn run(args: &Args) -> anyhow::Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(GENERATOR_THREADS)
+        .enable_all()
+        .build()?;
+    let report = runtime.block_on(measure(args))?;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print(&report);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn measure(args: &Args) -> anyhow::Result<Report> {
+    let binary = match &args.daemon {
+        Some(path) => path.clone(),
+        None => std::env::current_exe()?.with_file_name("briarladderd"),
+    };
+    let time = Duration::from_secs(args.seconds);
+    let (requests, streams) =
+        (usize::from(args.requests), usize::from(args.streams));
+
+    let deployment = Deployment::start(&binary, Pace::AtOnce).await?;
+    let idle = deployment.usage()?;
+    let caller = Caller::new(&deployment)?;
+    let request_latency =
+        open_loop(&caller, Kind::Request, OPEN_REQUESTS_PER_S, time).await?;
+    let streams_per_s = OPEN_TOKENS_PER_S / deployment::TOKENS;
+    let stream_latency =
+        open_loop(&caller, Kind::Stream, streams_per_s, time).await?;
+    let request_cost =
+        closed_loop(&deployment, &caller, Kind::Request, requests, time)
+            .await?;
+    // Streams at once need few to keep the daemon busy.
+    let at_once = streams.min(requests);
+    let tokens_at_once =
+        closed_loop(&deployment, &caller, Kind::Stream, at_once, time).await?;
+    let loaded = deployment.usage()?;
+    deployment.stop().await;
+
+    let deployment = Deployment::start(&binary, Pace::OneByOne).await?;
+    let caller = Caller::new(&deployment)?;
+    let tokens_paced =
+        closed_loop(&deployment, &caller, Kind::Stream, streams, time).await?;
+    let paced = deployment.usage()?;
+    deployment.stop().await;
+    Ok(Report {
+        requests: request_cost,
+        tokens_at_once,
+        tokens_paced,
+        request_latency,
+        stream_latency,
+        memory: Memory {
+            idle_kib: idle.resident_kib,
+            loaded_kib: loaded.resident_kib,
+            peak_kib: loaded.peak_kib.max(paced.peak_kib),
+        },
+    })
+}
+
+/// Keeps a number of calls open for a time, and counts what the daemon
+/// spent. A tenth of the time before warms up connections and caches.
+async fn closed_loop(
+    deployment: &Deployment,
+    caller: &Caller,
+    kind: Kind,
+    open: usize,
+    time: Duration,
+) -> anyhow::Result<Cost> {
+    let load = load::Closed::start(caller, kind, open);
+    tokio::time::sleep((time / 5).max(Duration::from_secs(1))).await;
+    let (before, units_before) = (deployment.usage()?, load.units());
+    let started_at = Instant::now();
+    tokio::time::sleep(time).await;
+    let (after, units_after) = (deployment.usage()?, load.units());
+    let elapsed = started_at.elapsed().as_secs_f64();
+    load.stop().await.context("the closed loop failed")?;
+    let cpu = after.cpu.saturating_sub(before.cpu).as_secs_f64();
+    let kernel =
+        after.kernel_cpu.saturating_sub(before.kernel_cpu).as_secs_f64();
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "the count is far below 2^52"
+    )]
+    let units = (units_after - units_before) as f64;
+    Ok(Cost {
+        units_per_s: units / elapsed,
+        cpu_us_per_unit: cpu * 1e6 / units.max(1.0),
+        kernel_us_per_unit: kernel * 1e6 / units.max(1.0),
+        cpu_cores: cpu / elapsed,
+    })
+}
+
+/// Sends calls at a rate, whether or not earlier ones have been answered,
+/// through the daemon and in turn directly to the stand-ins.
+async fn open_loop(
+    caller: &Caller,
+    kind: Kind,
+    rate_per_s: u32,
+    time: Duration,
+) -> anyhow::Result<Latency> {
+    // The first calls set up connections.
+    load::open(caller, kind, rate_per_s, Duration::from_secs(1)).await?;
+    let times = load::open(caller, kind, rate_per_s, time).await?;
+    let at =
+        |times: &Histogram<u64>, quantile| times.value_at_quantile(quantile);
+    let direct_p50_us = at(&times.direct, 0.5);
+    let caller_p50_us = at(&times.caller, 0.5);
+    let caller_p99_us = at(&times.caller, 0.99);
+    Ok(Latency {
+        caller_p50_us,
+        caller_p99_us,
+        direct_p50_us,
+        direct_p99_us: at(&times.direct, 0.99),
+        added_p50_us: caller_p50_us.saturating_sub(direct_p50_us),
+        added_p99_us: caller_p99_us.saturating_sub(direct_p50_us),
+    })
+}
+
+fn print(report: &Report) {
+    let cost = |name: &str, unit: &str, cost: &Cost| {
+        println!(
+            "{name:<16} {:>7.0} {unit}/s, {:.2} us CPU each ({:.2} us in \
+             the kernel), {:.2} cores",
+            cost.units_per_s,
+            cost.cpu_us_per_unit,
+            cost.kernel_us_per_unit,
+            cost.cpu_cores
+        );
+    };
+    cost("requests", "requests", &report.requests);
+    cost("tokens at once", "tokens", &report.tokens_at_once);
+    cost("tokens paced", "tokens", &report.tokens_paced);
+    let latency = |name: &str, l: &Latency| {
+        println!(
+            "{name:<16} p50/p99 us: caller {}/{}, direct {}/{}, added {}/{}",
+            l.caller_p50_us,
+            l.caller_p99_us,
+            l.direct_p50_us,
+            l.direct_p99_us,
+            l.added_p50_us,
+            l.added_p99_us
+        );
+    };
+    latency("request latency", &report.request_latency);
+    latency("stream latency", &report.stream_latency);
+    println!(
+        "memory           {} KiB idle, {} KiB loaded, {} KiB peak",
+        report.memory.idle_kib,
+        report.memory.loaded_kib,
+        report.memory.peak_kib
+    );
+}
--- /dev/null
+++ b/crates/briarladder-cli/src/bench/daemon/load.rs
@@ -0,0 +1,257 @@
+//! The load generator.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, ensure};
+use briarladder_core::{
+    ids::RequestId,
+    names::{ModelVersionName, StageName},
+};
+use briarladder_wire::{backend::RunRequest, callers::WORKSPACE_HEADER};
+use hdrhistogram::Histogram;
+use reqwest::Client;
+use serde_json::value::RawValue;
+use tokio::{
+    task::JoinSet,
+    time::{MissedTickBehavior, interval},
+};
+
+use super::deployment::{Deployment, STAGES, TOKENS};
+
+/// The body of every request, of the size of a short prompt.
+const BODY: &str = r#"{"sheet_mm":[420,594],"prompt":"Fold the map of the
+ old town so that the harbour and the market are on the cover, and keep the
+ legend readable when half of the sheet is open."}"#;
+
+/// The most calls of the open loop that wait for their answer.
+const MAX_OPEN_CALLS: usize = 1_000;
+
+/// What is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Kind {
+    /// A request of four stages.
+    Request,
+    /// A request with one generation, streamed.
+    Stream,
+}
+
+/// Sends requests to a daemon, and directly to its backend servers.
+#[derive(Clone)]
+pub(super) struct Caller(Arc<Inner>);
+
+struct Inner {
+    client: Client,
+    daemon: SocketAddr,
+    stages: Vec<(StageName, SocketAddr)>,
+    engine: SocketAddr,
+    input: Arc<RawValue>,
+}
+
+impl Caller {
+    pub(super) fn new(deployment: &Deployment) -> anyhow::Result<Caller> {
+        let mut stages = Vec::new();
+        for stage in STAGES {
+            stages.push((StageName::new(stage)?, deployment.server(stage)?));
+        }
+        let client = Client::builder().no_proxy().tcp_nodelay(true).build()?;
+        let input = RawValue::from_string(BODY.replace('\n', ""))?;
+        Ok(Caller(Arc::new(Inner {
+            client,
+            daemon: deployment.callers(),
+            stages,
+            engine: deployment.server("engine")?,
+            input: Arc::from(input),
+        })))
+    }
+
+    /// Sends one call to the daemon and reads the whole answer. Returns the
+    /// requests, or the tokens of a stream.
+    async fn send(&self, kind: Kind) -> anyhow::Result<u64> {
+        let inner = &self.0;
+        let pipeline = match kind {
+            Kind::Request => "request",
+            Kind::Stream => "stream",
+        };
+        let url = format!("http://{}/v1/pipelines/{pipeline}", inner.daemon);
+        let mut request = inner
+            .client
+            .post(url)
+            .header(WORKSPACE_HEADER, "workspace-1")
+            .header("content-type", "application/json")
+            .body(inner.input.get().to_owned());
+        if kind == Kind::Stream {
+            request = request.header("accept", "text/event-stream");
+        }
+        let response = request.send().await?;
+        let status = response.status();
+        let body = response.bytes().await?;
+        ensure!(
+            status.is_success(),
+            "status {status}: {}",
+            String::from_utf8_lossy(&body)
+        );
+        if kind == Kind::Request {
+            return Ok(1);
+        }
+        let text = std::str::from_utf8(&body)?;
+        let tokens = text.matches("event: token\n").count();
+        ensure!(
+            tokens == TOKENS as usize && text.contains("event: answer\n"),
+            "a stream ended after {tokens} tokens: {text}"
+        );
+        Ok(u64::from(TOKENS))
+    }
+
+    /// Sends the calls that the daemon would send.
+    async fn send_direct(&self, kind: Kind) -> anyhow::Result<()> {
+        let inner = &self.0;
+        if kind == Kind::Stream {
+            let stage = StageName::new("engine")?;
+            return self.call(&stage, inner.engine, kind).await;
+        }
+        for (stage, address) in &inner.stages {
+            self.call(stage, *address, kind).await?;
+        }
+        Ok(())
+    }
+
+    async fn call(
+        &self,
+        stage: &StageName,
+        address: SocketAddr,
+        kind: Kind,
+    ) -> anyhow::Result<()> {
+        let streamed = kind == Kind::Stream;
+        let run = RunRequest {
+            request_id: RequestId::random(),
+            stage: stage.clone(),
+            attempt: 0,
+            epoch: 1,
+            priority: 0,
+            deadline_ms: 10_000,
+            model_version: match kind {
+                Kind::Request => None,
+                Kind::Stream => Some(ModelVersionName::new("version-1")?),
+            },
+            max_tokens: streamed.then_some(TOKENS),
+            resume_tokens: Vec::new(),
+            operation: (stage.as_str() == "service").then(|| "lookup".into()),
+            input: Arc::clone(&self.0.input),
+            previous: None,
+        };
+        let url = format!("http://{address}/v1/run");
+        let response = self.0.client.post(url).json(&run).send().await?;
+        response.error_for_status()?.bytes().await?;
+        Ok(())
+    }
+}
+
+/// A running closed loop: each task sends its next call when the one before
+/// is answered.
+pub(super) struct Closed {
+    units: Arc<AtomicU64>,
+    stopping: Arc<AtomicBool>,
+    tasks: JoinSet<anyhow::Result<()>>,
+}
+
+impl Closed {
+    pub(super) fn start(caller: &Caller, kind: Kind, open: usize) -> Closed {
+        let units = Arc::new(AtomicU64::new(0));
+        let stopping = Arc::new(AtomicBool::new(false));
+        let mut tasks = JoinSet::new();
+        for _ in 0..open {
+            let (caller, units, stopping) =
+                (caller.clone(), Arc::clone(&units), Arc::clone(&stopping));
+            tasks.spawn(async move {
+                while !stopping.load(Ordering::Relaxed) {
+                    let done = caller.send(kind).await?;
+                    units.fetch_add(done, Ordering::Relaxed);
+                }
+                Ok(())
+            });
+        }
+        Closed { units, stopping, tasks }
+    }
+
+    /// Returns the requests or tokens so far.
+    pub(super) fn units(&self) -> u64 {
+        self.units.load(Ordering::Relaxed)
+    }
+
+    /// Waits for the open calls and returns the first failure.
+    pub(super) async fn stop(self) -> anyhow::Result<()> {
+        self.stopping.store(true, Ordering::Relaxed);
+        join(self.tasks).await
+    }
+}
+
+async fn join(mut tasks: JoinSet<anyhow::Result<()>>) -> anyhow::Result<()> {
+    while let Some(ended) = tasks.join_next().await {
+        ended??;
+    }
+    Ok(())
+}
+
+/// The times of an open loop, in microseconds.
+pub(super) struct Times {
+    pub(super) caller: Histogram<u64>,
+    pub(super) direct: Histogram<u64>,
+}
+
+/// Sends calls at a rate for a time.
+pub(super) async fn open(
+    caller: &Caller,
+    kind: Kind,
+    rate_per_s: u32,
+    time: Duration,
+) -> anyhow::Result<Times> {
+    let mut ticker = interval(Duration::from_secs(1) / rate_per_s);
+    ticker.set_missed_tick_behavior(MissedTickBehavior::Burst);
+    let mut tasks = JoinSet::new();
+    let mut times = Times { caller: histogram()?, direct: histogram()? };
+    let started_at = Instant::now();
+    while started_at.elapsed() < time {
+        ticker.tick().await;
+        ensure!(
+            tasks.len() < MAX_OPEN_CALLS,
+            "{MAX_OPEN_CALLS} calls wait; the machine is too busy"
+        );
+        let caller = caller.clone();
+        tasks.spawn(async move {
+            let sent_at = Instant::now();
+            caller.send(kind).await?;
+            let answered_at = Instant::now();
+            caller.send_direct(kind).await?;
+            let direct = answered_at.elapsed();
+            anyhow::Ok((answered_at - sent_at, direct))
+        });
+        while let Some(ended) = tasks.try_join_next() {
+            times.add(ended??)?;
+        }
+    }
+    while let Some(ended) = tasks.join_next().await {
+        times.add(ended??)?;
+    }
+    Ok(times)
+}
+
+impl Times {
+    fn add(&mut self, took: (Duration, Duration)) -> anyhow::Result<()> {
+        let us = |time: Duration| u64::try_from(time.as_micros());
+        self.caller.record(us(took.0)?).context("a call took too long")?;
+        self.direct.record(us(took.1)?).context("a call took too long")?;
+        Ok(())
+    }
+}
+
+/// Creates a histogram of up to a minute in microseconds.
+fn histogram() -> anyhow::Result<Histogram<u64>> {
+    Ok(Histogram::new_with_bounds(1, 60_000_000, 3)?)
+}
--- /dev/null
+++ b/crates/briarladder-cli/src/bench/daemon/usage.rs
@@ -0,0 +1,72 @@
+//! CPU time and memory of a process, from `/proc`.
+
+use std::{fs, time::Duration};
+
+use anyhow::Context;
+
+/// The clock ticks of `/proc` in a second, the same on every Linux platform
+/// that Rust supports as a host.
+const TICK: Duration = Duration::from_millis(10);
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Usage {
+    /// CPU time of all threads, in user mode and in the kernel.
+    pub(super) cpu: Duration,
+    /// The part of it in the kernel.
+    pub(super) kernel_cpu: Duration,
+    /// Memory in use now.
+    pub(super) resident_kib: u64,
+    /// The most memory in use so far.
+    pub(super) peak_kib: u64,
+}
+
+/// Reads what a process has used.
+pub(super) fn read(process_id: u32) -> anyhow::Result<Usage> {
+    let read = |file: &str| {
+        let path = format!("/proc/{process_id}/{file}");
+        fs::read_to_string(&path).with_context(|| format!("reading {path}"))
+    };
+    parse(&read("stat")?, &read("status")?)
+        .context("the files of /proc have an unknown form")
+}
+
+fn parse(stat: &str, status: &str) -> Option<Usage> {
+    // The name in brackets may itself have spaces and brackets.
+    let (_, fields) = stat.rsplit_once(')')?;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    // Fields 14 and 15 of proc(5); the state, field 3, is the first here.
+    let ticks = |at: usize| fields.get(at)?.parse::<u32>().ok();
+    let kib = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+        line.trim().strip_suffix("kB")?.trim().parse().ok()
+    };
+    Some(Usage {
+        cpu: TICK * (ticks(11)? + ticks(12)?),
+        kernel_cpu: TICK * ticks(12)?,
+        resident_kib: kib("VmRSS:")?,
+        peak_kib: kib("VmHWM:")?,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against figures from the wrong field, for example when the
+    /// name of the process has a bracket and a space.
+    #[test]
+    fn parse_takes_fields_after_name() {
+        let stat = "7 (a) b) S 1 2 3 4 5 6 7 8 9 10 250 50 0 0 20 0 3 0";
+        let status = "Name:\ta\nVmHWM:\t  2048 kB\nVmRSS:\t  1024 kB\n";
+        let usage = Usage {
+            cpu: Duration::from_secs(3),
+            kernel_cpu: Duration::from_millis(500),
+            resident_kib: 1024,
+            peak_kib: 2048,
+        };
+        assert_eq!(parse(stat, status), Some(usage));
+        assert_eq!(parse("7 a S 1", status), None);
+        assert_eq!(parse(stat, "VmRSS:\t 1 kB\n"), None);
+    }
+}
