--- /dev/null
+++ b/crates/briarladder-cli/src/bench/baseline.rs
@@ -0,0 +1,166 @@
+//! The baseline: a dispatcher without admission.
+//!
+//! Requests run first come, first served, without ranks; each stage goes
+//! round robin over all backend servers of its pool in all regions; every
+//! failed attempt is repeated at once, whatever the stage.
+
+use std::{
+    net::SocketAddr,
+    ops::ControlFlow,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use anyhow::Context;
+use briarladder_core::{
+    ids::RequestId,
+    names::{PoolName, RegionName, StageName},
+    objects::{Object, Stage},
+    retry::AttemptFailure,
+    sorted::SortedMap,
+};
+use briarladder_daemon::backend::{Attempt, BackendClient, Connection};
+use parking_lot::Mutex;
+use serde_json::value::RawValue;
+
+use super::{
+    deployment::{Plan, placed_servers},
+    output,
+};
+
+/// The attempts at one stage.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// The largest output of one stage, as in the daemon's settings.
+const MAX_OUTPUT_BYTES: usize = 4 * 1024 * 1024;
+
+/// The baseline dispatcher.
+#[derive(Debug)]
+pub(super) struct Baseline {
+    client: BackendClient,
+    pools: SortedMap<PoolName, PoolServers>,
+    cross_region_bytes: Mutex<SortedMap<StageName, u64>>,
+}
+
+#[derive(Debug, Default)]
+struct PoolServers {
+    servers: Vec<Placed>,
+    next: AtomicUsize,
+}
+
+#[derive(Clone, Debug)]
+struct Placed {
+    region: RegionName,
+    address: SocketAddr,
+}
+
+/// A request to the baseline.
+#[derive(Debug)]
+pub(super) struct Request<'a> {
+    pub(super) id: RequestId,
+    pub(super) plan: &'a Plan,
+    /// Where the request enters.
+    pub(super) region: &'a RegionName,
+    pub(super) input: &'a Arc<RawValue>,
+}
+
+impl Baseline {
+    pub(super) fn new(objects: &[Object]) -> anyhow::Result<Baseline> {
+        let mut pools: SortedMap<PoolName, PoolServers> = SortedMap::new();
+        for (region, server) in placed_servers(objects) {
+            let pool =
+                pools.entry_or_insert_with(server.pool, PoolServers::default);
+            pool.servers.push(Placed { region, address: server.address });
+        }
+        Ok(Baseline {
+            client: BackendClient::new(MAX_OUTPUT_BYTES)?,
+            pools,
+            cross_region_bytes: Mutex::default(),
+        })
+    }
+
+    /// Runs all stages and returns the last output.
+    pub(super) async fn run(
+        &self,
+        request: &Request<'_>,
+    ) -> anyhow::Result<Arc<RawValue>> {
+        let mut previous = None;
+        for stage in &request.plan.stages {
+            let output = self.stage(request, stage, previous.as_ref()).await;
+            previous = Some(output?);
+        }
+        previous.context("the pipeline has no stage")
+    }
+
+    /// Returns the bytes that crossed regions so far, by stage.
+    pub(super) fn cross_region_bytes(&self) -> SortedMap<StageName, u64> {
+        self.cross_region_bytes.lock().clone()
+    }
+
+    async fn stage(
+        &self,
+        request: &Request<'_>,
+        stage: &Stage,
+        previous: Option<&Arc<RawValue>>,
+    ) -> anyhow::Result<Arc<RawValue>> {
+        let pool = self
+            .pools
+            .get(&stage.pool)
+            .with_context(|| format!("pool {} has no server", stage.pool))?;
+        let mut last = AttemptFailure::Broken;
+        for attempt in 0..MAX_ATTEMPTS {
+            let next = pool.next.fetch_add(1, Ordering::Relaxed);
+            let placed = &pool.servers[next % pool.servers.len()];
+            let mut run =
+                output::message(stage, request.id, request.input, previous);
+            run.attempt = attempt;
+            let key = request.id.to_string();
+            let attempt = Attempt {
+                request: &run,
+                idempotency_key: Some(&key),
+                connection: Connection::Pooled,
+                timeout: Duration::from_millis(stage.timeout_ms),
+            };
+            match self.attempt(placed.address, stage, attempt).await {
+                Ok(output) => {
+                    if placed.region != *request.region {
+                        let sent = request.input.get().len()
+                            + previous.map_or(0, |p| p.get().len());
+                        self.count(stage, sent + output.get().len());
+                    }
+                    return Ok(output);
+                }
+                Err(failure) => last = failure,
+            }
+        }
+        anyhow::bail!("stage {} failed: {last}", stage.name)
+    }
+
+    async fn attempt(
+        &self,
+        address: SocketAddr,
+        stage: &Stage,
+        attempt: Attempt<'_>,
+    ) -> Result<Arc<RawValue>, AttemptFailure> {
+        if !output::is_generation(stage) {
+            let done = self.client.run(address, attempt).await?;
+            return Ok(done.output);
+        }
+        let mut tokens: Vec<Arc<str>> = Vec::new();
+        self.client
+            .generate(address, attempt, |_, text| {
+                tokens.push(text);
+                ControlFlow::Continue(())
+            })
+            .await?;
+        Ok(output::generated(&tokens))
+    }
+
+    fn count(&self, stage: &Stage, bytes: usize) {
+        let mut counts = self.cross_region_bytes.lock();
+        *counts.entry_or_insert_with(stage.name.clone(), || 0) += bytes as u64;
+    }
+}
--- /dev/null
+++ b/crates/briarladder-cli/src/bench/cpu.rs
@@ -0,0 +1,81 @@
+//! The processor time of this process by group of threads.
+
+use std::fs;
+
+use serde::Serialize;
+
+/// The ticks a second in /proc, which Linux fixes for all programs.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Processor time in seconds.
+#[expect(clippy::struct_field_names, reason = "the names end in their unit")]
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(super) struct CpuTime {
+    /// All threads, including ones that ended.
+    pub(super) process_s: f64,
+    /// The threads that send requests.
+    pub(super) load_s: f64,
+    /// The daemons' threads.
+    pub(super) daemons_s: f64,
+}
+
+impl CpuTime {
+    /// Reads the times so far. Where /proc is not readable, they are 0.
+    pub(super) fn now() -> CpuTime {
+        let read = |path: &str| fs::read_to_string(path).unwrap_or_default();
+        let (_, process_s) = parse(&read("/proc/self/stat"));
+        let mut times = CpuTime { process_s, ..CpuTime::default() };
+        let Ok(threads) = fs::read_dir("/proc/self/task") else {
+            return times;
+        };
+        for thread in threads.flatten() {
+            let stat = thread.path().join("stat");
+            let text = read(&stat.to_string_lossy());
+            match parse(&text) {
+                ("load", used_s) => times.load_s += used_s,
+                ("daemon", used_s) => times.daemons_s += used_s,
+                _ => {}
+            }
+        }
+        times
+    }
+
+    pub(super) fn since(self, earlier: CpuTime) -> CpuTime {
+        CpuTime {
+            process_s: self.process_s - earlier.process_s,
+            load_s: self.load_s - earlier.load_s,
+            daemons_s: self.daemons_s - earlier.daemons_s,
+        }
+    }
+}
+
+/// Returns the name of the thread and its time.
+fn parse(stat: &str) -> (&str, f64) {
+    // The name is in parentheses and may itself contain some.
+    let (Some(open), Some(close)) = (stat.find('('), stat.rfind(')')) else {
+        return ("", 0.0);
+    };
+    let mut fields = stat[close + 1..].split_whitespace();
+    let mut next = || -> f64 {
+        fields.next().and_then(|f| f.parse().ok()).unwrap_or_default()
+    };
+    // User and system time are the 14th and 15th field; the name is the 2nd.
+    let ticks = (3..=15).map(|field| (field, next()));
+    let ticks: f64 =
+        ticks.filter(|(field, _)| *field >= 14).map(|(_, t)| t).sum();
+    (&stat[open + 1..close], ticks / TICKS_PER_S)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against reading another field, which would hide an overload.
+    #[test]
+    fn parse_reads_user_and_system_time() {
+        let stat = "7 (lo) ad) S 1 1 1 0 -1 4 10 0 0 0 150 50 9 9 20 0 3";
+        let (name, time_s) = parse(stat);
+        assert_eq!(name, "lo) ad");
+        assert!((time_s - 2.0).abs() < 1e-9, "{time_s}");
+    }
+}
--- /dev/null
+++ b/crates/briarladder-cli/src/bench/deployment.rs
@@ -0,0 +1,210 @@
+//! The object set that the scenarios run on, cut down so that the machine
+//! is not the bottleneck.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_cli::bench::deployment::Deployment;
+//!
+//! let deployment = Deployment::new(0.25).unwrap();
+//! assert_eq!(deployment.engine_slots_requests(), 40);
+//! ```
+
+use std::{sync::Arc, time::Duration};
+
+use anyhow::Context;
+use briarladder_core::{
+    names::{PipelineName, RegionName, ServerName, StageName},
+    objects::{Object, Pipeline, Region, Role, Server, Stage, Work},
+    sorted::SortedMap,
+};
+
+use crate::samples::Sample;
+
+/// Slots of every pool are divided by this. Arrivals at ten times capacity
+/// then stay within what two load threads send.
+const SLOTS_DIVISOR: u32 = 4;
+
+/// Tokens of every generation are divided by this. The service time stays
+/// the same; forwarding of tokens is measured elsewhere.
+const TOKENS_DIVISOR: u32 = 16;
+
+/// One pipeline with its stages.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The pipeline.
+    pub name: PipelineName,
+    /// The longest time to an answer.
+    pub deadline: Duration,
+    /// The stages in order.
+    pub stages: Vec<Arc<Stage>>,
+}
+
+impl Plan {
+    /// Returns the stage that may run once only, if there is one.
+    #[must_use]
+    pub fn once(&self) -> Option<&StageName> {
+        self.stages.iter().find(|s| !s.idempotent).map(|s| &s.name)
+    }
+
+    /// Returns the time that one request holds an engine's slot.
+    #[must_use]
+    pub fn engine_time(&self) -> Duration {
+        let engine = self
+            .stages
+            .iter()
+            .filter(|stage| stage.work.role() == Role::Engine);
+        engine.map(|stage| Duration::from_millis(stage.estimate_ms)).sum()
+    }
+}
+
+/// The object set of a run.
+#[derive(Debug)]
+pub struct Deployment {
+    objects: Vec<Object>,
+    plans: SortedMap<PipelineName, Arc<Plan>>,
+}
+
+impl Deployment {
+    /// Creates the set with all service times, timeouts and deadlines
+    /// multiplied by a factor.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a pipeline names a stage that is not in the
+    /// set.
+    pub fn new(scale: f64) -> anyhow::Result<Deployment> {
+        let mut objects = Sample::Dobradura.objects()?;
+        for object in &mut objects {
+            match object {
+                Object::Pipeline(pipeline) => {
+                    pipeline.deadline_ms = scaled(pipeline.deadline_ms, scale);
+                }
+                Object::Stage(stage) => scale_stage(stage, scale),
+                Object::Region(region) => {
+                    for pool in &mut region.pools {
+                        pool.slots_requests =
+                            (pool.slots_requests / SLOTS_DIVISOR).max(1);
+                    }
+                }
+                _ => {}
+            }
+        }
+        let mut plans = SortedMap::new();
+        for object in &objects {
+            let Object::Pipeline(pipeline) = object else { continue };
+            let plan = plan(&objects, pipeline)?;
+            plans.insert(pipeline.name.clone(), Arc::new(plan));
+        }
+        Ok(Deployment { objects, plans })
+    }
+
+    /// Returns the objects.
+    #[must_use]
+    pub fn objects(&self) -> &[Object] {
+        &self.objects
+    }
+
+    /// Returns a pipeline with its stages.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no such pipeline.
+    pub fn plan(&self, pipeline: &str) -> anyhow::Result<&Arc<Plan>> {
+        self.plans
+            .get(pipeline)
+            .with_context(|| format!("the set has no pipeline {pipeline}"))
+    }
+
+    /// Returns the requests that all engines together run at once.
+    #[must_use]
+    pub fn engine_slots_requests(&self) -> u32 {
+        let regions = regions(&self.objects);
+        let slots = regions.flat_map(|region| {
+            region.zones.iter().flat_map(|z| &z.servers).map(|server| {
+                let pool = region.pools.iter().find(|p| p.name == server.pool);
+                match pool {
+                    Some(pool) if pool.role == Role::Engine => {
+                        pool.slots_requests
+                    }
+                    _ => 0,
+                }
+            })
+        });
+        slots.sum()
+    }
+}
+
+/// Returns the names of the backend servers of a pool, in order.
+#[must_use]
+pub fn servers_of(objects: &[Object], pool: &str) -> Vec<ServerName> {
+    let placed = placed_servers(objects).into_iter();
+    let of_pool = placed.filter(|(_, s)| s.pool.as_str() == pool);
+    of_pool.map(|(_, server)| server.name).collect()
+}
+
+/// Returns all backend servers with their regions, in order.
+pub(super) fn placed_servers(objects: &[Object]) -> Vec<(RegionName, Server)> {
+    let placed = regions(objects).flat_map(|region| {
+        let servers = region.zones.iter().flat_map(|z| &z.servers);
+        servers.map(|server| (region.name.clone(), server.clone()))
+    });
+    placed.collect()
+}
+
+/// Returns the regions.
+pub fn regions(objects: &[Object]) -> impl Iterator<Item = &Region> {
+    objects.iter().filter_map(|object| match object {
+        Object::Region(region) => Some(region),
+        _ => None,
+    })
+}
+
+fn plan(objects: &[Object], pipeline: &Pipeline) -> anyhow::Result<Plan> {
+    let mut stages = Vec::new();
+    for name in &pipeline.stages {
+        let stage = objects.iter().find_map(|object| match object {
+            Object::Stage(stage) if stage.name == *name => Some(stage),
+            _ => None,
+        });
+        let stage =
+            stage.with_context(|| format!("the set has no stage {name}"))?;
+        stages.push(Arc::new(stage.clone()));
+    }
+    Ok(Plan {
+        name: pipeline.name.clone(),
+        deadline: Duration::from_millis(pipeline.deadline_ms),
+        stages,
+    })
+}
+
+fn scale_stage(stage: &mut Stage, scale: f64) {
+    stage.estimate_ms = scaled(stage.estimate_ms, scale);
+    stage.timeout_ms = scaled(stage.timeout_ms, scale);
+    if let Work::Generate { max_tokens, .. } = &mut stage.work {
+        *max_tokens = (*max_tokens / TOKENS_DIVISOR).max(1);
+    }
+}
+
+fn scaled(time_ms: u64, scale: f64) -> u64 {
+    let time = Duration::from_millis(time_ms).mul_f64(scale);
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX).max(1)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a factor that leaves deadlines behind, which would
+    /// let every system meet them.
+    #[test]
+    fn new_scales_all_times() {
+        let whole = Deployment::new(1.0).unwrap();
+        let half = Deployment::new(0.5).unwrap();
+        let whole = whole.plan("fold-plan").unwrap();
+        let half = half.plan("fold-plan").unwrap();
+        assert_eq!(half.deadline * 2, whole.deadline);
+        assert_eq!(half.engine_time() * 2, whole.engine_time());
+        assert!(half.stages[0].timeout_ms < whole.stages[0].timeout_ms);
+    }
+}
--- /dev/null
+++ b/crates/briarladder-cli/src/bench/event.rs
@@ -0,0 +1,181 @@
+//! What a scenario does to the deployment when its event begins.
+
+use std::time::Duration;
+
+use briarladder_core::{
+    names::{ServerName, StageName, VmName},
+    objects::Object,
+    sorted::SortedSet,
+};
+use briarladder_standins::{
+    cluster::Cluster,
+    fault::{Fault, Pattern, Rule},
+    journal::End,
+};
+
+use super::{
+    callers::{Product, Target},
+    deployment::{Deployment, servers_of},
+    scenario::Scenario,
+    workload::POISON_MARKER,
+};
+use crate::fleet::Fleet;
+
+/// The engines that die in [`Scenario::BackendLoss`], and one encoder.
+const LOST_ENGINES: usize = 2;
+
+/// The stage that slows in [`Scenario::SlowStage`].
+const SLOW_STAGE: &str = "draft-fold-plan";
+
+/// How long the platform's balancer sends requests to a dead daemon.
+const BALANCER_LAG: Duration = Duration::from_millis(500);
+
+/// How long a crashed engine takes to come back.
+const RESTART_TIME: Duration = Duration::from_millis(250);
+
+/// How often crashes are looked for.
+const CRASH_RECHECK: Duration = Duration::from_millis(25);
+
+/// Returns the backend servers that die, from the first to the last zone.
+pub(super) fn lost_servers(
+    scenario: Scenario,
+    objects: &[Object],
+) -> Vec<ServerName> {
+    if scenario != Scenario::BackendLoss {
+        return Vec::new();
+    }
+    let mut lost = servers_of(objects, "engine");
+    lost.truncate(LOST_ENGINES);
+    lost.extend(servers_of(objects, "encoder").into_iter().next());
+    lost
+}
+
+/// Does what the scenario does to backend servers.
+pub(super) async fn apply_to_backends(
+    scenario: Scenario,
+    deployment: &Deployment,
+    cluster: &Cluster,
+) -> anyhow::Result<()> {
+    for name in lost_servers(scenario, cluster.objects()) {
+        if let Some(backend) = cluster.backend(name.as_str()) {
+            backend.crash().await;
+        }
+    }
+    if scenario == Scenario::SlowStage {
+        slow(deployment, cluster)?;
+    }
+    Ok(())
+}
+
+fn slow(deployment: &Deployment, cluster: &Cluster) -> anyhow::Result<()> {
+    let plan = deployment.plan("fold-plan")?;
+    let estimate_ms = plan
+        .stages
+        .iter()
+        .find(|stage| stage.name.as_str() == SLOW_STAGE)
+        .map_or(0, |stage| stage.estimate_ms);
+    let by = Duration::from_millis(estimate_ms / 2);
+    let stage = Some(StageName::new(SLOW_STAGE)?);
+    for backend in cluster.backends() {
+        backend.faults().add(Rule {
+            pattern: Pattern { stage: stage.clone(), ..Pattern::default() },
+            fault: Fault::Slow(by),
+            times: None,
+        });
+    }
+    Ok(())
+}
+
+/// Prepares faults that last for the whole run.
+pub(super) fn prepare(scenario: Scenario, cluster: &Cluster) {
+    if scenario != Scenario::Poison {
+        return;
+    }
+    let engines = servers_of(cluster.objects(), "engine");
+    for backend in cluster.backends() {
+        if engines.contains(backend.name()) {
+            backend.faults().add(Rule {
+                pattern: Pattern {
+                    body: Some(POISON_MARKER.into()),
+                    ..Pattern::default()
+                },
+                fault: Fault::Crash,
+                times: None,
+            });
+        }
+    }
+}
+
+/// Restarts crashed engines a while after each crash, without end.
+pub(super) async fn restart_crashed(cluster: &Cluster) {
+    let mut restarted = SortedSet::new();
+    loop {
+        tokio::time::sleep(CRASH_RECHECK).await;
+        let crashed: Vec<_> = cluster
+            .journal()
+            .entries()
+            .into_iter()
+            .filter(|entry| entry.end == End::Cut)
+            .map(|entry| (entry.server, entry.incarnation.0))
+            .collect();
+        for (server, incarnation) in crashed {
+            let Some(backend) = cluster.backend(server.as_str()) else {
+                continue;
+            };
+            let down = backend.incarnation().0 == incarnation
+                && is_down(backend).await;
+            if down && restarted.insert((server.clone(), incarnation)) {
+                tokio::time::sleep(RESTART_TIME).await;
+                if let Err(error) = backend.restart().await {
+                    log::warn!("bench: {server} does not restart: {error}");
+                }
+            }
+        }
+    }
+}
+
+/// A connection that a caller closed leaves the same mark in the journal as
+/// a crash, so the port is tried.
+async fn is_down(backend: &briarladder_standins::server::Server) -> bool {
+    tokio::net::TcpStream::connect(backend.address()).await.is_err()
+}
+
+/// Does what the scenario does to daemons.
+pub(super) async fn apply_to_daemons(
+    scenario: Scenario,
+    fleet: &mut Fleet,
+    target: &Target,
+) -> anyhow::Result<()> {
+    let Target::Product(product) = target else { return Ok(()) };
+    match scenario {
+        Scenario::DaemonLoss => lose_daemon(fleet, product).await,
+        Scenario::ScaleUp => add_daemons(fleet, product).await,
+        _ => Ok(()),
+    }
+}
+
+async fn lose_daemon(
+    fleet: &mut Fleet,
+    product: &Product,
+) -> anyhow::Result<()> {
+    let vm = fleet.daemons()[0].daemon().settings.vm.clone();
+    fleet.crash_daemon(&vm)?;
+    tokio::time::sleep(BALANCER_LAG).await;
+    product.set_addresses(fleet.addresses());
+    fleet.list_vms();
+    Ok(())
+}
+
+async fn add_daemons(
+    fleet: &mut Fleet,
+    product: &Product,
+) -> anyhow::Result<()> {
+    for zone in fleet.zones() {
+        let vm = VmName::new(&format!("entry-{zone}-joined"))?;
+        fleet.start_daemon(&vm, &zone)?;
+    }
+    fleet.list_vms();
+    fleet.wait_for_epoch(1).await?;
+    product.set_addresses(fleet.addresses());
+    Ok(())
+}
--- /dev/null
+++ b/crates/briarladder-cli/src/bench/table.rs
@@ -0,0 +1,136 @@
+//! The text form of a scenario's figures.
+
+use std::fmt::{self, Write};
+
+use super::{
+    ScenarioReport,
+    report::{RunReport, WindowReport},
+};
+
+/// Returns the tables of a scenario.
+pub(super) fn render(report: &ScenarioReport) -> String {
+    let mut text = format!(
+        "## {} (seed {}, {} s a window, scale {})\n\n",
+        report.scenario, report.seed, report.seconds, report.scale
+    );
+    // OK because writing to a string does not fail.
+    write_report(&mut text, report).unwrap();
+    text
+}
+
+fn write_report(text: &mut String, report: &ScenarioReport) -> fmt::Result {
+    text.push_str(
+        "| system | window | requests | on time | urgent | standard | bulk \
+         | kept u/s/b | goodput/s | load | p99 ms u/s/b | small | Jain \
+         | worst |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- \
+         | --- | --- | --- |\n",
+    );
+    for run in &report.runs {
+        for window in &run.windows {
+            write_window(text, run, window)?;
+        }
+    }
+    text.push('\n');
+    for run in &report.runs {
+        write_run(text, run)?;
+    }
+    Ok(())
+}
+
+fn write_window(
+    text: &mut String,
+    run: &RunReport,
+    window: &WindowReport,
+) -> fmt::Result {
+    write!(
+        text,
+        "| {} | {} | {} | {}",
+        run.system,
+        window.window,
+        window.requests,
+        percent(window.attainment)
+    )?;
+    for rank in &window.ranks {
+        write!(text, " | {}", percent(rank.attainment))?;
+    }
+    let each = |value: &dyn Fn(usize) -> String| -> String {
+        let values: Vec<String> = (0..window.ranks.len()).map(value).collect();
+        values.join("/")
+    };
+    let kept = each(&|rank| percent(window.ranks[rank].kept));
+    let p99 = each(&|rank| format!("{:.0}", window.ranks[rank].p99_ms));
+    writeln!(
+        text,
+        " | {kept} | {:.0} | {} | {p99} | {} | {:.3} | {} |",
+        window.goodput_requests_per_s,
+        percent(window.goodput_load),
+        percent(window.callers.attainment),
+        window.callers.jain,
+        percent(window.callers.worst),
+    )
+}
+
+fn write_run(text: &mut String, run: &RunReport) -> fmt::Result {
+    writeln!(text, "{}:", run.system)?;
+    for window in &run.windows {
+        let refusals: Vec<String> = window
+            .refusals
+            .iter()
+            .map(|r| format!("{} {}", r.requests, r.kind))
+            .collect();
+        if !refusals.is_empty() {
+            let refusals = refusals.join(", ");
+            writeln!(text, "- no answer in {}: {refusals}", window.window)?;
+        }
+    }
+    let stages: Vec<String> = run
+        .stages
+        .iter()
+        .map(|s| {
+            let (name, per) = (&s.stage, s.executions_per_answer);
+            format!("{name} {per:.2} ({} B)", s.cross_region_bytes)
+        })
+        .collect();
+    writeln!(
+        text,
+        "- executions per answer (bytes between regions): {}",
+        stages.join(", ")
+    )?;
+    writeln!(
+        text,
+        "- bytes between regions per answer: {:.0}",
+        run.cross_region_bytes_per_answer
+    )?;
+    let integrity = run.integrity;
+    writeln!(
+        text,
+        "- duplicates {}, losses {}, false \"not run\" {}, ran without \
+         answer {}",
+        integrity.duplicates,
+        integrity.losses,
+        integrity.false_not_run,
+        integrity.unconfirmed
+    )?;
+    if let Some(recovery_ms) = run.recovery_ms {
+        writeln!(text, "- recovered after {recovery_ms} ms")?;
+    }
+    if run.poison_executions > 0 {
+        let executions = run.poison_executions;
+        writeln!(text, "- engine runs of the poison request: {executions}")?;
+    }
+    writeln!(
+        text,
+        "- load lag p99 {:.1} ms, CPU {:.2} cores (load {:.2}, daemons \
+         {:.2}): {}",
+        run.load_lag_p99_ms,
+        run.cpu.process_s / run.elapsed_s,
+        run.cpu.load_s / run.elapsed_s,
+        run.cpu.daemons_s / run.elapsed_s,
+        if run.valid { "valid" } else { "NOT VALID, the load lagged" }
+    )
+}
+
+fn percent(share: f64) -> String {
+    format!("{:.1}%", share * 100.0)
+}
--- /dev/null
+++ b/crates/briarladder-cli/src/bench/workload.rs
@@ -0,0 +1,351 @@
+//! Arrivals: drawn before a run from a seed, so that every system of a run
+//! gets the same requests at the same times.
+
+use std::{sync::Arc, time::Duration};
+
+use briarladder_core::{
+    ids::RequestId,
+    objects::{Object, Workspace},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde_json::value::RawValue;
+
+use super::{
+    deployment::{Deployment, Plan},
+    scenario::{Scenario, Window},
+};
+
+/// The time before the first window that is reported. Daemons measure
+/// service times and fill their load view meanwhile.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// The callers of each workspace.
+const CALLERS: usize = 4;
+
+/// Arrivals of a flood, as a multiple of capacity.
+const FLOOD_FACTOR: f64 = 10.0;
+
+/// Arrivals of a large caller, as a multiple of its steady rate.
+const LARGE_FACTOR: f64 = 20.0;
+
+/// The workspace and the caller that is large in [`Scenario::LargeCallers`].
+const LARGE: (&str, usize) = ("tour-operators", 0);
+
+/// The time between copies of the request that crashes engines.
+const POISON_INTERVAL: Duration = Duration::from_millis(150);
+
+/// The text in the body of a request that crashes engines.
+pub(super) const POISON_MARKER: &str = "poison-sheet";
+
+/// The bytes of filler in a body, about a short question.
+const FILLER_BYTES: usize = 160;
+
+/// The ranks, most urgent first.
+pub(super) const RANKS: [&str; 3] = ["urgent", "standard", "bulk"];
+
+/// One kind of request of the steady mix.
+struct Mix {
+    pipeline: &'static str,
+    rank: usize,
+    /// The share of the engines' time at steady load.
+    load: f64,
+}
+
+/// The steady mix: 70% of the engines' time. Urgent and standard work stay
+/// below their guaranteed shares, the least urgent rank exceeds its own.
+const MIX: [Mix; 4] = [
+    Mix { pipeline: "fold-plan", rank: 0, load: 0.28 },
+    Mix { pipeline: "book-tour-map", rank: 0, load: 0.04 },
+    Mix { pipeline: "fold-plan-stable", rank: 1, load: 0.20 },
+    Mix { pipeline: "caption-archive", rank: 2, load: 0.18 },
+];
+
+/// Status lookups use no engine; they arrive at this multiple of the rate
+/// of the standard generation.
+const STATUS: &str = "order-status";
+const STATUS_FACTOR: f64 = 0.5;
+
+/// The sum of the loads in [`MIX`].
+const STEADY_LOAD: f64 = 0.7;
+
+/// One request.
+#[derive(Clone, Debug)]
+pub(super) struct Arrival {
+    /// The time from the start of the run.
+    pub(super) at: Duration,
+    pub(super) window: Window,
+    pub(super) plan: Arc<Plan>,
+    /// The position in [`RANKS`].
+    pub(super) rank: usize,
+    pub(super) workspace: Arc<str>,
+    pub(super) caller: Arc<str>,
+    pub(super) large: bool,
+    pub(super) poison: bool,
+    /// Chooses the daemon.
+    pub(super) entry: usize,
+    pub(super) id: RequestId,
+    pub(super) input: Arc<RawValue>,
+}
+
+/// The arrivals of a run in order of time.
+#[derive(Debug)]
+pub(super) struct Workload {
+    pub(super) arrivals: Vec<Arc<Arrival>>,
+    pub(super) windows: Vec<Span>,
+}
+
+/// The time of one window.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Span {
+    pub(super) window: Window,
+    pub(super) start: Duration,
+    pub(super) end: Duration,
+}
+
+impl Workload {
+    pub(super) fn new(
+        deployment: &Deployment,
+        scenario: Scenario,
+        seed: u64,
+        window_time: Duration,
+    ) -> anyhow::Result<Workload> {
+        let mut builder = Builder {
+            deployment,
+            rng: StdRng::seed_from_u64(seed),
+            arrivals: Vec::new(),
+        };
+        let mut windows = Vec::new();
+        let mut start = Duration::ZERO;
+        for &window in scenario.windows() {
+            let time = match window {
+                Window::WarmUp => WARM_UP,
+                _ => window_time,
+            };
+            let span = Span { window, start, end: start + time };
+            builder.window(scenario, span)?;
+            windows.push(span);
+            start = span.end;
+        }
+        let mut arrivals = builder.arrivals;
+        arrivals.sort_by_key(|arrival| arrival.at);
+        let arrivals = arrivals.into_iter().map(Arc::new).collect();
+        Ok(Workload { arrivals, windows })
+    }
+
+    /// Returns when the event begins.
+    pub(super) fn event_at(&self) -> Duration {
+        let event = self.windows.iter().find(|s| s.window == Window::Event);
+        event.map_or(Duration::MAX, |span| span.start)
+    }
+}
+
+/// Who may send one kind of request, with its share of the rate.
+struct Sender {
+    workspace: Arc<str>,
+    caller: usize,
+    weight: u32,
+}
+
+struct Builder<'a> {
+    deployment: &'a Deployment,
+    rng: StdRng,
+    arrivals: Vec<Arrival>,
+}
+
+impl Builder<'_> {
+    fn window(
+        &mut self,
+        scenario: Scenario,
+        span: Span,
+    ) -> anyhow::Result<()> {
+        let factor = match span.window {
+            Window::Capacity => 1.0 / STEADY_LOAD,
+            _ => 1.0,
+        };
+        let event = span.window == Window::Event;
+        for mix in &MIX {
+            let flooded = event
+                && match scenario {
+                    Scenario::FloodLeastUrgent => mix.rank == 2,
+                    Scenario::FloodUrgent => mix.pipeline == MIX[0].pipeline,
+                    _ => false,
+                };
+            let load = if flooded { FLOOD_FACTOR } else { mix.load * factor };
+            let rate = self.rate(mix.pipeline, load)?;
+            let senders = self.senders(mix.pipeline);
+            self.stream(span, mix, rate, &senders)?;
+            if event && scenario == Scenario::LargeCallers {
+                self.large(span, mix, rate, senders)?;
+            }
+        }
+        let status = Mix { pipeline: STATUS, rank: 1, load: 0.0 };
+        let rate = self.rate(MIX[2].pipeline, MIX[2].load * STATUS_FACTOR)?;
+        let senders = self.senders(STATUS);
+        self.stream(span, &status, rate * factor, &senders)?;
+        if event && scenario == Scenario::Poison {
+            self.poison(span)?;
+        }
+        Ok(())
+    }
+
+    /// Returns the requests a second that take a share of the engines.
+    fn rate(&self, pipeline: &str, load: f64) -> anyhow::Result<f64> {
+        let time = self.deployment.plan(pipeline)?.engine_time();
+        let slots = f64::from(self.deployment.engine_slots_requests());
+        Ok(load * slots / time.as_secs_f64())
+    }
+
+    fn senders(&self, pipeline: &str) -> Vec<Sender> {
+        let allowed = |workspace: &&Workspace| {
+            workspace.pipelines.iter().any(|p| p.as_str() == pipeline)
+        };
+        let objects = self.deployment.objects().iter();
+        let workspaces = objects.filter_map(|object| match object {
+            Object::Workspace(workspace) => Some(workspace),
+            _ => None,
+        });
+        let senders = workspaces.filter(allowed).flat_map(|workspace| {
+            (0..CALLERS).map(|caller| Sender {
+                workspace: Arc::from(workspace.name.as_str()),
+                caller,
+                weight: workspace.weight,
+            })
+        });
+        senders.collect()
+    }
+
+    /// Adds arrivals with exponential gaps.
+    fn stream(
+        &mut self,
+        span: Span,
+        mix: &Mix,
+        rate: f64,
+        senders: &[Sender],
+    ) -> anyhow::Result<()> {
+        let total: u32 = senders.iter().map(|s| s.weight).sum();
+        let mut at = span.start;
+        loop {
+            // The draw excludes 1, so the logarithm is finite.
+            let uniform: f64 = self.rng.random();
+            at += Duration::from_secs_f64(-(1.0 - uniform).ln() / rate);
+            if at >= span.end {
+                return Ok(());
+            }
+            let mut draw = self.rng.random_range(0..total);
+            let sender = senders.iter().find(|sender| {
+                let found = draw < sender.weight;
+                draw = draw.saturating_sub(sender.weight);
+                found
+            });
+            // OK because the draw is below the sum of the weights.
+            let sender = sender.unwrap();
+            self.push(span, mix, at, sender)?;
+        }
+    }
+
+    /// Adds what the large caller sends beyond its steady rate.
+    fn large(
+        &mut self,
+        span: Span,
+        mix: &Mix,
+        rate: f64,
+        senders: Vec<Sender>,
+    ) -> anyhow::Result<()> {
+        let total: u32 = senders.iter().map(|s| s.weight).sum();
+        let large: Vec<Sender> = senders
+            .into_iter()
+            .filter(|s| *s.workspace == *LARGE.0 && s.caller == LARGE.1)
+            .collect();
+        let weight: u32 = large.iter().map(|s| s.weight).sum();
+        if weight == 0 {
+            return Ok(());
+        }
+        let own = rate * f64::from(weight) / f64::from(total);
+        self.stream(span, mix, own * (LARGE_FACTOR - 1.0), &large)
+    }
+
+    fn poison(&mut self, span: Span) -> anyhow::Result<()> {
+        let sender = Sender {
+            workspace: Arc::from("park-office"),
+            caller: 0,
+            weight: 1,
+        };
+        let mut at = span.start;
+        while at < span.end {
+            self.push(span, &MIX[0], at, &sender)?;
+            if let Some(arrival) = self.arrivals.last_mut() {
+                arrival.poison = true;
+                let body = format!("{{\"sheet\":\"{POISON_MARKER}\"}}");
+                arrival.input = Arc::from(RawValue::from_string(body)?);
+            }
+            at += POISON_INTERVAL;
+        }
+        Ok(())
+    }
+
+    fn push(
+        &mut self,
+        span: Span,
+        mix: &Mix,
+        at: Duration,
+        sender: &Sender,
+    ) -> anyhow::Result<()> {
+        let id = RequestId(self.rng.random());
+        let filler = "x".repeat(FILLER_BYTES);
+        let body = format!("{{\"sheet\":\"{id}\",\"text\":\"{filler}\"}}");
+        self.arrivals.push(Arrival {
+            at,
+            window: span.window,
+            plan: Arc::clone(self.deployment.plan(mix.pipeline)?),
+            rank: mix.rank,
+            workspace: Arc::clone(&sender.workspace),
+            caller: format!("caller-{}", sender.caller).into(),
+            large: *sender.workspace == *LARGE.0 && sender.caller == LARGE.1,
+            poison: false,
+            entry: self.rng.random_range(0..usize::MAX),
+            id,
+            input: Arc::from(RawValue::from_string(body)?),
+        });
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn workload(scenario: Scenario, seed: u64) -> Workload {
+        let deployment = Deployment::new(0.25).unwrap();
+        let time = Duration::from_secs(4);
+        Workload::new(&deployment, scenario, seed, time).unwrap()
+    }
+
+    /// Guards against runs that can't be repeated from their seed.
+    #[test]
+    fn new_depends_on_seed_only() {
+        let ids = |seed| -> Vec<RequestId> {
+            let workload = workload(Scenario::Steady, seed);
+            workload.arrivals.iter().map(|a| a.id).collect()
+        };
+        assert_eq!(ids(1), ids(1));
+        assert_ne!(ids(1), ids(2));
+    }
+
+    /// Guards against a flood that is smaller than its name says.
+    #[test]
+    fn new_floods_at_ten_times_capacity() {
+        let deployment = Deployment::new(0.25).unwrap();
+        let plan = deployment.plan("caption-archive").unwrap();
+        let workload = workload(Scenario::FloodLeastUrgent, 1);
+        let flood = workload
+            .arrivals
+            .iter()
+            .filter(|a| a.window == Window::Event && a.rank == 2)
+            .count();
+        let work = plan.engine_time() * u32::try_from(flood).unwrap();
+        let capacity =
+            Duration::from_secs(4) * deployment.engine_slots_requests();
+        let factor = work.as_secs_f64() / capacity.as_secs_f64();
+        assert!((9.5..10.5).contains(&factor), "{factor}");
+    }
+}
--- a/crates/briarladder-cli/src/fleet.rs
+++ b/crates/briarladder-cli/src/fleet.rs
@@ -34,6 +34,7 @@
 };
 use briarladder_wire::platform::{Vm, VmKind, VmState};
 use clap::Parser;
+use tokio::runtime::{Builder, Runtime};
 
 /// The key of the peers inside a fleet.
 const PEER_KEY: &str = "loopback-demo-peer-key";
@@ -53,6 +54,9 @@
     pub first_port: Option<u16>,
     /// Further flags of every daemon.
     pub daemon_flags: Vec<String>,
+    /// The worker threads of each daemon's own runtime, which lets a daemon
+    /// be crashed. None runs all daemons in the caller's runtime.
+    pub daemon_threads: Option<usize>,
 }
 
 impl Default for FleetSettings {
@@ -65,6 +69,7 @@
                 "--balancer-delay-ms=0".into(),
                 "--drain-timeout-ms=1000".into(),
             ],
+            daemon_threads: None,
         }
     }
 }
@@ -75,9 +80,38 @@
     platform: Platform,
     cluster: Cluster,
     daemons: Vec<Running>,
+    runtimes: Vec<OwnRuntime>,
     settings: FleetSettings,
 }
 
+/// The runtime of one daemon. Dropping it ends all tasks of the daemon, as a
+/// sudden death does, without waiting for them.
+#[derive(Debug)]
+struct OwnRuntime {
+    vm: VmName,
+    runtime: Option<Runtime>,
+}
+
+impl OwnRuntime {
+    fn new(vm: &VmName, threads: usize) -> anyhow::Result<OwnRuntime> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(threads)
+            .thread_name("daemon")
+            .enable_all()
+            .build()?;
+        Ok(OwnRuntime { vm: vm.clone(), runtime: Some(runtime) })
+    }
+}
+
+impl Drop for OwnRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            // A plain drop blocks, which a runtime's own thread may not.
+            runtime.shutdown_background();
+        }
+    }
+}
+
 impl Fleet {
     /// Starts all parts, publishes the objects as epoch 1, and waits until
     /// every daemon has them in force.
@@ -93,8 +127,13 @@
         let cluster =
             Cluster::start(&objects, settings.cluster.clone()).await?;
         let platform = Platform::start(PlatformSettings::default()).await?;
-        let mut fleet =
-            Fleet { platform, cluster, daemons: Vec::new(), settings };
+        let mut fleet = Fleet {
+            platform,
+            cluster,
+            daemons: Vec::new(),
+            runtimes: Vec::new(),
+            settings,
+        };
         fleet.publish(1, fleet.cluster.objects())?;
         for zone in fleet.zones() {
             for number in 1..=fleet.settings.daemons_per_zone {
@@ -144,8 +183,32 @@
         }
         flags.extend(self.settings.daemon_flags.iter().cloned());
         let settings = Settings::try_parse_from(flags)?;
+        let own = match self.settings.daemon_threads {
+            Some(threads) => Some(OwnRuntime::new(vm, threads)?),
+            None => None,
+        };
+        let entered = own.as_ref().and_then(|own| own.runtime.as_ref());
+        let guard = entered.map(Runtime::enter);
         let running = Running::start(settings, Arc::new(SystemClock))?;
+        drop(guard);
         self.daemons.push(running);
+        self.runtimes.extend(own);
+        Ok(())
+    }
+
+    /// Ends a daemon without a planned stop: its connections close and its
+    /// open requests are lost.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no daemon with an own runtime has the name.
+    pub fn crash_daemon(&mut self, vm: &VmName) -> anyhow::Result<()> {
+        let own = self.runtimes.iter().position(|own| own.vm == *vm);
+        let own = own.with_context(|| {
+            format!("{vm} has no runtime of its own; set daemon_threads")
+        })?;
+        self.runtimes.remove(own);
+        self.daemons.retain(|running| running.daemon().settings.vm != *vm);
         Ok(())
     }
 
