--- a/crates/briarladder-cli/src/bench/mod.rs
+++ b/crates/briarladder-cli/src/bench/mod.rs
@@ -32,8 +32,8 @@
 mod workload;
 
 use deployment::Deployment;
-use report::{RunReport, System};
-use scenario::Scenario;
+use report::RunReport;
+use scenario::{Scenario, System};
 use workload::Workload;
 
 /// Exit code if a run was not valid.
@@ -62,6 +62,9 @@
     /// The factor on all service times, timeouts and deadlines.
     #[arg(long, default_value_t = 0.25, value_parser = scale)]
     scale: f64,
+    /// The systems to run; left out, both run.
+    #[arg(long = "system", value_enum)]
+    systems: Vec<System>,
     /// Print one JSON object a scenario instead of tables.
     #[arg(long)]
     json: bool,
@@ -93,11 +96,15 @@
 /// Returns an error when a part can't start.
 pub fn run(args: &Args) -> anyhow::Result<ExitCode> {
     let mut valid = true;
+    let systems = match args.systems.as_slice() {
+        [] => &[System::Product, System::Baseline],
+        systems => systems,
+    };
     for &scenario in &args.scenarios {
         let deployment = Deployment::new(args.scale)?;
         let time = Duration::from_secs(args.seconds);
         let mut runs = Vec::new();
-        for system in [System::Product, System::Baseline] {
+        for &system in systems {
             let workload =
                 Workload::new(&deployment, scenario, args.seed, time)?;
             runs.push(run::run(system, scenario, &deployment, workload)?);
--- a/crates/briarladder-cli/src/bench/report.rs
+++ b/crates/briarladder-cli/src/bench/report.rs
@@ -4,7 +4,6 @@
 
 use briarladder_core::{ids::RequestId, objects::Object, sorted::SortedMap};
 use briarladder_wire::callers::Outcome;
-use derive_more::Display;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
@@ -13,7 +12,7 @@
     cpu::CpuTime,
     deployment::Deployment,
     run::Observed,
-    scenario::{Scenario, Window},
+    scenario::{Scenario, System, Window},
     workload::{POISON_MARKER, RANKS, Span},
 };
 
@@ -34,16 +33,6 @@
 /// The longest time that a histogram holds; longer ones count as this.
 const MAX_RECORDED_US: u64 = 60_000_000;
 
-/// A system under test.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub(super) enum System {
-    #[display("briarladder")]
-    Product,
-    #[display("baseline")]
-    Baseline,
-}
-
 /// The figures of one run.
 #[derive(Debug, Serialize)]
 pub(super) struct RunReport {
--- a/crates/briarladder-cli/src/bench/run.rs
+++ b/crates/briarladder-cli/src/bench/run.rs
@@ -19,8 +19,8 @@
     deployment::{Deployment, regions},
     event,
     load::drive,
-    report::{self, RunReport, System},
-    scenario::Scenario,
+    report::{self, RunReport},
+    scenario::{Scenario, System},
     workload::Workload,
 };
 use crate::fleet::{Fleet, FleetSettings};
--- a/crates/briarladder-cli/src/bench/scenario.rs
+++ b/crates/briarladder-cli/src/bench/scenario.rs
@@ -4,6 +4,20 @@
 use derive_more::Display;
 use serde::Serialize;
 
+/// A system under test.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum System {
+    /// The daemons.
+    #[display("briarladder")]
+    #[serde(rename = "briarladder")]
+    #[value(name = "briarladder")]
+    Product,
+    /// A dispatcher without admission.
+    #[display("baseline")]
+    Baseline,
+}
+
 /// What happens in the last window of a run.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, ValueEnum)]
 #[serde(rename_all = "kebab-case")]
