Put requests that used an engine before those that did not

A request counted as started after any stage, so during a flood of urgent work every queued draft was as far as the checks and captions of requests whose draft was done, and those missed their deadlines. Now a request has started in a pool once it has used that pool.

--- a/crates/briarladder-daemon/src/pipeline/stage.rs
+++ b/crates/briarladder-daemon/src/pipeline/stage.rs
@@ -119,7 +119,7 @@
                 caller: request.caller.clone(),
                 workspace_weight: request.workspace.weight,
                 caller_weight: request.caller_weight,
-                started: self.position > 0,
+                started: self.has_used_pool(),
                 deadline: request.deadline,
                 service: estimates.stage(now, self.stage).mean,
                 remaining: estimates.remaining(now, rest),
@@ -152,6 +152,14 @@
         }
     }
 
+    /// Returns whether an earlier stage ran in the same pool. Work in other
+    /// pools does not count: after a cheap first stage all requests of a
+    /// flood would be ahead of those that hold finished generations.
+    fn has_used_pool(&self) -> bool {
+        let earlier = &self.request.pipeline.stages[..self.position];
+        earlier.iter().any(|stage| stage.pool.name == self.stage.pool.name)
+    }
+
     /// Waits after a pause of the process until its views are fresh again.
     /// The wait is bounded, so that a daemon that is cut off goes on with
     /// what it knows.
