--- a/crates/briarladder-cli/src/main.rs
+++ b/crates/briarladder-cli/src/main.rs
@@ -22,7 +22,8 @@
 Examples:
   briarladder check samples/dobradura
   briarladder bundle samples/dobradura --epoch 1 --out out/
-  briarladder demo";
+  briarladder demo
+  briarladder bench steady";
 
 /// The operators' command of briarladder.
 #[derive(Debug, Parser)]
