Open by the division share while the homes of a limit are fresh

Cause: a home that just became one grants nothing for one lease lifetime, because leases of its predecessor may be live. Change: such a home answers `Fresh`; the holder then opens by its share of a division, as it does when no home can be reached. Figures: the new test opens 2 of a limit of 8 at one of 4 daemons, where none was opened before.

--- a/crates/briarladder-core/src/limits/holder.rs
+++ b/crates/briarladder-core/src/limits/holder.rs
@@ -250,6 +250,14 @@
                     held.sources.retain(|source| source.current);
                 }
             }
+            LeaseAnswer::Fresh { units_requests } => {
+                source.units_requests = units_requests;
+                source.until = now + LEASE_LIFETIME;
+                source.refused = Refused::Unreachable { until };
+                if at == new_home {
+                    held.sources.retain(|source| source.current);
+                }
+            }
             LeaseAnswer::NotHome | LeaseAnswer::Unreachable => {
                 source.refused = Refused::Unreachable { until };
             }
--- a/crates/briarladder-core/src/limits/home.rs
+++ b/crates/briarladder-core/src/limits/home.rs
@@ -187,7 +187,11 @@
         let part =
             part_of_limit(request.limit_requests, position.at, position.homes);
         let units_requests = leased.set(now, part, request);
-        LeaseAnswer::Granted { units_requests }
+        if leased.is_fresh(now) {
+            LeaseAnswer::Fresh { units_requests }
+        } else {
+            LeaseAnswer::Granted { units_requests }
+        }
     }
 }
 
@@ -222,6 +226,12 @@
         self.view_number = current.number;
     }
 
+    /// Returns whether leases of an earlier home may be live that are not
+    /// known here.
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.fresh_until.is_some_and(|until| until > now)
+    }
+
     fn set(
         &mut self,
         now: Instant,
@@ -236,8 +246,7 @@
         let total: u32 =
             self.holders.values().map(|lease| lease.units_requests).sum();
         let free = part_requests.saturating_sub(total);
-        let fresh = self.fresh_until.is_some_and(|until| until > now);
-        let units_requests = if fresh {
+        let units_requests = if self.is_fresh(now) {
             // Open requests move here from an earlier home; new ones would
             // count beside those that are not known yet.
             request.in_use_requests.max(held.min(request.units_requests))
--- a/crates/briarladder-core/src/limits/mod.rs
+++ b/crates/briarladder-core/src/limits/mod.rs
@@ -141,6 +141,13 @@
         /// The total held from this home; 0 if nothing is free.
         units_requests: u32,
     },
+    /// The home waits for the leases of its predecessor and grants nothing
+    /// new. The holder meanwhile opens by its share of a division, because
+    /// requests refused for want of knowledge are refused falsely.
+    Fresh {
+        /// The total held from this home.
+        units_requests: u32,
+    },
     /// The home is not one of the limit's homes in its view.
     NotHome,
     /// No answer arrived in time, or the connection failed.
--- a/crates/briarladder-core/src/limits/tests.rs
+++ b/crates/briarladder-core/src/limits/tests.rs
@@ -330,3 +330,33 @@
         assert_eq!(fleet.open_requests(), limit, "seed {seed}");
     }
 }
+
+/// Guards against a fleet that refuses every request for the first lease
+/// lifetime after a cold start, when each home waits for leases of a
+/// predecessor that never was.
+#[test]
+fn open_uses_division_share_while_homes_are_fresh() {
+    let now = Instant::now();
+    let nobody: Members = Arc::from([]);
+    let members: Members = (0..4).map(vm).collect();
+    let mut homes: Vec<Home> =
+        (0..4).map(|at| Home::new(now, vm(at), Arc::clone(&nobody))).collect();
+    for home in &mut homes {
+        assert!(home.set_members(now, Arc::clone(&members)).is_empty());
+    }
+    let mut holder = Holder::new(vm(0), Arc::clone(&members));
+    let mut opened = 0;
+    for _ in 0..100 {
+        match holder.open(now, &key(), 8) {
+            Opening::Opened => opened += 1,
+            Opening::Refused(_) => break,
+            Opening::Ask(ask) => {
+                let at = members.iter().position(|m| *m == ask.home);
+                let answer = homes[at.unwrap()].lease(now, &ask);
+                assert_eq!(answer, LeaseAnswer::Fresh { units_requests: 0 });
+                holder.answer(now, &ask, answer);
+            }
+        }
+    }
+    assert_eq!(opened, 2);
+}
