--- a/crates/briarladder-cli/tests/support/mod.rs
+++ b/crates/briarladder-cli/tests/support/mod.rs
@@ -3,7 +3,9 @@
 //! the invariants that hold over the records.
 
 pub mod caller;
+pub mod cells;
 pub mod fleet;
 pub mod history;
 pub mod invariants;
 pub mod proxy;
+pub mod scenario;
