Write each streamed event without a copy of its data

Cause: each token was formatted into a String of its own and copied through format machinery into the chunk. Change: serialize into the chunk.

--- a/crates/briarladder-daemon/src/http/answer.rs
+++ b/crates/briarladder-daemon/src/http/answer.rs
@@ -1,6 +1,6 @@
 //! Writes answers, refusals and event streams.
 
-use std::{fmt::Write, sync::Arc};
+use std::sync::Arc;
 
 use briarladder_core::ids::RequestId;
 use briarladder_wire::callers::Answer;
@@ -80,11 +80,11 @@
     let chunks = UnboundedReceiverStream::new(progress)
         .ready_chunks(EVENTS_A_CHUNK)
         .map(move |events| {
-            let mut text = String::with_capacity(64 * events.len());
+            let mut out = Vec::with_capacity(64 * events.len());
             for event in &events {
-                write_event(&mut text, request_id, event);
+                write_event(&mut out, request_id, event);
             }
-            Ok::<_, std::convert::Infallible>(Bytes::from(text))
+            Ok::<_, std::convert::Infallible>(Bytes::from(out))
         });
     response.stream(chunks);
 }
@@ -101,25 +101,55 @@
     text: &'a Arc<str>,
 }
 
-fn write_event(out: &mut String, request_id: RequestId, event: &Progress) {
-    let (name, data) = match event {
+fn write_event(out: &mut Vec<u8>, request_id: RequestId, event: &Progress) {
+    match event {
         Progress::Accepted { request_id, epoch } => {
             let (request_id, epoch) = (*request_id, *epoch);
-            ("accepted", to_json(&Accepted { request_id, epoch }))
+            write(out, "accepted", &Accepted { request_id, epoch });
         }
         Progress::Token { index, text } => {
-            ("token", to_json(&Token { index: *index, text }))
+            write(out, "token", &Token { index: *index, text });
         }
-        Progress::Answer(answer) => ("answer", to_json(answer)),
+        Progress::Answer(answer) => write(out, "answer", answer),
         Progress::Refusal(refusal) => {
-            ("problem", to_json(&refusal.problem(Some(request_id))))
+            write(out, "problem", &refusal.problem(Some(request_id)));
         }
-    };
-    // Writing to a String can't fail.
-    let _ = write!(out, "event: {name}\ndata: {data}\n\n");
+    }
 }
 
-fn to_json(value: &impl Serialize) -> String {
-    // OK because no message has a map with keys that are not strings.
-    serde_json::to_string(value).unwrap()
+/// Appends one event without a copy of its data, because streams have one
+/// for each token.
+fn write(out: &mut Vec<u8>, name: &str, data: &impl Serialize) {
+    out.extend_from_slice(b"event: ");
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b"\ndata: ");
+    // OK because no message has a map with keys that are not strings, and
+    // writing to a Vec can't fail.
+    serde_json::to_writer(&mut *out, data).unwrap();
+    out.extend_from_slice(b"\n\n");
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against events that a client can't split, such as a token with
+    /// a line break that ends its event early.
+    #[test]
+    fn write_event_keeps_one_line_of_data() {
+        let mut out = Vec::new();
+        let id = RequestId(1);
+        for index in 0..2 {
+            let text = "a\n\nb".into();
+            write_event(&mut out, id, &Progress::Token { index, text });
+        }
+        let event = |index: u32| {
+            format!(
+                "event: token\ndata: {{\"index\":{index},\
+                 \"text\":\"a\\n\\nb\"}}\n\n"
+            )
+        };
+        let expected = event(0) + &event(1);
+        assert_eq!(String::from_utf8(out).unwrap(), expected);
+    }
 }
