Read a stream event as a struct

Cause: serde buffers the fields of an internally tagged enum, with allocations for each token. Change: read a struct of optional fields and convert it. A field of another event with a wrong type, such as a token with a load that is not an object, is now an error instead of ignored.

--- a/crates/briarladder-wire/src/backend.rs
+++ b/crates/briarladder-wire/src/backend.rs
@@ -92,7 +92,11 @@
 
 /// One server-sent event of a generation.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(tag = "type", rename_all = "snake_case")]
+#[serde(
+    tag = "type",
+    rename_all = "snake_case",
+    try_from = "StreamEventFields"
+)]
 pub enum StreamEvent {
     /// The first event of each attempt.
     Start {
@@ -120,6 +124,56 @@
     },
 }
 
+/// The fields of [`StreamEvent`]. serde buffers every field of an internally
+/// tagged enum, which costs allocations for each token, so the event is read
+/// as a struct.
+#[derive(Deserialize)]
+struct StreamEventFields {
+    #[serde(rename = "type")]
+    kind: StreamEventKind,
+    request_id: Option<RequestId>,
+    stage: Option<StageName>,
+    attempt: Option<u32>,
+    index: Option<u32>,
+    text: Option<Arc<str>>,
+    total_tokens: Option<u32>,
+    load: Option<LoadReport>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum StreamEventKind {
+    Start,
+    Token,
+    Done,
+}
+
+impl TryFrom<StreamEventFields> for StreamEvent {
+    type Error = &'static str;
+
+    fn try_from(
+        fields: StreamEventFields,
+    ) -> Result<StreamEvent, Self::Error> {
+        match fields.kind {
+            StreamEventKind::Start => Ok(StreamEvent::Start {
+                request_id: fields.request_id.ok_or("missing request_id")?,
+                stage: fields.stage.ok_or("missing stage")?,
+                attempt: fields.attempt.ok_or("missing attempt")?,
+            }),
+            StreamEventKind::Token => Ok(StreamEvent::Token {
+                index: fields.index.ok_or("missing index")?,
+                text: fields.text.ok_or("missing text")?,
+            }),
+            StreamEventKind::Done => Ok(StreamEvent::Done {
+                total_tokens: fields
+                    .total_tokens
+                    .ok_or("missing total_tokens")?,
+                load: fields.load,
+            }),
+        }
+    }
+}
+
 /// What a plain service knows of the call with an idempotency key.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(
@@ -220,6 +274,37 @@
 mod tests {
     use super::*;
 
+    /// Guards against events that are sent but can't be read, and against
+    /// incomplete events that pass as complete.
+    #[test]
+    fn stream_event_reads_what_it_writes() {
+        let id = "0123456789abcdef0123456789abcdef";
+        let events = [
+            format!(
+                r#"{{"type":"start","request_id":"{id}","stage":"s","attempt":1}}"#
+            ),
+            r#"{"type":"token","index":7,"text":"a\n\"é\u0001"}"#.into(),
+            r#"{"type":"done","total_tokens":8}"#.into(),
+        ];
+        for text in events {
+            let event: StreamEvent = serde_json::from_str(&text).unwrap();
+            assert_eq!(serde_json::to_string(&event).unwrap(), text);
+            // The fields may come in any order, with unknown ones.
+            let fields = text.trim_matches(['{', '}']);
+            let (kind, rest) = fields.split_once(',').unwrap();
+            let other = format!(r#"{{"new":[1],{rest},{kind}}}"#);
+            let event: StreamEvent = serde_json::from_str(&other).unwrap();
+            assert_eq!(serde_json::to_string(&event).unwrap(), text);
+            // Each event needs all of its fields.
+            for field in rest.split(',') {
+                let cut = text.replace(&format!(",{field}"), "");
+                assert!(serde_json::from_str::<StreamEvent>(&cut).is_err());
+            }
+        }
+        let untyped = r#"{"index":7,"text":"a"}"#;
+        assert!(serde_json::from_str::<StreamEvent>(untyped).is_err());
+    }
+
     /// Guards against records that are sent but can't be read, as was the
     /// case with a raw value inside an internally tagged enum.
     #[test]
