Decode events of engines with an own decoder

Cause: eventsource-stream allocates five strings for each event, parses with backtracking and moves the rest of its buffer at each line. Change: a decoder of the data lines only, which reuses its buffers.

--- a/crates/briarladder-daemon/src/backend/mod.rs
+++ b/crates/briarladder-daemon/src/backend/mod.rs
@@ -23,15 +23,16 @@
     RunRequest, RunResponse, StreamEvent,
 };
 use bytes::{Bytes, BytesMut};
-use eventsource_stream::Eventsource;
-use futures_util::StreamExt;
 use reqwest::{Client, Response};
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
+use tokio::time::Instant;
 
 mod cancel;
+mod events;
 
 pub use cancel::CancelOnDrop;
+use events::EventDecoder;
 
 /// The longest time to set up a connection. Zones are about 1 ms apart and
 /// regions 20 ms, so a connection that takes longer will not be made.
@@ -178,17 +179,24 @@
         attempt: Attempt<'_>,
         on_token: &mut impl FnMut(u32, Arc<str>) -> ControlFlow<()>,
     ) -> Result<GenerationEnd, AttemptFailure> {
-        let response = self.send(address, attempt).await?;
-        let mut events = response.bytes_stream().eventsource();
+        let mut response = self.send(address, attempt).await?;
+        let mut decoder = EventDecoder::new(self.max_output_bytes);
         let mut started = false;
+        let mut stalled_at = Instant::now() + STALL_TIMEOUT;
         loop {
-            let event = tokio::time::timeout(STALL_TIMEOUT, events.next())
-                .await
-                .map_err(|_| AttemptFailure::TimedOut)?
-                .ok_or(AttemptFailure::Broken)?
-                .map_err(|_| AttemptFailure::Broken)?;
-            let event: StreamEvent = serde_json::from_str(&event.data)
+            let Some(data) = decoder.next() else {
+                let chunk =
+                    tokio::time::timeout_at(stalled_at, response.chunk())
+                        .await
+                        .map_err(|_| AttemptFailure::TimedOut)?
+                        .map_err(|_| AttemptFailure::Broken)?
+                        .ok_or(AttemptFailure::Broken)?;
+                decoder.push(&chunk).map_err(|_| AttemptFailure::Broken)?;
+                continue;
+            };
+            let event: StreamEvent = serde_json::from_slice(data)
                 .map_err(|_| AttemptFailure::Broken)?;
+            stalled_at = Instant::now() + STALL_TIMEOUT;
             match event {
                 StreamEvent::Start { request_id, stage, attempt: number } => {
                     let sent = attempt.request;
