Carry the clock with forwarded calls, and record the forwarding

Cause: a forwarded call and its answer carried no clock, and the daemon that forwards recorded no event. A request over two daemons could show its effect before its cause, and its first daemon was missing from the timeline.

Change: `call_forward` takes the sender's clock and returns the issuer's. The events `forwarded` and `forward_ended` mark both ends at the receiver.

Conclusion: causal order holds for the one message through which a request reaches a second daemon.

--- a/crates/briarladder-core/src/timeline/event.rs
+++ b/crates/briarladder-core/src/timeline/event.rs
@@ -1,6 +1,6 @@
 //! One event and what it concerns.
 
-use std::{fmt, sync::Arc};
+use std::{fmt, net::SocketAddr, sync::Arc};
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -122,6 +122,23 @@
     }
 }
 
+/// How the forwarding of a call ended.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum ForwardResult {
+    /// The issuer answered the call.
+    #[display("answered")]
+    Answered,
+    /// The issuer refused the call.
+    #[display("refused")]
+    Refused,
+    /// The issuer gave no answer.
+    #[display("no_answer")]
+    NoAnswer,
+}
+
 /// What happened.
 #[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
@@ -157,6 +174,12 @@
     /// A stage has its result.
     #[display("stage done attempt={attempt} service_ms={service_ms}")]
     StageDone { attempt: u32, service_ms: u32 },
+    /// A call goes to the daemon that issued its ticket.
+    #[display("forwarded issuer={issuer_address}")]
+    Forwarded { issuer_address: SocketAddr },
+    /// A forwarded call came back, or its issuer gave no answer.
+    #[display("forward ended result={result} total_ms={total_ms}")]
+    ForwardEnded { result: ForwardResult, total_ms: u32 },
     /// The caller has its final answer.
     #[display("answered status={status} total_ms={total_ms}")]
     Answered { status: u16, total_ms: u32 },
--- a/crates/briarladder-core/src/timeline/mod.rs
+++ b/crates/briarladder-core/src/timeline/mod.rs
@@ -34,7 +34,8 @@
 
 pub use buffer::{EventBuffer, Gap, Page};
 pub use event::{
-    Detail, Event, EventKind, Filter, Process, Subject, TimeSpan,
+    Detail, Event, EventKind, Filter, ForwardResult, Process, Subject,
+    TimeSpan,
 };
 pub use hlc::{DriftError, Hlc, HlcTimestamp, MAX_DRIFT};
 pub use merge::{Row, merge, render};
--- a/crates/briarladder-daemon/src/daemon.rs
+++ b/crates/briarladder-daemon/src/daemon.rs
@@ -14,11 +14,11 @@
     retry::Budget,
     routing::{self, Router},
     ticket::Claims,
-    timeline::Process,
+    timeline::{EventKind, ForwardResult, Process, Subject},
 };
 use briarladder_wire::{
     callers::TicketStatus,
-    peers::{CallResult, ForwardedCall},
+    peers::{CallResult, ForwardReply, ForwardedCall},
 };
 use parking_lot::Mutex;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -188,9 +188,22 @@
         if call.ticket.incarnation == self.incarnation {
             return ticketed::run_call(self, call).await;
         }
+        let began_at = self.clock.now();
         let request_id = call.head.request_id;
-        match self.peers.call_forward(issuer, call).await {
-            Ok(result) => result,
+        let subject = Subject::default().with_request(request_id);
+        let forwarded = EventKind::Forwarded { issuer_address: issuer };
+        self.events.record(subject.clone(), forwarded);
+        let sent_at = self.events.stamp();
+        let reply = self.peers.call_forward(issuer, call, sent_at).await;
+        let (ended, result) = match reply {
+            Ok(ForwardReply { sent_at, result }) => {
+                self.events.observe(sent_at);
+                let ended = match &result {
+                    CallResult::Answered(_) => ForwardResult::Answered,
+                    CallResult::Refused(_) => ForwardResult::Refused,
+                };
+                (ended, result)
+            }
             Err(error) => {
                 log::warn!("peers: forward of {request_id} failed: {error}");
                 let refusal = Refusal::new(
@@ -198,9 +211,15 @@
                     "the daemon that issued the ticket can't be reached; ask \
                      for the status of the ticket later",
                 );
-                CallResult::Refused(refusal.problem(Some(request_id)))
+                let problem = refusal.problem(Some(request_id));
+                (ForwardResult::NoAnswer, CallResult::Refused(problem))
             }
-        }
+        };
+        let elapsed = self.clock.now().saturating_duration_since(began_at);
+        let total_ms = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX);
+        let kind = EventKind::ForwardEnded { result: ended, total_ms };
+        self.events.record(subject, kind);
+        result
     }
 
     /// Returns what is known of the call of a ticket.
--- a/crates/briarladder-daemon/src/peers/client.rs
+++ b/crates/briarladder-daemon/src/peers/client.rs
@@ -6,11 +6,12 @@
     config::{Digest, ManifestReply},
     sorted::SortedMap,
     ticket::TicketId,
+    timeline::HlcTimestamp,
 };
 use briarladder_wire::{
     callers::TicketStatus,
     peers::{
-        CallResult, ChunkReply, ConfigNotice, ForwardedCall, ManifestQuery,
+        ChunkReply, ConfigNotice, ForwardReply, ForwardedCall, ManifestQuery,
         PEER_KEY_HEADER, PeersClient, Probe, ProbeThrough,
     },
 };
@@ -138,8 +139,9 @@
         &self,
         address: SocketAddr,
         call: ForwardedCall,
-    ) -> Result<CallResult, Error> {
-        self.clients(address)?.forward.call_forward(call).await
+        sent_at: HlcTimestamp,
+    ) -> Result<ForwardReply, Error> {
+        self.clients(address)?.forward.call_forward(call, sent_at).await
     }
 
     /// Returns what a daemon knows of a call.
--- a/crates/briarladder-daemon/src/peers/mod.rs
+++ b/crates/briarladder-daemon/src/peers/mod.rs
@@ -9,11 +9,12 @@
 use briarladder_core::{
     config::{Digest, ManifestReply},
     ticket::TicketId,
+    timeline::HlcTimestamp,
 };
 use briarladder_wire::{
     callers::TicketStatus,
     peers::{
-        CallResult, ChunkReply, ConfigNotice, ForwardedCall, ManifestQuery,
+        ChunkReply, ConfigNotice, ForwardReply, ForwardedCall, ManifestQuery,
         PEER_KEY_HEADER, PeersServer, Probe, ProbeThrough,
     },
 };
@@ -157,8 +158,11 @@
     async fn call_forward(
         &self,
         call: ForwardedCall,
-    ) -> RpcResult<CallResult> {
-        Ok(ticketed::run_call(&self.0, call).await)
+        sent_at: HlcTimestamp,
+    ) -> RpcResult<ForwardReply> {
+        self.0.events.observe(sent_at);
+        let result = ticketed::run_call(&self.0, call).await;
+        Ok(ForwardReply { sent_at: self.0.events.stamp(), result })
     }
 
     async fn call_status(&self, ticket: TicketId) -> RpcResult<TicketStatus> {
--- a/crates/briarladder-wire/src/peers.rs
+++ b/crates/briarladder-wire/src/peers.rs
@@ -18,6 +18,7 @@
     config::{Announcement, Digest, ManifestId, ManifestReply, Which},
     membership::Heartbeat,
     ticket::TicketId,
+    timeline::HlcTimestamp,
 };
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 use serde::{Deserialize, Serialize};
@@ -49,6 +50,15 @@
     Refused(Problem),
 }
 
+/// The answer to a forwarded call.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ForwardReply {
+    /// The clock of the daemon that issued the ticket, after the call.
+    pub sent_at: HlcTimestamp,
+    /// The end of the call.
+    pub result: CallResult,
+}
+
 /// A probe, and the answer to one.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Probe {
@@ -122,8 +132,11 @@
 
     /// Runs a call whose ticket this daemon issued.
     #[method(name = "call_forward")]
-    async fn call_forward(&self, call: ForwardedCall)
-    -> RpcResult<CallResult>;
+    async fn call_forward(
+        &self,
+        call: ForwardedCall,
+        sent_at: HlcTimestamp,
+    ) -> RpcResult<ForwardReply>;
 
     /// Returns what is known of the call of a ticket.
     #[method(name = "call_status")]
