Answer operators' status and events

Cause: the design names two calls for operators on the peers' listener, and daemons answered neither.

Change: `status` returns the daemon's state, members, zones, pools and the backend servers in view with their last report against what was declared; `events` returns a page of the timeline. The router remembers since when a server is out or has other versions, and its last failure; the blackboard, since when a problem lasts; the scheduler tells the use of one pool. No decision rests on any of these. The report path compares versions without a copy in the usual case. `suspect_requests` is absent until the daemon keeps an account of suspects.

Figures: the view is bounded: with 50 servers in another region, under half of them are in view (test `seen_keeps_servers_out_of_subsets`).

Conclusion: what a daemon knows can be read from outside.

--- a/crates/briarladder-core/src/admission/job.rs
+++ b/crates/briarladder-core/src/admission/job.rs
@@ -54,6 +54,17 @@
     Refuse(Refusal),
 }
 
+/// How one pool is used.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolLoad {
+    /// The slots that this daemon may use.
+    pub slots_requests: u32,
+    /// The running jobs.
+    pub running_requests: u32,
+    /// The waiting jobs.
+    pub queue_len_requests: usize,
+}
+
 /// A waiting job that runs now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Dispatched {
--- a/crates/briarladder-core/src/admission/mod.rs
+++ b/crates/briarladder-core/src/admission/mod.rs
@@ -36,6 +36,7 @@
 //! };
 //! let Offer::Run(grant) = scheduler.offer(now, &job) else { panic!() };
 //! let Offer::Wait(waiting) = scheduler.offer(now, &job) else { panic!() };
+//! assert_eq!(scheduler.pool_load(&job.pool).queue_len_requests, 1);
 //! let changes = scheduler.finish(now, grant, Duration::from_millis(25));
 //! assert_eq!(changes.run[0].waiting, waiting);
 //! ```
@@ -54,7 +55,7 @@
 
 pub use estimate::{Estimate, Estimates};
 pub use job::{
-    Changes, Dispatched, GivenUp, GrantId, Job, Offer, Refusal, RefusalReason,
-    WaitingId,
+    Changes, Dispatched, GivenUp, GrantId, Job, Offer, PoolLoad, Refusal,
+    RefusalReason, WaitingId,
 };
 pub use scheduler::{DEFAULT_QUEUE_LIMIT_REQUESTS, Scheduler};
--- a/crates/briarladder-core/src/admission/scheduler.rs
+++ b/crates/briarladder-core/src/admission/scheduler.rs
@@ -5,7 +5,7 @@
 use super::{
     expiry::Expiries,
     job::{
-        Changes, Dispatched, GivenUp, GrantId, Job, Offer, Refusal,
+        Changes, Dispatched, GivenUp, GrantId, Job, Offer, PoolLoad, Refusal,
         RefusalReason, WaitingId,
     },
     lane::{Owner, Position, Queued},
@@ -284,6 +284,19 @@
         self.pools.get(pool).map_or(0, Pool::running)
     }
 
+    /// Returns how a pool is used; all 0 for one without slots.
+    #[must_use]
+    pub fn pool_load(&self, pool: &PoolName) -> PoolLoad {
+        let Some(pool) = self.pools.get(pool) else {
+            return PoolLoad::default();
+        };
+        PoolLoad {
+            slots_requests: pool.slots,
+            running_requests: pool.running(),
+            queue_len_requests: pool.waiting(),
+        }
+    }
+
     fn take_waiting(&mut self, key: Key) -> Option<()> {
         let entry = self.jobs.get(key)?;
         let State::Waiting { position, .. } = entry.state else { return None };
--- a/crates/briarladder-core/src/routing/mod.rs
+++ b/crates/briarladder-core/src/routing/mod.rs
@@ -41,12 +41,14 @@
 mod bytes;
 mod cache;
 mod pool;
+mod seen;
 mod server;
 mod types;
 mod typical;
 
 pub use bytes::{CrossRegionBytes, StageBytes};
 pub use cache::CacheEvent;
+pub use seen::{SeenError, SeenFailure, SeenReport, SeenServer, SeenState};
 pub use types::{
     AttemptResult, Distance, LinkUse, ListedState, NoServer, Pick, PickKind,
     Poll, PollReason, PoolSlots, Query, Settings, Sharing,
@@ -95,14 +97,14 @@
             && self.pools.iter().zip(pools).all(|(a, b)| a.has_servers_of(b));
         self.region = region;
         if same {
-            self.renew(snapshot);
+            self.renew(now, snapshot);
         } else {
             self.rebuild(now, snapshot);
         }
     }
 
     /// Takes the values of a snapshot with the same servers, as most are.
-    fn renew(&mut self, snapshot: &Snapshot) {
+    fn renew(&mut self, now: Instant, snapshot: &Snapshot) {
         for (view, pool) in self.pools.iter_mut().zip(snapshot.pools.values())
         {
             let mut same_versions = true;
@@ -110,6 +112,7 @@
                 let old = &server.resolved.model_versions;
                 same_versions &= *old == new.model_versions;
                 server.resolved = Arc::clone(new);
+                server.note_versions(now);
                 if let Some(region) = &self.region {
                     let cost = snapshot.link_cost(region, &new.region);
                     server.set_link(cost.one_way, cost.billed);
@@ -173,6 +176,7 @@
             if a.address == b.address && a.pool == b.pool {
                 std::mem::swap(&mut server, old);
                 server.resolved = Arc::clone(resolved);
+                server.note_versions(now);
             }
         }
         server.distance = if resolved.zone == self.settings.zone {
@@ -314,7 +318,7 @@
 
     /// Ejects a server whose load could not be polled.
     pub fn poll_failed(&mut self, now: Instant, server: &ServerName) {
-        self.change(server, |pool, at| pool.servers[at].eject(now));
+        self.change(server, |pool, at| pool.servers[at].poll_failed(now));
     }
 
     /// Returns the slots of a pool for admission.
@@ -400,6 +404,24 @@
         }
     }
 
+    /// Returns the servers in view: those of this daemon's zone, those of
+    /// its subsets, and those that were ever asked.
+    #[must_use]
+    pub fn seen(&self) -> Vec<SeenServer> {
+        let mut seen = Vec::new();
+        for pool in &self.pools {
+            let members = pool.members();
+            let servers = pool.servers.iter().enumerate();
+            let in_view = servers.filter(|(at, server)| {
+                server.distance == Distance::Zone
+                    || members.contains(at)
+                    || server.was_asked()
+            });
+            seen.extend(in_view.map(|(_, server)| server.seen()));
+        }
+        seen
+    }
+
     /// Returns the bytes exchanged with other regions.
     #[must_use]
     pub fn cross_region_bytes(&self) -> &CrossRegionBytes {
--- a/crates/briarladder-core/src/routing/server.rs
+++ b/crates/briarladder-core/src/routing/server.rs
@@ -13,11 +13,13 @@
     objects::snapshot::ResolvedServer,
     retry::AttemptFailure,
     routing::{
-        AttemptResult, Distance, ListedState, Sharing, cache::CacheCursor,
-        typical::Typical,
+        AttemptResult, Distance, ListedState, SeenFailure, Sharing,
+        cache::CacheCursor, typical::Typical,
     },
 };
 
+mod seen;
+
 /// Up to this age a report excludes that the server has been leaving for 3 s,
 /// with some time for the attempt to arrive.
 const STATE_KNOWN: Duration = Duration::from_millis(2_500);
@@ -114,6 +116,8 @@
     polled_at: Option<Instant>,
     mean_elapsed_s: f64,
     answered_at: Option<Instant>,
+    /// What operators ask for; no decision rests on it.
+    history: seen::History,
 }
 
 impl ServerView {
@@ -142,6 +146,7 @@
             polled_at: None,
             mean_elapsed_s: 0.0,
             answered_at: None,
+            history: seen::History::default(),
         }
     }
 
@@ -282,6 +287,7 @@
             self.listed = state;
             self.listed_at = now;
         }
+        self.note_usable(now);
     }
 
     pub(super) fn apply_report(
@@ -309,6 +315,8 @@
         let sticky = self.leaving && self.report.is_some();
         self.leaving = sticky || report.state == ServerState::Leaving;
         self.accept(now, report);
+        self.note_versions(now);
+        self.note_usable(now);
         if restarted {
             ReportEffect::Restarted
         } else if same_versions {
@@ -379,6 +387,7 @@
             AttemptResult::Cancelled => {}
             AttemptResult::Failed(failure) => self.failed(now, failure),
         }
+        self.note_usable(now);
     }
 
     fn answered(&mut self, now: Instant, elapsed: Duration) {
@@ -402,6 +411,7 @@
     }
 
     fn failed(&mut self, now: Instant, failure: AttemptFailure) {
+        self.note_error(now, SeenFailure::Attempt(failure));
         match failure {
             AttemptFailure::ConnectFailed => self.eject(now),
             AttemptFailure::Leaving => self.leaving = true,
@@ -420,8 +430,15 @@
         }
     }
 
+    /// Takes the server out because its load could not be polled.
+    pub(super) fn poll_failed(&mut self, now: Instant) {
+        self.note_error(now, SeenFailure::Poll);
+        self.eject(now);
+        self.note_usable(now);
+    }
+
     /// Takes the server out until a probe succeeds.
-    pub(super) fn eject(&mut self, now: Instant) {
+    fn eject(&mut self, now: Instant) {
         match self.health {
             // Several attempts may fail together; they count once.
             Health::Ejected { .. } => return,
--- /dev/null
+++ b/crates/briarladder-core/src/routing/server/seen.rs
@@ -0,0 +1,90 @@
+//! Since when a server is out or has other versions, for operators.
+
+use std::time::Instant;
+
+use super::{Health, ServerView};
+use crate::{
+    names::ModelVersionName,
+    routing::{
+        ListedState, SeenError, SeenFailure, SeenReport, SeenServer, SeenState,
+    },
+    sorted::SortedSet,
+};
+
+#[derive(Debug, Default)]
+pub(super) struct History {
+    out_since: Option<Instant>,
+    versions_differ_since: Option<Instant>,
+    last_error: Option<SeenError>,
+}
+
+impl ServerView {
+    /// Returns whether the server was polled or sent a report.
+    pub(in crate::routing) fn was_asked(&self) -> bool {
+        self.polled_at.is_some() || self.report.is_some()
+    }
+
+    pub(super) fn note_error(&mut self, at: Instant, failure: SeenFailure) {
+        self.history.last_error = Some(SeenError { failure, at });
+    }
+
+    /// Keeps the start of an outage over the probes during it, each of which
+    /// starts a new backoff.
+    pub(super) fn note_usable(&mut self, now: Instant) {
+        if self.is_usable() {
+            self.history.out_since = None;
+        } else {
+            self.history.out_since.get_or_insert(now);
+        }
+    }
+
+    /// Compares the reported versions with the declared ones.
+    pub(in crate::routing) fn note_versions(&mut self, now: Instant) {
+        let Some(report) = &self.report else { return };
+        if report.model_versions == self.resolved.model_versions {
+            // The usual case, on each report, without a copy.
+            self.history.versions_differ_since = None;
+            return;
+        }
+        let set = |versions: &[ModelVersionName]| {
+            versions.iter().cloned().collect::<SortedSet<_>>()
+        };
+        let declared = set(&self.resolved.model_versions);
+        if set(&report.model_versions).as_slice() == declared.as_slice() {
+            self.history.versions_differ_since = None;
+        } else {
+            self.history.versions_differ_since.get_or_insert(now);
+        }
+    }
+
+    /// Returns what operators ask for.
+    pub(in crate::routing) fn seen(&self) -> SeenServer {
+        let state = if self.is_leaving() {
+            SeenState::Leaving
+        } else if !matches!(self.health, Health::Good { .. }) {
+            SeenState::Ejected
+        } else if !self.is_usable() && self.listed == ListedState::Absent {
+            SeenState::Unlisted
+        } else if self.report.is_none() {
+            SeenState::Unreported
+        } else {
+            SeenState::Ready
+        };
+        let report = self.report.as_ref().map(|report| SeenReport {
+            at: report.at,
+            load_requests: report.load_requests,
+            slots_requests: report.slots_requests,
+            model_versions: report.model_versions.clone(),
+        });
+        SeenServer {
+            server: self.resolved.clone(),
+            distance: self.distance,
+            state,
+            out_since: self.history.out_since,
+            in_flight_requests: self.in_flight,
+            report,
+            versions_differ_since: self.history.versions_differ_since,
+            last_error: self.history.last_error,
+        }
+    }
+}
--- a/crates/briarladder-core/src/routing/tests.rs
+++ b/crates/briarladder-core/src/routing/tests.rs
@@ -17,6 +17,7 @@
 mod affinity;
 mod faults;
 mod links;
+mod seen;
 
 const MS: Duration = Duration::from_millis(1);
 const SLOTS: u32 = 4;
--- /dev/null
+++ b/crates/briarladder-core/src/routing/tests/seen.rs
@@ -0,0 +1,73 @@
+//! What operators see of servers.
+
+use super::*;
+
+fn seen(fixture: &Fixture, server: &str) -> SeenServer {
+    let all = fixture.router.seen().into_iter();
+    all.filter(|seen| seen.server.name == name(server)).last().unwrap()
+}
+
+/// Guards against an outage that seems to start anew with each failed probe,
+/// and one that is shown after its end.
+#[test]
+fn out_since_spans_probes() {
+    let mut fixture = Fixture::new(&["recife-a-1"]);
+    assert_eq!(seen(&fixture, "recife-a-1").state, SeenState::Unreported);
+    let began_at = fixture.now;
+    fixture.router.poll_failed(began_at, &name("recife-a-1"));
+    for _ in 0..3 {
+        fixture.now += 2_000 * MS;
+        assert_eq!(fixture.polled(), ["recife-a-1"]);
+        fixture.router.poll_failed(fixture.now, &name("recife-a-1"));
+        let seen = seen(&fixture, "recife-a-1");
+        assert_eq!(seen.state, SeenState::Ejected);
+        assert_eq!(seen.out_since, Some(began_at));
+        let at = fixture.now;
+        let failure = SeenFailure::Poll;
+        assert_eq!(seen.last_error, Some(SeenError { failure, at }));
+    }
+    fixture.now += 4_000 * MS;
+    assert_eq!(fixture.polled(), ["recife-a-1"]);
+    fixture.report("recife-a-1", &report(1, 1, 0));
+    let seen = seen(&fixture, "recife-a-1");
+    assert_eq!((seen.state, seen.out_since), (SeenState::Ready, None));
+    assert!(seen.last_error.is_some());
+}
+
+/// Guards against versions that count as loaded because they are declared,
+/// in another order than the report's, and a difference without its start.
+#[test]
+fn versions_differ_since_first_report() {
+    let mut fixture = Fixture::new(&["recife-a-1"]);
+    let with = |sequence, versions: &[&str]| LoadReport {
+        model_versions: versions.iter().map(|v| version(v)).collect(),
+        ..report(1, sequence, 0)
+    };
+    let differ =
+        |fixture: &Fixture| seen(fixture, "recife-a-1").versions_differ_since;
+    let declared = fixture.declared;
+    fixture.report("recife-a-1", &with(1, &[declared, declared]));
+    assert_eq!(differ(&fixture), None);
+    let began_at = fixture.now;
+    fixture.report("recife-a-1", &with(2, &["other"]));
+    fixture.now += MS;
+    fixture.report("recife-a-1", &with(3, &[]));
+    assert_eq!(differ(&fixture), Some(began_at));
+    fixture.report("recife-a-1", &with(4, &[declared]));
+    assert_eq!(differ(&fixture), None);
+}
+
+/// Guards against a server that no daemon shows because it is out of all
+/// subsets, and against a view that grows with the fleet.
+#[test]
+fn seen_keeps_servers_out_of_subsets() {
+    let far: Vec<String> =
+        (0..50).map(|n| format!("campinas-a-{n:02}")).collect();
+    let mut servers = vec!["recife-a-1"];
+    servers.extend(far.iter().map(String::as_str));
+    let mut fixture = Fixture::new(&servers);
+    fixture.fail("recife-a-1", AttemptFailure::Leaving);
+    let in_view = fixture.router.seen();
+    assert!(in_view.iter().any(|s| s.state == SeenState::Leaving));
+    assert!(in_view.len() < servers.len() / 2, "{}", in_view.len());
+}
--- a/crates/briarladder-core/src/routing/types.rs
+++ b/crates/briarladder-core/src/routing/types.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     names::{ModelVersionName, PoolName, ServerName, VmName, ZoneName},
@@ -56,7 +57,10 @@
 }
 
 /// How far a backend server is from the daemon.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(rename_all = "snake_case")]
 pub enum Distance {
     /// In the same availability zone.
     Zone,
--- a/crates/briarladder-daemon/src/blackboard.rs
+++ b/crates/briarladder-daemon/src/blackboard.rs
@@ -16,7 +16,7 @@
 //! assert!(blackboard.configuration().snapshot.is_none());
 //! ```
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use arc_swap::{ArcSwap, Guard};
 use briarladder_core::{objects::snapshot::Snapshot, ticket::Keys};
@@ -30,6 +30,9 @@
     pub keys: Keys,
     /// Why the daemon is not ready or does not follow, for operators.
     pub problem: Option<Arc<str>>,
+    /// Since when, as time since the Unix epoch. Absent without a problem
+    /// and for the one at start.
+    pub problem_since: Option<Duration>,
     /// The lowest epoch that may be in force.
     pub floor_epoch: u64,
 }
@@ -61,6 +64,7 @@
             snapshot: None,
             keys: Keys::new([]),
             problem: Some(Arc::from("no configuration was read yet")),
+            problem_since: None,
             floor_epoch: 0,
         };
         Blackboard {
--- a/crates/briarladder-daemon/src/controllers/config.rs
+++ b/crates/briarladder-daemon/src/controllers/config.rs
@@ -291,10 +291,17 @@
         ),
         None => (before.snapshot.clone(), before.keys.clone()),
     };
+    // A reason that changes starts anew: each names its own remedy.
+    let problem_since = if before.problem == problem {
+        before.problem_since
+    } else {
+        problem.is_some().then(|| daemon.clock.unix())
+    };
     daemon.blackboard.set_configuration(Configuration {
         snapshot,
         keys,
         problem,
+        problem_since,
         floor_epoch,
     });
 }
--- a/crates/briarladder-daemon/src/daemon.rs
+++ b/crates/briarladder-daemon/src/daemon.rs
@@ -3,7 +3,11 @@
 //! The request path is in [`pipeline`](crate::pipeline); the parts that keep
 //! the daemon's views fresh are in [`controllers`](crate::controllers).
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use briarladder_core::{
     admission::Estimates,
@@ -78,9 +82,20 @@
     pub members: MembersState,
     /// Whether the views are stale after a pause.
     pub pauses: Pauses,
+    /// When the daemon started.
+    pub started_at: Started,
     open_requests: Arc<Semaphore>,
 }
 
+/// When a daemon started.
+#[derive(Clone, Copy, Debug)]
+pub struct Started {
+    /// By the monotonic clock.
+    pub at: Instant,
+    /// Since the Unix epoch.
+    pub unix: Duration,
+}
+
 impl Daemon {
     /// Creates a daemon that peers reach at an address.
     ///
@@ -126,6 +141,7 @@
             config: ConfigState::default(),
             members: MembersState::new(identity, clock.now()),
             pauses: Pauses::new(Arc::clone(&clock)),
+            started_at: Started { at: clock.now(), unix: clock.unix() },
             settings,
             clock,
         }))
--- a/crates/briarladder-daemon/src/peers/mod.rs
+++ b/crates/briarladder-daemon/src/peers/mod.rs
@@ -34,6 +34,7 @@
 };
 
 mod client;
+mod operators;
 
 pub use client::PeerClient;
 
@@ -72,7 +73,8 @@
         .set_config(config)
         .set_http_middleware(middleware)
         .build_from_tcp(listener)?;
-    let methods = PeersService(Arc::clone(daemon)).into_rpc();
+    let mut methods = PeersService(Arc::clone(daemon)).into_rpc();
+    methods.merge(operators::methods(daemon))?;
     Ok(server.start(methods))
 }
 
--- a/crates/briarladder-daemon/src/pipeline/slots.rs
+++ b/crates/briarladder-daemon/src/pipeline/slots.rs
@@ -10,7 +10,9 @@
 };
 
 use briarladder_core::{
-    admission::{Changes, GrantId, Job, Offer, Refusal, Scheduler, WaitingId},
+    admission::{
+        Changes, GrantId, Job, Offer, PoolLoad, Refusal, Scheduler, WaitingId,
+    },
     clock::SharedClock,
     names::PoolName,
     objects::Rank,
@@ -68,6 +70,12 @@
         self.with(|inner, _| inner.scheduler.running_requests(pool))
     }
 
+    /// Returns how a pool is used.
+    #[must_use]
+    pub fn pool_load(&self, pool: &PoolName) -> PoolLoad {
+        self.with(|inner, _| inner.scheduler.pool_load(pool))
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
--- a/crates/briarladder-wire/src/lib.rs
+++ b/crates/briarladder-wire/src/lib.rs
@@ -15,5 +15,6 @@
 
 pub mod backend;
 pub mod callers;
+pub mod operators;
 pub mod peers;
 pub mod platform;
