Let operators reach a demo, and set clocks in a fleet

Cause: the demo did not tell where its daemons serve peers and had a fixed key, so that no operator could ask it; a test could not give one daemon a wrong wall clock.

`Fleet::start_daemon_with_clock` takes a clock.

Conclusion: `status` and `timeline` can be tried on a demo.

--- a/crates/briarladder-cli/src/demo.rs
+++ b/crates/briarladder-cli/src/demo.rs
@@ -5,6 +5,7 @@
 
 use anyhow::{Context, bail};
 use briarladder_core::objects::{Object, Pipeline, Stage, Workspace};
+use briarladder_daemon::settings::Secret;
 use briarladder_standins::cluster::ClusterSettings;
 use briarladder_wire::callers::{
     Answer, CALLER_HEADER, Problem, TICKET_HEADER, TicketIssued,
@@ -14,7 +15,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    fleet::{Fleet, FleetSettings},
+    fleet::{self, Fleet, FleetSettings},
     samples::Sample,
 };
 
@@ -53,6 +54,16 @@
     /// The factor on all service times of the backend servers.
     #[arg(long, default_value_t = 0.25, value_parser = time_scale)]
     time_scale: f64,
+    /// The key that peers and operators show, at least 16 bytes.
+    #[arg(
+        long,
+        value_name = "KEY",
+        env = "BRIARLADDER_PEER_KEY",
+        hide_env_values = true,
+        default_value = fleet::PEER_KEY,
+        hide_default_value = true
+    )]
+    peer_key: Secret,
 }
 
 fn time_scale(text: &str) -> Result<f64, String> {
@@ -82,6 +93,7 @@
             ..ClusterSettings::default()
         },
         first_port: args.first_port,
+        peer_key: args.peer_key.clone(),
         ..FleetSettings::default()
     };
     let fleet = Fleet::start(objects, settings).await?;
@@ -104,9 +116,10 @@
     println!("\nServing until interrupted (Ctrl-C):");
     for running in fleet.daemons() {
         println!(
-            "  {:<24} http://{}",
+            "  {:<24} http://{}  for operators: --daemon {}",
             running.daemon().settings.vm.as_str(),
-            running.callers_address()
+            running.callers_address(),
+            running.daemon().peer_address
         );
     }
 }
--- a/crates/briarladder-cli/src/fleet.rs
+++ b/crates/briarladder-cli/src/fleet.rs
@@ -22,12 +22,15 @@
 
 use anyhow::{Context, ensure};
 use briarladder_core::{
-    clock::SystemClock,
+    clock::{SharedClock, SystemClock},
     config::Bundle,
     names::{VmName, ZoneName},
     objects::Object,
 };
-use briarladder_daemon::{process::Running, settings::Settings};
+use briarladder_daemon::{
+    process::Running,
+    settings::{Secret, Settings},
+};
 use briarladder_standins::{
     cluster::{Cluster, ClusterSettings},
     platform::{Chunk, Platform, PlatformSettings},
@@ -35,8 +38,9 @@
 use briarladder_wire::platform::{Vm, VmKind, VmState};
 use clap::Parser;
 
-/// The key of the peers inside a fleet.
-const PEER_KEY: &str = "loopback-demo-peer-key";
+/// The key of the peers inside a fleet, unless another one is set. Fleets
+/// only listen on loopback.
+pub const PEER_KEY: &str = "loopback-demo-peer-key";
 
 /// How long daemons may take to have a configuration in force.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -51,6 +55,8 @@
     /// The first callers' port; each further daemon takes the next one.
     /// None takes free ports.
     pub first_port: Option<u16>,
+    /// The key that peers and operators show.
+    pub peer_key: Secret,
     /// Further flags of every daemon.
     pub daemon_flags: Vec<String>,
 }
@@ -61,6 +67,8 @@
             daemons_per_zone: 1,
             cluster: ClusterSettings::default(),
             first_port: None,
+            // OK because any text is a secret.
+            peer_key: PEER_KEY.parse().unwrap(),
             daemon_flags: vec![
                 "--balancer-delay-ms=0".into(),
                 "--drain-timeout-ms=1000".into(),
@@ -127,13 +135,28 @@
         &mut self,
         vm: &VmName,
         zone: &ZoneName,
+    ) -> anyhow::Result<()> {
+        self.start_daemon_with_clock(vm, zone, Arc::new(SystemClock))
+    }
+
+    /// Starts one more daemon with a clock of its own, for example one whose
+    /// wall clock is wrong. Call [`Fleet::list_vms`] afterwards.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the daemon can't start.
+    pub fn start_daemon_with_clock(
+        &mut self,
+        vm: &VmName,
+        zone: &ZoneName,
+        clock: SharedClock,
     ) -> anyhow::Result<()> {
         let mut flags = vec![
             "briarladderd".to_owned(),
             format!("--vm={vm}"),
             format!("--zone={zone}"),
             format!("--platform={}", self.platform.address()),
-            format!("--peer-key={PEER_KEY}"),
+            format!("--peer-key={}", self.settings.peer_key.expose()),
         ];
         if let Some(first) = self.settings.first_port {
             let offset = u16::try_from(self.daemons.len())?;
@@ -144,7 +167,7 @@
         }
         flags.extend(self.settings.daemon_flags.iter().cloned());
         let settings = Settings::try_parse_from(flags)?;
-        let running = Running::start(settings, Arc::new(SystemClock))?;
+        let running = Running::start(settings, clock)?;
         self.daemons.push(running);
         Ok(())
     }
