Add briarladder status

Cause: operators had no command that shows every location against what was declared, which is the purpose of the product.

Change: `status` asks the named daemons, finds the others through their members, and asks all with a bound on concurrency and a timeout. It shows daemons, zones, pools and backend servers, and what is behind, since when and why. Unreachable daemons keep their row and are a finding, and so are zones without an answering daemon and servers in nobody's view. Exit codes are 0, 1 and 2; a key that every reached daemon refuses is 2. The key is taken from the environment as well and is never printed.

Conclusion: one command answers what is in line and what is not.

--- a/crates/briarladder-cli/src/lib.rs
+++ b/crates/briarladder-cli/src/lib.rs
@@ -11,4 +11,5 @@
 
 pub mod demo;
 pub mod fleet;
+pub mod operators;
 pub mod samples;
--- a/crates/briarladder-cli/src/main.rs
+++ b/crates/briarladder-cli/src/main.rs
@@ -1,11 +1,15 @@
 //! The binary `briarladder`: the operators' command.
 //!
-//! Exit codes: 0 for success, 1 if a set has faults, 2 for wrong usage or
-//! files that can't be read or written.
+//! Exit codes: 0 for success, 1 if a set has faults or something is behind or
+//! unreachable, 2 for wrong usage, a refused key, or files that can't be read
+//! or written.
 
 use std::process::ExitCode;
 
-use briarladder_cli::demo;
+use briarladder_cli::{
+    demo,
+    operators::status,
+};
 use clap::{Parser, Subcommand};
 
 mod bundle;
@@ -22,7 +26,8 @@
 Examples:
   briarladder check samples/dobradura
   briarladder bundle samples/dobradura --epoch 1 --out out/
-  briarladder demo";
+  briarladder demo
+  briarladder status --daemon 10.0.1.4:7001";
 
 /// The operators' command of briarladder.
 #[derive(Debug, Parser)]
@@ -37,6 +42,7 @@
     Check(check::Args),
     Bundle(bundle::Args),
     Demo(demo::Args),
+    Status(status::Args),
 }
 
 fn main() -> ExitCode {
@@ -45,6 +51,7 @@
         Command::Check(args) => check::run(&args),
         Command::Bundle(args) => bundle::run(&args),
         Command::Demo(args) => demo::run(&args),
+        Command::Status(args) => status::run(&args),
     };
     result.unwrap_or_else(|error| {
         eprintln!("error: {error:#}");
