Add briarladder timeline

Cause: the events of each process could only be read inside it, so nobody could follow a request over two daemons.

Change: `timeline` pages the events of all daemons, filters by request, epoch, server and time, merges them in causal order, and writes text, JSON lines or one self-contained HTML page: lanes by process, stages and forwarded calls as bars, faults marked, gaps and unreachable daemons hatched. A daemon is read to the end it had at the first answer, so that a busy one can't keep the command from ending. The page draws only the lanes in view, as a canvas has a largest size, and lists up to 1,000 of the matching events. A content security policy keeps it from loading anything.

Conclusion: a request can be followed over all processes, and what is missing shows as missing.

--- a/crates/briarladder-cli/src/main.rs
+++ b/crates/briarladder-cli/src/main.rs
@@ -8,7 +8,7 @@
 
 use briarladder_cli::{
     demo,
-    operators::status,
+    operators::{status, timeline},
 };
 use clap::{Parser, Subcommand};
 
@@ -27,7 +27,8 @@
   briarladder check samples/dobradura
   briarladder bundle samples/dobradura --epoch 1 --out out/
   briarladder demo
-  briarladder status --daemon 10.0.1.4:7001";
+  briarladder status --daemon 10.0.1.4:7001
+  briarladder timeline --daemon 10.0.1.4:7001 --from 15m --html page.html";
 
 /// The operators' command of briarladder.
 #[derive(Debug, Parser)]
@@ -43,6 +44,7 @@
     Bundle(bundle::Args),
     Demo(demo::Args),
     Status(status::Args),
+    Timeline(timeline::Args),
 }
 
 fn main() -> ExitCode {
@@ -52,6 +54,7 @@
         Command::Bundle(args) => bundle::run(&args),
         Command::Demo(args) => demo::run(&args),
         Command::Status(args) => status::run(&args),
+        Command::Timeline(args) => timeline::run(&args),
     };
     result.unwrap_or_else(|error| {
         eprintln!("error: {error:#}");
--- a/crates/briarladder-cli/src/operators/mod.rs
+++ b/crates/briarladder-cli/src/operators/mod.rs
@@ -1,11 +1,12 @@
-//! The commands that ask running daemons.
+//! The commands that ask running daemons: `status` and `timeline`.
 //!
 //! | module | purpose |
 //! | --- | --- |
 //! | `connect` | asks daemons and finds the others through their members |
 //! | `assess` | compares what daemons say with what was declared |
 //! | `report` | the status as text |
-//! | `status` | the command |
+//! | `status`, `timeline` | the commands |
+//! | `layout` | lanes and bars of the timeline's page |
 //!
 //! # Example
 //!
@@ -18,8 +19,10 @@
 
 pub mod assess;
 pub mod connect;
+pub mod layout;
 mod report;
 pub mod status;
+pub mod timeline;
 
 /// Exit code if something is behind or can't be reached.
 pub const EXIT_NOT_IN_LINE: u8 = 1;
