--- /dev/null
+++ b/crates/briarladder-cli/src/completions.rs
@@ -0,0 +1,26 @@
+//! `briarladder completions`: a completion script for a shell.
+
+use std::process::ExitCode;
+
+use clap_complete::Shell;
+
+const EXAMPLES: &str = "\
+Examples:
+  briarladder completions bash > /etc/bash_completion.d/briarladder
+  briarladder completions zsh > ~/.zfunc/_briarladder
+  briarladder completions fish > ~/.config/fish/completions/briarladder.fish";
+
+/// Writes a completion script for a shell.
+#[derive(Debug, clap::Args)]
+#[command(after_help = EXAMPLES)]
+pub struct Args {
+    /// The shell.
+    shell: Shell,
+}
+
+pub fn run(args: &Args, mut command: clap::Command) -> ExitCode {
+    let name = command.get_name().to_owned();
+    let mut stdout = std::io::stdout();
+    clap_complete::generate(args.shell, &mut command, name, &mut stdout);
+    ExitCode::SUCCESS
+}
--- a/crates/briarladder-cli/src/main.rs
+++ b/crates/briarladder-cli/src/main.rs
@@ -10,10 +10,11 @@
     demo,
     operators::{status, timeline},
 };
-use clap::{Parser, Subcommand};
+use clap::{CommandFactory, Parser, Subcommand};
 
 mod bundle;
 mod check;
+mod completions;
 mod set;
 
 /// Exit code if a set has faults.
@@ -28,7 +29,8 @@
   briarladder bundle samples/dobradura --epoch 1 --out out/
   briarladder demo
   briarladder status --daemon 10.0.1.4:7001
-  briarladder timeline --daemon 10.0.1.4:7001 --from 15m --html page.html";
+  briarladder timeline --daemon 10.0.1.4:7001 --from 15m --html page.html
+  briarladder completions bash";
 
 /// The operators' command of briarladder.
 #[derive(Debug, Parser)]
@@ -45,6 +47,7 @@
     Demo(demo::Args),
     Status(status::Args),
     Timeline(timeline::Args),
+    Completions(completions::Args),
 }
 
 fn main() -> ExitCode {
@@ -55,6 +58,9 @@
         Command::Demo(args) => demo::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Timeline(args) => timeline::run(&args),
+        Command::Completions(args) => {
+            Ok(completions::run(&args, Cli::command()))
+        }
     };
     result.unwrap_or_else(|error| {
         eprintln!("error: {error:#}");
