Tell since when a daemon is unreachable

Cause: `status` showed an unreachable daemon without the time since when, although the others know when they began to suspect it.

Change: members carry the time since their state changed, and `status` shows the longest one for an unreachable or doubted daemon.

Conclusion: since when is known as soon as one peer suspects the daemon.

--- a/crates/briarladder-cli/src/operators/assess.rs
+++ b/crates/briarladder-cli/src/operators/assess.rs
@@ -20,8 +20,8 @@
     sorted::{SortedMap, SortedSet},
 };
 use briarladder_wire::operators::{
-    DaemonPhase, DaemonReadiness, DaemonStatus, ErrorStatus, ReportStatus,
-    ServerStatus,
+    DaemonPhase, DaemonReadiness, DaemonStatus, ErrorStatus, MemberStatus,
+    ReportStatus, ServerStatus,
 };
 use derive_more::Display;
 use serde::Serialize;
@@ -163,10 +163,12 @@
         let subject = Subject::Daemon(place.label());
         findings.push(Finding { subject, since, reason });
     };
+    let doubts = doubts(place, statuses);
     let status = match &place.reply {
         Reply::Answered(status) => status,
         Reply::Unreachable(cause) => {
-            return find(Since::Unknown, format!("unreachable: {cause}"));
+            let for_ms = doubts.iter().map(|d| d.member.state_for_ms).max();
+            return find(for_ms.into(), format!("unreachable: {cause}"));
         }
     };
     if status.phase != DaemonPhase::Running {
@@ -189,18 +191,29 @@
             format!("behind: {own} in force, and {highest} elsewhere");
         find(status.behind_for_ms.into(), reason);
     }
-    let doubts = statuses.iter().flat_map(|other| {
-        let members = other.members.iter();
-        members.filter(|m| m.vm == status.vm).map(|m| (&other.vm, m.state))
-    });
-    for (by, state) in doubts {
-        if matches!(state, MemberState::Suspect | MemberState::Dead) {
-            find(
-                Since::Unknown,
-                format!("answers, but {by} holds it {state}"),
-            );
-        }
+    for Doubt { by, member } in doubts {
+        let since = Since::ForMs(member.state_for_ms);
+        let state = member.state;
+        find(since, format!("answers, but {by} holds it {state}"));
+    }
+}
+
+/// A daemon that another one holds to be suspect or dead.
+struct Doubt<'a> {
+    by: &'a VmName,
+    member: &'a MemberStatus,
+}
+
+fn doubts<'a>(place: &Place, statuses: &[&'a DaemonStatus]) -> Vec<Doubt<'a>> {
+    let mut doubts = Vec::new();
+    for status in statuses {
+        let members = status.members.iter().filter(|m| {
+            matches!(m.state, MemberState::Suspect | MemberState::Dead)
+                && Some(&m.vm) == place.vm.as_ref()
+        });
+        doubts.extend(members.map(|member| Doubt { by: &status.vm, member }));
     }
+    doubts
 }
 
 /// One daemon's view of one server.
--- a/crates/briarladder-cli/tests/operators.rs
+++ b/crates/briarladder-cli/tests/operators.rs
@@ -159,23 +159,40 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn status_daemon_down() {
     let mut fleet = fleet(&[]).await;
-    settled(peers_address(&fleet, 0), |run| run.code == 0).await;
+    let asked = peers_address(&fleet, 0);
+    // A peer in the zone probes it each second, one in another zone only
+    // each 10 s.
+    let mate = VmName::new("mate").unwrap();
+    let mate_zone = fleet.zones()[0].clone();
+    fleet.start_daemon(&mate, &mate_zone).unwrap();
+    fleet.list_vms();
+    fleet.wait_for_epoch(1).await.unwrap();
+    settled(asked, |run| run.code == 0 && run.out.contains("mate")).await;
     let down = fleet.take_daemon(1);
     let vm = down.daemon().settings.vm.clone();
     let zone = down.daemon().settings.zone.clone();
     let address = down.daemon().peer_address;
     drop(down);
-    let run = settled(peers_address(&fleet, 0), |run| {
-        run.code == 1 && has(&reasons(&run.json(), vm.as_str()), "unreachable")
-    })
-    .await;
+    drop(fleet.take_daemon(fleet.daemons().len() - 1));
+    // The other daemons tell since when, once they hold it to be suspect.
+    let since_is_known = |json: &Value| {
+        let findings = json["findings"].as_array().unwrap();
+        let mut about =
+            findings.iter().filter(|f| f["subject"]["name"] == "mate");
+        about.any(|f| f["since"]["for_ms"].is_u64())
+    };
+    let run =
+        settled(asked, |run| run.code == 1 && since_is_known(&run.json()))
+            .await;
     let json = run.json();
+    assert!(has(&reasons(&json, "mate"), "unreachable"));
+    assert!(has(&reasons(&json, vm.as_str()), "unreachable"));
     let found = reasons(&json, zone.as_str());
     assert!(has(&found, "none of its 1 daemons"), "{found:?}");
     let daemons = json["daemons"].as_array().unwrap();
     let place = daemons.iter().find(|d| d["vm"] == vm.as_str()).unwrap();
     assert_eq!(place["zone"], zone.as_str());
-    assert_eq!(daemons.len(), fleet.daemons().len() + 1);
+    assert_eq!(daemons.len(), fleet.daemons().len() + 2);
     // Asked alone, it is unreachable and not an error of usage.
     let alone = status(address).await;
     assert_eq!(alone.code, 1, "{}", alone.error);
--- a/crates/briarladder-core/src/membership/member.rs
+++ b/crates/briarladder-core/src/membership/member.rs
@@ -133,6 +133,12 @@
         }
     }
 
+    /// Returns when the state last changed.
+    #[must_use]
+    pub fn since(&self) -> Instant {
+        self.since
+    }
+
     /// Returns what can be said of the member, if its incarnation is known.
     pub(super) fn update(&self) -> Option<Update> {
         Some(Update {
--- a/crates/briarladder-daemon/src/peers/operators.rs
+++ b/crates/briarladder-daemon/src/peers/operators.rs
@@ -77,7 +77,7 @@
         behind_for_ms: behind_since.map(|at| age_ms(now, at)),
         readiness,
         problem,
-        members: daemon.members.with(|m| m.iter().map(member).collect()),
+        members: members(daemon, now),
         zones: snapshot.map(zones).unwrap_or_default(),
         pools: snapshot.map(|s| pools(daemon, s)).unwrap_or_default(),
         servers: servers(daemon, now, snapshot),
@@ -87,15 +87,17 @@
     }
 }
 
-fn member(member: &Member) -> MemberStatus {
-    MemberStatus {
+fn members(daemon: &Daemon, now: Instant) -> Vec<MemberStatus> {
+    let status = |member: &Member| MemberStatus {
         vm: member.name.clone(),
         zone: member.zone.clone(),
         address: member.address,
         incarnation: member.incarnation,
         state: member.state,
+        state_for_ms: age_ms(now, member.since()),
         epoch: member.epoch,
-    }
+    };
+    daemon.members.with(|members| members.iter().map(status).collect())
 }
 
 fn zones(snapshot: &Snapshot) -> Vec<ZoneStatus> {
--- a/crates/briarladder-wire/src/operators.rs
+++ b/crates/briarladder-wire/src/operators.rs
@@ -89,6 +89,8 @@
     pub incarnation: Option<Incarnation>,
     /// The state.
     pub state: MemberState,
+    /// The time since the state last changed.
+    pub state_for_ms: u64,
     /// The epoch it last had in force.
     pub epoch: u64,
 }
