--- a/crates/briarladder-cli/src/lib.rs
+++ b/crates/briarladder-cli/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod bench;
 pub mod demo;
 pub mod fleet;
+pub mod operators;
 pub mod samples;
--- a/crates/briarladder-cli/src/main.rs
+++ b/crates/briarladder-cli/src/main.rs
@@ -1,15 +1,20 @@
 //! The binary `briarladder`: the operators' command.
 //!
-//! Exit codes: 0 for success, 1 if a set has faults, 2 for wrong usage or
-//! files that can't be read or written.
+//! Exit codes: 0 for success, 1 if a set has faults or something is behind or
+//! unreachable, 2 for wrong usage, a refused key, or files that can't be read
+//! or written.
 
 use std::process::ExitCode;
 
-use briarladder_cli::{bench, demo};
-use clap::{Parser, Subcommand};
+use briarladder_cli::{
+    bench, demo,
+    operators::{status, timeline},
+};
+use clap::{CommandFactory, Parser, Subcommand};
 
 mod bundle;
 mod check;
+mod completions;
 mod set;
 
 /// Exit code if a set has faults.
@@ -23,7 +28,10 @@
   briarladder check samples/dobradura
   briarladder bundle samples/dobradura --epoch 1 --out out/
   briarladder demo
-  briarladder bench steady";
+  briarladder bench steady
+  briarladder status --daemon 10.0.1.4:7001
+  briarladder timeline --daemon 10.0.1.4:7001 --from 15m --html page.html
+  briarladder completions bash";
 
 /// The operators' command of briarladder.
 #[derive(Debug, Parser)]
@@ -39,6 +47,9 @@
     Bundle(bundle::Args),
     Demo(demo::Args),
     Bench(bench::Args),
+    Status(status::Args),
+    Timeline(timeline::Args),
+    Completions(completions::Args),
 }
 
 fn main() -> ExitCode {
@@ -48,6 +59,11 @@
         Command::Bundle(args) => bundle::run(&args),
         Command::Demo(args) => demo::run(&args),
         Command::Bench(args) => bench::run(&args),
+        Command::Status(args) => status::run(&args),
+        Command::Timeline(args) => timeline::run(&args),
+        Command::Completions(args) => {
+            Ok(completions::run(&args, Cli::command()))
+        }
     };
     result.unwrap_or_else(|error| {
         eprintln!("error: {error:#}");
--- a/crates/briarladder-daemon/src/daemon.rs
+++ b/crates/briarladder-daemon/src/daemon.rs
@@ -3,7 +3,11 @@
 //! The request path is in [`pipeline`](crate::pipeline); the parts that keep
 //! the daemon's views fresh are in [`controllers`](crate::controllers).
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use briarladder_core::{
     admission::Estimates,
@@ -15,11 +19,11 @@
     retry::Budget,
     routing::{self, Router},
     ticket::Claims,
-    timeline::Process,
+    timeline::{EventKind, ForwardResult, Process, Subject},
 };
 use briarladder_wire::{
     callers::{TicketState, TicketStatus},
-    peers::{CallResult, ForwardedCall},
+    peers::{CallResult, ForwardReply, ForwardedCall},
 };
 use parking_lot::Mutex;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -90,9 +94,20 @@
     pub members: MembersState,
     /// Whether the views are stale after a pause.
     pub pauses: Pauses,
+    /// When the daemon started.
+    pub started_at: Started,
     open_requests: Arc<Semaphore>,
 }
 
+/// When a daemon started.
+#[derive(Clone, Copy, Debug)]
+pub struct Started {
+    /// By the monotonic clock.
+    pub at: Instant,
+    /// Since the Unix epoch.
+    pub unix: Duration,
+}
+
 impl Daemon {
     /// Creates a daemon that peers reach at an address.
     ///
@@ -141,6 +156,7 @@
             config: ConfigState::default(),
             members: MembersState::new(identity, clock.now()),
             pauses: Pauses::new(Arc::clone(&clock)),
+            started_at: Started { at: clock.now(), unix: clock.unix() },
             settings,
             clock,
         }))
@@ -203,18 +219,32 @@
         if call.ticket.incarnation == self.incarnation {
             return ticketed::run_call(self, call).await;
         }
+        let began_at = self.clock.now();
         let request_id = call.head.request_id;
         let longest_wait = ticketed::longest_wait(self, &call);
-        let forward = self.peers.call_forward(issuer, call);
-        match tokio::time::timeout(longest_wait, forward).await {
-            Ok(Ok(result)) => result,
+        let subject = Subject::default().with_request(request_id);
+        let forwarded = EventKind::Forwarded { issuer_address: issuer };
+        self.events.record(subject.clone(), forwarded);
+        let sent_at = self.events.stamp();
+        let forward = self.peers.call_forward(issuer, call, sent_at);
+        let reply = tokio::time::timeout(longest_wait, forward).await;
+        let (ended, result) = match reply {
+            Ok(Ok(ForwardReply { sent_at, result })) => {
+                self.events.observe(sent_at);
+                let ended = match &result {
+                    CallResult::Answered(_) => ForwardResult::Answered,
+                    CallResult::Refused(_) => ForwardResult::Refused,
+                };
+                (ended, result)
+            }
             Err(_) => {
                 let refusal = Refusal::new(
                     RefusalKind::DeadlineExceeded,
                     "the deadline passed before the daemon that issued the \
                      ticket answered; ask for the status of the ticket",
                 );
-                CallResult::Refused(refusal.problem(Some(request_id)))
+                let problem = refusal.problem(Some(request_id));
+                (ForwardResult::NoAnswer, CallResult::Refused(problem))
             }
             Ok(Err(error)) => {
                 log::warn!("peers: forward of {request_id} failed: {error}");
@@ -223,9 +253,15 @@
                     "the daemon that issued the ticket can't be reached; ask \
                      for the status of the ticket later",
                 );
-                CallResult::Refused(refusal.problem(Some(request_id)))
+                let problem = refusal.problem(Some(request_id));
+                (ForwardResult::NoAnswer, CallResult::Refused(problem))
             }
-        }
+        };
+        let elapsed = self.clock.now().saturating_duration_since(began_at);
+        let total_ms = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX);
+        let kind = EventKind::ForwardEnded { result: ended, total_ms };
+        self.events.record(subject, kind);
+        result
     }
 
     /// Returns what is known of the call of a ticket.
--- a/crates/briarladder-daemon/src/peers/client.rs
+++ b/crates/briarladder-daemon/src/peers/client.rs
@@ -7,11 +7,12 @@
     limits::{Handover, LeaseAnswer, LeaseRequest},
     sorted::SortedMap,
     ticket::TicketId,
+    timeline::HlcTimestamp,
 };
 use briarladder_wire::{
     callers::TicketStatus,
     peers::{
-        CallResult, ChunkReply, ConfigNotice, FinalOutcomes, ForwardedCall,
+        ChunkReply, ConfigNotice, FinalOutcomes, ForwardReply, ForwardedCall,
         ManifestQuery, OutcomeReply, PEER_KEY_HEADER, PeersClient,
         PoisonNotice, Probe, ProbeThrough,
     },
@@ -205,8 +206,9 @@
         &self,
         address: SocketAddr,
         call: ForwardedCall,
-    ) -> Result<CallResult, Error> {
-        self.clients(address)?.forward.call_forward(call).await
+        sent_at: HlcTimestamp,
+    ) -> Result<ForwardReply, Error> {
+        self.clients(address)?.forward.call_forward(call, sent_at).await
     }
 
     /// Returns what a daemon knows of a call.
--- a/crates/briarladder-daemon/src/peers/mod.rs
+++ b/crates/briarladder-daemon/src/peers/mod.rs
@@ -10,11 +10,12 @@
     config::{Digest, ManifestReply},
     limits::{Handover, LeaseAnswer, LeaseRequest},
     ticket::TicketId,
+    timeline::HlcTimestamp,
 };
 use briarladder_wire::{
     callers::TicketStatus,
     peers::{
-        CallResult, ChunkReply, ConfigNotice, FinalOutcomes, ForwardedCall,
+        ChunkReply, ConfigNotice, FinalOutcomes, ForwardReply, ForwardedCall,
         ManifestQuery, OutcomeReply, PEER_KEY_HEADER, PeersServer,
         PoisonNotice, Probe, ProbeThrough,
     },
@@ -35,6 +36,7 @@
 };
 
 mod client;
+mod operators;
 
 pub use client::PeerClient;
 
@@ -73,7 +75,8 @@
         .set_config(config)
         .set_http_middleware(middleware)
         .build_from_tcp(listener)?;
-    let methods = PeersService(Arc::clone(daemon)).into_rpc();
+    let mut methods = PeersService(Arc::clone(daemon)).into_rpc();
+    methods.merge(operators::methods(daemon))?;
     Ok(server.start(methods))
 }
 
@@ -188,8 +191,11 @@
     async fn call_forward(
         &self,
         call: ForwardedCall,
-    ) -> RpcResult<CallResult> {
-        Ok(ticketed::run_call(&self.0, call).await)
+        sent_at: HlcTimestamp,
+    ) -> RpcResult<ForwardReply> {
+        self.0.events.observe(sent_at);
+        let result = ticketed::run_call(&self.0, call).await;
+        Ok(ForwardReply { sent_at: self.0.events.stamp(), result })
     }
 
     async fn call_status(&self, ticket: TicketId) -> RpcResult<TicketStatus> {
