Keep a newly adopted epoch in force

Cause: two tasks write the configuration section. The one that follows peers read the section, and wrote it back after another task had put the next epoch in force: the daemon then served the old epoch until the next change. Two tasks could also put two epochs in force in the wrong order.

Change: a write of the section follows from what is there at that moment, and a set older than the one in force is not put in force.

Conclusion: an adopted epoch stays in force.

--- a/crates/briarladder-daemon/src/blackboard.rs
+++ b/crates/briarladder-daemon/src/blackboard.rs
@@ -75,9 +75,17 @@
         self.configuration.load()
     }
 
-    /// Puts a configuration in force. Only its owner calls this.
-    pub fn set_configuration(&self, configuration: Configuration) {
-        self.configuration.store(Arc::new(configuration));
+    /// Replaces the configuration by what follows from it; `None` leaves it.
+    /// Only its owner calls this. Several tasks of the owner may do so at
+    /// once, so `next` runs again if another one came between: a write that
+    /// follows from an older read would put an older epoch in force.
+    pub fn update_configuration(
+        &self,
+        next: impl Fn(&Configuration) -> Option<Configuration>,
+    ) {
+        self.configuration.rcu(|before| {
+            next(before).map_or_else(|| Arc::clone(before), Arc::new)
+        });
     }
 
     /// Returns how far a planned stop has come.
@@ -97,3 +105,32 @@
         Blackboard::new()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::cell::Cell;
+
+    use super::*;
+
+    fn with_floor(before: &Configuration, floor: u64) -> Configuration {
+        Configuration { floor_epoch: floor, ..before.clone() }
+    }
+
+    /// Guards against a write that undoes another one made since its read:
+    /// a daemon then served an old epoch until the next change.
+    #[test]
+    fn update_configuration_keeps_write_between() {
+        let blackboard = Blackboard::new();
+        let interrupted = Cell::new(false);
+        blackboard.update_configuration(|before| {
+            if !interrupted.replace(true) {
+                blackboard
+                    .update_configuration(|other| Some(with_floor(other, 7)));
+            }
+            Some(Configuration { problem: None, ..before.clone() })
+        });
+        let configuration = blackboard.configuration();
+        assert_eq!(configuration.floor_epoch, 7);
+        assert_eq!(configuration.problem, None);
+    }
+}
--- a/crates/briarladder-daemon/src/controllers/config.rs
+++ b/crates/briarladder-daemon/src/controllers/config.rs
@@ -41,6 +41,8 @@
     store: Mutex<EpochStore>,
     /// Woken when a peer may have something newer.
     news: Notify,
+    /// Held while a set is put in force.
+    applying: Mutex<()>,
 }
 
 impl ConfigState {
@@ -251,6 +253,12 @@
 
 fn put_in_force(daemon: &Arc<Daemon>, snapshot: &Arc<Snapshot>) {
     let now = daemon.clock.now();
+    let _applying = daemon.config.applying.lock();
+    let newest = daemon.blackboard.configuration().snapshot.clone();
+    // Two tasks may adopt two epochs and get here in the other order.
+    if newest.is_some_and(|newest| newest.epoch > snapshot.epoch) {
+        return;
+    }
     // The views come first, so that no request of the new epoch meets a
     // router without its pools.
     daemon.router.lock().apply_snapshot(now, snapshot);
@@ -268,34 +276,30 @@
 
 /// Writes the blackboard's section.
 fn publish(daemon: &Daemon, adopted: Option<&Arc<Snapshot>>) {
-    let before = daemon.blackboard.configuration();
-    let (readiness, rejected, floor_epoch) = daemon.config.with(|s| {
-        let rejected = s.rejected().map(ToString::to_string);
-        (s.readiness(), rejected, s.floor())
-    });
-    let problem = match readiness {
-        Readiness::Ready => rejected,
-        other => Some(other.to_string()),
-    };
-    let problem: Option<Arc<str>> = problem.map(Arc::from);
-    let unchanged = adopted.is_none()
-        && before.problem == problem
-        && before.floor_epoch == floor_epoch;
-    if unchanged {
-        return;
-    }
-    let (snapshot, keys) = match adopted {
-        Some(snapshot) => (
-            Some(Arc::clone(snapshot)),
-            Keys::from_published(&snapshot.fleet.ticket_keys),
-        ),
-        None => (before.snapshot.clone(), before.keys.clone()),
-    };
-    daemon.blackboard.set_configuration(Configuration {
-        snapshot,
-        keys,
-        problem,
-        floor_epoch,
+    daemon.blackboard.update_configuration(|before| {
+        let (readiness, rejected, floor_epoch) = daemon.config.with(|s| {
+            let rejected = s.rejected().map(ToString::to_string);
+            (s.readiness(), rejected, s.floor())
+        });
+        let problem = match readiness {
+            Readiness::Ready => rejected,
+            other => Some(other.to_string()),
+        };
+        let problem: Option<Arc<str>> = problem.map(Arc::from);
+        let unchanged = adopted.is_none()
+            && before.problem == problem
+            && before.floor_epoch == floor_epoch;
+        if unchanged {
+            return None;
+        }
+        let (snapshot, keys) = match adopted {
+            Some(snapshot) => (
+                Some(Arc::clone(snapshot)),
+                Keys::from_published(&snapshot.fleet.ticket_keys),
+            ),
+            None => (before.snapshot.clone(), before.keys.clone()),
+        };
+        Some(Configuration { snapshot, keys, problem, floor_epoch })
     });
 }
 
@@ -333,3 +337,44 @@
         pull(daemon, notice.address, query).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use briarladder_core::{clock::SystemClock, objects::Object};
+    use clap::Parser;
+
+    use super::*;
+    use crate::settings::Settings;
+
+    fn daemon() -> Arc<Daemon> {
+        let settings = Settings::try_parse_from([
+            "briarladderd",
+            "--vm=vm-1",
+            "--zone=zone-1",
+            "--platform=127.0.0.1:1",
+            "--peer-key=a-key-of-sixteen-or-more",
+        ]);
+        let address = ([127, 0, 0, 1], 1).into();
+        let clock = Arc::new(SystemClock);
+        Daemon::new(settings.unwrap(), clock, address).unwrap()
+    }
+
+    fn snapshot(epoch: u64) -> Arc<Snapshot> {
+        let fleet = serde_json::json!({"kind": "fleet", "ticket_keys": [],
+            "ticket_lifetime_ms": 1, "outcome_retention_ms": 1,
+            "weight_store_bytes_per_s": 1});
+        let fleet: Object = serde_json::from_value(fleet).unwrap();
+        Arc::new(Snapshot::resolve(epoch, &[fleet]).unwrap())
+    }
+
+    /// Guards against an older epoch that is put in force last because the
+    /// tasks that adopted the two were overtaken.
+    #[tokio::test]
+    async fn put_in_force_ignores_older_epoch() {
+        let daemon = daemon();
+        put_in_force(&daemon, &snapshot(2));
+        put_in_force(&daemon, &snapshot(1));
+        let configuration = daemon.blackboard.configuration();
+        assert_eq!(configuration.snapshot.as_ref().unwrap().epoch, 2);
+    }
+}
