Add briarladder bench control

Cause: the figures of the target scale were not derived from runs.

Change: the command runs the decision code of membership, configuration, load polls, limits, tickets, events, suspects and orders at three sizes on simulated time, fits a line through each figure and prints the value at the target scale. The client to peers counts its calls for that. Memory is the growth of the resident set, because a counting allocator needs unsafe code.

Figures: the allowance for HTTP and JSON-RPC is within a factor of two of captured messages (test framing_fits_captured_messages).

--- /dev/null
+++ b/crates/briarladder-cli/src/bench/control/real.rs
@@ -0,0 +1,139 @@
+//! Daemons on loopback without requests: CPU time and peer calls.
+
+use std::time::Duration;
+
+use super::meter::{Line, process_cpu_time, resident_bytes, to_f64};
+use crate::{
+    fleet::{Fleet, FleetSettings},
+    samples::Sample,
+};
+
+/// The daemons in each zone of each run.
+const SIZES: [usize; 3] = [2, 6, 12];
+
+/// The time after which a fleet has settled.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// The changes published in the second half of a run.
+const CHANGES: u64 = 5;
+
+struct Run {
+    daemons: f64,
+    /// CPU time a second of the whole process, stand-ins included.
+    idle_cpu_us: f64,
+    calls_per_s: f64,
+    change_calls: f64,
+    /// Calls to the platform until all daemons had the first epoch.
+    start_platform_calls: f64,
+    idle_platform_calls_per_s: f64,
+    change_platform_calls: f64,
+    resident_bytes: f64,
+}
+
+/// Runs fleets of several sizes and prints the growth for one daemon.
+pub fn run(time: Duration, json: bool) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    let mut runs = Vec::new();
+    for daemons_per_zone in SIZES {
+        runs.push(runtime.block_on(measure(daemons_per_zone, time))?);
+    }
+    let line = |of: fn(&Run) -> f64| {
+        let points: Vec<(f64, f64)> =
+            runs.iter().map(|run| (run.daemons, of(run))).collect();
+        Line::fit(&points)
+    };
+    let lines = [
+        ("CPU us/s", line(|run| run.idle_cpu_us)),
+        ("peer calls/s", line(|run| run.calls_per_s)),
+        ("peer calls for one change", line(|run| run.change_calls)),
+        ("platform calls to start", line(|run| run.start_platform_calls)),
+        ("platform calls/s idle", line(|run| run.idle_platform_calls_per_s)),
+        (
+            "platform calls for one change",
+            line(|run| run.change_platform_calls),
+        ),
+        ("resident bytes", line(|run| run.resident_bytes)),
+    ];
+    if json {
+        println!("{:#}", serde_json::json!(lines));
+        return Ok(());
+    }
+    println!(
+        "daemons  CPU us/s  peer calls/s  calls/change  platform: start  \
+         idle/s  change  resident KB"
+    );
+    for run in &runs {
+        println!(
+            "{:7.0}  {:8.0}  {:12.2}  {:12.2}  {:15.0}  {:6.2}  {:6.1}  \
+             {:11.0}",
+            run.daemons,
+            run.idle_cpu_us,
+            run.calls_per_s,
+            run.change_calls,
+            run.start_platform_calls,
+            run.idle_platform_calls_per_s,
+            run.change_platform_calls,
+            run.resident_bytes / 1e3
+        );
+    }
+    for (name, line) in lines {
+        println!("for each daemon: {:.3} {name}", line.slope);
+    }
+    Ok(())
+}
+
+async fn measure(
+    daemons_per_zone: usize,
+    time: Duration,
+) -> anyhow::Result<Run> {
+    let objects = Sample::Dobradura.objects()?;
+    let mut settings =
+        FleetSettings { daemons_per_zone, ..Default::default() };
+    // Daemons of one process share its cores, as they do here.
+    settings.daemon_flags.push("--threads=1".into());
+    let fleet = Fleet::start(objects, settings).await?;
+    let start_platform_calls = platform_calls(&fleet);
+    tokio::time::sleep(SETTLE).await;
+    let calls = |fleet: &Fleet| -> u64 {
+        let sent =
+            fleet.daemons().iter().map(|d| d.daemon().peers.calls_sent());
+        sent.sum()
+    };
+    let (cpu, before) = (process_cpu_time()?, calls(&fleet));
+    let platform_before = platform_calls(&fleet);
+    tokio::time::sleep(time).await;
+    let idle_calls = to_f64(calls(&fleet) - before);
+    let cpu = process_cpu_time()?.saturating_sub(cpu);
+    let time_s = time.as_secs_f64();
+    let idle_platform = platform_calls(&fleet) - platform_before;
+    let platform_before = platform_calls(&fleet);
+
+    let (before, start) = (calls(&fleet), tokio::time::Instant::now());
+    for epoch in 2..2 + CHANGES {
+        fleet.publish(epoch, fleet.cluster().objects())?;
+        fleet.wait_for_epoch(epoch).await?;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    let probes = idle_calls / time_s * start.elapsed().as_secs_f64();
+    let change_calls = to_f64(calls(&fleet) - before) - probes;
+    let platform = platform_calls(&fleet) - platform_before;
+    let run = Run {
+        daemons: to_f64(fleet.daemons().len() as u64),
+        idle_cpu_us: cpu.as_secs_f64() * 1e6 / time_s,
+        calls_per_s: idle_calls / time_s,
+        change_calls: change_calls / to_f64(CHANGES),
+        start_platform_calls,
+        idle_platform_calls_per_s: idle_platform / time_s,
+        change_platform_calls: platform / to_f64(CHANGES),
+        resident_bytes: to_f64(resident_bytes()?),
+    };
+    fleet.stop().await;
+    Ok(run)
+}
+
+fn platform_calls(fleet: &Fleet) -> f64 {
+    to_f64(fleet.platform().counts().total())
+}
--- /dev/null
+++ b/crates/briarladder-cli/src/bench/control/size.rs
@@ -0,0 +1,125 @@
+//! The sizes that are run, and the object set of one.
+
+use briarladder_core::objects::Object;
+use serde_json::{Value, json};
+
+use super::meter::{Driver, to_f64};
+
+/// The zones of one region.
+const ZONES_PER_REGION: usize = 2;
+
+/// The pools of each region, and the role of each. Every fourth backend
+/// server belongs to each.
+const POOLS: [(&str, &str); 4] = [
+    ("encoders", "encoder"),
+    ("engines", "engine"),
+    ("rerankers", "reranker"),
+    ("retrievers", "retriever"),
+];
+
+/// How large a fleet is.
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+pub struct Size {
+    /// The daemons.
+    pub vms: usize,
+    /// The backend servers.
+    pub servers: usize,
+    /// The availability zones.
+    pub zones: usize,
+    /// The workspaces.
+    pub workspaces: usize,
+}
+
+/// The scale for which the system is designed.
+pub const TARGET: Size =
+    Size { vms: 2_500, servers: 10_000, zones: 12, workspaces: 7_000 };
+
+impl Size {
+    /// Returns this size divided, with the same zones.
+    pub fn divided(&self, by: usize) -> Size {
+        Size {
+            vms: (self.vms / by).max(2 * self.zones),
+            servers: (self.servers / by).max(self.zones),
+            workspaces: (self.workspaces / by).max(1),
+            ..*self
+        }
+    }
+
+    /// Returns how many there are of what a figure grows with.
+    pub fn count(&self, driver: Driver) -> f64 {
+        let count = match driver {
+            Driver::Daemons => self.vms,
+            Driver::ZoneDaemons => self.vms / self.zones,
+            Driver::Servers => self.servers,
+            Driver::Objects => self.servers + self.workspaces,
+            Driver::Workspaces => self.workspaces,
+            Driver::Fixed => 0,
+        };
+        to_f64(count as u64)
+    }
+}
+
+/// Returns the name of a pool with its role, by the number of a server.
+pub fn pool_of(server: usize) -> &'static str {
+    POOLS[server % POOLS.len()].0
+}
+
+fn region(size: &Size, index: usize) -> Value {
+    let zones = ZONES_PER_REGION.min(size.zones - index * ZONES_PER_REGION);
+    let per_zone = size.servers / size.zones;
+    let zone = |zone: usize| {
+        let server = |i: usize| {
+            let net = 16 + index * ZONES_PER_REGION + zone;
+            json!({"name": format!("server-{index}-{zone}-{i:04}"),
+                "pool": pool_of(i),
+                "address": format!("10.{net}.{}.{}:80", i / 250, i % 250)})
+        };
+        json!({"name": format!("zone-{index}-{zone}"),
+            "servers": (0..per_zone).map(server).collect::<Vec<_>>()})
+    };
+    let pool = |(name, role): &(&str, &str)| {
+        let versions: &[&str] =
+            if *role == "engine" { &["fold-1"] } else { &[] };
+        json!({"name": name, "role": role, "slots_requests": 8,
+            "model_versions": versions})
+    };
+    json!({"kind": "region", "name": format!("region-{index}"),
+        "pools": POOLS.iter().map(pool).collect::<Vec<_>>(),
+        "zones": (0..zones).map(zone).collect::<Vec<_>>()})
+}
+
+/// Returns an object set. The weight belongs to one workspace, so that two
+/// weights make sets that differ by one change.
+pub fn objects(size: &Size, weight: u32) -> anyhow::Result<Vec<Object>> {
+    let mut values = vec![
+        json!({"kind": "fleet", "ticket_lifetime_ms": 60_000,
+            "outcome_retention_ms": 600_000,
+            "weight_store_bytes_per_s": 1_000_000_000,
+            "ticket_keys": [{"id": 1, "secret_hex": "0".repeat(64)}]}),
+        json!({"kind": "rank", "name": "urgent", "order": 0,
+            "guaranteed_percent": 50}),
+        json!({"kind": "model_version", "name": "fold-1", "model": "fold",
+            "weights_bytes": 1}),
+        json!({"kind": "stage", "name": "draft", "pool": "engines",
+            "work": {"generate": {"model_version": "fold-1",
+                "max_tokens": 64}},
+            "estimate_ms": 500, "timeout_ms": 2_000}),
+    ];
+    let pipelines: Vec<String> =
+        (0..8).map(|i| format!("pipeline-{i}")).collect();
+    values.extend(pipelines.iter().map(|name| {
+        json!({"kind": "pipeline", "name": name, "stages": ["draft"],
+            "deadline_ms": 5_000, "default_rank": "urgent"})
+    }));
+    let regions = size.zones.div_ceil(ZONES_PER_REGION);
+    values.extend((0..regions).map(|index| region(size, index)));
+    values.extend((0..size.workspaces).map(|i| {
+        json!({"kind": "workspace", "name": format!("workspace-{i}"),
+            "home_region": format!("region-{}", i % regions),
+            "pipelines": &pipelines[..3],
+            "weight": if i == 0 { weight } else { 1 },
+            "max_open_requests": 40, "caller_max_open_requests": 10})
+    }));
+    let read = |value| Ok(serde_json::from_value(value)?);
+    values.into_iter().map(read).collect()
+}
--- /dev/null
+++ b/crates/briarladder-cli/src/bench/control/tests.rs
@@ -0,0 +1,102 @@
+//! Compares the allowance for HTTP and JSON-RPC with captured bytes.
+
+use std::{net::SocketAddr, time::Duration};
+
+use briarladder_core::config::{ManifestReply, Which};
+use briarladder_daemon::{backend::BackendClient, peers::PeerClient};
+use briarladder_wire::peers::{ManifestQuery, PEER_KEY_HEADER};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use super::meter::{
+    GET_ANSWER_BYTES, GET_REQUEST_BYTES, RPC_ANSWER_BYTES, RPC_REQUEST_BYTES,
+};
+use crate::{
+    fleet::{Fleet, FleetSettings},
+    samples::Sample,
+};
+
+/// As long as the keys that operators are told to use.
+const KEY: &str = "loopback-demo-peer-key";
+
+/// Returns what arrives within a short time.
+async fn read(stream: &mut TcpStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    while let Ok(Ok(count)) = tokio::time::timeout(
+        Duration::from_millis(200),
+        stream.read(&mut buffer),
+    )
+    .await
+    {
+        if count == 0 {
+            break;
+        }
+        bytes.extend_from_slice(&buffer[..count]);
+    }
+    bytes
+}
+
+/// Returns the bytes of the first request that arrives.
+async fn capture(listener: TcpListener) -> Vec<u8> {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    read(&mut stream).await
+}
+
+async fn ask(address: SocketAddr, request: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(request).await.unwrap();
+    read(&mut stream).await
+}
+
+fn assert_allowed(captured: usize, body: usize, allowed: usize) {
+    let framing = captured - body;
+    assert!(
+        (allowed / 2..=allowed).contains(&framing),
+        "{framing} bytes of framing, {allowed} allowed"
+    );
+}
+
+/// Guards against an allowance that is too low, or so high that it hides
+/// the bodies: it must be within a factor of two of what is sent.
+#[tokio::test]
+async fn framing_fits_captured_messages() {
+    let objects = Sample::Dobradura.objects().unwrap();
+    let fleet = Fleet::start(objects, FleetSettings::default());
+    let fleet = fleet.await.unwrap();
+
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = PeerClient::new(&KEY.parse().unwrap()).unwrap();
+    let query = ManifestQuery { which: Which::Newest, have: None };
+    let (request, _) = tokio::join!(
+        capture(listener),
+        client.config_manifest(address, query)
+    );
+    let text = String::from_utf8_lossy(&request);
+    assert!(text.contains(PEER_KEY_HEADER), "{text}");
+    let body = serde_json::to_vec(&query).unwrap().len();
+    assert_allowed(request.len(), body, RPC_REQUEST_BYTES);
+
+    let peer = fleet.daemons()[0].daemon();
+    let answer = ask(peer.peer_address, &request).await;
+    let reply =
+        peer.config.with(|store| store.manifest_for(Which::Newest, None));
+    assert!(matches!(reply, ManifestReply::Full(_)));
+    let body = serde_json::to_vec(&reply).unwrap().len();
+    assert_allowed(answer.len(), body, RPC_ANSWER_BYTES);
+
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = BackendClient::new(1 << 20).unwrap();
+    let (request, _) = tokio::join!(capture(listener), client.load(address));
+    assert_allowed(request.len(), 0, GET_REQUEST_BYTES);
+
+    let backend = fleet.cluster().backends()[0].address();
+    let answer = ask(backend, &request).await;
+    let body = answer.windows(4).position(|at| at == b"\r\n\r\n").unwrap() + 4;
+    assert_allowed(body, 0, GET_ANSWER_BYTES);
+    fleet.stop().await;
+}
--- a/crates/briarladder-cli/src/lib.rs
+++ b/crates/briarladder-cli/src/lib.rs
@@ -9,6 +9,7 @@
 //! assert!(Sample::Kandyan.objects().is_ok());
 //! ```
 
+pub mod bench;
 pub mod demo;
 pub mod fleet;
 pub mod samples;
--- a/crates/briarladder-cli/src/main.rs
+++ b/crates/briarladder-cli/src/main.rs
@@ -5,7 +5,7 @@
 
 use std::process::ExitCode;
 
-use briarladder_cli::demo;
+use briarladder_cli::{bench, demo};
 use clap::{Parser, Subcommand};
 
 mod bundle;
@@ -22,7 +22,8 @@
 Examples:
   briarladder check samples/dobradura
   briarladder bundle samples/dobradura --epoch 1 --out out/
-  briarladder demo";
+  briarladder demo
+  briarladder bench control --seconds 10";
 
 /// The operators' command of briarladder.
 #[derive(Debug, Parser)]
@@ -37,6 +38,7 @@
     Check(check::Args),
     Bundle(bundle::Args),
     Demo(demo::Args),
+    Bench(bench::Args),
 }
 
 fn main() -> ExitCode {
@@ -45,6 +47,7 @@
         Command::Check(args) => check::run(&args),
         Command::Bundle(args) => bundle::run(&args),
         Command::Demo(args) => demo::run(&args),
+        Command::Bench(args) => bench::run(&args),
     };
     result.unwrap_or_else(|error| {
         eprintln!("error: {error:#}");
--- a/crates/briarladder-daemon/src/peers/client.rs
+++ b/crates/briarladder-daemon/src/peers/client.rs
@@ -1,6 +1,10 @@
 //! The client to other daemons.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use briarladder_core::{
     config::{Digest, ManifestReply},
@@ -42,6 +46,7 @@
 pub struct PeerClient {
     headers: HeaderMap,
     clients: Mutex<SortedMap<SocketAddr, Clients>>,
+    calls_sent: AtomicU64,
 }
 
 #[derive(Clone, Debug)]
@@ -61,7 +66,17 @@
         value.set_sensitive(true);
         let mut headers = HeaderMap::new();
         headers.insert(PEER_KEY_HEADER, value);
-        Ok(PeerClient { headers, clients: Mutex::default() })
+        Ok(PeerClient {
+            headers,
+            clients: Mutex::default(),
+            calls_sent: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns the calls of any kind that were begun.
+    #[must_use]
+    pub fn calls_sent(&self) -> u64 {
+        self.calls_sent.load(Ordering::Relaxed)
     }
 
     /// Probes a peer.
@@ -169,6 +184,7 @@
     }
 
     fn clients(&self, address: SocketAddr) -> Result<Clients, Error> {
+        self.calls_sent.fetch_add(1, Ordering::Relaxed);
         let mut clients = self.clients.lock();
         if let Some(known) = clients.get(&address) {
             return Ok(known.clone());
