Pull a change once for several notices

Cause: each daemon gets about four notices of a change at once, and each one began a pull of its own. Most pulls brought what the first had brought, or a difference that no longer fitted.

Change: one pull runs at a time and looks anew whether anything is lacking. The test take_notice_pulls_once counts the calls of four notices.

--- a/crates/briarladder-daemon/src/controllers/config.rs
+++ b/crates/briarladder-daemon/src/controllers/config.rs
@@ -43,6 +43,8 @@
     news: Notify,
     /// Held while a set is put in force.
     applying: Mutex<()>,
+    /// Held while something is pulled from a peer.
+    pulling: tokio::sync::Mutex<()>,
 }
 
 impl ConfigState {
@@ -134,14 +136,11 @@
                 take_outcome(&daemon, outcome);
             }
         }
-        let request = daemon.config.with(|s| {
-            let have = s.newest_manifest().map(Manifest::id);
-            s.next_request().map(|which| ManifestQuery { which, have })
-        });
-        if let Some(query) = request
+        let behind = daemon.config.with(|s| s.next_request().is_some());
+        if behind
             && let Some(peer) = super::membership::peer_with_newer(&daemon)
         {
-            pull(&daemon, peer, query).await;
+            pull(&daemon, peer).await;
         }
         publish(&daemon, None);
     }
@@ -154,7 +153,16 @@
     Peer(SocketAddr),
 }
 
-async fn pull(daemon: &Arc<Daemon>, peer: SocketAddr, query: ManifestQuery) {
+/// Pulls what this daemon lacks from a peer. One pull runs at a time, and
+/// each looks anew whether anything is lacking: a daemon gets several notices
+/// of one change at once, and needs it only once.
+async fn pull(daemon: &Arc<Daemon>, peer: SocketAddr) {
+    let _pulling = daemon.config.pulling.lock().await;
+    let request = daemon.config.with(|s| {
+        let have = s.newest_manifest().map(Manifest::id);
+        s.next_request().map(|which| ManifestQuery { which, have })
+    });
+    let Some(query) = request else { return };
     let reply = match daemon.peers.config_manifest(peer, query).await {
         Ok(reply) => reply,
         Err(error) => {
@@ -329,18 +337,14 @@
 /// Pulls from a peer that told of something newer.
 pub async fn take_notice(daemon: &Arc<Daemon>, notice: ConfigNotice) {
     hear(daemon, notice.announcement);
-    let request = daemon.config.with(|s| {
-        let have = s.newest_manifest().map(Manifest::id);
-        s.next_request().map(|which| ManifestQuery { which, have })
-    });
-    if let Some(query) = request {
-        pull(daemon, notice.address, query).await;
-    }
+    pull(daemon, notice.address).await;
 }
 
 #[cfg(test)]
 mod tests {
-    use briarladder_core::{clock::SystemClock, objects::Object};
+    use briarladder_core::{
+        clock::SystemClock, config::Bundle, objects::Object,
+    };
     use clap::Parser;
 
     use super::*;
@@ -377,4 +381,35 @@
         let configuration = daemon.blackboard.configuration();
         assert_eq!(configuration.snapshot.as_ref().unwrap().epoch, 2);
     }
+
+    /// Guards against a pull for each notice: a change brings about four
+    /// notices at once, and each pull moved the change again.
+    #[tokio::test]
+    async fn take_notice_pulls_once() {
+        let (daemon, peer) = (daemon(), daemon());
+        let fleet = &snapshot(1).fleet;
+        let objects = [Object::Fleet(fleet.clone())];
+        let bundle = Bundle::new(1, &objects).unwrap();
+        let now = peer.clock.now();
+        peer.config.with(|s| {
+            s.confirm_floor(now);
+            s.offer_manifest(bundle.manifest.clone(), now);
+            for chunk in &bundle.chunks {
+                s.offer_chunk(&chunk.digest, &chunk.bytes, now);
+            }
+        });
+        daemon.config.with(|s| s.confirm_floor(now));
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = crate::peers::serve(&peer, listener).unwrap();
+        let announcement = peer.config.announcement();
+        let notice = ConfigNotice { address, announcement };
+        let take = || take_notice(&daemon, notice.clone());
+        tokio::join!(take(), take(), take(), take());
+        assert_eq!(daemon.config.announcement(), announcement);
+        let once = 1 + bundle.chunks.len() as u64;
+        assert_eq!(daemon.peers.calls_sent(), once);
+        server.stop().unwrap();
+    }
 }
