--- a/crates/briarladder-cli/src/bench/mod.rs
+++ b/crates/briarladder-cli/src/bench/mod.rs
@@ -15,12 +15,14 @@
 //! | `event` | what a scenario does to the deployment |
 //! | `run` | one run of one system |
 //! | `report`, `table` | the figures and their text form |
+//! | [`control`] | the cost of control, for docs/CAPACITY.md |
 //! | [`daemon`] | the speed of one daemon in a process of its own |
 
 use std::process::ExitCode;
 
 use clap::Subcommand;
 
+pub mod control;
 pub mod daemon;
 pub mod deployment;
 pub mod scenario;
@@ -47,7 +49,8 @@
     briarladder bench steady\n  \
     briarladder bench flood-least-urgent flood-urgent --seconds 6\n  \
     briarladder bench poison --seed 7 --json\n  \
-    briarladder bench daemon\n\n\
+    briarladder bench daemon\n  \
+    briarladder bench control --seconds 10\n\n\
     Exit codes: 0 for valid runs, 1 if the load generator lagged."
 )]
 pub struct Args {
@@ -59,6 +62,7 @@
 
 #[derive(Clone, Debug, Subcommand)]
 enum Part {
+    Control(control::Args),
     Daemon(daemon::Args),
 }
 
@@ -69,6 +73,7 @@
 /// Returns an error when a part can't start or a request gets no answer.
 pub fn run(args: &Args) -> anyhow::Result<ExitCode> {
     match &args.part {
+        Some(Part::Control(args)) => control::run(args),
         Some(Part::Daemon(args)) => daemon::run(args),
         None => scenarios::run(&args.scenarios),
     }
--- a/crates/briarladder-daemon/src/controllers/config.rs
+++ b/crates/briarladder-daemon/src/controllers/config.rs
@@ -56,6 +56,10 @@
     news: Notify,
     /// Whether backend servers told which epochs they have seen.
     asked_servers: AtomicBool,
+    /// Held while a set is put in force.
+    applying: Mutex<()>,
+    /// Held while something is pulled from a peer.
+    pulling: tokio::sync::Mutex<()>,
 }
 
 impl ConfigState {
@@ -147,14 +151,11 @@
                 take_outcome(&daemon, outcome);
             }
         }
-        let request = daemon.config.with(|s| {
-            let have = s.newest_manifest().map(Manifest::id);
-            s.next_request().map(|which| ManifestQuery { which, have })
-        });
-        if let Some(query) = request
+        let behind = daemon.config.with(|s| s.next_request().is_some());
+        if behind
             && let Some(peer) = super::membership::peer_with_newer(&daemon)
         {
-            pull(&daemon, peer, query).await;
+            pull(&daemon, peer).await;
         }
         publish(&daemon, None);
     }
@@ -191,7 +192,16 @@
     Peer(SocketAddr),
 }
 
-async fn pull(daemon: &Arc<Daemon>, peer: SocketAddr, query: ManifestQuery) {
+/// Pulls what this daemon lacks from a peer. One pull runs at a time, and
+/// each looks anew whether anything is lacking: a daemon gets several notices
+/// of one change at once, and needs it only once.
+async fn pull(daemon: &Arc<Daemon>, peer: SocketAddr) {
+    let _pulling = daemon.config.pulling.lock().await;
+    let request = daemon.config.with(|s| {
+        let have = s.newest_manifest().map(Manifest::id);
+        s.next_request().map(|which| ManifestQuery { which, have })
+    });
+    let Some(query) = request else { return };
     let reply = match daemon.peers.config_manifest(peer, query).await {
         Ok(reply) => reply,
         Err(error) => {
@@ -291,6 +301,12 @@
 
 fn put_in_force(daemon: &Arc<Daemon>, snapshot: &Arc<Snapshot>) {
     let now = daemon.clock.now();
+    let _applying = daemon.config.applying.lock();
+    let newest = daemon.blackboard.configuration().snapshot.clone();
+    // Two tasks may adopt two epochs and get here in the other order.
+    if newest.is_some_and(|newest| newest.epoch > snapshot.epoch) {
+        return;
+    }
     // The views come first, so that no request of the new epoch meets a
     // router without its pools.
     daemon.router.lock().apply_snapshot(now, snapshot);
@@ -308,41 +324,42 @@
 
 /// Writes the blackboard's section.
 fn publish(daemon: &Daemon, adopted: Option<&Arc<Snapshot>>) {
-    let before = daemon.blackboard.configuration();
-    let (readiness, rejected, floor_epoch) = daemon.config.with(|s| {
-        let rejected = s.rejected().map(ToString::to_string);
-        (s.readiness(), rejected, s.floor())
-    });
-    let problem = match readiness {
-        Readiness::Ready => rejected,
-        other => Some(other.to_string()),
-    };
-    let problem: Option<Arc<str>> = problem.map(Arc::from);
-    let unchanged = adopted.is_none()
-        && before.problem == problem
-        && before.floor_epoch == floor_epoch;
-    if unchanged {
-        return;
-    }
-    let (snapshot, keys) = match adopted {
-        Some(snapshot) => (
-            Some(Arc::clone(snapshot)),
-            Keys::from_published(&snapshot.fleet.ticket_keys),
-        ),
-        None => (before.snapshot.clone(), before.keys.clone()),
-    };
-    // A reason that changes starts anew: each names its own remedy.
-    let problem_since = if before.problem == problem {
-        before.problem_since
-    } else {
-        problem.is_some().then(|| daemon.clock.unix())
-    };
-    daemon.blackboard.set_configuration(Configuration {
-        snapshot,
-        keys,
-        problem,
-        problem_since,
-        floor_epoch,
+    daemon.blackboard.update_configuration(|before| {
+        let (readiness, rejected, floor_epoch) = daemon.config.with(|s| {
+            let rejected = s.rejected().map(ToString::to_string);
+            (s.readiness(), rejected, s.floor())
+        });
+        let problem = match readiness {
+            Readiness::Ready => rejected,
+            other => Some(other.to_string()),
+        };
+        let problem: Option<Arc<str>> = problem.map(Arc::from);
+        let unchanged = adopted.is_none()
+            && before.problem == problem
+            && before.floor_epoch == floor_epoch;
+        if unchanged {
+            return None;
+        }
+        let (snapshot, keys) = match adopted {
+            Some(snapshot) => (
+                Some(Arc::clone(snapshot)),
+                Keys::from_published(&snapshot.fleet.ticket_keys),
+            ),
+            None => (before.snapshot.clone(), before.keys.clone()),
+        };
+        // A reason that changes starts anew: each names its own remedy.
+        let problem_since = if before.problem == problem {
+            before.problem_since
+        } else {
+            problem.is_some().then(|| daemon.clock.unix())
+        };
+        Some(Configuration {
+            snapshot,
+            keys,
+            problem,
+            problem_since,
+            floor_epoch,
+        })
     });
 }
 
@@ -372,11 +389,79 @@
 /// Pulls from a peer that told of something newer.
 pub async fn take_notice(daemon: &Arc<Daemon>, notice: ConfigNotice) {
     hear(daemon, notice.announcement);
-    let request = daemon.config.with(|s| {
-        let have = s.newest_manifest().map(Manifest::id);
-        s.next_request().map(|which| ManifestQuery { which, have })
-    });
-    if let Some(query) = request {
-        pull(daemon, notice.address, query).await;
+    pull(daemon, notice.address).await;
+}
+
+#[cfg(test)]
+mod tests {
+    use briarladder_core::{
+        clock::SystemClock, config::Bundle, objects::Object,
+    };
+    use clap::Parser;
+
+    use super::*;
+    use crate::settings::Settings;
+
+    fn daemon() -> Arc<Daemon> {
+        let settings = Settings::try_parse_from([
+            "briarladderd",
+            "--vm=vm-1",
+            "--zone=zone-1",
+            "--platform=127.0.0.1:1",
+            "--peer-key=a-key-of-sixteen-or-more",
+        ]);
+        let address = ([127, 0, 0, 1], 1).into();
+        let clock = Arc::new(SystemClock);
+        Daemon::new(settings.unwrap(), clock, address).unwrap()
+    }
+
+    fn snapshot(epoch: u64) -> Arc<Snapshot> {
+        let fleet = serde_json::json!({"kind": "fleet", "ticket_keys": [],
+            "ticket_lifetime_ms": 1, "outcome_retention_ms": 1,
+            "weight_store_bytes_per_s": 1});
+        let fleet: Object = serde_json::from_value(fleet).unwrap();
+        Arc::new(Snapshot::resolve(epoch, &[fleet]).unwrap())
+    }
+
+    /// Guards against an older epoch that is put in force last because the
+    /// tasks that adopted the two were overtaken.
+    #[tokio::test]
+    async fn put_in_force_ignores_older_epoch() {
+        let daemon = daemon();
+        put_in_force(&daemon, &snapshot(2));
+        put_in_force(&daemon, &snapshot(1));
+        let configuration = daemon.blackboard.configuration();
+        assert_eq!(configuration.snapshot.as_ref().unwrap().epoch, 2);
+    }
+
+    /// Guards against a pull for each notice: a change brings about four
+    /// notices at once, and each pull moved the change again.
+    #[tokio::test]
+    async fn take_notice_pulls_once() {
+        let (daemon, peer) = (daemon(), daemon());
+        let fleet = &snapshot(1).fleet;
+        let objects = [Object::Fleet(fleet.clone())];
+        let bundle = Bundle::new(1, &objects).unwrap();
+        let now = peer.clock.now();
+        peer.config.with(|s| {
+            s.confirm_floor(now);
+            s.offer_manifest(bundle.manifest.clone(), now);
+            for chunk in &bundle.chunks {
+                s.offer_chunk(&chunk.digest, &chunk.bytes, now);
+            }
+        });
+        daemon.config.with(|s| s.confirm_floor(now));
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = crate::peers::serve(&peer, listener).unwrap();
+        let announcement = peer.config.announcement();
+        let notice = ConfigNotice { address, announcement };
+        let take = || take_notice(&daemon, notice.clone());
+        tokio::join!(take(), take(), take(), take());
+        assert_eq!(daemon.config.announcement(), announcement);
+        let once = 1 + bundle.chunks.len() as u64;
+        assert_eq!(daemon.peers.calls_sent(), once);
+        server.stop().unwrap();
     }
 }
