Check later pools before the first stage of a request

A request was admitted by the wait in its first pool alone, so in a flood nearly all were encoded and refused only at the engines. The first check now adds the expected waits in the pools that follow, and a request that is new to a pool counts there with all its stages in it, because they go before new requests.

--- a/crates/briarladder-cli/src/bench/callers.rs
+++ b/crates/briarladder-cli/src/bench/callers.rs
@@ -205,6 +205,7 @@
 }
 
 fn refused(problem: &Problem) -> Ending {
+    log::debug!("bench: refused: {}", problem.detail);
     let kind = problem.kind.trim_start_matches("/problems/").to_owned();
     Ending::Refused { kind, outcome: problem.outcome }
 }
--- a/crates/briarladder-core/src/admission/job.rs
+++ b/crates/briarladder-core/src/admission/job.rs
@@ -25,11 +25,13 @@
     pub workspace_weight: u32,
     /// The share of the caller in its workspace; 0 counts as 1.
     pub caller_weight: u32,
-    /// Whether an earlier stage of the request has run.
+    /// Whether an earlier stage of the request has used the pool.
     pub started: bool,
     /// When the caller needs the answer.
     pub deadline: Instant,
-    /// The expected service time of this stage.
+    /// The expected time in slots of this pool: of this stage and, for a
+    /// request that has not started, of its later stages in the pool, which
+    /// go before new requests.
     pub service: Duration,
     /// The expected service time of this and the later stages.
     pub remaining: Duration,
--- a/crates/briarladder-core/src/admission/scheduler.rs
+++ b/crates/briarladder-core/src/admission/scheduler.rs
@@ -181,6 +181,55 @@
         Offer::Wait(self.enqueue(now, job, rank, phase, owner, latest_start))
     }
 
+    /// Checks that the expected waits in later pools leave a request enough
+    /// time, before it takes a slot of its first pool.
+    ///
+    /// `later` has one job for each later pool, with the same deadline and
+    /// the remaining time of the whole request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the waits leave too little time.
+    pub fn check_later(
+        &mut self,
+        now: Instant,
+        later: &[Job],
+    ) -> Result<(), Refusal> {
+        let Some(first) = later.first() else { return Ok(()) };
+        let latest_start = first.deadline.checked_sub(first.remaining);
+        let slack = latest_start
+            .map_or(Duration::ZERO, |l| l.saturating_duration_since(now));
+        let mut wait_ns = 0_u64;
+        for job in later {
+            wait_ns = wait_ns.saturating_add(self.expected_wait_ns(job));
+        }
+        if Duration::from_nanos(wait_ns) <= slack {
+            return Ok(());
+        }
+        let excess = wait_ns.saturating_sub(to_ns(slack));
+        Err(Refusal {
+            reason: RefusalReason::WaitTooLong,
+            retry_after: Some(to_retry_after(excess)),
+        })
+    }
+
+    fn expected_wait_ns(&mut self, job: &Job) -> u64 {
+        let rank = usize::from(job.rank.0).min(self.shares.len() - 1);
+        let phase = if job.started { Phase::Started } else { Phase::New };
+        // A pool without slots may have some when the request gets there.
+        let Some(pool) = self.pools.get(&job.pool) else { return 0 };
+        if pool.has_free_slot() || pool.slots == 0 {
+            return 0;
+        }
+        let owner = Owner {
+            workspace: self.workspaces.intern(&job.workspace),
+            workspace_weight: job.workspace_weight,
+            caller: &job.caller,
+            caller_weight: job.caller_weight,
+        };
+        pool.wait_ns(&self.shares, rank, phase, owner)
+    }
+
     fn enqueue(
         &mut self,
         now: Instant,
--- /dev/null
+++ b/crates/briarladder-daemon/src/pipeline/jobs.rs
@@ -0,0 +1,81 @@
+//! What a request asks of the pools of its stages.
+
+use std::{sync::Arc, time::Instant};
+
+use briarladder_core::{
+    admission::{Estimates, Job},
+    objects::snapshot::ResolvedStage,
+};
+
+use super::Request;
+
+/// The jobs of one request from a stage on.
+pub(super) struct Jobs<'a> {
+    now: Instant,
+    request: &'a Request,
+    estimates: &'a Estimates,
+    position: usize,
+}
+
+impl<'a> Jobs<'a> {
+    pub(super) fn new(
+        now: Instant,
+        request: &'a Request,
+        estimates: &'a Estimates,
+        position: usize,
+    ) -> Jobs<'a> {
+        Jobs { now, request, estimates, position }
+    }
+
+    /// Returns the job of the stage.
+    pub(super) fn next(&self) -> Job {
+        self.at(self.position)
+    }
+
+    /// Returns, before the first stage, one job for each later pool.
+    /// Afterwards the check at the pool itself is more exact.
+    pub(super) fn later(&self) -> Vec<Job> {
+        if self.position > 0 {
+            return Vec::new();
+        }
+        let stages = &self.request.pipeline.stages;
+        let later =
+            (1..stages.len()).filter(|at| !used(&stages[..*at], &stages[*at]));
+        later.map(|at| self.at(at)).collect()
+    }
+
+    fn at(&self, position: usize) -> Job {
+        let request = self.request;
+        let (earlier, rest) = request.pipeline.stages.split_at(position);
+        let stage = &rest[0];
+        // Work in other pools does not count as a start: after a cheap
+        // first stage all requests of a flood would be ahead of those that
+        // hold finished generations.
+        let started = used(earlier, stage);
+        let mean = |s: &ResolvedStage| self.estimates.stage(self.now, s).mean;
+        let service = if started {
+            mean(stage)
+        } else {
+            let same = rest.iter().filter(|s| s.pool.name == stage.pool.name);
+            same.map(|s| mean(s)).sum()
+        };
+        let left = &request.pipeline.stages[self.position..];
+        Job {
+            pool: stage.pool.name.clone(),
+            rank: request.rank,
+            workspace: request.workspace.name.clone(),
+            caller: request.caller.clone(),
+            workspace_weight: request.workspace.weight,
+            caller_weight: request.caller_weight,
+            started,
+            deadline: request.deadline,
+            service,
+            remaining: self.estimates.remaining(self.now, left),
+        }
+    }
+}
+
+/// Returns whether an earlier stage ran in the pool of a stage.
+fn used(earlier: &[Arc<ResolvedStage>], stage: &ResolvedStage) -> bool {
+    earlier.iter().any(|other| other.pool.name == stage.pool.name)
+}
--- a/crates/briarladder-daemon/src/pipeline/mod.rs
+++ b/crates/briarladder-daemon/src/pipeline/mod.rs
@@ -3,6 +3,7 @@
 //! | step | module |
 //! | --- | --- |
 //! | check against the configuration | `request` |
+//! | state what its stages ask of their pools | `jobs` |
 //! | wait for a slot of each stage's pool | `slots` |
 //! | pick a backend server, run and repeat attempts | `stage` |
 //! | run a call that may not repeat | `ticketed` |
@@ -20,6 +21,7 @@
     refusal::{Refusal, RefusalKind},
 };
 
+mod jobs;
 mod request;
 mod slots;
 mod stage;
--- a/crates/briarladder-daemon/src/pipeline/slots.rs
+++ b/crates/briarladder-daemon/src/pipeline/slots.rs
@@ -68,7 +68,8 @@
         self.with(|inner, _| inner.scheduler.running_requests(pool))
     }
 
-    /// Waits for a slot.
+    /// Waits for a slot. `later` are the jobs of the request in pools that
+    /// it has not reached, which are checked for their expected wait.
     ///
     /// # Errors
     ///
@@ -76,9 +77,13 @@
     pub async fn acquire(
         self: &Arc<Slots>,
         job: &Job,
+        later: &[Job],
     ) -> Result<Slot, Refusal> {
-        let offered =
-            self.with(|inner, now| match inner.scheduler.offer(now, job) {
+        let offered = self.with(|inner, now| {
+            if let Err(refusal) = inner.scheduler.check_later(now, later) {
+                return Offered::Refuse(refusal);
+            }
+            match inner.scheduler.offer(now, job) {
                 Offer::Run(grant) => Offered::Run(grant),
                 Offer::Refuse(refusal) => Offered::Refuse(refusal),
                 Offer::Wait(waiting) => {
@@ -90,7 +95,8 @@
                         receiver,
                     })
                 }
-            });
+            }
+        });
         let grant = match offered {
             Offered::Run(grant) => grant,
             Offered::Refuse(refusal) => return Err(refusal),
--- a/crates/briarladder-daemon/src/pipeline/stage.rs
+++ b/crates/briarladder-daemon/src/pipeline/stage.rs
@@ -8,7 +8,7 @@
 };
 
 use briarladder_core::{
-    admission::{Job, RefusalReason},
+    admission::RefusalReason,
     ledger::NotRunProof,
     load::LoadReport,
     membership::Views,
@@ -23,7 +23,7 @@
 use serde::Serialize;
 use serde_json::value::{RawValue, to_raw_value};
 
-use super::{Delivery, Repetition, Request, to_ms};
+use super::{Delivery, Repetition, Request, jobs::Jobs, to_ms};
 use crate::{
     backend::{Attempt, CancelOnDrop, Connection},
     daemon::Daemon,
@@ -109,23 +109,12 @@
     async fn admit(&self) -> Result<super::Slot, Refusal> {
         let request = self.request;
         let now = self.daemon.clock.now();
-        let job = {
+        let (job, later) = {
             let estimates = self.daemon.estimates.lock();
-            let rest = &request.pipeline.stages[self.position..];
-            Job {
-                pool: self.stage.pool.name.clone(),
-                rank: request.rank,
-                workspace: request.workspace.name.clone(),
-                caller: request.caller.clone(),
-                workspace_weight: request.workspace.weight,
-                caller_weight: request.caller_weight,
-                started: self.has_used_pool(),
-                deadline: request.deadline,
-                service: estimates.stage(now, self.stage).mean,
-                remaining: estimates.remaining(now, rest),
-            }
+            let jobs = Jobs::new(now, request, &estimates, self.position);
+            (jobs.next(), jobs.later())
         };
-        let slot = self.daemon.slots.acquire(&job).await;
+        let slot = self.daemon.slots.acquire(&job, &later).await;
         let waited = self.daemon.clock.now().saturating_duration_since(now);
         match slot {
             Ok(slot) => {
@@ -152,14 +141,6 @@
         }
     }
 
-    /// Returns whether an earlier stage ran in the same pool. Work in other
-    /// pools does not count: after a cheap first stage all requests of a
-    /// flood would be ahead of those that hold finished generations.
-    fn has_used_pool(&self) -> bool {
-        let earlier = &self.request.pipeline.stages[..self.position];
-        earlier.iter().any(|stage| stage.pool.name == self.stage.pool.name)
-    }
-
     /// Waits after a pause of the process until its views are fresh again.
     /// The wait is bounded, so that a daemon that is cut off goes on with
     /// what it knows.
