Divide a region's slots by the daemons of the region

A daemon's near slots are those of its region, but it divided them by the daemons of its zone, so two zones granted each slot twice and requests queued at the engines until their attempts timed out.

--- a/crates/briarladder-daemon/src/controllers/load.rs
+++ b/crates/briarladder-daemon/src/controllers/load.rs
@@ -10,6 +10,7 @@
     routing::PoolSlots,
 };
 
+use super::membership::{Sharers, sharers};
 use crate::daemon::Daemon;
 
 /// The time between two rounds. The router's limit of polls a round rests
@@ -57,8 +58,7 @@
 /// Sets how many slots of each pool this daemon may use.
 pub fn refresh_slots(daemon: &Daemon, snapshot: &Snapshot) {
     let now = daemon.clock.now();
-    let sharers = super::membership::zone_len(daemon).max(1);
-    let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
+    let sharers = sharers(daemon, snapshot);
     for pool in snapshot.pools.keys() {
         let slots = daemon.router.lock().free_slots(now, pool);
         daemon.slots.set_pool_slots(pool, usable_slots(slots, sharers));
@@ -68,10 +68,17 @@
 /// Returns the slots that one of several daemons may use: its fair share of
 /// the near ones, or what it uses now and its part of the free ones, so
 /// that slots which others leave unused are lent.
-fn usable_slots(slots: PoolSlots, sharers: u32) -> u32 {
-    let fair = slots.near_slots_requests.div_ceil(sharers);
-    let free = slots.near_free_requests + slots.remote_free_requests;
-    fair.max(slots.in_flight_requests + free.div_ceil(sharers))
+///
+/// The near slots are those of the region, and all daemons of the region
+/// reach them. Divided by those of the zone alone, two zones granted each
+/// slot twice, and requests queued at the backend servers until they timed
+/// out.
+fn usable_slots(slots: PoolSlots, sharers: Sharers) -> u32 {
+    let Sharers { region_daemons, fleet_daemons } = sharers;
+    let fair = slots.near_slots_requests.div_ceil(region_daemons);
+    let free = slots.near_free_requests.div_ceil(region_daemons)
+        + slots.remote_free_requests / fleet_daemons;
+    fair.max(slots.in_flight_requests + free)
 }
 
 #[cfg(test)]
@@ -88,10 +95,25 @@
             remote_free_requests: 0,
             in_flight_requests: 8,
         };
-        assert_eq!(usable_slots(slots, 3), 14);
+        let sharers = Sharers { region_daemons: 3, fleet_daemons: 9 };
+        assert_eq!(usable_slots(slots, sharers), 14);
         slots.near_free_requests = 0;
-        assert_eq!(usable_slots(slots, 3), 8);
+        assert_eq!(usable_slots(slots, sharers), 8);
         slots.in_flight_requests = 0;
-        assert_eq!(usable_slots(slots, 3), 8);
+        assert_eq!(usable_slots(slots, sharers), 8);
+    }
+
+    /// Guards against free slots of other regions that every daemon of the
+    /// fleet grants as if it were the only one that sees them.
+    #[test]
+    fn usable_slots_shares_remote_ones_over_fleet() {
+        let slots = PoolSlots {
+            near_slots_requests: 24,
+            near_free_requests: 0,
+            remote_free_requests: 18,
+            in_flight_requests: 8,
+        };
+        let sharers = Sharers { region_daemons: 3, fleet_daemons: 9 };
+        assert_eq!(usable_slots(slots, sharers), 10);
     }
 }
--- a/crates/briarladder-daemon/src/controllers/membership.rs
+++ b/crates/briarladder-daemon/src/controllers/membership.rs
@@ -16,6 +16,7 @@
         ProbeTarget, Seed, SeedState, TICK, View, Views,
     },
     names::{ServerName, VmName},
+    objects::snapshot::Snapshot,
     routing::ListedState,
     timeline::{EventKind, Subject},
 };
@@ -112,11 +113,33 @@
     is_zone_reader(zone, &live, &daemon.settings.vm)
 }
 
-/// Returns the number of live daemons in the zone, this one included.
+/// The live daemons that share pools with this one, which is included.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Sharers {
+    /// Those in the same region.
+    pub region_daemons: u32,
+    /// Those in all regions.
+    pub fleet_daemons: u32,
+}
+
+/// Counts the daemons that share pools with this one.
 #[must_use]
-pub fn zone_len(daemon: &Daemon) -> usize {
-    let zone = &daemon.settings.zone;
-    daemon.members.with(|members| members.live_in_zone(zone).len())
+pub fn sharers(daemon: &Daemon, snapshot: &Snapshot) -> Sharers {
+    let region = snapshot.region_of(&daemon.settings.zone);
+    let region = region.and_then(|name| snapshot.regions.get(name));
+    let mut sharers = Sharers { region_daemons: 0, fleet_daemons: 0 };
+    daemon.members.with(|members| {
+        for member in members.iter().filter(|m| m.is_assignable()) {
+            let near = region.is_some_and(|region| {
+                region.zones.iter().any(|zone| zone.name == member.zone)
+            });
+            sharers.region_daemons += u32::from(near);
+            sharers.fleet_daemons += 1;
+        }
+    });
+    sharers.region_daemons = sharers.region_daemons.max(1);
+    sharers.fleet_daemons = sharers.fleet_daemons.max(1);
+    sharers
 }
 
 /// Returns whether some peer was asked for its epoch, or there is none.
