--- a/crates/briarladder-cli/src/bench/callers.rs
+++ b/crates/briarladder-cli/src/bench/callers.rs
@@ -82,6 +82,13 @@
         })
         .await
         .unwrap_or(Ending::TimedOut);
+        log::debug!(
+            "bench: {} of {}/{} request={} ended as {ending:?}",
+            arrival.plan.name,
+            arrival.workspace,
+            arrival.caller,
+            arrival.id
+        );
         Sample { arrival, latency: due.elapsed(), lag, ending }
     }
 }
@@ -205,7 +212,6 @@
 }
 
 fn refused(problem: &Problem) -> Ending {
-    log::debug!("bench: refused: {}", problem.detail);
     let kind = problem.kind.trim_start_matches("/problems/").to_owned();
     Ending::Refused { kind, outcome: problem.outcome }
 }
--- a/crates/briarladder-cli/src/bench/event.rs
+++ b/crates/briarladder-cli/src/bench/event.rs
@@ -6,6 +6,7 @@
     names::{ServerName, StageName, VmName},
     objects::Object,
     sorted::SortedSet,
+    timeline::{EventKind, Filter},
 };
 use briarladder_standins::{
     cluster::Cluster,
@@ -50,6 +51,30 @@
     lost
 }
 
+/// Returns how long after a time the daemons last sent work to one of these
+/// servers; None if they sent none.
+pub(super) fn last_work_after(
+    fleet: &Fleet,
+    servers: &[ServerName],
+    since: Duration,
+) -> Option<Duration> {
+    let since_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+    let sent_ms = fleet.daemons().iter().flat_map(|running| {
+        let events = &running.daemon().events;
+        let page = events.page(0, usize::MAX, &Filter::default());
+        page.events.into_iter().filter_map(|event| {
+            let to_lost = event
+                .subject
+                .server
+                .is_some_and(|server| servers.contains(&server));
+            let work = matches!(event.kind, EventKind::Dispatched { .. });
+            let after = event.timestamp.unix_ms.checked_sub(since_ms);
+            after.filter(|_| to_lost && work)
+        })
+    });
+    sent_ms.max().map(Duration::from_millis)
+}
+
 /// Does what the scenario does to backend servers.
 pub(super) async fn apply_to_backends(
     scenario: Scenario,
--- a/crates/briarladder-cli/src/bench/report.rs
+++ b/crates/briarladder-cli/src/bench/report.rs
@@ -43,6 +43,8 @@
     pub(super) integrity: Integrity,
     /// None where the scenario loses nothing.
     pub(super) recovery_ms: Option<u64>,
+    /// How long servers that died were still sent work, if they were.
+    pub(super) lost_server_work_ms: Option<u64>,
     /// Engine runs of the request that crashes engines.
     pub(super) poison_executions: usize,
     pub(super) load_lag_p99_ms: f64,
@@ -72,6 +74,8 @@
     pub(super) rank: &'static str,
     pub(super) requests: usize,
     pub(super) attainment: f64,
+    /// The same without the large caller.
+    pub(super) small_attainment: f64,
     /// Served engine time over the lesser of guarantee and demand.
     pub(super) kept: f64,
     pub(super) p50_ms: f64,
@@ -133,6 +137,9 @@
     RunReport {
         system: observed.system,
         recovery_ms: recovery_ms(observed),
+        lost_server_work_ms: observed
+            .lost_server_work
+            .and_then(|time| u64::try_from(time.as_millis()).ok()),
         windows,
         stages: stages(deployment, observed),
         cross_region_bytes_per_answer: ratio(to_f64(bytes), count(answers)),
@@ -224,10 +231,13 @@
     let entitled = capacity.load(arrived).min(guaranteed.unwrap_or(0.0));
     let answered = arrived.iter().filter(|s| s.ending == Ending::Answered);
     let latencies = histogram(answered.map(|s| s.latency));
+    let small = arrived.iter().filter(|s| !s.arrival.large);
+    let small: Vec<&Sample> = small.copied().collect();
     RankReport {
         rank: name,
         requests: arrived.len(),
         attainment: attainment(arrived),
+        small_attainment: attainment(&small),
         kept: ratio(capacity.load(completed), entitled),
         p50_ms: quantile_ms(&latencies, 0.5),
         p99_ms: quantile_ms(&latencies, 0.99),
--- a/crates/briarladder-cli/src/bench/run.rs
+++ b/crates/briarladder-cli/src/bench/run.rs
@@ -5,7 +5,11 @@
     time::{Duration, Instant},
 };
 
-use briarladder_core::{names::StageName, sorted::SortedMap};
+use briarladder_core::{
+    clock::{Clock, SystemClock},
+    names::StageName,
+    sorted::SortedMap,
+};
 use briarladder_standins::{
     cluster::{Cluster, ClusterSettings},
     journal::Entry,
@@ -45,6 +49,8 @@
     pub(super) samples: Vec<Sample>,
     pub(super) journal: Vec<Entry>,
     pub(super) cross_region_bytes: SortedMap<StageName, u64>,
+    /// How long servers that died were still sent work.
+    pub(super) lost_server_work: Option<Duration>,
     pub(super) cpu: CpuTime,
     pub(super) elapsed: Duration,
 }
@@ -100,9 +106,13 @@
 
     run.wait_for_event().await;
     event::apply_to_backends(scenario, deployment, fleet.cluster()).await?;
+    let event_at = SystemClock.unix();
     event::apply_to_daemons(scenario, &mut fleet, &run.target).await?;
     let (system, cluster) = (System::Product, fleet.cluster());
     let mut observed = run.finish(system, scenario, cluster).await?;
+    let lost = event::lost_servers(scenario, fleet.cluster().objects());
+    observed.lost_server_work =
+        event::last_work_after(&fleet, &lost, event_at);
     for running in fleet.daemons() {
         let router = running.daemon().router.lock();
         for (stage, bytes) in router.cross_region_bytes().iter() {
@@ -196,6 +206,7 @@
             samples,
             journal: cluster.journal().entries(),
             cross_region_bytes: SortedMap::new(),
+            lost_server_work: None,
             cpu: CpuTime::now().since(self.cpu),
             elapsed: self.started_at.elapsed() + LEAD,
         })
--- a/crates/briarladder-cli/src/bench/table.rs
+++ b/crates/briarladder-cli/src/bench/table.rs
@@ -21,10 +21,10 @@
 fn write_report(text: &mut String, report: &ScenarioReport) -> fmt::Result {
     text.push_str(
         "| system | window | requests | on time | urgent | standard | bulk \
-         | kept u/s/b | goodput/s | load | p99 ms u/s/b | small | Jain \
+         | kept u/s/b | goodput/s | load | p99 ms u/s/b | small | small u/s/b | Jain \
          | worst |\n\
          | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- \
-         | --- | --- | --- |\n",
+         | --- | --- | --- | --- |\n",
     );
     for run in &report.runs {
         for window in &run.windows {
@@ -59,10 +59,11 @@
         values.join("/")
     };
     let kept = each(&|rank| percent(window.ranks[rank].kept));
+    let small = each(&|rank| percent(window.ranks[rank].small_attainment));
     let p99 = each(&|rank| format!("{:.0}", window.ranks[rank].p99_ms));
     writeln!(
         text,
-        " | {kept} | {:.0} | {} | {p99} | {} | {:.3} | {} |",
+        " | {kept} | {:.0} | {} | {p99} | {} | {small} | {:.3} | {} |",
         window.goodput_requests_per_s,
         percent(window.goodput_load),
         percent(window.callers.attainment),
@@ -115,6 +116,9 @@
     if let Some(recovery_ms) = run.recovery_ms {
         writeln!(text, "- recovered after {recovery_ms} ms")?;
     }
+    if let Some(last_ms) = run.lost_server_work_ms {
+        writeln!(text, "- last work to a lost server after {last_ms} ms")?;
+    }
     if run.poison_executions > 0 {
         let executions = run.poison_executions;
         writeln!(text, "- engine runs of the poison request: {executions}")?;
