--- a/crates/briarladder-cli/src/bench/callers.rs
+++ b/crates/briarladder-cli/src/bench/callers.rs
@@ -82,6 +82,13 @@
         })
         .await
         .unwrap_or(Ending::TimedOut);
+        log::debug!(
+            "bench: {} of {}/{} request={} ended as {ending:?}",
+            arrival.plan.name,
+            arrival.workspace,
+            arrival.caller,
+            arrival.id
+        );
         Sample { arrival, latency: due.elapsed(), lag, ending }
     }
 }
--- a/crates/briarladder-daemon/src/pipeline/mod.rs
+++ b/crates/briarladder-daemon/src/pipeline/mod.rs
@@ -3,6 +3,7 @@
 //! | step | module |
 //! | --- | --- |
 //! | check against the configuration | `request` |
+//! | state what its stages ask of their pools | `jobs` |
 //! | wait for a slot of each stage's pool | `slots` |
 //! | pick a backend server, run and repeat attempts | `stage` |
 //! | count against the limits of workspace and caller | `limits` |
@@ -25,6 +26,8 @@
 
 pub mod limits;
 pub mod outcomes;
+
+mod jobs;
 mod request;
 mod slots;
 mod stage;
