Bring engines to their declared versions

Cause: the decisions about orders stood alone; no daemon sent any, so an upgrade moved requests to a version and left the engines as they were. Change: a controller looks at the engines for which the daemon is among the first three in sender order, reads the zone's other engines while one differs, decides on a state that was just read, sends the order and reads the engine back.

--- a/crates/briarladder-daemon/src/controllers/mod.rs
+++ b/crates/briarladder-daemon/src/controllers/mod.rs
@@ -6,6 +6,7 @@
 //! | `membership` | which daemons are live |
 //! | `load` | the load of backend servers, and the slots of each pool |
 //! | `leases` | the leases of limits |
+//! | `orders` | the state of engines |
 //! | `notices` | requests that crash backend servers |
 
 use std::sync::Arc;
@@ -19,6 +20,7 @@
 pub mod load;
 pub mod membership;
 pub mod notices;
+pub mod orders;
 mod platform;
 
 pub use platform::PlatformClient;
@@ -32,6 +34,7 @@
     tasks.spawn(membership::probe(Arc::clone(daemon)));
     tasks.spawn(membership::read_list(Arc::clone(daemon)));
     tasks.spawn(leases::renew(Arc::clone(daemon)));
+    tasks.spawn(orders::keep_in_line(Arc::clone(daemon)));
     tasks.spawn(load::poll(Arc::clone(daemon)));
     tasks
 }
