Measure the platform calls of a restarting zone

Cause: the calls of a zone whose daemons all start at once were not measured, and the platform takes 2,000 calls a second.

--- a/crates/briarladder-cli/src/bench/control/real.rs
+++ b/crates/briarladder-cli/src/bench/control/real.rs
@@ -27,6 +27,8 @@
     start_platform_calls: f64,
     idle_platform_calls_per_s: f64,
     change_platform_calls: f64,
+    /// Calls to the platform while all daemons of one zone start again.
+    zone_restart_platform_calls: f64,
     resident_bytes: f64,
 }
 
@@ -55,6 +57,10 @@
             "platform calls for one change",
             line(|run| run.change_platform_calls),
         ),
+        (
+            "platform calls while its zone restarts",
+            line(|run| run.zone_restart_platform_calls),
+        ),
         ("resident bytes", line(|run| run.resident_bytes)),
     ];
     if json {
@@ -63,12 +69,12 @@
     }
     println!(
         "daemons  CPU us/s  peer calls/s  calls/change  platform: start  \
-         idle/s  change  resident KB"
+         idle/s  change  zone restart  resident KB"
     );
     for run in &runs {
         println!(
             "{:7.0}  {:8.0}  {:12.2}  {:12.2}  {:15.0}  {:6.2}  {:6.1}  \
-             {:11.0}",
+             {:12.0}  {:11.0}",
             run.daemons,
             run.idle_cpu_us,
             run.calls_per_s,
@@ -76,6 +82,7 @@
             run.start_platform_calls,
             run.idle_platform_calls_per_s,
             run.change_platform_calls,
+            run.zone_restart_platform_calls,
             run.resident_bytes / 1e3
         );
     }
@@ -94,7 +101,7 @@
         FleetSettings { daemons_per_zone, ..Default::default() };
     // Daemons of one process share its cores, as they do here.
     settings.daemon_flags.push("--threads=1".into());
-    let fleet = Fleet::start(objects, settings).await?;
+    let mut fleet = Fleet::start(objects, settings).await?;
     let start_platform_calls = platform_calls(&fleet);
     tokio::time::sleep(SETTLE).await;
     let calls = |fleet: &Fleet| -> u64 {
@@ -120,6 +127,7 @@
     let probes = idle_calls / time_s * start.elapsed().as_secs_f64();
     let change_calls = to_f64(calls(&fleet) - before) - probes;
     let platform = platform_calls(&fleet) - platform_before;
+    let zone_restart_platform_calls = restart_zone(&mut fleet).await?;
     let run = Run {
         daemons: to_f64(fleet.daemons().len() as u64),
         idle_cpu_us: cpu.as_secs_f64() * 1e6 / time_s,
@@ -127,6 +135,7 @@
         change_calls: change_calls / to_f64(CHANGES),
         start_platform_calls,
         idle_platform_calls_per_s: idle_platform / time_s,
+        zone_restart_platform_calls,
         change_platform_calls: platform / to_f64(CHANGES),
         resident_bytes: to_f64(resident_bytes()?),
     };
@@ -137,3 +146,24 @@
 fn platform_calls(fleet: &Fleet) -> f64 {
     to_f64(fleet.platform().counts().total())
 }
+
+/// Stops all daemons of the first zone, starts them again under their names
+/// and returns the calls to the platform until they have the newest epoch.
+async fn restart_zone(fleet: &mut Fleet) -> anyhow::Result<f64> {
+    let zone = fleet.daemons()[0].daemon().settings.zone.clone();
+    let mut stopped = Vec::new();
+    while let Some(at) =
+        fleet.daemons().iter().position(|d| d.daemon().settings.zone == zone)
+    {
+        let running = fleet.take_daemon(at);
+        stopped.push(running.daemon().settings.vm.clone());
+        running.stop().await;
+    }
+    let before = platform_calls(fleet);
+    for vm in &stopped {
+        fleet.start_daemon(vm, &zone)?;
+    }
+    fleet.list_vms();
+    fleet.wait_for_epoch(1 + CHANGES).await?;
+    Ok(platform_calls(fleet) - before)
+}
