Choose the peer to pull from at random, near ones first

Cause: a daemon that was behind pulled from the peer with the highest epoch, and from the last one by name among equals. All daemons that were behind chose the same one, mostly in another region, where bytes are billed.

Change: the choice is random, among the peers of the zone with a newer epoch if there are any. The test newer_peer_spreads_in_zone covers both.

Conclusion: the load of pulls spreads over the zone.

--- a/crates/briarladder-daemon/src/controllers/membership.rs
+++ b/crates/briarladder-daemon/src/controllers/membership.rs
@@ -15,7 +15,7 @@
         Change, Heartbeat, Identity, Members, Observed, PauseDetector,
         ProbeTarget, Seed, SeedState, TICK, View, Views,
     },
-    names::{ServerName, VmName},
+    names::{ServerName, VmName, ZoneName},
     routing::ListedState,
     timeline::{EventKind, Subject},
 };
@@ -24,6 +24,7 @@
     platform::{VmKind, VmList, VmState},
 };
 use parking_lot::Mutex;
+use rand::{Rng, seq::IteratorRandom};
 
 use super::platform::Wait;
 use crate::daemon::Daemon;
@@ -128,6 +129,12 @@
     })
 }
 
+/// Returns whether the platform's list of VMs was read.
+#[must_use]
+pub fn list_read(daemon: &Daemon) -> bool {
+    daemon.members.with_inner(|inner| inner.list_read)
+}
+
 /// Returns the live peers of the zone, without this daemon.
 #[must_use]
 pub fn zone_peers(daemon: &Daemon) -> Vec<Peer> {
@@ -142,16 +149,30 @@
     })
 }
 
-/// Returns the address of a peer with the highest epoch.
+/// Returns the address of a peer from which to pull what is newer.
 #[must_use]
 pub fn peer_with_newer(daemon: &Daemon) -> Option<SocketAddr> {
-    daemon.members.with(|members| {
-        members
-            .iter()
-            .filter(|m| m.is_assignable() && m.name != daemon.settings.vm)
-            .max_by_key(|m| m.epoch)
-            .map(|m| m.address)
-    })
+    let (me, zone) = (&daemon.settings.vm, &daemon.settings.zone);
+    daemon.members.with(|m| newer_peer(m, me, zone, &mut rand::rng()))
+}
+
+/// Chooses a peer of the zone with a newer epoch, otherwise any with the
+/// highest one. The choice is random: all daemons that are behind would
+/// otherwise pull from the same peer, most of them from another region.
+fn newer_peer(
+    members: &Members,
+    me: &VmName,
+    zone: &ZoneName,
+    rng: &mut impl Rng,
+) -> Option<SocketAddr> {
+    let own_epoch = members.get(me).map_or(0, |member| member.epoch);
+    let peers =
+        || members.iter().filter(|m| m.is_assignable() && m.name != *me);
+    let near = peers().filter(|m| m.zone == *zone && m.epoch > own_epoch);
+    let near = near.choose(rng);
+    let highest = peers().map(|m| m.epoch).max()?;
+    let any = || peers().filter(|m| m.epoch == highest);
+    near.or_else(|| any().choose(rng)).map(|m| m.address)
 }
 
 /// Sets the epoch that this daemon tells its peers.
@@ -357,3 +378,56 @@
         router.set_listed(now, &server, state);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use briarladder_core::{
+        ids::Incarnation,
+        membership::{MemberState, Update},
+        sorted::SortedSet,
+    };
+    use rand::{SeedableRng, rngs::SmallRng};
+
+    use super::*;
+
+    /// Guards against a whole fleet that pulls from one peer, and against
+    /// pulls from another region while the zone has the change.
+    #[test]
+    fn newer_peer_spreads_in_zone() {
+        let now = Instant::now();
+        let zone = |name| ZoneName::new(name).unwrap();
+        let update = |number: u16, zone: ZoneName, epoch| Update {
+            name: VmName::new(&format!("vm-{number}")).unwrap(),
+            address: ([10, 0, 0, 1], number).into(),
+            zone,
+            incarnation: Incarnation(1),
+            sequence: 0,
+            epoch,
+            state: MemberState::Ready,
+        };
+        let me = update(0, zone("a"), 1);
+        let identity = Identity {
+            name: me.name.clone(),
+            address: me.address,
+            zone: me.zone.clone(),
+            incarnation: me.incarnation,
+        };
+        let mut members = Members::new(identity, now);
+        members.set_epoch(1);
+        let known = [("a", 1), ("a", 2), ("a", 2), ("b", 2), ("b", 3)];
+        for (number, (place, epoch)) in (1..).zip(known) {
+            members.observe(now, &update(number, zone(place), epoch));
+        }
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut chosen = |zone: &ZoneName| -> Vec<u16> {
+            let ports = (0..50).filter_map(|_| {
+                newer_peer(&members, &me.name, zone, &mut rng)
+            });
+            let ports: SortedSet<u16> = ports.map(|a| a.port()).collect();
+            ports.iter().copied().collect()
+        };
+        assert_eq!(chosen(&me.zone), [2, 3]);
+        // A zone without the change falls back to the highest epoch.
+        assert_eq!(chosen(&zone("c")), [5]);
+    }
+}
