Let peers bring the first set to a fresh daemon

Cause: every fresh daemon read the manifest and every chunk from the platform. When a zone of 208 daemons restarts with a set of 248 chunks, that makes 52,000 calls; the platform takes 2,000 a second.

Change: a fresh daemon waits for the list of VMs, for 3 s at most. Only a reader of the zone then reads the platform; the others pull from peers, and read it themselves if they still have nothing after 5 s. The test restarting_zone_reads_chunks_as_readers_only counts the reads.

--- a/crates/briarladder-cli/src/bench/control/real.rs
+++ b/crates/briarladder-cli/src/bench/control/real.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use briarladder_standins::platform::CallCounts;
+
 use super::meter::{Line, process_cpu_time, resident_bytes, to_f64};
 use crate::{
     fleet::{Fleet, FleetSettings},
@@ -127,7 +129,7 @@
     let probes = idle_calls / time_s * start.elapsed().as_secs_f64();
     let change_calls = to_f64(calls(&fleet) - before) - probes;
     let platform = platform_calls(&fleet) - platform_before;
-    let zone_restart_platform_calls = restart_zone(&mut fleet).await?;
+    let restart = restart_zone(&mut fleet, 1 + CHANGES).await?;
     let run = Run {
         daemons: to_f64(fleet.daemons().len() as u64),
         idle_cpu_us: cpu.as_secs_f64() * 1e6 / time_s,
@@ -135,7 +137,7 @@
         change_calls: change_calls / to_f64(CHANGES),
         start_platform_calls,
         idle_platform_calls_per_s: idle_platform / time_s,
-        zone_restart_platform_calls,
+        zone_restart_platform_calls: to_f64(restart.total()),
         change_platform_calls: platform / to_f64(CHANGES),
         resident_bytes: to_f64(resident_bytes()?),
     };
@@ -149,7 +151,10 @@
 
 /// Stops all daemons of the first zone, starts them again under their names
 /// and returns the calls to the platform until they have the newest epoch.
-async fn restart_zone(fleet: &mut Fleet) -> anyhow::Result<f64> {
+pub(super) async fn restart_zone(
+    fleet: &mut Fleet,
+    epoch: u64,
+) -> anyhow::Result<CallCounts> {
     let zone = fleet.daemons()[0].daemon().settings.zone.clone();
     let mut stopped = Vec::new();
     while let Some(at) =
@@ -159,11 +164,16 @@
         stopped.push(running.daemon().settings.vm.clone());
         running.stop().await;
     }
-    let before = platform_calls(fleet);
+    let before = fleet.platform().counts();
     for vm in &stopped {
         fleet.start_daemon(vm, &zone)?;
     }
     fleet.list_vms();
-    fleet.wait_for_epoch(1 + CHANGES).await?;
-    Ok(platform_calls(fleet) - before)
+    fleet.wait_for_epoch(epoch).await?;
+    let after = fleet.platform().counts();
+    Ok(CallCounts {
+        manifest: after.manifest - before.manifest,
+        chunks: after.chunks - before.chunks,
+        vms: after.vms - before.vms,
+    })
 }
--- a/crates/briarladder-cli/src/bench/control/tests.rs
+++ b/crates/briarladder-cli/src/bench/control/tests.rs
@@ -1,8 +1,11 @@
-//! Compares the allowance for HTTP and JSON-RPC with captured bytes.
+//! Compares the allowance for HTTP and JSON-RPC with captured bytes, and
+//! counts what a restarting zone asks of the platform.
 
 use std::{net::SocketAddr, time::Duration};
 
-use briarladder_core::config::{ManifestReply, Which};
+use briarladder_core::config::{
+    Bundle, ManifestReply, READERS_PER_ZONE, Which,
+};
 use briarladder_daemon::{backend::BackendClient, peers::PeerClient};
 use briarladder_wire::peers::{ManifestQuery, PEER_KEY_HEADER};
 use tokio::{
@@ -10,8 +13,12 @@
     net::{TcpListener, TcpStream},
 };
 
-use super::meter::{
-    GET_ANSWER_BYTES, GET_REQUEST_BYTES, RPC_ANSWER_BYTES, RPC_REQUEST_BYTES,
+use super::{
+    meter::{
+        GET_ANSWER_BYTES, GET_REQUEST_BYTES, RPC_ANSWER_BYTES,
+        RPC_REQUEST_BYTES,
+    },
+    real::restart_zone,
 };
 use crate::{
     fleet::{Fleet, FleetSettings},
@@ -100,3 +107,19 @@
     assert_allowed(body, 0, GET_ANSWER_BYTES);
     fleet.stop().await;
 }
+
+/// Guards against a restart of a zone in which every daemon reads every
+/// chunk from the platform: at the target scale that is 52,000 calls at once.
+#[tokio::test]
+async fn restarting_zone_reads_chunks_as_readers_only() {
+    let objects = Sample::Dobradura.objects().unwrap();
+    let settings =
+        FleetSettings { daemons_per_zone: 6, ..FleetSettings::default() };
+    let mut fleet = Fleet::start(objects, settings).await.unwrap();
+    let bundle = Bundle::new(1, fleet.cluster().objects()).unwrap();
+    let calls = restart_zone(&mut fleet, 1).await.unwrap();
+    let read = READERS_PER_ZONE * bundle.chunks.len();
+    assert!(calls.chunks <= read as u64, "{calls:?}, at most {read}");
+    assert!(calls.chunks > 0, "{calls:?}");
+    fleet.stop().await;
+}
--- a/crates/briarladder-daemon/src/controllers/config.rs
+++ b/crates/briarladder-daemon/src/controllers/config.rs
@@ -32,6 +32,9 @@
 /// The time between two looks at whether something is missing.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The time between two looks whether the list of VMs was read.
+const LIST_PAUSE: Duration = Duration::from_millis(10);
+
 /// The wait after a failed read of the platform.
 const RETRY_WAIT: Duration = Duration::from_secs(1);
 
@@ -80,16 +83,24 @@
 
 /// Watches the platform while this daemon is one of its zone's readers, and
 /// reads it while this daemon stays behind.
+///
+/// A fresh daemon that is not a reader lets peers bring the first set: if all
+/// daemons of a zone read every chunk when they start together, they make
+/// many times the calls that the platform takes.
 pub async fn watch_platform(daemon: Arc<Daemon>) {
     let mut reads = PlatformReads::new(&daemon.settings.vm);
-    // A fresh daemon knows no peers yet; one read gives it a start.
-    let mut wait = Some(Wait::No);
+    let started_at = daemon.clock.now();
+    wait_for_list(&daemon).await;
+    let mut wait = None;
     loop {
         let now = daemon.clock.now();
         if wait.is_none() {
+            let known = daemon.config.announcement().known;
             let behind_since = daemon.config.with(|s| s.behind_since());
+            // Nobody may be there to tell a fresh daemon that it is behind.
+            let behind_since =
+                behind_since.or((known == 0).then_some(started_at));
             if super::membership::is_reader(&daemon) {
-                let known = daemon.config.announcement().known;
                 wait = Some(Wait::After(known));
             } else if reads.next_at(behind_since).is_some_and(|at| at <= now) {
                 reads.started(behind_since, now);
@@ -116,6 +127,19 @@
     }
 }
 
+/// Waits until the list of VMs was read, for a bounded time. Without it each
+/// daemon seems to be alone in its zone, and thus a reader.
+async fn wait_for_list(daemon: &Daemon) {
+    let started_at = daemon.clock.now();
+    while !super::membership::list_read(daemon) {
+        let waited = daemon.clock.now().saturating_duration_since(started_at);
+        if waited >= FLOOR_WAIT {
+            return;
+        }
+        tokio::time::sleep(LIST_PAUSE).await;
+    }
+}
+
 /// Asks peers for what this daemon lacks, and trusts the platform once the
 /// floor is known.
 pub async fn follow_peers(daemon: Arc<Daemon>) {
