Use one stall timer for all events of a stream

Cause: a timer entered and left the runtime's wheel, under its lock, for each token. Change: one timer that is moved on. Under callgrind, part tokens-at-once, the instructions per token fell from 16,180 to 15,721 (-2.8%). CPU time did not resolve it (11.08 us before, 11.19 us after, in ranges of 10%).

--- a/crates/briarladder-daemon/src/backend/mod.rs
+++ b/crates/briarladder-daemon/src/backend/mod.rs
@@ -13,7 +13,9 @@
 //! # let _ = client;
 //! ```
 
-use std::{net::SocketAddr, ops::ControlFlow, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr, ops::ControlFlow, pin::pin, sync::Arc, time::Duration,
+};
 
 use briarladder_core::{
     ids::RequestId, load::LoadReport, retry::AttemptFailure,
@@ -182,21 +184,25 @@
         let mut response = self.send(address, attempt).await?;
         let mut decoder = EventDecoder::new(self.max_output_bytes);
         let mut started = false;
-        let mut stalled_at = Instant::now() + STALL_TIMEOUT;
+        // One timer for all events: moving it on takes no lock, while each
+        // new one enters and leaves the runtime's timer wheel.
+        let mut stalled = pin!(tokio::time::sleep(STALL_TIMEOUT));
         loop {
             let Some(data) = decoder.next() else {
-                let chunk =
-                    tokio::time::timeout_at(stalled_at, response.chunk())
-                        .await
-                        .map_err(|_| AttemptFailure::TimedOut)?
-                        .map_err(|_| AttemptFailure::Broken)?
-                        .ok_or(AttemptFailure::Broken)?;
+                let chunk = tokio::select! {
+                    biased;
+                    chunk = response.chunk() => chunk,
+                    () = &mut stalled => return Err(AttemptFailure::TimedOut),
+                };
+                let chunk = chunk
+                    .map_err(|_| AttemptFailure::Broken)?
+                    .ok_or(AttemptFailure::Broken)?;
                 decoder.push(&chunk).map_err(|_| AttemptFailure::Broken)?;
                 continue;
             };
             let event: StreamEvent = serde_json::from_slice(data)
                 .map_err(|_| AttemptFailure::Broken)?;
-            stalled_at = Instant::now() + STALL_TIMEOUT;
+            stalled.as_mut().reset(Instant::now() + STALL_TIMEOUT);
             match event {
                 StreamEvent::Start { request_id, stage, attempt: number } => {
                     let sent = attempt.request;
