Write a burst of events in one chunk

Cause: the caller's connection woke for each token, ahead of the task that had more of them, so a burst cost one write per token. Change: events within 1 ms of the last chunk let other tasks run first and then go out together. Part tokens-at-once, medians of 3 interleaved runs of 2 s: 11.19 us CPU per token before, 7.92 us after (x0.71; ranges 11.09-12.05 and 7.31-8.00), of which 4.49 us and 2.68 us in the kernel; 62,093 and 97,704 tokens/s. Tokens that come one by one are written as before: 30.0 us and 28.0 us, in ranges of 15%.

--- a/crates/briarladder-daemon/src/http/answer.rs
+++ b/crates/briarladder-daemon/src/http/answer.rs
@@ -1,24 +1,28 @@
 //! Writes answers, refusals and event streams.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use briarladder_core::ids::RequestId;
 use briarladder_wire::callers::Answer;
 use bytes::Bytes;
-use futures_util::StreamExt;
+use futures_util::stream;
 use salvo::{
     Response,
     http::{HeaderValue, StatusCode, header},
 };
 use serde::Serialize;
-use tokio::sync::mpsc::UnboundedReceiver;
-use tokio_stream::wrappers::UnboundedReceiverStream;
+use tokio::{sync::mpsc::UnboundedReceiver, time::Instant};
 
 use crate::{pipeline::Progress, refusal::Refusal};
 
 /// The most events that are written at once.
 const EVENTS_A_CHUNK: usize = 64;
 
+/// Events that follow one another faster than this belong to a burst, which
+/// is written at once: an engine takes several milliseconds for a token, so
+/// the burst was sent together or has piled up.
+const BURST_GAP: Duration = Duration::from_millis(1);
+
 /// Writes a value as JSON.
 pub(super) fn json(
     response: &mut Response,
@@ -77,18 +81,50 @@
     );
     headers
         .insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
-    let chunks = UnboundedReceiverStream::new(progress)
-        .ready_chunks(EVENTS_A_CHUNK)
-        .map(move |events| {
-            let mut out = Vec::with_capacity(64 * events.len());
-            for event in &events {
-                write_event(&mut out, request_id, event);
-            }
-            Ok::<_, std::convert::Infallible>(Bytes::from(out))
-        });
+    let writer =
+        Writer { request_id, progress, events: Vec::new(), written_at: None };
+    let chunks = stream::unfold(writer, |mut writer| async move {
+        let chunk = writer.next_chunk().await?;
+        Some((Ok::<_, std::convert::Infallible>(chunk), writer))
+    });
     response.stream(chunks);
 }
 
+/// Collects the events of one stream into chunks.
+struct Writer {
+    request_id: RequestId,
+    progress: UnboundedReceiver<Progress>,
+    events: Vec<Progress>,
+    written_at: Option<Instant>,
+}
+
+impl Writer {
+    /// Waits for the next events and writes them into one chunk.
+    async fn next_chunk(&mut self) -> Option<Bytes> {
+        self.events.clear();
+        let events = &mut self.events;
+        if self.progress.recv_many(events, EVENTS_A_CHUNK).await == 0 {
+            return None;
+        }
+        let now = Instant::now();
+        if self.written_at.is_some_and(|at| now - at < BURST_GAP) {
+            // Lets the tasks run that read the rest of the burst.
+            tokio::task::yield_now().await;
+            while events.len() < EVENTS_A_CHUNK
+                && let Ok(event) = self.progress.try_recv()
+            {
+                events.push(event);
+            }
+        }
+        self.written_at = Some(now);
+        let mut out = Vec::with_capacity(64 * events.len());
+        for event in events {
+            write_event(&mut out, self.request_id, event);
+        }
+        Some(Bytes::from(out))
+    }
+}
+
 #[derive(Serialize)]
 struct Accepted {
     request_id: RequestId,
@@ -133,6 +169,49 @@
 mod tests {
     use super::*;
 
+    /// Guards against a burst that is written one event at a time, and
+    /// against events that are lost, reordered or held back.
+    #[tokio::test(start_paused = true)]
+    async fn next_chunk_joins_a_burst_only() {
+        let (sender, progress) = tokio::sync::mpsc::unbounded_channel();
+        let token = |index| Progress::Token { index, text: "t".into() };
+        let mut writer = Writer {
+            request_id: RequestId(1),
+            progress,
+            events: Vec::new(),
+            written_at: None,
+        };
+        let send = async |first: u32, gap: Duration| {
+            for index in first..first + 100 {
+                let _ = sender.send(token(index));
+                tokio::task::yield_now().await;
+                if !gap.is_zero() {
+                    tokio::time::sleep(gap).await;
+                }
+            }
+        };
+        let mut indices = Vec::new();
+        let mut read = async |events: usize| {
+            let mut chunks = 0;
+            while indices.len() < events {
+                writer.next_chunk().await.unwrap();
+                indices.extend(writer.events.iter().map(|e| match e {
+                    Progress::Token { index, .. } => *index,
+                    _ => panic!("{e:?}"),
+                }));
+                chunks += 1;
+            }
+            chunks
+        };
+        let slow = BURST_GAP * 2;
+        assert_eq!(tokio::join!(send(0, slow), read(100)).1, 100);
+        let chunks = tokio::join!(send(100, Duration::ZERO), read(200)).1;
+        assert!(chunks <= 51, "{chunks}");
+        drop(sender);
+        assert!(writer.next_chunk().await.is_none());
+        assert!(indices.into_iter().eq(0..200));
+    }
+
     /// Guards against events that a client can't split, such as a token with
     /// a line break that ends its event early.
     #[test]
