--- a/crates/briarladder-cli/src/bench/daemon/load.rs
+++ b/crates/briarladder-cli/src/bench/daemon/load.rs
@@ -33,6 +33,9 @@
 /// The most calls of the open loop that wait for their answer.
 const MAX_OPEN_CALLS: usize = 1_000;
 
+/// The line that begins each token of a streamed answer.
+const TOKEN_EVENT: &[u8] = b"event: token\n";
+
 /// What is sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Kind {
@@ -71,9 +74,9 @@
         })))
     }
 
-    /// Sends one call to the daemon and reads the whole answer. Returns the
-    /// requests, or the tokens of a stream.
-    async fn send(&self, kind: Kind) -> anyhow::Result<u64> {
+    /// Sends one call to the daemon, reads the whole answer, and counts the
+    /// request, or each token of the stream when it arrives.
+    async fn send(&self, kind: Kind, units: &AtomicU64) -> anyhow::Result<()> {
         let inner = &self.0;
         let pipeline = match kind {
             Kind::Request => "request",
@@ -89,24 +92,36 @@
         if kind == Kind::Stream {
             request = request.header("accept", "text/event-stream");
         }
-        let response = request.send().await?;
+        let mut response = request.send().await?;
         let status = response.status();
-        let body = response.bytes().await?;
+        let (mut body, mut scanned, mut tokens) = (Vec::new(), 0, 0);
+        while let Some(chunk) = response.chunk().await? {
+            body.extend_from_slice(&chunk);
+            // A chunk may end inside an event.
+            while let Some(at) = find(&body[scanned..], TOKEN_EVENT) {
+                scanned += at + TOKEN_EVENT.len();
+                tokens += 1;
+                units.fetch_add(1, Ordering::Relaxed);
+            }
+            scanned =
+                scanned.max(body.len().saturating_sub(TOKEN_EVENT.len()));
+        }
         ensure!(
             status.is_success(),
             "status {status}: {}",
             String::from_utf8_lossy(&body)
         );
-        if kind == Kind::Request {
-            return Ok(1);
+        match kind {
+            Kind::Request => {
+                units.fetch_add(1, Ordering::Relaxed);
+            }
+            Kind::Stream => ensure!(
+                tokens == TOKENS && find(&body, b"event: answer\n").is_some(),
+                "a stream ended after {tokens} tokens: {}",
+                String::from_utf8_lossy(&body)
+            ),
         }
-        let text = std::str::from_utf8(&body)?;
-        let tokens = text.matches("event: token\n").count();
-        ensure!(
-            tokens == TOKENS as usize && text.contains("event: answer\n"),
-            "a stream ended after {tokens} tokens: {text}"
-        );
-        Ok(u64::from(TOKENS))
+        Ok(())
     }
 
     /// Sends the calls that the daemon would send.
@@ -153,6 +168,10 @@
     }
 }
 
+fn find(bytes: &[u8], text: &[u8]) -> Option<usize> {
+    bytes.windows(text.len()).position(|window| window == text)
+}
+
 /// A running closed loop: each task sends its next call when the one before
 /// is answered.
 pub(super) struct Closed {
@@ -171,8 +190,7 @@
                 (caller.clone(), Arc::clone(&units), Arc::clone(&stopping));
             tasks.spawn(async move {
                 while !stopping.load(Ordering::Relaxed) {
-                    let done = caller.send(kind).await?;
-                    units.fetch_add(done, Ordering::Relaxed);
+                    caller.send(kind, &units).await?;
                 }
                 Ok(())
             });
@@ -226,7 +244,7 @@
         let caller = caller.clone();
         tasks.spawn(async move {
             let sent_at = Instant::now();
-            caller.send(kind).await?;
+            caller.send(kind, &AtomicU64::new(0)).await?;
             let answered_at = Instant::now();
             caller.send_direct(kind).await?;
             let direct = answered_at.elapsed();
