--- a/crates/briarladder-daemon/src/backend/mod.rs
+++ b/crates/briarladder-daemon/src/backend/mod.rs
@@ -371,3 +371,64 @@
         AttemptFailure::Broken
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use briarladder_core::names::{ServerName, StageName};
+    use briarladder_standins::{
+        engine::{Engine, EngineSettings},
+        fault::Fault,
+        server::ServerSettings,
+    };
+
+    use super::*;
+
+    /// Guards against a generation that waits for the whole attempt when its
+    /// engine hangs, and against one that is cut off while tokens still
+    /// come. It takes real time, because it reads from a socket.
+    #[tokio::test]
+    async fn generate_times_out_after_silence() {
+        let name = ServerName::new("engine-1").unwrap();
+        let mut settings = EngineSettings::new(ServerSettings::new(name, 4));
+        settings.answer_tokens = 8;
+        // All tokens together take longer than the longest silence.
+        settings.between_tokens = STALL_TIMEOUT / 4;
+        let engine = Engine::start(settings).await.unwrap();
+        let request = RunRequest {
+            request_id: RequestId(1),
+            stage: StageName::new("stage-1").unwrap(),
+            attempt: 0,
+            epoch: 1,
+            priority: 0,
+            deadline_ms: 60_000,
+            model_version: None,
+            max_tokens: Some(8),
+            resume_tokens: Vec::new(),
+            operation: None,
+            input: Arc::from(RawValue::from_string("1".into()).unwrap()),
+            previous: None,
+        };
+        let attempt = Attempt {
+            request: &request,
+            idempotency_key: None,
+            connection: Connection::Pooled,
+            timeout: Duration::from_secs(60),
+        };
+        let client = BackendClient::new(1 << 20).unwrap();
+        let generate = async || {
+            let mut tokens = 0;
+            let end = client
+                .generate(engine.address(), attempt, |_, _| {
+                    tokens += 1;
+                    ControlFlow::Continue(())
+                })
+                .await;
+            (tokens, end.map(|end| end.total_tokens))
+        };
+        assert_eq!(generate().await, (8, Ok(8)));
+        engine.faults().always(Fault::HangAfterTokens(2));
+        let hung = tokio::time::timeout(STALL_TIMEOUT * 4, generate()).await;
+        assert_eq!(hung, Ok((2, Err(AttemptFailure::TimedOut))));
+        engine.stop().await;
+    }
+}
