--- a/crates/briarladder-cli/src/bench/daemon/deployment.rs
+++ b/crates/briarladder-cli/src/bench/daemon/deployment.rs
@@ -188,8 +188,8 @@
     pools.push(json!({"name": "engine", "role": "engine",
         "slots_requests": SLOTS, "model_versions": ["version-1"],
         "checks_fencing": true}));
-    let servers: Vec<_> =
-        STAGES.iter().chain(&["engine"]).enumerate().map(server).collect();
+    let all = STAGES.iter().chain(&["engine"]).enumerate();
+    let servers: Vec<_> = all.map(server).collect();
     let generate = json!({"generate":
         {"model_version": "version-1", "max_tokens": TOKENS}});
     let pipeline = |name: &str, stages: &[&str]| {
--- a/crates/briarladder-daemon/src/backend/mod.rs
+++ b/crates/briarladder-daemon/src/backend/mod.rs
@@ -412,7 +412,7 @@
             request: &request,
             idempotency_key: None,
             connection: Connection::Pooled,
-            timeout: Duration::from_secs(60),
+            timeout: Duration::from_mins(1),
         };
         let client = BackendClient::new(1 << 20).unwrap();
         let generate = async || {
--- a/crates/briarladder-wire/src/backend.rs
+++ b/crates/briarladder-wire/src/backend.rs
@@ -281,7 +281,8 @@
         let id = "0123456789abcdef0123456789abcdef";
         let events = [
             format!(
-                r#"{{"type":"start","request_id":"{id}","stage":"s","attempt":1}}"#
+                r#"{{"type":"start","request_id":"{id}",{}}}"#,
+                r#""stage":"s","attempt":1"#
             ),
             r#"{"type":"token","index":7,"text":"a\n\"é\u0001"}"#.into(),
             r#"{"type":"done","total_tokens":8}"#.into(),
