--- a/crates/briarladder-cli/src/bench/daemon/deployment.rs
+++ b/crates/briarladder-cli/src/bench/daemon/deployment.rs
@@ -178,7 +178,10 @@
         json!({"kind": "stage", "name": pool, "pool": pool, "work": work,
             "estimate_ms": estimate_ms, "timeout_ms": 10_000})
     };
-    let pool = |name: &str| json!({"name": name, "role": name, "slots_requests": SLOTS});
+    let pool = |name: &str| {
+        let slots_requests = SLOTS;
+        json!({"name": name, "role": name, "slots_requests": slots_requests})
+    };
     // The stand-ins replace the addresses, which have to differ.
     let server = |(at, pool): (usize, &&str)| {
         json!({"name": format!("{pool}-1"), "pool": pool,
