--- a/crates/briarladder-daemon/src/backend/mod.rs
+++ b/crates/briarladder-daemon/src/backend/mod.rs
@@ -13,7 +13,9 @@
 //! # let _ = client;
 //! ```
 
-use std::{net::SocketAddr, ops::ControlFlow, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr, ops::ControlFlow, pin::pin, sync::Arc, time::Duration,
+};
 
 use briarladder_core::{
     ids::RequestId, load::LoadReport, retry::AttemptFailure,
@@ -182,21 +184,25 @@
         let mut response = self.send(address, attempt).await?;
         let mut decoder = EventDecoder::new(self.max_output_bytes);
         let mut started = false;
-        let mut stalled_at = Instant::now() + STALL_TIMEOUT;
+        // One timer for all events: moving it on takes no lock, while each
+        // new one enters and leaves the runtime's timer wheel.
+        let mut stalled = pin!(tokio::time::sleep(STALL_TIMEOUT));
         loop {
             let Some(data) = decoder.next() else {
-                let chunk =
-                    tokio::time::timeout_at(stalled_at, response.chunk())
-                        .await
-                        .map_err(|_| AttemptFailure::TimedOut)?
-                        .map_err(|_| AttemptFailure::Broken)?
-                        .ok_or(AttemptFailure::Broken)?;
+                let chunk = tokio::select! {
+                    biased;
+                    chunk = response.chunk() => chunk,
+                    () = &mut stalled => return Err(AttemptFailure::TimedOut),
+                };
+                let chunk = chunk
+                    .map_err(|_| AttemptFailure::Broken)?
+                    .ok_or(AttemptFailure::Broken)?;
                 decoder.push(&chunk).map_err(|_| AttemptFailure::Broken)?;
                 continue;
             };
             let event: StreamEvent = serde_json::from_slice(data)
                 .map_err(|_| AttemptFailure::Broken)?;
-            stalled_at = Instant::now() + STALL_TIMEOUT;
+            stalled.as_mut().reset(Instant::now() + STALL_TIMEOUT);
             match event {
                 StreamEvent::Start { request_id, stage, attempt: number } => {
                     let sent = attempt.request;
@@ -365,3 +371,64 @@
         AttemptFailure::Broken
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use briarladder_core::names::{ServerName, StageName};
+    use briarladder_standins::{
+        engine::{Engine, EngineSettings},
+        fault::Fault,
+        server::ServerSettings,
+    };
+
+    use super::*;
+
+    /// Guards against a generation that waits for the whole attempt when its
+    /// engine hangs, and against one that is cut off while tokens still
+    /// come. It takes real time, because it reads from a socket.
+    #[tokio::test]
+    async fn generate_times_out_after_silence() {
+        let name = ServerName::new("engine-1").unwrap();
+        let mut settings = EngineSettings::new(ServerSettings::new(name, 4));
+        settings.answer_tokens = 8;
+        // All tokens together take longer than the longest silence.
+        settings.between_tokens = STALL_TIMEOUT / 4;
+        let engine = Engine::start(settings).await.unwrap();
+        let request = RunRequest {
+            request_id: RequestId(1),
+            stage: StageName::new("stage-1").unwrap(),
+            attempt: 0,
+            epoch: 1,
+            priority: 0,
+            deadline_ms: 60_000,
+            model_version: None,
+            max_tokens: Some(8),
+            resume_tokens: Vec::new(),
+            operation: None,
+            input: Arc::from(RawValue::from_string("1".into()).unwrap()),
+            previous: None,
+        };
+        let attempt = Attempt {
+            request: &request,
+            idempotency_key: None,
+            connection: Connection::Pooled,
+            timeout: Duration::from_mins(1),
+        };
+        let client = BackendClient::new(1 << 20).unwrap();
+        let generate = async || {
+            let mut tokens = 0;
+            let end = client
+                .generate(engine.address(), attempt, |_, _| {
+                    tokens += 1;
+                    ControlFlow::Continue(())
+                })
+                .await;
+            (tokens, end.map(|end| end.total_tokens))
+        };
+        assert_eq!(generate().await, (8, Ok(8)));
+        engine.faults().always(Fault::HangAfterTokens(2));
+        let hung = tokio::time::timeout(STALL_TIMEOUT * 4, generate()).await;
+        assert_eq!(hung, Ok((2, Err(AttemptFailure::TimedOut))));
+        engine.stop().await;
+    }
+}
