--- a/crates/briarladder-cli/src/bench/cpu.rs
+++ b/crates/briarladder-cli/src/bench/cpu.rs
@@ -40,11 +40,13 @@
         times
     }
 
+    /// Threads of the run before may end in between, which would make the
+    /// time of a group negative.
     pub(super) fn since(self, earlier: CpuTime) -> CpuTime {
         CpuTime {
             process_s: self.process_s - earlier.process_s,
-            load_s: self.load_s - earlier.load_s,
-            daemons_s: self.daemons_s - earlier.daemons_s,
+            load_s: (self.load_s - earlier.load_s).max(0.0),
+            daemons_s: (self.daemons_s - earlier.daemons_s).max(0.0),
         }
     }
 }
--- /dev/null
+++ b/crates/briarladder-core/src/admission/later.rs
@@ -0,0 +1,95 @@
+//! The check of the pools that a request reaches after its first one.
+
+use std::time::{Duration, Instant};
+
+use super::{
+    job::{Job, Refusal, RefusalReason},
+    scheduler::{Scheduler, to_ns, to_retry_after},
+};
+
+impl Scheduler {
+    /// Checks that the expected waits in later pools leave a request enough
+    /// time, before it takes a slot of its first pool.
+    ///
+    /// `later` has one job for each later pool, with the same deadline and
+    /// the remaining time of the whole request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the waits leave too little time.
+    pub fn check_later(
+        &mut self,
+        now: Instant,
+        later: &[Job],
+    ) -> Result<(), Refusal> {
+        let Some(first) = later.first() else { return Ok(()) };
+        let latest_start = first.deadline.checked_sub(first.remaining);
+        let slack = latest_start
+            .map_or(Duration::ZERO, |l| l.saturating_duration_since(now));
+        let mut wait_ns = 0_u64;
+        for job in later {
+            wait_ns = wait_ns.saturating_add(self.expected_wait_ns(job));
+        }
+        if Duration::from_nanos(wait_ns) <= slack {
+            return Ok(());
+        }
+        let excess_ns = wait_ns.saturating_sub(to_ns(slack));
+        Err(Refusal {
+            reason: RefusalReason::WaitTooLong,
+            retry_after: Some(to_retry_after(excess_ns)),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{
+        admission::Offer,
+        names::{CallerName, PoolName, WorkspaceName},
+        objects::snapshot::RankIndex,
+    };
+
+    fn job(now: Instant) -> Job {
+        Job {
+            pool: PoolName::new("engines").unwrap(),
+            rank: RankIndex(0),
+            workspace: WorkspaceName::new("dobradura").unwrap(),
+            caller: CallerName::new("desk").unwrap(),
+            workspace_weight: 1,
+            caller_weight: 1,
+            started: false,
+            deadline: now + Duration::from_secs(1),
+            service: Duration::from_millis(300),
+            remaining: Duration::from_millis(400),
+        }
+    }
+
+    /// Guards against requests that run their first stages in vain, because
+    /// only the wait in the first pool was checked.
+    #[test]
+    fn check_later_refuses_behind_long_queue() {
+        let now = Instant::now();
+        let job = job(now);
+        let mut scheduler = Scheduler::new(&[]);
+        let _ = scheduler.set_pool_slots(now, &job.pool, 1);
+        let later = std::slice::from_ref(&job);
+        assert_eq!(scheduler.check_later(now, later), Ok(()));
+        assert!(matches!(scheduler.offer(now, &job), Offer::Run(_)));
+        while matches!(scheduler.offer(now, &job), Offer::Wait(_)) {
+            assert!(scheduler.queue_len_requests() < 9, "no end");
+        }
+        let refusal = scheduler.check_later(now, later).unwrap_err();
+        assert_eq!(refusal.reason, RefusalReason::WaitTooLong);
+        assert!(refusal.retry_after.is_some());
+    }
+
+    /// Guards against a request that is refused for a pool whose servers
+    /// may be back when it gets there.
+    #[test]
+    fn check_later_passes_pools_without_slots() {
+        let now = Instant::now();
+        let mut scheduler = Scheduler::new(&[]);
+        assert_eq!(scheduler.check_later(now, &[job(now)]), Ok(()));
+    }
+}
--- a/crates/briarladder-core/src/admission/mod.rs
+++ b/crates/briarladder-core/src/admission/mod.rs
@@ -45,6 +45,7 @@
 mod fair;
 mod job;
 mod lane;
+mod later;
 mod pool;
 mod scheduler;
 mod slab;
--- a/crates/briarladder-core/src/admission/scheduler.rs
+++ b/crates/briarladder-core/src/admission/scheduler.rs
@@ -181,39 +181,9 @@
         Offer::Wait(self.enqueue(now, job, rank, phase, owner, latest_start))
     }
 
-    /// Checks that the expected waits in later pools leave a request enough
-    /// time, before it takes a slot of its first pool.
-    ///
-    /// `later` has one job for each later pool, with the same deadline and
-    /// the remaining time of the whole request.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal when the waits leave too little time.
-    pub fn check_later(
-        &mut self,
-        now: Instant,
-        later: &[Job],
-    ) -> Result<(), Refusal> {
-        let Some(first) = later.first() else { return Ok(()) };
-        let latest_start = first.deadline.checked_sub(first.remaining);
-        let slack = latest_start
-            .map_or(Duration::ZERO, |l| l.saturating_duration_since(now));
-        let mut wait_ns = 0_u64;
-        for job in later {
-            wait_ns = wait_ns.saturating_add(self.expected_wait_ns(job));
-        }
-        if Duration::from_nanos(wait_ns) <= slack {
-            return Ok(());
-        }
-        let excess = wait_ns.saturating_sub(to_ns(slack));
-        Err(Refusal {
-            reason: RefusalReason::WaitTooLong,
-            retry_after: Some(to_retry_after(excess)),
-        })
-    }
-
-    fn expected_wait_ns(&mut self, job: &Job) -> u64 {
+    /// Returns the expected wait of a job if it were offered now. Nothing is
+    /// queued.
+    pub(super) fn expected_wait_ns(&mut self, job: &Job) -> u64 {
         let rank = usize::from(job.rank.0).min(self.shares.len() - 1);
         let phase = if job.started { Phase::Started } else { Phase::New };
         // A pool without slots may have some when the request gets there.
@@ -437,7 +407,7 @@
     shares
 }
 
-fn to_ns(duration: Duration) -> u64 {
+pub(super) fn to_ns(duration: Duration) -> u64 {
     u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
 }
 
@@ -445,7 +415,7 @@
     to_ns(service.clamp(MIN_COST, MAX_COST))
 }
 
-fn to_retry_after(ns: u64) -> Duration {
+pub(super) fn to_retry_after(ns: u64) -> Duration {
     Duration::from_nanos(ns).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
 }
 
--- a/crates/briarladder-daemon/src/pipeline/jobs.rs
+++ b/crates/briarladder-daemon/src/pipeline/jobs.rs
@@ -48,12 +48,8 @@
         let request = self.request;
         let (earlier, rest) = request.pipeline.stages.split_at(position);
         let stage = &rest[0];
-        // Work in other pools does not count as a start: after a cheap
-        // first stage all requests of a flood would be ahead of those that
-        // hold finished generations.
-        let started = used(earlier, stage);
         let mean = |s: &ResolvedStage| self.estimates.stage(self.now, s).mean;
-        let service = if started {
+        let service = if used(earlier, stage) {
             mean(stage)
         } else {
             let same = rest.iter().filter(|s| s.pool.name == stage.pool.name);
@@ -67,7 +63,7 @@
             caller: request.caller.clone(),
             workspace_weight: request.workspace.weight,
             caller_weight: request.caller_weight,
-            started,
+            started: used(earlier, stage),
             deadline: request.deadline,
             service,
             remaining: self.estimates.remaining(self.now, left),
@@ -75,7 +71,46 @@
     }
 }
 
-/// Returns whether an earlier stage ran in the pool of a stage.
+/// Returns whether an earlier stage ran in the pool of a stage. Work in
+/// other pools does not count as a start: after a cheap first stage all
+/// requests of a flood would be ahead of those that hold finished
+/// generations.
 fn used(earlier: &[Arc<ResolvedStage>], stage: &ResolvedStage) -> bool {
     earlier.iter().any(|other| other.pool.name == stage.pool.name)
 }
+
+#[cfg(test)]
+mod tests {
+    use briarladder_core::{
+        names::{PoolName, StageName},
+        objects::{Role, Stage, Work, snapshot::ResolvedPool},
+    };
+
+    use super::*;
+
+    fn stage(name: &str, pool: &str) -> Arc<ResolvedStage> {
+        let pool = PoolName::new(pool).unwrap();
+        let stage = Stage {
+            name: StageName::new(name).unwrap(),
+            pool: pool.clone(),
+            work: Work::Encode,
+            estimate_ms: 1,
+            timeout_ms: 1,
+            idempotent: true,
+        };
+        let (role, servers) = (Role::Encoder, Vec::new());
+        let pool = Arc::new(ResolvedPool { name: pool, role, servers });
+        Arc::new(ResolvedStage { stage, pool })
+    }
+
+    /// Guards against drafts of a flood that count as started after their
+    /// cheap first stage and delay the checks of finished drafts.
+    #[test]
+    fn used_counts_same_pool_only() {
+        let encode = stage("encode", "encoders");
+        let draft = stage("draft", "engines");
+        let check = stage("check", "engines");
+        assert!(!used(&[Arc::clone(&encode)], &draft));
+        assert!(used(&[encode, draft], &check));
+    }
+}
