Divide a subset's slots by the daemons that reach it

A daemon counts the slots of its subset of a pool, but divided them by all daemons of the region; with 32 of 1,666 servers and 416 daemons that left 1 slot instead of 32.

--- a/crates/briarladder-core/src/routing/mod.rs
+++ b/crates/briarladder-core/src/routing/mod.rs
@@ -322,7 +322,9 @@
     pub fn free_slots(&self, now: Instant, pool: &PoolName) -> PoolSlots {
         let mut slots = PoolSlots::default();
         let Some(pool) = self.pool(pool) else { return slots };
+        slots.near_pool_servers = pool.near_pool_servers();
         for server in pool.near_members() {
+            slots.near_subset_servers += 1;
             slots.near_slots_requests += server.slots();
             slots.near_free_requests += server.free_slots(now, &pool.typical);
         }
--- a/crates/briarladder-core/src/routing/pool.rs
+++ b/crates/briarladder-core/src/routing/pool.rs
@@ -208,6 +208,14 @@
         zone.iter().chain(region).map(|at| &self.servers[*at])
     }
 
+    /// Returns the number of servers in this region, usable or not.
+    pub(super) fn near_pool_servers(&self) -> u32 {
+        let near = [Distance::Zone, Distance::Region];
+        let servers: usize =
+            near.iter().map(|d| self.order.at(*d).len()).sum();
+        u32::try_from(servers).unwrap_or(u32::MAX)
+    }
+
     pub(super) fn remote_members(&self) -> impl Iterator<Item = &ServerView> {
         let remote = self.any_version.at(Distance::OtherRegion);
         remote.iter().map(|at| &self.servers[*at])
--- a/crates/briarladder-core/src/routing/tests/links.rs
+++ b/crates/briarladder-core/src/routing/tests/links.rs
@@ -103,6 +103,8 @@
     let slots = fixture.router.free_slots(fixture.now, &POOL);
     let expected = PoolSlots {
         near_slots_requests: 8,
+        near_subset_servers: 2,
+        near_pool_servers: 2,
         near_free_requests: 5,
         remote_free_requests: 3,
         in_flight_requests: 1,
--- a/crates/briarladder-core/src/routing/types.rs
+++ b/crates/briarladder-core/src/routing/types.rs
@@ -219,8 +219,12 @@
 /// The slots of a pool by effective load, over the members of the subset.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PoolSlots {
-    /// All slots in this region.
+    /// All slots of the daemon's subset in this region.
     pub near_slots_requests: u32,
+    /// The servers of that subset.
+    pub near_subset_servers: u32,
+    /// All servers of the pool in this region.
+    pub near_pool_servers: u32,
     /// The free slots in this region.
     pub near_free_requests: u32,
     /// The free slots in other regions.
--- a/crates/briarladder-daemon/src/controllers/load.rs
+++ b/crates/briarladder-daemon/src/controllers/load.rs
@@ -74,13 +74,22 @@
 /// slot twice, and requests queued at the backend servers until they timed
 /// out.
 fn usable_slots(slots: PoolSlots, sharers: Sharers) -> u32 {
-    let Sharers { region_daemons, fleet_daemons } = sharers;
-    let fair = slots.near_slots_requests.div_ceil(region_daemons);
-    let free = slots.near_free_requests.div_ceil(region_daemons)
-        + slots.remote_free_requests / fleet_daemons;
+    let near_daemons = subset_daemons(slots, sharers.region_daemons);
+    let fair = slots.near_slots_requests.div_ceil(near_daemons);
+    let free = slots.near_free_requests.div_ceil(near_daemons)
+        + slots.remote_free_requests / sharers.fleet_daemons;
     fair.max(slots.in_flight_requests + free)
 }
 
+/// Returns how many of the daemons reach one server of the subset: those of
+/// the region in the proportion of the subset to the pool.
+fn subset_daemons(slots: PoolSlots, region_daemons: u32) -> u32 {
+    let subset = u64::from(slots.near_subset_servers);
+    let pool = u64::from(slots.near_pool_servers).max(1);
+    let daemons = (u64::from(region_daemons) * subset).div_ceil(pool);
+    u32::try_from(daemons).unwrap_or(u32::MAX).max(1)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -91,6 +100,8 @@
     fn usable_slots_lends_free_ones() {
         let mut slots = PoolSlots {
             near_slots_requests: 24,
+            near_subset_servers: 3,
+            near_pool_servers: 3,
             near_free_requests: 16,
             remote_free_requests: 0,
             in_flight_requests: 8,
@@ -103,12 +114,28 @@
         assert_eq!(usable_slots(slots, sharers), 8);
     }
 
+    /// Guards against a subset divided by daemons that do not reach it, with
+    /// which a daemon of a large region got 1 slot instead of 32.
+    #[test]
+    fn usable_slots_counts_daemons_of_subset() {
+        let slots = PoolSlots {
+            near_slots_requests: 256,
+            near_subset_servers: 32,
+            near_pool_servers: 1_666,
+            ..PoolSlots::default()
+        };
+        let sharers = Sharers { region_daemons: 416, fleet_daemons: 2_500 };
+        assert_eq!(usable_slots(slots, sharers), 32);
+    }
+
     /// Guards against free slots of other regions that every daemon of the
     /// fleet grants as if it were the only one that sees them.
     #[test]
     fn usable_slots_shares_remote_ones_over_fleet() {
         let slots = PoolSlots {
             near_slots_requests: 24,
+            near_subset_servers: 3,
+            near_pool_servers: 3,
             near_free_requests: 0,
             remote_free_requests: 18,
             in_flight_requests: 8,
