--- a/crates/briarladder-cli/src/bench/mod.rs
+++ b/crates/briarladder-cli/src/bench/mod.rs
@@ -11,6 +11,7 @@
 //! | `baseline` | a dispatcher without admission |
 //! | `event` | what a scenario does to the deployment |
 //! | `run` | one run of one system |
+//! | `integrity` | duplicates, losses and false refusals |
 //! | `report`, `table` | the figures and their text form |
 
 use std::{process::ExitCode, time::Duration};
@@ -24,6 +25,7 @@
 mod callers;
 mod cpu;
 mod event;
+mod integrity;
 mod load;
 mod output;
 mod report;
--- a/crates/briarladder-cli/src/bench/report.rs
+++ b/crates/briarladder-cli/src/bench/report.rs
@@ -11,6 +11,7 @@
     callers::{Ending, Sample},
     cpu::CpuTime,
     deployment::Deployment,
+    integrity::{Integrity, integrity},
     run::Observed,
     scenario::{Scenario, System, Window},
     workload::{POISON_MARKER, RANKS, Span},
@@ -108,19 +109,6 @@
     pub(super) cross_region_bytes: u64,
 }
 
-/// Whether each request had exactly its own effect and answer.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
-pub(super) struct Integrity {
-    /// Requests whose stage that may run once ran more often.
-    pub(super) duplicates: usize,
-    /// Wrong answers, and answers to requests that did not run.
-    pub(super) losses: usize,
-    /// Requests that ran although their caller was told "not run".
-    pub(super) false_not_run: usize,
-    /// Requests that ran and whose caller got no answer.
-    pub(super) unconfirmed: usize,
-}
-
 /// Computes the figures.
 pub(super) fn report(
     deployment: &Deployment,
@@ -143,7 +131,7 @@
         windows,
         stages: stages(deployment, observed),
         cross_region_bytes_per_answer: ratio(to_f64(bytes), count(answers)),
-        integrity: integrity(observed),
+        integrity: integrity(&observed.samples, &observed.journal),
         poison_executions: poison_executions(observed),
         load_lag_p99_ms: lag_p99_ms,
         cpu: observed.cpu,
@@ -327,41 +315,6 @@
     reports.filter(|report| report.executions > 0).collect()
 }
 
-fn integrity(observed: &Observed) -> Integrity {
-    let mut runs: SortedMap<RequestId, u32> = SortedMap::new();
-    let mut once: Vec<_> = observed
-        .samples
-        .iter()
-        .filter_map(|s| s.arrival.plan.once())
-        .collect();
-    once.sort_unstable();
-    once.dedup();
-    for entry in &observed.journal {
-        if once.contains(&&entry.stage) {
-            *runs.entry_or_insert_with(entry.request_id, || 0) += 1;
-        }
-    }
-    let mut integrity = Integrity {
-        duplicates: runs.values().filter(|runs| **runs > 1).count(),
-        ..Integrity::default()
-    };
-    for sample in &observed.samples {
-        let may_run_once = sample.arrival.plan.once().is_some();
-        let ran = runs.contains_key(&sample.arrival.id);
-        match &sample.ending {
-            Ending::WrongAnswer => integrity.losses += 1,
-            Ending::Answered if may_run_once && !ran => integrity.losses += 1,
-            Ending::Answered => {}
-            Ending::Refused { outcome: Outcome::NotRun, .. } if ran => {
-                integrity.false_not_run += 1;
-            }
-            _ if ran => integrity.unconfirmed += 1,
-            _ => {}
-        }
-    }
-    integrity
-}
-
 /// Returns the time from the event to the end of the last bin whose
 /// attainment is low.
 fn recovery_ms(observed: &Observed) -> Option<u64> {
