--- a/crates/briarladder-cli/src/bench/mod.rs
+++ b/crates/briarladder-cli/src/bench/mod.rs
@@ -14,6 +14,7 @@
 //! | `baseline` | a dispatcher without admission |
 //! | `event` | what a scenario does to the deployment |
 //! | `run` | one run of one system |
+//! | `integrity` | duplicates, losses and false refusals |
 //! | `report`, `table` | the figures and their text form |
 //! | [`control`] | the cost of control, for docs/CAPACITY.md |
 //! | [`daemon`] | the speed of one daemon in a process of its own |
@@ -32,6 +33,7 @@
 mod callers;
 mod cpu;
 mod event;
+mod integrity;
 mod load;
 mod output;
 mod report;
--- a/crates/briarladder-core/src/admission/mod.rs
+++ b/crates/briarladder-core/src/admission/mod.rs
@@ -46,6 +46,7 @@
 mod fair;
 mod job;
 mod lane;
+mod later;
 mod pool;
 mod scheduler;
 mod slab;
