Keep the fleets of one test run apart

Cause: all test fleets had one peer key.

Change: each fleet has a peer key of its own.

Conclusion: the failures were in the tests, not in the daemon.

--- a/crates/briarladder-cli/tests/support/fleet.rs
+++ b/crates/briarladder-cli/tests/support/fleet.rs
@@ -14,6 +14,7 @@
 use briarladder_core::{
     clock::SystemClock,
     config::Bundle,
+    ids::Incarnation,
     names::{VmName, ZoneName},
     objects::Object,
     timeline::{Filter, Page},
@@ -34,9 +35,6 @@
     proxy::{Link, Proxy},
 };
 
-/// The key of the peers.
-const PEER_KEY: &str = "loopback-test-peer-key";
-
 /// How long daemons may take to have a configuration in force and to know
 /// one another.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
@@ -176,6 +174,9 @@
     daemons: Vec<DaemonProcess>,
     daemon_ends: Vec<DaemonEnd>,
     flags: Vec<&'static str>,
+    /// The key of the peers. It differs between fleets, because a port of a
+    /// daemon that ended may be taken by a daemon of another fleet.
+    peer_key: String,
     epoch: u64,
     started_daemons: usize,
 }
@@ -206,6 +207,7 @@
             daemons: Vec::new(),
             daemon_ends: Vec::new(),
             flags: settings.flags,
+            peer_key: Incarnation::random().to_string(),
             epoch: 0,
             started_daemons: 0,
         };
@@ -258,7 +260,7 @@
                 format!("--vm={vm}"),
                 format!("--zone={zone}"),
                 format!("--platform={}", platform_link.address()),
-                format!("--peer-key={PEER_KEY}"),
+                format!("--peer-key={}", self.peer_key),
                 format!("--peers-listen=127.0.0.1:{port}"),
                 format!("--peers-advertise={}", peer_link.address()),
             ];
--- a/crates/briarladder-cli/tests/support/scenario.rs
+++ b/crates/briarladder-cli/tests/support/scenario.rs
@@ -44,6 +44,10 @@
 /// How long a fault lasts that ends on its own.
 const FAULT_TIME: Duration = Duration::from_millis(300);
 
+/// How long a crashed server may take to get its port back, which an outgoing
+/// connection of another fleet may have taken meanwhile.
+const RESTART_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// How long a step is waited for. An earlier fault may keep a request from
 /// reaching it.
 const STEP_TIMEOUT: Duration = Duration::from_secs(1);
@@ -384,8 +388,12 @@
         self.fleet.list_vms();
         // A poison request crashes servers that the scenario did not choose.
         for backend in self.fleet.cluster().backends() {
-            if !self.fleet.is_up(backend).await {
-                backend.restart().await.context("restart")?;
+            let until = Instant::now() + RESTART_TIMEOUT;
+            while !self.fleet.is_up(backend).await {
+                let restarted = backend.restart().await;
+                if Instant::now() > until {
+                    restarted.context("restart")?;
+                }
             }
         }
         Ok(())
