Read the list of VMs when its readers have died

Cause: a daemon that was not among its zone's two readers slept for 5 min between two reads of the list, also when both readers died meanwhile and it became one itself. A daemon that joined with a lagging list then did not learn of it, nor it of the daemon, until the sleep ended.

Change: the sleep ends as soon as the daemon is a reader.

Conclusion: a zone heals on its own after its readers die.

--- a/crates/briarladder-cli/tests/whole_path.rs
+++ b/crates/briarladder-cli/tests/whole_path.rs
@@ -6,7 +6,8 @@
 
 use std::time::{Duration, Instant};
 
-use briarladder_core::{load::ServerState, objects::Object};
+use briarladder_core::{load::ServerState, names::VmName, objects::Object};
+use briarladder_daemon::controllers::membership;
 use briarladder_standins::{
     fault::{Fault, Pattern, Rule},
     platform::PlatformFault,
@@ -14,7 +15,7 @@
 use briarladder_wire::callers::{Outcome, TicketState};
 use support::{
     caller::{Call, Caller},
-    fleet::{RECHECK, TestFleet, TestFleetSettings},
+    fleet::{DaemonProcess, RECHECK, TestFleet, TestFleetSettings},
     history::CallKind,
     invariants::assert_invariants,
     proxy::Link,
@@ -372,3 +373,38 @@
     assert!(records.iter().all(|r| r.answer().is_some()), "{records:?}");
     assert_invariants(&fleet, records);
 }
+
+/// Guards against a zone whose readers died and where nobody reads the list
+/// of VMs for minutes, so that daemons do not find one another.
+#[tokio::test(flavor = "multi_thread")]
+async fn list_is_read_after_its_readers_died() {
+    let settings = TestFleetSettings {
+        zones: vec!["east-a"; 4],
+        ..TestFleetSettings::default()
+    };
+    let mut fleet = TestFleet::start(settings).await.unwrap();
+    let readers: Vec<VmName> = fleet
+        .running()
+        .iter()
+        .filter(|process| membership::is_reader(process.daemon()))
+        .map(|process| process.place().vm.clone())
+        .collect();
+    assert_eq!(readers.len(), 2);
+    for vm in &readers {
+        fleet.kill(vm);
+    }
+    fleet.list_wrong_vms().unwrap();
+    let listed = VmName::new("entry-gone").unwrap();
+    let knows = |process: &&DaemonProcess| {
+        process
+            .daemon()
+            .members
+            .with(|members| members.iter().any(|member| member.name == listed))
+    };
+    // The readers are dead after about 5 s of silence.
+    let began = Instant::now();
+    while !fleet.running().iter().any(knows) {
+        assert!(began.elapsed() < Duration::from_secs(20));
+        tokio::time::sleep(RECHECK).await;
+    }
+}
--- a/crates/briarladder-daemon/src/controllers/membership.rs
+++ b/crates/briarladder-daemon/src/controllers/membership.rs
@@ -32,6 +32,10 @@
 /// it. At 2,500 daemons this makes 8 calls a second.
 const LIST_INTERVAL: Duration = Duration::from_mins(5);
 
+/// How often a daemon that does not watch the list looks whether it has
+/// become a reader.
+const READER_RECHECK: Duration = Duration::from_secs(1);
+
 /// The wait after a failed read of the VM list.
 const RETRY_WAIT: Duration = Duration::from_secs(2);
 
@@ -323,12 +327,22 @@
                 continue;
             }
         }
-        if version > 0 && !is_reader(&daemon) {
-            tokio::time::sleep(LIST_INTERVAL).await;
+        if version > 0 {
+            wait_for_turn(&daemon).await;
         }
     }
 }
 
+/// Waits until this daemon is a reader or the next read is due. The readers
+/// may die meanwhile; a daemon that slept on would not learn for minutes of
+/// daemons that only the list tells of.
+async fn wait_for_turn(daemon: &Daemon) {
+    let due_at = daemon.clock.now() + LIST_INTERVAL;
+    while !is_reader(daemon) && daemon.clock.now() < due_at {
+        tokio::time::sleep(READER_RECHECK).await;
+    }
+}
+
 fn take_list(daemon: &Daemon, list: &VmList) {
     let now = daemon.clock.now();
     let seeds: Vec<Seed> = list
