Wait for the phase of a planned stop in its test

Change: the test waits until the daemon has announced the stop, and until it drains, in place of fixed times. The checks are the same.

Conclusion: a race of the test, not of the daemon.

--- a/crates/briarladder-cli/tests/whole_path.rs
+++ b/crates/briarladder-cli/tests/whole_path.rs
@@ -4,10 +4,13 @@
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use briarladder_core::{load::ServerState, names::VmName, objects::Object};
-use briarladder_daemon::controllers::membership;
+use briarladder_daemon::{blackboard::Phase, controllers::membership};
 use briarladder_standins::{
     fault::{Fault, Pattern, Rule},
     platform::PlatformFault,
@@ -159,10 +162,15 @@
     wait_for_stage(&fleet, "draft").await;
     wait_for_stage(&fleet, "charge").await;
     let stopping = fleet.begin_stop(&a.vm).unwrap();
+    let daemon = Arc::clone(fleet.daemons()[0].daemon());
+    while daemon.blackboard.phase() == Phase::Running {
+        tokio::time::sleep(RECHECK).await;
+    }
     let not_ready = caller.readyz(&a).await.unwrap();
     assert_eq!(not_ready.status().as_u16(), 503);
-    // Past the balancer delay of 20 ms, new work is refused.
-    tokio::time::sleep(Duration::from_millis(60)).await;
+    while daemon.blackboard.phase() != Phase::Draining {
+        tokio::time::sleep(RECHECK).await;
+    }
     let late = Call::new(CallKind::Repeatable, "late");
     let late = caller.send(&a, &late).await;
     late.assert_refused("not-ready", Outcome::NotRun);
