Let the issuer's own status query ask the plain services too

Cause: after an answer that was crossed or broke off, the issuer told "unknown" for a call that a plain service had on record; other daemons already found it. The fault matrix showed both states for one call. Change: every status query that would end in "unknown" looks further.

--- a/crates/briarladder-cli/tests/invariants.rs
+++ b/crates/briarladder-cli/tests/invariants.rs
@@ -139,6 +139,19 @@
     assert_eq!(check(&only_lookup), []);
 }
 
+/// Guards against a check that takes the word of a status query for a call
+/// that no backend server ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn answered_is_true_fires() {
+    let fleet = fleet().await;
+    let base = base(&fleet).await;
+    let answered = |r: &mut Record| r.states = vec![TicketState::Answered];
+    let mut broken = changed(&base, TICKETED, answered);
+    assert_eq!(check(&broken), []);
+    broken.executions.retain(|e| e.stage.as_str() != "charge");
+    assert_broken(&broken, Invariant::AnsweredIsTrue);
+}
+
 /// Guards against a check that misses a second charge, under the same key
 /// or for the same request.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/briarladder-cli/tests/support/invariants.rs
+++ b/crates/briarladder-cli/tests/support/invariants.rs
@@ -33,6 +33,8 @@
     OwnResult,
     /// What was refused as not run did not run.
     NotRunIsTrue,
+    /// What a status query tells as answered ran.
+    AnsweredIsTrue,
     /// A call that may not repeat runs at most once.
     AtMostOnce,
     /// A leaving backend server gets no new work after 3 s.
@@ -65,6 +67,7 @@
     for record in &history.records {
         own_result(history, record, &mut found);
         not_run_is_true(history, record, &mut found);
+        answered_is_true(history, record, &mut found);
         stop_cuts_nothing(history, record, &mut found);
     }
     at_most_once(history, &mut found);
@@ -180,6 +183,20 @@
     }
 }
 
+fn answered_is_true(history: &History, record: &Record, found: &mut Found) {
+    if !record.states.contains(&TicketState::Answered) {
+        return;
+    }
+    let ran = history.executions.iter().any(|entry| {
+        entry.request_id == record.request_id
+            && !is_idempotent(history, &entry.stage)
+    });
+    if !ran {
+        let detail = format!("{}: told as answered", title(record));
+        found.add(Invariant::AnsweredIsTrue, detail);
+    }
+}
+
 fn at_most_once(history: &History, found: &mut Found) {
     let once: Vec<&Entry> = history
         .executions
--- a/crates/briarladder-daemon/src/daemon.rs
+++ b/crates/briarladder-daemon/src/daemon.rs
@@ -264,24 +264,29 @@
         result
     }
 
-    /// Returns what is known of the call of a ticket.
+    /// Returns what is known of the call of a ticket: by its issuer, or else
+    /// by those who may hold its outcome.
     pub async fn call_status(&self, claims: &Claims) -> TicketStatus {
+        let status = self.issuer_status(claims).await;
+        if status.state != TicketState::Unknown {
+            return status;
+        }
+        let found = outcomes::search(self, claims.id, &claims.workspace);
+        found.await.unwrap_or(status)
+    }
+
+    async fn issuer_status(&self, claims: &Claims) -> TicketStatus {
         if claims.id.incarnation == self.incarnation {
             return ticketed::call_status(self, claims.id);
         }
         let asked =
             self.peers.call_status(claims.peer_address, claims.id).await;
-        let status = asked.unwrap_or_else(|error| {
+        asked.unwrap_or_else(|error| {
             log::warn!("peers: status of {} failed: {error}", claims.id);
             ticketed::unknown_status(
                 "the daemon that issued the ticket can't be reached",
             )
-        });
-        if status.state != TicketState::Unknown {
-            return status;
-        }
-        let found = outcomes::search(self, claims.id, &claims.workspace);
-        found.await.unwrap_or(status)
+        })
     }
 
     /// Closes the ticket of a call that has not begun.
--- a/crates/briarladder-daemon/src/pipeline/outcomes.rs
+++ b/crates/briarladder-daemon/src/pipeline/outcomes.rs
@@ -177,7 +177,10 @@
     if let Some(status) = daemon.outcomes.find(ticket) {
         return Some(status);
     }
-    for peer in holders(daemon, ticket.incarnation, ASKED) {
+    let issuer = ticket.incarnation;
+    // A daemon that runs has left its outcomes with nobody.
+    let asked = if issuer == daemon.incarnation { 0 } else { ASKED };
+    for peer in holders(daemon, issuer, asked) {
         let reply = daemon.peers.outcomes_find(peer.address, ticket).await;
         if let Ok(OutcomeReply { status: Some(status) }) = reply {
             return Some(status);
@@ -212,8 +215,8 @@
                 return Some(TicketStatus {
                     state: TicketState::Answered,
                     detail: Some(Arc::from(
-                        "the daemon that issued the ticket is gone; a plain \
-                         service reports that it ran the call",
+                        "the answer is lost; a plain service reports that it \
+                         ran the call",
                     )),
                     answer: None,
                     output: Some(Arc::from(output)),
