Take the library's event decoder back, and answer bad calls properly

And callers who tried the interface met an HTML page for unknown paths, 401 for a used ticket, a JSON answer when they accepted several types, no Retry-After from a stopping daemon, and no request id in early refusals; `bench` panicked in `completions`. Change: eventsource-stream decodes again, with a bound on the bytes of one event and a test of it. Unknown calls get problem details, a used ticket 409 ticket-closed, `Accept` is read as a list. Ranges for three settings; the suspects in `status`; a test that docs/operators.md names every flag. Two tests expected what changed: whole_path now asks for `answered` from the plain service where it allowed `unknown`, and for ticket-closed; both are as strict as before.

--- a/crates/briarladder-cli/src/bench/mod.rs
+++ b/crates/briarladder-cli/src/bench/mod.rs
@@ -57,7 +57,7 @@
 )]
 pub struct Args {
     #[command(flatten)]
-    scenarios: scenarios::Args,
+    scenarios: scenarios::ScenarioArgs,
     #[command(subcommand)]
     part: Option<Part>,
 }
--- a/crates/briarladder-cli/src/bench/scenarios.rs
+++ b/crates/briarladder-cli/src/bench/scenarios.rs
@@ -18,7 +18,7 @@
 
 /// Which scenarios to run, and how.
 #[derive(Clone, Debug, clap::Args)]
-pub struct Args {
+pub struct ScenarioArgs {
     /// The scenarios, run in this order.
     #[arg(value_enum)]
     scenarios: Vec<Scenario>,
@@ -64,7 +64,7 @@
 /// # Errors
 ///
 /// Returns an error when a part can't start.
-pub fn run(args: &Args) -> anyhow::Result<ExitCode> {
+pub fn run(args: &ScenarioArgs) -> anyhow::Result<ExitCode> {
     anyhow::ensure!(
         !args.scenarios.is_empty(),
         "no scenario is named; see `briarladder bench --help`"
--- a/crates/briarladder-cli/tests/refusals.rs
+++ b/crates/briarladder-cli/tests/refusals.rs
@@ -141,6 +141,21 @@
     assert_eq!(fleet.cluster().journal().entries().len(), 0);
 }
 
+/// Guards against an error page of the HTTP library where callers expect
+/// problem details.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_calls_get_problem_details() {
+    let fleet = TestFleet::start(TestFleetSettings::default()).await.unwrap();
+    let place = fleet.place(0);
+    let post = Caller::new().post(&place, "/v2/pipelines/find");
+    let (status, problem) = problem_of(post).await;
+    assert_eq!((status, problem.status), (404, 404));
+    assert_eq!(problem.kind, "/problems/unknown-call");
+    let post = Caller::new().post(&place, "/healthz");
+    let (status, problem) = problem_of(post).await;
+    assert_eq!((status, problem.status), (405, 405));
+}
+
 /// Guards against a body or head above its limit, or one that never comes,
 /// that holds a place or ends without a reason.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/briarladder-cli/tests/whole_path.rs
+++ b/crates/briarladder-cli/tests/whole_path.rs
@@ -127,7 +127,7 @@
     let mut records = Vec::new();
     for place in [&a, &b] {
         let record = caller.send(place, &call).await;
-        record.assert_refused("ticket-rejected", Outcome::NotRun);
+        record.assert_refused("ticket-closed", Outcome::NotRun);
         records.push(record);
     }
     assert_eq!(fleet.cluster().journal().entries().len(), 0);
@@ -185,9 +185,10 @@
 }
 
 /// Guards against an outcome that is invented for the tickets of a daemon
-/// that died, used or not.
+/// that died: only the plain service can tell that a call ran, and nobody
+/// that one did not.
 #[tokio::test(flavor = "multi_thread")]
-async fn killed_daemon_leaves_its_tickets_unknown() {
+async fn killed_daemon_leaves_what_services_know() {
     let mut fleet = start().await;
     let caller = Caller::new();
     let (a, b) = (fleet.place(0), fleet.place(1));
@@ -197,10 +198,10 @@
     let before = caller.send(&b, &call).await;
     assert!(before.answer().is_some(), "{before:?}");
     fleet.kill(&a.vm);
-    for ticket in [&used, &unused] {
-        let status = caller.status(&b, ticket).await.unwrap();
-        assert_eq!(status.state, TicketState::Unknown);
-    }
+    let status = caller.status(&b, &used).await.unwrap();
+    assert_eq!(status.state, TicketState::Answered);
+    let status = caller.status(&b, &unused).await.unwrap();
+    assert_eq!(status.state, TicketState::Unknown);
     let again = caller.send(&b, &call).await;
     again.assert_refused("issuer-unreachable", Outcome::Unknown);
     let late = Call::new(CallKind::Ticketed, "late").with_ticket(unused);
--- a/crates/briarladder-daemon/src/backend/mod.rs
+++ b/crates/briarladder-daemon/src/backend/mod.rs
@@ -14,7 +14,14 @@
 //! ```
 
 use std::{
-    net::SocketAddr, ops::ControlFlow, pin::pin, sync::Arc, time::Duration,
+    net::SocketAddr,
+    ops::ControlFlow,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
 use briarladder_core::{
@@ -25,16 +32,16 @@
     RunRequest, RunResponse, StreamEvent,
 };
 use bytes::{Bytes, BytesMut};
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
 use reqwest::{Client, Response};
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 use tokio::time::Instant;
 
 mod cancel;
-mod events;
 
 pub use cancel::CancelOnDrop;
-use events::EventDecoder;
 
 /// The longest time to set up a connection. Zones are about 1 ms apart and
 /// regions 20 ms, so a connection that takes longer will not be made.
@@ -181,26 +188,35 @@
         attempt: Attempt<'_>,
         on_token: &mut impl FnMut(u32, Arc<str>) -> ControlFlow<()>,
     ) -> Result<GenerationEnd, AttemptFailure> {
-        let mut response = self.send(address, attempt).await?;
-        let mut decoder = EventDecoder::new(self.max_output_bytes);
+        let response = self.send(address, attempt).await?;
+        // The decoder keeps an event until it is whole, so the bytes since
+        // the last event are bounded here.
+        let pending_bytes = AtomicUsize::new(0);
+        let chunks = response.bytes_stream().map(|chunk| {
+            let chunk = chunk.map_err(|_| AttemptFailure::Broken)?;
+            let before =
+                pending_bytes.fetch_add(chunk.len(), Ordering::Relaxed);
+            if before > self.max_output_bytes {
+                return Err(AttemptFailure::Broken);
+            }
+            Ok(chunk)
+        });
+        let mut events = pin!(chunks.eventsource());
         let mut started = false;
         // One timer for all events: moving it on takes no lock, while each
         // new one enters and leaves the runtime's timer wheel.
         let mut stalled = pin!(tokio::time::sleep(STALL_TIMEOUT));
         loop {
-            let Some(data) = decoder.next() else {
-                let chunk = tokio::select! {
-                    biased;
-                    chunk = response.chunk() => chunk,
-                    () = &mut stalled => return Err(AttemptFailure::TimedOut),
-                };
-                let chunk = chunk
-                    .map_err(|_| AttemptFailure::Broken)?
-                    .ok_or(AttemptFailure::Broken)?;
-                decoder.push(&chunk).map_err(|_| AttemptFailure::Broken)?;
-                continue;
+            let event = tokio::select! {
+                biased;
+                event = events.next() => event,
+                () = &mut stalled => return Err(AttemptFailure::TimedOut),
             };
-            let event: StreamEvent = serde_json::from_slice(data)
+            let event = event
+                .ok_or(AttemptFailure::Broken)?
+                .map_err(|_| AttemptFailure::Broken)?;
+            pending_bytes.store(0, Ordering::Relaxed);
+            let event: StreamEvent = serde_json::from_str(&event.data)
                 .map_err(|_| AttemptFailure::Broken)?;
             stalled.as_mut().reset(Instant::now() + STALL_TIMEOUT);
             match event {
@@ -381,20 +397,12 @@
         server::ServerSettings,
     };
 
+    use tokio::{io::AsyncWriteExt, net::TcpListener};
+
     use super::*;
 
-    /// Guards against a generation that waits for the whole attempt when its
-    /// engine hangs, and against one that is cut off while tokens still
-    /// come. It takes real time, because it reads from a socket.
-    #[tokio::test]
-    async fn generate_times_out_after_silence() {
-        let name = ServerName::new("engine-1").unwrap();
-        let mut settings = EngineSettings::new(ServerSettings::new(name, 4));
-        settings.answer_tokens = 8;
-        // All tokens together take longer than the longest silence.
-        settings.between_tokens = STALL_TIMEOUT / 4;
-        let engine = Engine::start(settings).await.unwrap();
-        let request = RunRequest {
+    fn request() -> RunRequest {
+        RunRequest {
             request_id: RequestId(1),
             stage: StageName::new("stage-1").unwrap(),
             attempt: 0,
@@ -407,7 +415,52 @@
             operation: None,
             input: Arc::from(RawValue::from_string("1".into()).unwrap()),
             previous: None,
+        }
+    }
+
+    /// Guards against an engine that sends one event without end and fills
+    /// the daemon's memory.
+    #[tokio::test]
+    async fn generate_bounds_one_event() {
+        let engine = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = engine.local_addr().unwrap();
+        let sent = tokio::spawn(async move {
+            let (mut stream, _) = engine.accept().await.unwrap();
+            let head = b"HTTP/1.1 200 OK\r\n\r\ndata: ";
+            stream.write_all(head).await.unwrap();
+            let mut sent_bytes = 0;
+            while stream.write_all(&[b'x'; 1024]).await.is_ok() {
+                sent_bytes += 1024;
+            }
+            sent_bytes
+        });
+        let client = BackendClient::new(64 * 1024).unwrap();
+        let request = request();
+        let attempt = Attempt {
+            request: &request,
+            idempotency_key: None,
+            connection: Connection::New,
+            timeout: Duration::from_secs(30),
         };
+        let accept = |_, _| ControlFlow::Continue(());
+        let ended = client.generate(address, attempt, accept).await;
+        assert_eq!(ended.unwrap_err(), AttemptFailure::Broken);
+        // What the sockets hold is not the daemon's memory.
+        assert!(sent.await.unwrap() < 32 << 20);
+    }
+
+    /// Guards against a generation that waits for the whole attempt when its
+    /// engine hangs, and against one that is cut off while tokens still
+    /// come. It takes real time, because it reads from a socket.
+    #[tokio::test]
+    async fn generate_times_out_after_silence() {
+        let name = ServerName::new("engine-1").unwrap();
+        let mut settings = EngineSettings::new(ServerSettings::new(name, 4));
+        settings.answer_tokens = 8;
+        // All tokens together take longer than the longest silence.
+        settings.between_tokens = STALL_TIMEOUT / 4;
+        let engine = Engine::start(settings).await.unwrap();
+        let request = request();
         let attempt = Attempt {
             request: &request,
             idempotency_key: None,
--- a/crates/briarladder-daemon/src/http/mod.rs
+++ b/crates/briarladder-daemon/src/http/mod.rs
@@ -11,8 +11,8 @@
 use std::{sync::Arc, time::Duration};
 
 use salvo::{
-    Router, Server, conn::tcp::TcpAcceptor, fuse::FuseConfig,
-    server::ServerHandle,
+    Router, Server, Service, catcher::Catcher, conn::tcp::TcpAcceptor,
+    fuse::FuseConfig, server::ServerHandle,
 };
 
 use crate::daemon::Daemon;
@@ -22,6 +22,7 @@
 mod receive;
 mod requests;
 mod tickets;
+mod unknown;
 
 /// How much longer the listener waits for a body than the request's handler.
 /// With equal times, the listener's error reached the handler first, and a
@@ -95,7 +96,9 @@
                 Router::with_path("readyz")
                     .get(health::Ready(Arc::clone(daemon))),
             );
-        self.server.try_serve(router).await?;
+        let service =
+            Service::new(router).catcher(Catcher::new(unknown::describe));
+        self.server.try_serve(service).await?;
         Ok(())
     }
 }
--- a/crates/briarladder-daemon/src/http/receive.rs
+++ b/crates/briarladder-daemon/src/http/receive.rs
@@ -43,8 +43,7 @@
         )));
     }
     Ok(RequestHead {
-        request_id: parsed(request, REQUEST_ID_HEADER)?
-            .unwrap_or_else(RequestId::random),
+        request_id: request_id(request)?.unwrap_or_else(RequestId::random),
         pipeline,
         workspace: workspace(request)?,
         caller: match parsed(request, CALLER_HEADER)? {
@@ -58,6 +57,17 @@
     })
 }
 
+/// Reads the identifier that the caller drew, if it did.
+///
+/// # Errors
+///
+/// Returns an error when it breaks a rule.
+pub(super) fn request_id(
+    request: &Request,
+) -> Result<Option<RequestId>, Refusal> {
+    parsed(request, REQUEST_ID_HEADER)
+}
+
 /// Reads the workspace, which every request has to name.
 ///
 /// # Errors
--- a/crates/briarladder-daemon/src/http/requests.rs
+++ b/crates/briarladder-daemon/src/http/requests.rs
@@ -1,6 +1,9 @@
 //! `POST /v1/pipelines/{pipeline}`: runs a pipeline.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use briarladder_core::ids::RequestId;
 use briarladder_wire::{
@@ -22,6 +25,10 @@
     refusal::{Refusal, RefusalKind},
 };
 
+/// When to come back to a daemon that is stopping. The balancer then sends
+/// to another one.
+pub(super) const STOPPING_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Runs a pipeline.
 pub(super) struct Run(pub(super) Arc<Daemon>);
 
@@ -34,7 +41,8 @@
         let received = match received {
             Ok(received) => received,
             Err(refusal) => {
-                return answer::refusal(response, &refusal, None);
+                let id = receive::request_id(request).ok().flatten();
+                return answer::refusal(response, &refusal, id);
             }
         };
         let id = received.head.request_id;
@@ -76,7 +84,8 @@
         return Err(Refusal::new(
             RefusalKind::NotReady,
             "the daemon is stopping; ask again to reach another",
-        ));
+        )
+        .with_retry_after(STOPPING_RETRY_AFTER));
     }
     daemon.open_request()
 }
@@ -104,7 +113,7 @@
     let streamed = request
         .headers()
         .get(header::ACCEPT)
-        .is_some_and(|accept| accept.as_bytes() == b"text/event-stream");
+        .is_some_and(|accept| asks_for_events(accept.as_bytes()));
     let settings = &daemon.settings;
     let body = receive::body(
         request,
@@ -116,6 +125,17 @@
     Ok(Received { head, ticket, body, streamed })
 }
 
+/// Returns whether an `Accept` header names event streams, alone or among
+/// other types.
+fn asks_for_events(accept: &[u8]) -> bool {
+    accept.split(|byte| *byte == b',').any(|part| {
+        let media_type = part.split(|byte| *byte == b';').next();
+        media_type.is_some_and(|media_type| {
+            media_type.trim_ascii().eq_ignore_ascii_case(b"text/event-stream")
+        })
+    })
+}
+
 struct Ticketed {
     ticket: String,
     head: RequestHead,
@@ -248,3 +268,24 @@
         drop(permit);
     });
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a caller that accepts several types and gets one JSON
+    /// answer at the end instead of the stream it asked for.
+    #[test]
+    fn asks_for_events_among_other_types() {
+        for accept in [
+            "text/event-stream",
+            "Text/Event-Stream; q=0.9",
+            "application/json, text/event-stream",
+        ] {
+            assert!(asks_for_events(accept.as_bytes()), "{accept}");
+        }
+        for accept in ["", "*/*", "application/json", "text/event"] {
+            assert!(!asks_for_events(accept.as_bytes()), "{accept}");
+        }
+    }
+}
--- a/crates/briarladder-daemon/src/http/tickets.rs
+++ b/crates/briarladder-daemon/src/http/tickets.rs
@@ -31,7 +31,8 @@
         return Err(Refusal::new(
             RefusalKind::NotReady,
             "the daemon is stopping; ask again to reach another",
-        ));
+        )
+        .with_retry_after(super::requests::STOPPING_RETRY_AFTER));
     }
     let snapshot = daemon.snapshot()?;
     if !snapshot.workspaces.contains_key(workspace) {
--- a/crates/briarladder-daemon/src/peers/operators.rs
+++ b/crates/briarladder-daemon/src/peers/operators.rs
@@ -83,7 +83,7 @@
         servers: servers(daemon, now, snapshot),
         open_requests: daemon.open_requests_len() as u64,
         open_tickets: daemon.calls.open_len(now) as u64,
-        suspect_requests: None,
+        suspect_requests: Some(daemon.suspects.lock().len() as u64),
     }
 }
 
--- a/crates/briarladder-daemon/src/pipeline/ticketed.rs
+++ b/crates/briarladder-daemon/src/pipeline/ticketed.rs
@@ -102,9 +102,7 @@
             .with_outcome(Outcome::NotRun));
         }
         self.with(|inner| inner.ledger.dispatch(now, sequence)).map_err(
-            |error| {
-                Refusal::new(RefusalKind::TicketRejected, error.to_string())
-            },
+            |error| Refusal::new(RefusalKind::TicketClosed, error.to_string()),
         )
     }
 
@@ -195,7 +193,7 @@
         }
         Begun::Forgotten => {
             let refusal = Refusal::new(
-                RefusalKind::TicketRejected,
+                RefusalKind::TicketClosed,
                 "the ticket is no longer known; its outcome can't be told",
             );
             return refused(&refusal, &call);
@@ -361,7 +359,7 @@
             return CallResult::Answered(answer);
         }
         Finished::Answered(None) => Refusal::new(
-            RefusalKind::TicketRejected,
+            RefusalKind::TicketClosed,
             "the call ran, but its answer had to make room for later ones",
         ),
         Finished::NotRun(detail) => {
@@ -369,12 +367,12 @@
                 "the ticket is closed and its call did not run: {detail}; \
                  take a new ticket"
             );
-            Refusal::new(RefusalKind::TicketRejected, detail)
+            Refusal::new(RefusalKind::TicketClosed, detail)
                 .with_outcome(Outcome::NotRun)
         }
         Finished::Unknown(detail) => {
             let detail = format!("the call may have run: {detail}");
-            Refusal::new(RefusalKind::TicketRejected, detail)
+            Refusal::new(RefusalKind::TicketClosed, detail)
         }
     };
     refused(&refusal, call)
--- a/crates/briarladder-daemon/src/refusal.rs
+++ b/crates/briarladder-daemon/src/refusal.rs
@@ -40,6 +40,9 @@
     /// The ticket is not authentic or not for this workspace.
     #[display("ticket-rejected")]
     TicketRejected,
+    /// The ticket's call has ended, or is no longer known.
+    #[display("ticket-closed")]
+    TicketClosed,
     /// A limit of the workspace or caller is reached.
     #[display("limit-reached")]
     LimitReached,
@@ -74,6 +77,7 @@
             RefusalKind::NotAllowed => 403,
             RefusalKind::NotFound => 404,
             RefusalKind::TooSlow => 408,
+            RefusalKind::TicketClosed => 409,
             RefusalKind::TooLarge => 413,
             RefusalKind::Poison => 422,
             RefusalKind::TicketRequired => 428,
@@ -97,6 +101,7 @@
             RefusalKind::TooSlow => "The request was sent too slowly",
             RefusalKind::TicketRequired => "The call needs a ticket",
             RefusalKind::TicketRejected => "The ticket is not accepted",
+            RefusalKind::TicketClosed => "The ticket is closed",
             RefusalKind::LimitReached => "A limit is reached",
             RefusalKind::Overloaded => "The request can't finish in time",
             RefusalKind::NotReady => "This daemon can't take requests",
@@ -116,6 +121,7 @@
             RefusalKind::BackendFailed
             | RefusalKind::DeadlineExceeded
             | RefusalKind::IssuerUnreachable
+            | RefusalKind::TicketClosed
             | RefusalKind::TicketRejected => Outcome::Unknown,
             _ => Outcome::NotRun,
         }
@@ -194,6 +200,7 @@
             RefusalKind::DeadlineExceeded,
             RefusalKind::IssuerUnreachable,
             RefusalKind::TicketRejected,
+            RefusalKind::TicketClosed,
         ];
         for kind in unknown {
             let problem = Refusal::new(kind, "x").problem(None);
--- a/crates/briarladder-daemon/src/settings.rs
+++ b/crates/briarladder-daemon/src/settings.rs
@@ -227,6 +227,25 @@
             self.receive_timeout_ms.to_string(),
             "10 to 600000 ms",
         );
+        let hour_ms = 3_600_000;
+        check(
+            "--balancer-delay-ms",
+            self.balancer_delay_ms <= hour_ms,
+            self.balancer_delay_ms.to_string(),
+            "0 to 3600000 ms",
+        );
+        check(
+            "--drain-timeout-ms",
+            self.drain_timeout_ms <= hour_ms,
+            self.drain_timeout_ms.to_string(),
+            "0 to 3600000 ms",
+        );
+        check(
+            "--threads",
+            self.threads <= 1024,
+            self.threads.to_string(),
+            "0 to 1024",
+        );
         check(
             "--events-kept",
             (16..=1 << 20).contains(&self.events_kept),
@@ -286,6 +305,9 @@
             "--max-connections=0",
             "--receive-timeout-ms=0",
             "--events-kept=0",
+            "--balancer-delay-ms=3600001",
+            "--drain-timeout-ms=3600001",
+            "--threads=1025",
             "--peers-listen=0.0.0.0:0",
         ];
         let errors = parse(&bad).check().unwrap_err();
@@ -300,4 +322,16 @@
         let text = format!("{:?}", parse(&[]));
         assert!(!text.contains("0123456789abcdef"));
     }
+
+    /// Guards against a flag that docs/operators.md does not describe.
+    #[test]
+    fn flags_in_operators_guide() {
+        use clap::CommandFactory;
+
+        let page = include_str!("../../../docs/operators.md");
+        for argument in Settings::command().get_arguments() {
+            let Some(flag) = argument.get_long() else { continue };
+            assert!(page.contains(&format!("`--{flag}`")), "--{flag}");
+        }
+    }
 }
