--- /dev/null
+++ b/crates/briarladder-core/src/fleet/attempt.rs
@@ -0,0 +1,141 @@
+//! What follows a send to a backend server that did not succeed.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_core::{
+//!     fleet::{attempt::{NextStep, Sends}, config::RouteKind},
+//!     retry::AttemptFailure,
+//! };
+//!
+//! let mut sends = Sends::new(RouteKind::NonIdempotent, 1);
+//! // The connection broke after the first byte, so it may have run.
+//! let step = sends.failed(AttemptFailure::Broken, true, || true);
+//! assert_eq!(step, NextStep::FailUnknown);
+//! ```
+
+use crate::{fleet::config::RouteKind, retry::AttemptFailure};
+
+/// Sends of one request that provably did not run, beyond the first. Each
+/// goes to another server, so a few are enough to leave a bad group.
+const MAX_UNRUN_RETRIES: u32 = 3;
+
+/// What follows a failed send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NextStep {
+    /// Send it to another server.
+    Retry,
+    /// Give up; the request provably did not run.
+    FailNotRun,
+    /// Give up; the request may have run.
+    FailUnknown,
+}
+
+/// The sends of one request.
+#[derive(Clone, Debug)]
+pub struct Sends {
+    kind: RouteKind,
+    max_attempts: u32,
+    may_have_run: u32,
+    unrun: u32,
+}
+
+impl Sends {
+    /// Creates the record of a request that was not sent yet.
+    #[must_use]
+    pub fn new(kind: RouteKind, max_attempts: u32) -> Sends {
+        Sends {
+            kind,
+            max_attempts: max_attempts.max(1),
+            may_have_run: 0,
+            unrun: 0,
+        }
+    }
+
+    /// Records a failed send. `in_time` tells whether another one can still
+    /// succeed; `pay` charges the retry budget and is asked last, and not at
+    /// all for a send that never left this process.
+    pub fn failed(
+        &mut self,
+        failure: AttemptFailure,
+        in_time: bool,
+        pay: impl FnOnce() -> bool,
+    ) -> NextStep {
+        let not_run = failure.proves_not_run();
+        if not_run {
+            self.unrun += 1;
+        } else {
+            self.may_have_run += 1;
+        }
+        let allowed = if not_run {
+            self.unrun <= MAX_UNRUN_RETRIES
+        } else {
+            self.kind.may_repeat() && self.may_have_run < self.max_attempts
+        };
+        let free = failure == AttemptFailure::ConnectFailed;
+        if allowed && in_time && (free || pay()) {
+            return NextStep::Retry;
+        }
+        if self.may_have_run == 0 {
+            NextStep::FailNotRun
+        } else {
+            NextStep::FailUnknown
+        }
+    }
+
+    /// Returns the number of sends so far that may have run.
+    #[must_use]
+    pub fn may_have_run(&self) -> u32 {
+        self.may_have_run
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a second run of an order whose connection broke.
+    #[test]
+    fn failed_non_idempotent_broken() {
+        let mut sends = Sends::new(RouteKind::NonIdempotent, 3);
+        let step = sends.failed(AttemptFailure::Broken, true, || true);
+        assert_eq!(step, NextStep::FailUnknown);
+    }
+
+    /// Guards against an order that is lost although no byte was sent.
+    #[test]
+    fn failed_non_idempotent_connect() {
+        let mut sends = Sends::new(RouteKind::NonIdempotent, 1);
+        let unpaid = || unreachable!("an unsent request costs nothing");
+        let step = sends.failed(AttemptFailure::ConnectFailed, true, unpaid);
+        assert_eq!(step, NextStep::Retry);
+    }
+
+    /// Guards against "not run" for a request that ran at an earlier server.
+    #[test]
+    fn failed_not_run_after_broken() {
+        let mut sends = Sends::new(RouteKind::Idempotent, 2);
+        let step = sends.failed(AttemptFailure::Broken, true, || true);
+        assert_eq!(step, NextStep::Retry);
+        let step = sends.failed(AttemptFailure::RefusedNotRun, false, || true);
+        assert_eq!(step, NextStep::FailUnknown);
+    }
+
+    /// Guards against more runs than the route allows.
+    #[test]
+    fn failed_max_attempts() {
+        let mut sends = Sends::new(RouteKind::Idempotent, 2);
+        let step = sends.failed(AttemptFailure::ErrorStatus, true, || true);
+        assert_eq!(step, NextStep::Retry);
+        let step = sends.failed(AttemptFailure::ErrorStatus, true, || true);
+        assert_eq!(step, NextStep::FailUnknown);
+    }
+
+    /// Guards against retries that ignore an empty budget.
+    #[test]
+    fn failed_unpaid() {
+        let mut sends = Sends::new(RouteKind::Idempotent, 2);
+        let step = sends.failed(AttemptFailure::RefusedNotRun, true, || false);
+        assert_eq!(step, NextStep::FailNotRun);
+    }
+}
--- /dev/null
+++ b/crates/briarladder-core/src/fleet/budget.rs
@@ -0,0 +1,148 @@
+//! One retry budget per service, shared by all daemons without agreement.
+//!
+//! The fleet as a whole may repeat a fixed share of the first sends of a
+//! window, plus a fixed number. Each daemon spends the share of its own first
+//! sends and its part of the number, so the sum over all daemons stays within
+//! the budget as long as no daemon underestimates the fleet.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//!
+//! use briarladder_core::fleet::budget::{BudgetTerms, RetryBudget};
+//!
+//! let terms = BudgetTerms {
+//!     ratio: 0.2,
+//!     window: Duration::from_secs(10),
+//!     slack: 8.0,
+//! };
+//! let now = Instant::now();
+//! let mut budget = RetryBudget::new(terms);
+//! // One of four daemons may repeat two requests out of the slack.
+//! assert!(budget.try_spend(now, 4) && budget.try_spend(now, 4));
+//! assert!(!budget.try_spend(now, 4));
+//! ```
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+/// The part of the budget that is spent. The rest covers sends that cross
+/// the edge of a window and daemons that are not known yet.
+const USED_SHARE: f64 = 0.8;
+
+/// What the fleet may spend.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetTerms {
+    /// Repetitions for each first send.
+    pub ratio: f64,
+    /// The length of the sliding window.
+    pub window: Duration,
+    /// Repetitions in a window beyond the ratio, over the whole fleet.
+    pub slack: f64,
+}
+
+/// The part of one daemon in the budget of one service.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    terms: BudgetTerms,
+    first: VecDeque<Instant>,
+    repeated: VecDeque<Instant>,
+}
+
+impl RetryBudget {
+    /// Creates an unspent budget.
+    #[must_use]
+    pub fn new(terms: BudgetTerms) -> RetryBudget {
+        RetryBudget {
+            terms,
+            first: VecDeque::new(),
+            repeated: VecDeque::new(),
+        }
+    }
+
+    /// Counts the first send of a request.
+    pub fn first_sent(&mut self, now: Instant) {
+        self.expire(now);
+        self.first.push_back(now);
+    }
+
+    /// Takes one repetition from the budget, if there is one. `daemons` is
+    /// the largest fleet that this daemon has reason to believe in.
+    #[must_use = "a repetition is only allowed if it could be paid"]
+    pub fn try_spend(&mut self, now: Instant, daemons: usize) -> bool {
+        self.expire(now);
+        let allowed = self.allowed(daemons);
+        let spent = count(self.repeated.len());
+        if spent + 1.0 > allowed {
+            return false;
+        }
+        self.repeated.push_back(now);
+        true
+    }
+
+    fn allowed(&self, daemons: usize) -> f64 {
+        let own_slack = self.terms.slack / count(daemons.max(1));
+        let earned = self.terms.ratio * count(self.first.len()) * USED_SHARE;
+        earned + own_slack
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let window = self.terms.window;
+        for times in [&mut self.first, &mut self.repeated] {
+            while times
+                .front()
+                .is_some_and(|&at| now.duration_since(at) > window)
+            {
+                times.pop_front();
+            }
+        }
+    }
+}
+
+#[allow(clippy::cast_precision_loss)] // Counts of one window are small.
+fn count(n: usize) -> f64 {
+    n as f64
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TERMS: BudgetTerms = BudgetTerms {
+        ratio: 0.2,
+        window: Duration::from_secs(10),
+        slack: 9.0,
+    };
+
+    /// Guards against a fleet that spends more than its budget when every
+    /// request fails at every daemon.
+    #[test]
+    fn try_spend_whole_fleet() {
+        let start = Instant::now();
+        let mut fleet = vec![RetryBudget::new(TERMS); 9];
+        let mut repeats = 0;
+        for step in 0..900_u64 {
+            let now = start + Duration::from_millis(step * 10);
+            let daemon = &mut fleet[usize::try_from(step).expect("small") % 9];
+            daemon.first_sent(now);
+            if daemon.try_spend(now, 9) {
+                repeats += 1;
+            }
+        }
+        assert!(repeats <= 900 / 5 + 9, "{repeats} repetitions");
+        assert!(repeats > 100, "{repeats} repetitions");
+    }
+
+    /// Guards against a budget that never recovers.
+    #[test]
+    fn try_spend_after_window() {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(TERMS);
+        while budget.try_spend(now, 3) {}
+        let later = now + Duration::from_secs(11);
+        assert!(budget.try_spend(later, 3));
+    }
+}
--- /dev/null
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -0,0 +1,407 @@
+//! Collecting pieces of many requests into calls.
+//!
+//! A call costs a fixed time and little more for each piece, and a server
+//! works on few calls at once. A piece is sent at once while a server is idle;
+//! the pieces that arrive meanwhile wait together and fill the next call. So
+//! calls are short at low load and full at high load, without a timer.
+//!
+//! Waiting pieces are ordered by the time at which they are needed. A piece
+//! that can't meet its target any more comes after those that can, and a piece
+//! that can't meet its deadline is given up at once.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//!
+//! use briarladder_core::fleet::{
+//!     collect::{Order, PieceQueue},
+//!     config::PieceSpec,
+//! };
+//!
+//! let spec = PieceSpec {
+//!     slots: 1,
+//!     batch: 8,
+//!     call: Duration::from_millis(150),
+//!     item: Duration::from_millis(16),
+//!     room_bytes: 1_000_000,
+//!     result_lifetime: Duration::from_secs(4),
+//! };
+//! let now = Instant::now();
+//! let mut queue = PieceQueue::new(spec);
+//! queue.set_servers(["maker-1".into()]);
+//! for id in 0..3 {
+//!     queue.push(Order {
+//!         id,
+//!         rank: 0,
+//!         due: now + Duration::from_secs(1),
+//!         deadline: now + Duration::from_secs(5),
+//!         result_bytes: 1000,
+//!         avoid: None,
+//!     });
+//! }
+//! assert_eq!(queue.next_call(now).unwrap().ids, [0, 1, 2]);
+//! ```
+
+use std::{
+    cmp::Reverse,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::sorted::SortedMap;
+
+use super::config::PieceSpec;
+
+/// How much later a piece counts as needed for each rank below the first.
+/// About the time of one call, so that a more urgent piece goes a call
+/// earlier, and a less urgent one still has its turn.
+const RANK_OFFSET: Duration = Duration::from_millis(250);
+
+/// How long a server that refused a call gets none; each further refusal
+/// doubles the time.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(60);
+
+/// The doublings of [`REFUSAL_PAUSE`]; the longest pause is about two
+/// seconds, so that a server that comes back is used again.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// The share of a server's room that is used, in hundredths. The rest covers
+/// results whose release is on its way and sizes that are approximate.
+const USED_ROOM_HUNDREDTHS: u64 = 90;
+
+/// A piece that waits.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Identifies the piece within the queue.
+    pub id: u64,
+    /// The rank of its request; 0 is the most urgent.
+    pub rank: u8,
+    /// When the piece is needed so that its request meets its target.
+    pub due: Instant,
+    /// When the piece is of no use any more.
+    pub deadline: Instant,
+    /// The expected size of its result.
+    pub result_bytes: u64,
+    /// A server that failed to make it.
+    pub avoid: Option<Arc<str>>,
+}
+
+/// A call to be sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Call {
+    /// The server.
+    pub server: Arc<str>,
+    /// The pieces, in order.
+    pub ids: Vec<u64>,
+    /// The expected time of the call.
+    pub expected: Duration,
+    /// The expected size of all results.
+    pub result_bytes: u64,
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallEnd {
+    /// It was worked on.
+    Worked,
+    /// The server refused or did not answer.
+    Refused,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    bytes: u64,
+    until: Instant,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Lane {
+    calls: u32,
+    in_call_bytes: u64,
+    results: SortedMap<Arc<str>, Held>,
+    paused_until: Option<Instant>,
+    refusals: u32,
+    /// The server is no longer listed and only ends its calls.
+    closed: bool,
+}
+
+impl Lane {
+    fn pause(&mut self, now: Instant) {
+        let doublings = self.refusals.min(MAX_DOUBLINGS);
+        self.paused_until = Some(now + REFUSAL_PAUSE * (1 << doublings));
+        self.refusals += 1;
+    }
+
+    fn held_bytes(&self) -> u64 {
+        let results: u64 = self.results.values().map(|held| held.bytes).sum();
+        self.in_call_bytes + results
+    }
+}
+
+/// The waiting pieces of one service, and the servers that make them.
+#[derive(Clone, Debug)]
+pub struct PieceQueue {
+    spec: PieceSpec,
+    waiting: Vec<Order>,
+    lanes: SortedMap<Arc<str>, Lane>,
+}
+
+impl PieceQueue {
+    /// Creates an empty queue without servers.
+    #[must_use]
+    pub fn new(spec: PieceSpec) -> PieceQueue {
+        PieceQueue { spec, waiting: Vec::new(), lanes: SortedMap::new() }
+    }
+
+    /// Sets the published cost and capacity of a server.
+    pub fn set_spec(&mut self, spec: PieceSpec) {
+        self.spec = spec;
+    }
+
+    /// Sets the servers that take calls. What is known of a server that
+    /// stays is kept.
+    pub fn set_servers(
+        &mut self,
+        servers: impl IntoIterator<Item = Arc<str>>,
+    ) {
+        let mut lanes = SortedMap::new();
+        for server in servers {
+            let mut lane = self.lanes.remove(&*server).unwrap_or_default();
+            lane.closed = false;
+            lanes.insert(server, lane);
+        }
+        // A server that still works on a call is kept, so that a listing
+        // that comes back does not give it two.
+        for (server, lane) in self.lanes.iter().filter(|(_, l)| l.calls > 0) {
+            let mut lane = lane.clone();
+            lane.closed = true;
+            lanes.insert(Arc::clone(server), lane);
+        }
+        self.lanes = lanes;
+    }
+
+    /// Adds a piece.
+    pub fn push(&mut self, order: Order) {
+        self.waiting.push(order);
+    }
+
+    /// Removes pieces whose request has ended.
+    pub fn cancel(&mut self, ids: &[u64]) {
+        self.waiting.retain(|order| !ids.contains(&order.id));
+    }
+
+    /// Takes the pieces that can't be made before their deadline.
+    pub fn take_late(&mut self, now: Instant) -> Vec<u64> {
+        let shortest = self.spec.call + self.spec.item;
+        let mut late = Vec::new();
+        self.waiting.retain(|order| {
+            let hopeless = now + shortest > order.deadline;
+            if hopeless {
+                late.push(order.id);
+            }
+            !hopeless
+        });
+        late
+    }
+
+    /// Returns the next call to send, if a server is idle.
+    pub fn next_call(&mut self, now: Instant) -> Option<Call> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        self.expire_results(now);
+        self.sort_waiting(now);
+        let server = self.idle_server(now)?;
+        let call = self.take_batch(server);
+        (!call.ids.is_empty()).then_some(call)
+    }
+
+    /// Records the end of a call of `bytes` expected result bytes, and the
+    /// results that it made.
+    pub fn call_ended(
+        &mut self,
+        now: Instant,
+        server: &str,
+        end: CallEnd,
+        bytes: u64,
+        results: &[Arc<str>],
+    ) {
+        let lifetime = self.spec.result_lifetime;
+        let Some(lane) = self.lanes.get_mut(server) else { return };
+        lane.calls = lane.calls.saturating_sub(1);
+        lane.in_call_bytes = lane.in_call_bytes.saturating_sub(bytes);
+        match end {
+            CallEnd::Refused => lane.pause(now),
+            CallEnd::Worked => {
+                lane.refusals = 0;
+                let each = bytes
+                    / u64::try_from(results.len().max(1)).unwrap_or(u64::MAX);
+                for result in results {
+                    let held = Held { bytes: each, until: now + lifetime };
+                    lane.results.insert(Arc::clone(result), held);
+                }
+            }
+        }
+    }
+
+    /// Records that a result was released.
+    pub fn released(&mut self, server: &str, result: &str) {
+        if let Some(lane) = self.lanes.get_mut(server) {
+            lane.results.remove(result);
+        }
+    }
+
+    /// Records that a server lacks room for results.
+    pub fn out_of_room(&mut self, now: Instant, server: &str) {
+        if let Some(lane) = self.lanes.get_mut(server) {
+            lane.paused_until = Some(now + REFUSAL_PAUSE);
+        }
+    }
+
+    /// Estimates how long a piece that is pushed now waits for its call.
+    #[must_use]
+    pub fn expected_wait(&self) -> Duration {
+        let servers = u32::try_from(self.lanes.len().max(1)).unwrap_or(1)
+            * self.spec.slots.max(1);
+        let batch = u32::try_from(self.spec.batch.max(1)).unwrap_or(1);
+        let full_call = self.spec.call + self.spec.item * batch;
+        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        let queued = full_call * waiting / (batch * servers);
+        let busy = self.lanes.values().all(|l| l.calls >= self.spec.slots);
+        if busy { queued + full_call / 2 } else { queued }
+    }
+
+    /// Returns the number of waiting pieces.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the number of servers that take calls.
+    #[must_use]
+    pub fn servers(&self) -> usize {
+        self.lanes.len()
+    }
+
+    fn expire_results(&mut self, now: Instant) {
+        for (_, lane) in self.lanes.iter_mut() {
+            lane.results.retain(|_, held| now < held.until);
+        }
+    }
+
+    fn sort_waiting(&mut self, now: Instant) {
+        let call = self.spec.call + self.spec.item;
+        self.waiting.sort_by_key(|order| {
+            let misses_target = now + call > order.due;
+            (misses_target, order.due + RANK_OFFSET * order.rank.into())
+        });
+    }
+
+    /// Returns the idle server with the most room.
+    fn idle_server(&self, now: Instant) -> Option<Arc<str>> {
+        let first = self.waiting.first()?;
+        let others = self.lanes.len() > 1;
+        self.lanes
+            .iter()
+            .filter(|(_, lane)| !lane.closed)
+            .filter(|(_, lane)| lane.calls < self.spec.slots.max(1))
+            .filter(|(_, lane)| {
+                lane.paused_until.is_none_or(|until| until <= now)
+            })
+            .filter(|(name, _)| !others || first.avoid.as_ref() != Some(*name))
+            .filter(|(_, lane)| {
+                self.fits(lane.held_bytes() + first.result_bytes)
+                    || lane.held_bytes() == 0
+            })
+            .min_by_key(|(name, lane)| (lane.held_bytes(), Reverse(*name)))
+            .map(|(name, _)| Arc::clone(name))
+    }
+
+    fn fits(&self, bytes: u64) -> bool {
+        bytes <= self.spec.room_bytes / 100 * USED_ROOM_HUNDREDTHS
+    }
+
+    /// Moves the first waiting pieces that fit into a call.
+    fn take_batch(&mut self, server: Arc<str>) -> Call {
+        let held = self.lanes.get(&*server).map_or(0, Lane::held_bytes);
+        let mut result_bytes = 0;
+        let mut ids = Vec::new();
+        let alone = self.lanes.len() == 1;
+        let batch = self.spec.batch.max(1);
+        let mut kept = Vec::with_capacity(self.waiting.len());
+        for order in std::mem::take(&mut self.waiting) {
+            let wanted = alone || order.avoid.as_ref() != Some(&server);
+            let bytes = result_bytes + order.result_bytes;
+            let room = self.fits(held + bytes) || held + result_bytes == 0;
+            if ids.len() < batch && wanted && room {
+                result_bytes = bytes;
+                ids.push(order.id);
+            } else {
+                kept.push(order);
+            }
+        }
+        self.waiting = kept;
+        if !ids.is_empty()
+            && let Some(lane) = self.lanes.get_mut(&*server)
+        {
+            lane.calls += 1;
+            lane.in_call_bytes += result_bytes;
+        }
+        let pieces = u32::try_from(ids.len()).unwrap_or(u32::MAX);
+        let expected = self.spec.call + self.spec.item * pieces;
+        Call { server, ids, expected, result_bytes }
+    }
+}
+
+/// An estimate counts for this long; then the collector counts as idle, so
+/// that it is tried again.
+const ESTIMATE_LIFETIME: Duration = Duration::from_millis(1500);
+
+/// What this daemon has heard of the queues of the collectors.
+#[derive(Clone, Debug, Default)]
+pub struct WaitEstimates {
+    waits: SortedMap<(Arc<str>, Arc<str>), Estimate>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    wait: Duration,
+    heard_at: Instant,
+}
+
+impl WaitEstimates {
+    /// Records the wait that the collector of a zone reports.
+    pub fn heard(
+        &mut self,
+        now: Instant,
+        service: &Arc<str>,
+        zone: &Arc<str>,
+        wait: Duration,
+    ) {
+        let key = (Arc::clone(service), Arc::clone(zone));
+        self.waits.insert(key, Estimate { wait, heard_at: now });
+    }
+
+    /// Returns the expected wait; an old report fades.
+    #[must_use]
+    pub fn wait(
+        &self,
+        now: Instant,
+        service: &Arc<str>,
+        zone: &Arc<str>,
+    ) -> Duration {
+        let key = (Arc::clone(service), Arc::clone(zone));
+        let Some(estimate) = self.waits.get(&key) else {
+            return Duration::ZERO;
+        };
+        let age = now.duration_since(estimate.heard_at);
+        let left = ESTIMATE_LIFETIME.saturating_sub(age);
+        estimate
+            .wait
+            .mul_f64(left.as_secs_f64() / ESTIMATE_LIFETIME.as_secs_f64())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/briarladder-core/src/fleet/placement.rs
@@ -0,0 +1,288 @@
+//! Which backend server runs a request.
+//!
+//! Servers of the caller's zone come first, then those of the region, then
+//! the rest. Requests that share a prompt prefix go to the same server, which
+//! all daemons agree on without messages, until that server holds clearly
+//! more of this daemon's work than the others.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Instant;
+//!
+//! use briarladder_core::fleet::{
+//!     placement::{Load, Placement, Wish},
+//!     server::ListedServer,
+//! };
+//!
+//! let near = ListedServer::new("near", "plans", "10.0.0.1:80".parse()?);
+//! let placement = Placement::default();
+//! let wish = Wish { zone: "", affinity: None, tried: &[], point: 0 };
+//! let chosen = placement.choose(Instant::now(), &wish, [&near], |_| 0);
+//! assert_eq!(&*chosen.unwrap().name, "near");
+//! # Ok::<(), std::net::AddrParseError>(())
+//! ```
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{rendezvous, sorted::SortedMap};
+
+use super::server::ListedServer;
+
+/// A server that failed is avoided for this long; each further failure
+/// doubles the time.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(500);
+
+/// The longest avoidance, so that a server that recovers is found again.
+const LONGEST_AVOIDANCE: Duration = Duration::from_secs(4);
+
+/// The requests that a preferred server may hold above the mean of its
+/// group, so that a few requests never move a prefix.
+const AFFINITY_SLACK: usize = 3;
+
+/// What a request wants of its server.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The zone of this daemon.
+    pub zone: &'a str,
+    /// The shared prompt prefix, if there is one.
+    pub affinity: Option<&'a str>,
+    /// The servers that were tried before.
+    pub tried: &'a [Arc<str>],
+    /// A random number that spreads requests over equal servers.
+    pub point: u64,
+}
+
+/// Where a zone lies as seen from this daemon.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Distance {
+    /// In the same zone.
+    Zone,
+    /// In the same region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+/// The regions of the zones.
+#[derive(Clone, Debug, Default)]
+pub struct Regions {
+    of_zone: SortedMap<Arc<str>, Arc<str>>,
+}
+
+impl Regions {
+    /// Creates the map.
+    #[must_use]
+    pub fn new(of_zone: SortedMap<Arc<str>, Arc<str>>) -> Regions {
+        Regions { of_zone }
+    }
+
+    /// Returns how far apart two zones are.
+    #[must_use]
+    pub fn distance(&self, a: &str, b: &str) -> Distance {
+        if a == b {
+            return Distance::Zone;
+        }
+        match (self.of_zone.get(a), self.of_zone.get(b)) {
+            (Some(a), Some(b)) if a == b => Distance::Region,
+            _ => Distance::Far,
+        }
+    }
+}
+
+/// What this daemon knows of one server from its own sends.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    failures: u32,
+    avoid_until: Option<Instant>,
+}
+
+/// The experience of this daemon with the servers.
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    regions: Regions,
+    loads: SortedMap<Arc<str>, Load>,
+}
+
+impl Placement {
+    /// Creates a placement without experience.
+    #[must_use]
+    pub fn new(regions: Regions) -> Placement {
+        Placement { regions, loads: SortedMap::new() }
+    }
+
+    /// Returns how far apart two zones are.
+    #[must_use]
+    pub fn distance(&self, a: &str, b: &str) -> Distance {
+        self.regions.distance(a, b)
+    }
+
+    /// Records a failure of a server to answer.
+    pub fn failed(&mut self, now: Instant, server: &Arc<str>) {
+        let load =
+            self.loads.entry_or_insert_with(Arc::clone(server), Load::default);
+        let doubled = FIRST_AVOIDANCE * (1 << load.failures.min(4));
+        load.failures += 1;
+        load.avoid_until = Some(now + doubled.min(LONGEST_AVOIDANCE));
+    }
+
+    /// Records that a server answered.
+    pub fn succeeded(&mut self, server: &str) {
+        self.loads.remove(server);
+    }
+
+    /// Forgets servers that are no longer listed.
+    pub fn retain(&mut self, listed: impl Fn(&str) -> bool) {
+        self.loads.retain(|name, _| listed(name));
+    }
+
+    /// Chooses a server, or `None` if all were tried. `running` tells the
+    /// requests of this daemon that a server holds.
+    pub fn choose<'a>(
+        &self,
+        now: Instant,
+        wish: &Wish<'_>,
+        servers: impl IntoIterator<Item = &'a ListedServer>,
+        running: impl Fn(&str) -> usize,
+    ) -> Option<&'a ListedServer> {
+        let untried: Vec<&ListedServer> = servers
+            .into_iter()
+            .filter(|server| !wish.tried.contains(&server.name))
+            .collect();
+        let rank = |server: &&ListedServer| {
+            (
+                self.is_avoided(now, &server.name),
+                self.regions.distance(wish.zone, &server.zone),
+            )
+        };
+        let best = untried.iter().map(rank).min()?;
+        let group: Vec<&ListedServer> = untried
+            .into_iter()
+            .filter(|server| rank(server) == best)
+            .collect();
+        match wish.affinity {
+            Some(prefix) => by_affinity(prefix, &group, &running),
+            None => by_load(wish.point, &group, &running),
+        }
+    }
+
+    fn is_avoided(&self, now: Instant, server: &str) -> bool {
+        self.loads
+            .get(server)
+            .and_then(|load| load.avoid_until)
+            .is_some_and(|until| now < until)
+    }
+}
+
+/// Returns the first server in rendezvous order of the prefix that is not
+/// clearly busier than the group.
+fn by_affinity<'a>(
+    prefix: &str,
+    group: &[&'a ListedServer],
+    running: &impl Fn(&str) -> usize,
+) -> Option<&'a ListedServer> {
+    let total: usize = group.iter().map(|server| running(&server.name)).sum();
+    let bound = 2 * total / group.len().max(1) + AFFINITY_SLACK;
+    let order =
+        rendezvous::order(prefix, group.iter().map(|server| ByName(server)));
+    let first = order.first().map(|server| server.0);
+    order
+        .iter()
+        .map(|server| server.0)
+        .find(|server| running(&server.name) < bound)
+        .or(first)
+}
+
+/// Returns the less loaded of two random servers.
+fn by_load<'a>(
+    point: u64,
+    group: &[&'a ListedServer],
+    running: &impl Fn(&str) -> usize,
+) -> Option<&'a ListedServer> {
+    let len = u64::try_from(group.len()).ok().filter(|&len| len > 0)?;
+    let at = |point: u64| {
+        // OK because the remainder is below a length.
+        group[usize::try_from(point % len).unwrap()]
+    };
+    let (a, b) = (at(point), at(point / len));
+    Some(if running(&b.name) < running(&a.name) { b } else { a })
+}
+
+struct ByName<'a>(&'a ListedServer);
+
+impl AsRef<str> for ByName<'_> {
+    fn as_ref(&self) -> &str {
+        &self.0.name
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn server(name: &str, zone: &str) -> ListedServer {
+        let address = "127.0.0.1:1".parse().unwrap();
+        let mut server = ListedServer::new(name, "s", address);
+        server.zone = Arc::from(zone);
+        server
+    }
+
+    fn wish<'a>(affinity: Option<&'a str>, tried: &'a [Arc<str>]) -> Wish<'a> {
+        Wish { zone: "z1", affinity, tried, point: 5 }
+    }
+
+    /// Guards against traffic between zones while the own zone can serve.
+    #[test]
+    fn choose_own_zone_first() {
+        let servers = [server("far", "z2"), server("near", "z1")];
+        let mut placement = Placement::default();
+        let now = Instant::now();
+        let chosen = placement.choose(now, &wish(None, &[]), &servers, |_| 9);
+        assert_eq!(&*chosen.unwrap().name, "near");
+        placement.failed(now, &Arc::from("near"));
+        let chosen = placement.choose(now, &wish(None, &[]), &servers, |_| 0);
+        assert_eq!(&*chosen.unwrap().name, "far");
+        let later = now + LONGEST_AVOIDANCE;
+        let chosen =
+            placement.choose(later, &wish(None, &[]), &servers, |_| 0);
+        assert_eq!(&*chosen.unwrap().name, "near");
+    }
+
+    /// Guards against a prefix that is read at many servers, and against a
+    /// popular prefix that overloads one.
+    #[test]
+    fn choose_affinity_bounded() {
+        let servers: Vec<ListedServer> =
+            (0..6).map(|at| server(&format!("s{at}"), "z1")).collect();
+        let placement = Placement::default();
+        let now = Instant::now();
+        let choose = |busy: Option<&str>| {
+            let running = |name: &str| {
+                if busy == Some(name) { 60 } else { 1 }
+            };
+            let wish = wish(Some("prefix"), &[]);
+            placement.choose(now, &wish, &servers, running).unwrap()
+        };
+        let home = choose(None).name.clone();
+        assert_eq!(choose(None).name, home);
+        assert_ne!(choose(Some(&home)).name, home);
+    }
+
+    /// Guards against a retry at a server that has failed the request.
+    #[test]
+    fn choose_skips_tried() {
+        let servers = [server("a", "z1")];
+        let tried = [Arc::from("a")];
+        let now = Instant::now();
+        let chosen = Placement::default().choose(
+            now,
+            &wish(None, &tried),
+            &servers,
+            |_| 0,
+        );
+        assert!(chosen.is_none());
+    }
+}
--- /dev/null
+++ b/crates/briarladder-core/src/fleet/server.rs
@@ -0,0 +1,158 @@
+//! Backend servers as the platform lists them.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_core::fleet::server::{ListedServer, Servers};
+//!
+//! let mut servers = Servers::default();
+//! let server = ListedServer::new("s-1", "plans", "10.0.0.1:80".parse()?);
+//! servers.insert(server);
+//! assert_eq!(servers.of("plans").len(), 1);
+//! # Ok::<(), std::net::AddrParseError>(())
+//! ```
+
+use std::{net::SocketAddr, sync::Arc};
+
+use crate::sorted::SortedMap;
+
+/// Whether a server takes new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ServerState {
+    /// It takes new work.
+    Ready,
+    /// It is about to leave and gets no new work.
+    Draining,
+}
+
+/// A backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedServer {
+    /// The name of this incarnation.
+    pub name: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Whether it takes new work.
+    pub state: ServerState,
+    /// The Unix millisecond of its start; a change means that it has lost
+    /// all that it held.
+    pub born_unix_ms: u64,
+}
+
+impl ListedServer {
+    /// Creates a ready server without a zone.
+    #[must_use]
+    pub fn new(name: &str, service: &str, address: SocketAddr) -> Self {
+        ListedServer {
+            name: Arc::from(name),
+            service: Arc::from(service),
+            address,
+            zone: Arc::from(""),
+            state: ServerState::Ready,
+            born_unix_ms: 0,
+        }
+    }
+}
+
+/// The listed servers by name and by service.
+#[derive(Clone, Debug, Default)]
+pub struct Servers {
+    by_name: SortedMap<Arc<str>, Arc<ListedServer>>,
+    by_service: SortedMap<Arc<str>, Vec<Arc<ListedServer>>>,
+}
+
+impl Servers {
+    /// Adds a server, or replaces the one of its name.
+    pub fn insert(&mut self, server: ListedServer) {
+        self.remove(&server.name.clone());
+        let server = Arc::new(server);
+        self.by_service
+            .entry_or_insert_with(Arc::clone(&server.service), Vec::new)
+            .push(Arc::clone(&server));
+        self.by_name.insert(Arc::clone(&server.name), server);
+    }
+
+    /// Removes a server and returns whether it was listed.
+    pub fn remove(&mut self, name: &str) -> bool {
+        let Some(server) = self.by_name.remove(name) else {
+            return false;
+        };
+        if let Some(list) = self.by_service.get_mut(&*server.service) {
+            list.retain(|other| other.name != server.name);
+        }
+        true
+    }
+
+    /// Returns a server.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Arc<ListedServer>> {
+        self.by_name.get(name)
+    }
+
+    /// Returns the servers of a service, draining ones too.
+    #[must_use]
+    pub fn of(&self, service: &str) -> &[Arc<ListedServer>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the servers of a service that take new work.
+    pub fn ready<'a>(
+        &'a self,
+        service: &str,
+    ) -> impl Iterator<Item = &'a Arc<ListedServer>> + Clone {
+        self.of(service)
+            .iter()
+            .filter(|server| server.state == ServerState::Ready)
+    }
+
+    /// Returns the number of servers.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Returns whether no server is listed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    /// Iterates over all servers.
+    #[must_use]
+    pub fn iter(&self) -> impl ExactSizeIterator<Item = &Arc<ListedServer>> {
+        self.by_name.values()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a replaced server that stays in its old service.
+    #[test]
+    fn insert_moves_service() {
+        let address = "127.0.0.1:1".parse().unwrap();
+        let mut servers = Servers::default();
+        servers.insert(ListedServer::new("s", "a", address));
+        servers.insert(ListedServer::new("s", "b", address));
+        assert!(servers.of("a").is_empty());
+        assert_eq!(servers.of("b").len(), 1);
+        assert!(servers.remove("s"));
+        assert!(servers.of("b").is_empty() && servers.is_empty());
+    }
+
+    /// Guards against new work for a server that leaves.
+    #[test]
+    fn ready_skips_draining() {
+        let address = "127.0.0.1:1".parse().unwrap();
+        let mut servers = Servers::default();
+        let mut leaving = ListedServer::new("s", "a", address);
+        leaving.state = ServerState::Draining;
+        servers.insert(leaving);
+        assert_eq!(servers.ready("a").count(), 0);
+    }
+}
--- /dev/null
+++ b/crates/briarladder-core/src/fleet/stages.rs
@@ -0,0 +1,345 @@
+//! The stages of one request: which may start, with what, and by when.
+//!
+//! # Example
+//!
+//! ```
+//! use std::{sync::Arc, time::Duration};
+//!
+//! use briarladder_core::fleet::{
+//!     config::StageSpec,
+//!     stages::{Handle, StagePlan},
+//! };
+//!
+//! let spec = |after| StageSpec {
+//!     service: Arc::from("fetch"),
+//!     after,
+//!     result_bytes: 10,
+//! };
+//! let specs = [spec(vec![]), spec(vec![0])];
+//! let mut plan = StagePlan::new(&specs, &[1, 2]).unwrap();
+//! assert_eq!(plan.startable(), [0]);
+//! plan.started(0);
+//! plan.finished(0, vec![Handle::new("h", "maker-1")]);
+//! assert_eq!(plan.startable(), [1]);
+//! assert_eq!(plan.inputs(1), [Handle::new("h", "maker-1")]);
+//! ```
+
+use std::{sync::Arc, time::Duration};
+
+use derive_more::{Display, Error};
+
+use super::config::{PieceSpec, StageSpec};
+
+/// Pieces of one stage and request. More than any batch of any service, and
+/// few enough that one request can't fill a queue.
+const MAX_PIECES: u32 = 1024;
+
+/// A result that lies at its maker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Handle {
+    /// The reference that other servers fetch it by.
+    pub reference: Arc<str>,
+    /// The server that made it and holds it.
+    pub maker: Arc<str>,
+}
+
+impl Handle {
+    /// Creates a handle.
+    #[must_use]
+    pub fn new(reference: &str, maker: &str) -> Handle {
+        Handle { reference: Arc::from(reference), maker: Arc::from(maker) }
+    }
+}
+
+/// A request whose stages can't be run.
+#[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq)]
+pub enum StageError {
+    /// The piece counts don't match the route.
+    #[display(
+        "the request names pieces for {given} stages and its route has \
+         {wanted}: send one count for each stage"
+    )]
+    WrongCount {
+        /// Stages in the request.
+        given: usize,
+        /// Stages in the route.
+        wanted: usize,
+    },
+    /// One stage has too many pieces.
+    #[display("stage {stage} has {pieces} pieces: send at most {MAX_PIECES}")]
+    TooMany {
+        /// The stage.
+        stage: usize,
+        /// Its pieces.
+        pieces: u32,
+    },
+}
+
+#[derive(Clone, Debug)]
+enum Progress {
+    Waiting,
+    Running,
+    Done(Vec<Handle>),
+    Released,
+}
+
+/// The progress of one request through its stages.
+#[derive(Clone, Debug)]
+pub struct StagePlan<'a> {
+    specs: &'a [StageSpec],
+    pieces: Vec<u32>,
+    progress: Vec<Progress>,
+}
+
+impl<'a> StagePlan<'a> {
+    /// Starts a plan. A stage without pieces counts as done.
+    ///
+    /// # Errors
+    ///
+    /// If the counts don't fit the route.
+    pub fn new(
+        specs: &'a [StageSpec],
+        pieces: &[u32],
+    ) -> Result<StagePlan<'a>, StageError> {
+        if specs.len() != pieces.len() {
+            return Err(StageError::WrongCount {
+                given: pieces.len(),
+                wanted: specs.len(),
+            });
+        }
+        for (stage, &pieces) in pieces.iter().enumerate() {
+            if pieces > MAX_PIECES {
+                return Err(StageError::TooMany { stage, pieces });
+            }
+        }
+        let progress = pieces
+            .iter()
+            .map(|&pieces| match pieces {
+                0 => Progress::Done(Vec::new()),
+                _ => Progress::Waiting,
+            })
+            .collect();
+        Ok(StagePlan { specs, pieces: pieces.to_vec(), progress })
+    }
+
+    /// Returns the pieces of a stage.
+    #[must_use]
+    pub fn pieces(&self, stage: usize) -> u32 {
+        self.pieces[stage]
+    }
+
+    /// Returns the stages whose inputs are complete and that wait to start.
+    #[must_use]
+    pub fn startable(&self) -> Vec<usize> {
+        (0..self.specs.len())
+            .filter(|&stage| {
+                matches!(self.progress[stage], Progress::Waiting)
+                    && self.inputs_done(stage)
+            })
+            .collect()
+    }
+
+    /// Records that a stage runs.
+    pub fn started(&mut self, stage: usize) {
+        self.progress[stage] = Progress::Running;
+    }
+
+    /// Records the results of a stage.
+    pub fn finished(&mut self, stage: usize, results: Vec<Handle>) {
+        self.progress[stage] = Progress::Done(results);
+    }
+
+    /// Returns whether all stages are done.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.progress.iter().all(|progress| {
+            matches!(progress, Progress::Done(_) | Progress::Released)
+        })
+    }
+
+    /// Returns all results that a stage needs.
+    #[must_use]
+    pub fn inputs(&self, stage: usize) -> Vec<Handle> {
+        self.results_of(&self.specs[stage].after)
+    }
+
+    /// Returns the results of the stages that no other stage follows.
+    #[must_use]
+    pub fn last_results(&self) -> Vec<Handle> {
+        let last: Vec<usize> = (0..self.specs.len())
+            .filter(|&stage| self.followers(stage).next().is_none())
+            .collect();
+        self.results_of(&last)
+    }
+
+    /// Takes the results that no stage needs any more; those for the request
+    /// itself stay.
+    pub fn take_spent(&mut self) -> Vec<Handle> {
+        let mut spent = Vec::new();
+        for stage in 0..self.specs.len() {
+            if self.is_spent(stage)
+                && let Progress::Done(results) = std::mem::replace(
+                    &mut self.progress[stage],
+                    Progress::Released,
+                )
+            {
+                spent.extend(results);
+            }
+        }
+        spent
+    }
+
+    /// Takes all results, for a request that ends.
+    pub fn take_all(&mut self) -> Vec<Handle> {
+        let mut all = Vec::new();
+        for progress in &mut self.progress {
+            if let Progress::Done(results) =
+                std::mem::replace(progress, Progress::Released)
+            {
+                all.extend(results);
+            }
+        }
+        all
+    }
+
+    /// Estimates the time from the end of a stage to the start of the
+    /// request itself: the longest chain of stages that follow.
+    pub fn time_after(
+        &self,
+        stage: usize,
+        spec_of: &impl Fn(&str) -> Option<PieceSpec>,
+    ) -> Duration {
+        self.followers(stage)
+            .map(|next| {
+                self.stage_time(next, spec_of) + self.time_after(next, spec_of)
+            })
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Returns whether a stage is done and so are all that need its results.
+    fn is_spent(&self, stage: usize) -> bool {
+        let mut followers = self.followers(stage).peekable();
+        matches!(self.progress[stage], Progress::Done(_))
+            && followers.peek().is_some()
+            && followers.all(|other| {
+                matches!(
+                    self.progress[other],
+                    Progress::Done(_) | Progress::Released
+                )
+            })
+    }
+
+    fn stage_time(
+        &self,
+        stage: usize,
+        spec_of: &impl Fn(&str) -> Option<PieceSpec>,
+    ) -> Duration {
+        let Some(spec) = spec_of(&self.specs[stage].service) else {
+            return Duration::ZERO;
+        };
+        if self.pieces[stage] == 0 {
+            return Duration::ZERO;
+        }
+        spec.call + spec.item * self.pieces[stage]
+    }
+
+    fn followers(&self, stage: usize) -> impl Iterator<Item = usize> + '_ {
+        // A stage follows only earlier ones, so that chains end.
+        (stage + 1..self.specs.len())
+            .filter(move |&other| self.specs[other].after.contains(&stage))
+    }
+
+    fn inputs_done(&self, stage: usize) -> bool {
+        self.specs[stage].after.iter().all(|&before| {
+            before < stage
+                && matches!(self.progress[before], Progress::Done(_))
+        })
+    }
+
+    fn results_of(&self, stages: &[usize]) -> Vec<Handle> {
+        stages
+            .iter()
+            .filter_map(|&stage| match &self.progress[stage] {
+                Progress::Done(results) => Some(results),
+                _ => None,
+            })
+            .flatten()
+            .cloned()
+            .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spec(after: &[usize]) -> StageSpec {
+        StageSpec {
+            service: Arc::from("s"),
+            after: after.to_vec(),
+            result_bytes: 1,
+        }
+    }
+
+    fn handles(names: &[&str]) -> Vec<Handle> {
+        names.iter().map(|name| Handle::new(name, "maker")).collect()
+    }
+
+    /// Guards against a stage that starts before its inputs are complete,
+    /// and against results that are released while they are needed.
+    #[test]
+    fn startable_diamond() {
+        let specs = [spec(&[]), spec(&[0]), spec(&[0]), spec(&[1, 2])];
+        let mut plan = StagePlan::new(&specs, &[1, 1, 1, 1]).unwrap();
+        plan.started(0);
+        plan.finished(0, handles(&["a"]));
+        assert_eq!(plan.startable(), [1, 2]);
+        plan.started(1);
+        plan.finished(1, handles(&["b"]));
+        assert!(plan.take_spent().is_empty(), "stage 2 still needs it");
+        assert_eq!(plan.startable(), [2]);
+        plan.started(2);
+        plan.finished(2, handles(&["c"]));
+        assert_eq!(plan.take_spent(), handles(&["a"]));
+        assert_eq!(plan.inputs(3), handles(&["b", "c"]));
+        plan.started(3);
+        plan.finished(3, handles(&["d"]));
+        assert!(plan.is_complete());
+        assert_eq!(plan.last_results(), handles(&["d"]));
+    }
+
+    /// Guards against an omitted stage that blocks those after it.
+    #[test]
+    fn startable_omitted_stage() {
+        let specs = [spec(&[]), spec(&[]), spec(&[1])];
+        let plan = StagePlan::new(&specs, &[0, 2, 1]).unwrap();
+        assert_eq!(plan.startable(), [1]);
+        assert_eq!(plan.pieces(1), 2);
+    }
+
+    /// Guards against a request whose counts are taken for other stages.
+    #[test]
+    fn new_wrong_count() {
+        let error = StagePlan::new(&[spec(&[])], &[1, 2]).unwrap_err();
+        assert_eq!(error, StageError::WrongCount { given: 2, wanted: 1 });
+    }
+
+    /// Guards against a due time that ignores the stages to come.
+    #[test]
+    fn time_after_chain() {
+        let specs = [spec(&[]), spec(&[0]), spec(&[1])];
+        let plan = StagePlan::new(&specs, &[1, 2, 3]).unwrap();
+        let work = PieceSpec {
+            slots: 1,
+            batch: 8,
+            call: Duration::from_millis(100),
+            item: Duration::from_millis(10),
+            room_bytes: 0,
+            result_lifetime: Duration::from_secs(1),
+        };
+        let time = plan.time_after(0, &|_| Some(work));
+        assert_eq!(time, Duration::from_millis(120 + 130));
+        assert_eq!(plan.time_after(2, &|_| Some(work)), Duration::ZERO);
+    }
+}
--- a/crates/briarladder-core/src/lib.rs
+++ b/crates/briarladder-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod admission;
 pub mod clock;
 pub mod config;
+pub mod fleet;
 pub mod ids;
 pub mod ledger;
 pub mod limits;
--- /dev/null
+++ b/crates/briarladder-gateway/src/board.rs
@@ -0,0 +1,219 @@
+//! The blackboard: what the controllers of a gateway have learned.
+//!
+//! Each section has one owner that writes it; the request path and the other
+//! controllers read it. All run on one thread, so a reader that does not wait
+//! in between sees one state.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use briarladder_core::{
+    clock::SharedClock,
+    fleet::{
+        budget::{BudgetTerms, RetryBudget},
+        collect::WaitEstimates,
+        config::FleetConfig,
+        mirror::Mirror,
+        peers::{Heartbeat, PeerTable},
+        placement::Placement,
+        server::Servers,
+    },
+    sorted::SortedMap,
+};
+
+use crate::settings::GatewaySettings;
+
+/// How far a process is between its start and its stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Lifecycle {
+    /// It serves.
+    Serving,
+    /// A planned stop has begun.
+    Stopping,
+}
+
+/// Whether the store answers this daemon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreContact {
+    /// No answer yet since the start.
+    Never,
+    /// It answers.
+    Regular,
+    /// It has not answered since this time.
+    LostAt(Instant),
+}
+
+/// The blackboard.
+#[derive(Debug)]
+pub struct Board {
+    /// The clock of the process.
+    pub clock: SharedClock,
+    /// The availability zone of this daemon.
+    pub zone: Arc<str>,
+    /// Copy of the store; owner: the store controller.
+    pub mirror: RefCell<Mirror>,
+    /// Whether the store answers; owner: the store controller.
+    pub store_contact: Cell<StoreContact>,
+    /// Configuration in force; owner: the store controller.
+    config: RefCell<Option<Rc<FleetConfig>>>,
+    /// Listed servers; owner: the store controller.
+    pub servers: RefCell<Servers>,
+    /// Live daemons; owner: the heartbeat controller.
+    pub peers: RefCell<PeerTable>,
+    /// Experience with servers; owner: the request path.
+    pub placement: RefCell<Placement>,
+    /// Requests of this daemon at each server; owner: the request path.
+    running: RefCell<SortedMap<Arc<str>, usize>>,
+    /// Retry budgets by service; owner: the request path.
+    budgets: RefCell<SortedMap<Arc<str>, RetryBudget>>,
+    budget_terms: BudgetTerms,
+    /// Reports of the collectors' queues; owner: the stages.
+    pub waits: RefCell<WaitEstimates>,
+    /// Peer addresses to begin with; owner: the process.
+    pub seeds: RefCell<Vec<SocketAddr>>,
+    /// Whether the process stops; owner: the process.
+    pub lifecycle: Cell<Lifecycle>,
+    /// Requests of callers in progress; owner: the listener.
+    pub open_requests: Cell<usize>,
+}
+
+impl Board {
+    /// Creates the blackboard of a process that knows nothing yet.
+    #[must_use]
+    pub fn new(
+        clock: SharedClock,
+        settings: &GatewaySettings,
+        me: Heartbeat,
+    ) -> Rc<Board> {
+        Rc::new(Board {
+            clock,
+            zone: Arc::clone(&settings.zone),
+            mirror: RefCell::default(),
+            store_contact: Cell::new(StoreContact::Never),
+            config: RefCell::new(None),
+            servers: RefCell::default(),
+            peers: RefCell::new(PeerTable::new(me)),
+            placement: RefCell::new(Placement::new(settings.region_map())),
+            running: RefCell::default(),
+            budgets: RefCell::default(),
+            budget_terms: settings.retry_budget,
+            waits: RefCell::default(),
+            seeds: RefCell::new(settings.seeds.clone()),
+            lifecycle: Cell::new(Lifecycle::Serving),
+            open_requests: Cell::new(0),
+        })
+    }
+
+    /// Returns the monotonic time.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<Rc<FleetConfig>> {
+        self.config.borrow().clone()
+    }
+
+    /// Puts a configuration in force if it is newer, and returns whether it
+    /// was.
+    pub fn adopt(&self, config: FleetConfig) -> bool {
+        let newer = self
+            .config
+            .borrow()
+            .as_ref()
+            .is_none_or(|known| known.version < config.version);
+        if newer {
+            *self.config.borrow_mut() = Some(Rc::new(config));
+        }
+        newer
+    }
+
+    /// Returns whether callers can be served.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.lifecycle.get() == Lifecycle::Serving
+            && self.config.borrow().is_some()
+            && !self.servers.borrow().is_empty()
+    }
+
+    /// Returns the requests of this daemon that a server holds.
+    #[must_use]
+    pub fn running(&self, server: &str) -> usize {
+        self.running.borrow().get(server).copied().unwrap_or(0)
+    }
+
+    /// Counts a request at a server until the guard is dropped.
+    #[must_use]
+    pub fn start_running(self: &Rc<Self>, server: &Arc<str>) -> RunningGuard {
+        *self
+            .running
+            .borrow_mut()
+            .entry_or_insert_with(Arc::clone(server), || 0) += 1;
+        RunningGuard { board: Rc::clone(self), server: Arc::clone(server) }
+    }
+
+    /// Counts the first send of a request to a service.
+    pub fn first_sent(&self, service: &Arc<str>) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.first_sent(now));
+    }
+
+    /// Takes a repetition from the budget of a service, if there is one.
+    #[must_use = "a repetition is only allowed if it could be paid"]
+    pub fn try_repeat(&self, service: &Arc<str>) -> bool {
+        let now = self.now();
+        let daemons = self.peers.borrow().largest();
+        self.with_budget(service, |budget| budget.try_spend(now, daemons))
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &Arc<str>,
+        use_budget: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let terms = self.budget_terms;
+        let mut budgets = self.budgets.borrow_mut();
+        use_budget(budgets.entry_or_insert_with(Arc::clone(service), || {
+            RetryBudget::new(terms)
+        }))
+    }
+
+    /// Returns how long ago the store last failed to answer, while it does
+    /// not answer.
+    #[must_use]
+    pub fn store_lost_for(&self) -> Option<Duration> {
+        match self.store_contact.get() {
+            StoreContact::LostAt(since) => {
+                Some(self.now().duration_since(since))
+            }
+            StoreContact::Never => Some(Duration::MAX),
+            StoreContact::Regular => None,
+        }
+    }
+}
+
+/// Counts one request at a server while it lives.
+#[derive(Debug)]
+pub struct RunningGuard {
+    board: Rc<Board>,
+    server: Arc<str>,
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        let mut running = self.board.running.borrow_mut();
+        if let Some(count) = running.get_mut(&*self.server) {
+            *count -= 1;
+            if *count == 0 {
+                running.remove(&*self.server);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/briarladder-gateway/src/body.rs
@@ -0,0 +1,160 @@
+//! Bodies of answers to callers.
+//!
+//! A relayed body passes each frame on as it arrives. It ends with an error,
+//! and the caller's connection with it, if the server's body breaks off or the
+//! time of the request runs out; an answer that ends early never looks
+//! complete.
+
+use std::{
+    future::Future,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use tokio::time::Sleep;
+
+use crate::{board::RunningGuard, pool::Lease, request::record::Record};
+
+/// Why a relayed body broke off.
+#[derive(Debug, Display, Error)]
+pub enum RelayError {
+    /// The server's body broke off.
+    #[display("the server's answer broke off: {_0}")]
+    Server(#[error(not(source))] String),
+    /// The time of the request ran out.
+    #[display("the answer took longer than the request's time")]
+    TimeOut,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// Bytes that are known.
+    Full(Option<Bytes>),
+    /// Bytes of a server as they arrive.
+    Relay(Box<Relay>),
+}
+
+impl ReplyBody {
+    /// Creates a body of known bytes.
+    #[must_use]
+    pub fn full(bytes: Bytes) -> ReplyBody {
+        ReplyBody::Full(Some(bytes).filter(|bytes| !bytes.is_empty()))
+    }
+}
+
+/// A body that passes on what a server sends.
+#[derive(Debug)]
+pub struct Relay {
+    incoming: Incoming,
+    give_up: Pin<Box<Sleep>>,
+    lease: Option<Lease>,
+    idle_timeout: Option<Duration>,
+    record: Record,
+    _running: RunningGuard,
+}
+
+impl Relay {
+    /// Creates a body that must end before `give_up`.
+    #[must_use]
+    pub fn new(
+        incoming: Incoming,
+        give_up: Sleep,
+        lease: Lease,
+        idle_timeout: Option<Duration>,
+        record: Record,
+        running: RunningGuard,
+    ) -> Relay {
+        Relay {
+            incoming,
+            give_up: Box::pin(give_up),
+            lease: Some(lease),
+            idle_timeout,
+            record,
+            _running: running,
+        }
+    }
+
+    fn poll(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        let frame = Pin::new(&mut self.incoming).poll_frame(cx);
+        match frame {
+            Poll::Ready(Some(Ok(frame))) => {
+                if let Some(data) = frame.data_ref() {
+                    self.record.relayed(data.len());
+                }
+                if self.incoming.is_end_stream() {
+                    self.complete();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.lease = None;
+                self.record.end("broken_off");
+                let error = RelayError::Server(error.to_string());
+                Poll::Ready(Some(Err(error)))
+            }
+            Poll::Ready(None) => {
+                self.complete();
+                Poll::Ready(None)
+            }
+            Poll::Pending => {
+                if self.give_up.as_mut().poll(cx).is_ready() {
+                    self.lease = None;
+                    self.record.end("time_out_midway");
+                    return Poll::Ready(Some(Err(RelayError::TimeOut)));
+                }
+                Poll::Pending
+            }
+        }
+    }
+
+    fn complete(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            lease.give_back(self.idle_timeout);
+        }
+        self.record.end("answered");
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = RelayError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        match &mut *self {
+            ReplyBody::Full(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
+            ReplyBody::Relay(relay) => relay.poll(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            ReplyBody::Full(bytes) => bytes.is_none(),
+            ReplyBody::Relay(relay) => relay.incoming.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            ReplyBody::Full(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| {
+                    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
+                }))
+            }
+            ReplyBody::Relay(relay) => relay.incoming.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/briarladder-gateway/src/metrics.rs
@@ -0,0 +1,160 @@
+//! Counters and latency histograms, as Prometheus text.
+
+use std::{cell::RefCell, fmt, time::Duration};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter, family::Family, gauge::Gauge, histogram::Histogram,
+    },
+    registry::Registry,
+};
+
+/// Upper bounds of the latency buckets in seconds. They cover an answer of a
+/// plain service up to the longest deadline.
+const LATENCY_BUCKETS_S: [f64; 12] =
+    [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0, 12.0];
+
+/// How a request ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RequestLabels {
+    /// The route.
+    pub route: String,
+    /// The outcome, as in the log line of the request.
+    pub outcome: &'static str,
+}
+
+/// What a counter of one service counts.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ServiceLabels {
+    /// The service.
+    pub service: String,
+    /// The outcome of a send or call.
+    pub outcome: &'static str,
+}
+
+/// The route of a histogram.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RouteLabels {
+    /// The route.
+    pub route: String,
+}
+
+/// The metrics of a process.
+pub struct Metrics {
+    registry: RefCell<Registry>,
+    /// Requests of callers by route and outcome.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Time to the head of the answer.
+    pub first_byte: Family<RouteLabels, Histogram>,
+    /// Sends to backend servers by service and outcome.
+    pub sends: Family<ServiceLabels, Counter>,
+    /// Pieces by service and outcome.
+    pub pieces: Family<ServiceLabels, Counter>,
+    /// Calls to the store by outcome.
+    pub store_calls: Family<ServiceLabels, Counter>,
+    /// Requests in progress.
+    pub open_requests: Gauge,
+    /// Version of the configuration in force.
+    pub config_version: Gauge,
+    /// Live daemons.
+    pub live_daemons: Gauge,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("briarladder");
+        let requests = Family::default();
+        let first_byte = Family::new_with_constructor(
+            (|| Histogram::new(LATENCY_BUCKETS_S)) as fn() -> Histogram,
+        );
+        let sends = Family::default();
+        let pieces = Family::default();
+        let store_calls = Family::default();
+        let open_requests = Gauge::default();
+        let config_version = Gauge::default();
+        let live_daemons = Gauge::default();
+        registry.register("requests", "Requests by outcome", requests.clone());
+        registry.register(
+            "first_byte_seconds",
+            "Time to the head of the answer",
+            first_byte.clone(),
+        );
+        registry.register("sends", "Sends to servers", sends.clone());
+        registry.register("pieces", "Pieces of stages", pieces.clone());
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            store_calls.clone(),
+        );
+        registry.register(
+            "open_requests",
+            "Requests in progress",
+            open_requests.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Version in force",
+            config_version.clone(),
+        );
+        registry.register(
+            "live_daemons",
+            "Live daemons",
+            live_daemons.clone(),
+        );
+        Metrics {
+            registry: RefCell::new(registry),
+            requests,
+            first_byte,
+            sends,
+            pieces,
+            store_calls,
+            open_requests,
+            config_version,
+            live_daemons,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request that ended.
+    pub fn request_ended(
+        &self,
+        route: &str,
+        outcome: &'static str,
+        first_byte: Option<Duration>,
+    ) {
+        let labels = RequestLabels { route: route.to_owned(), outcome };
+        self.requests.get_or_create(&labels).inc();
+        if let Some(time) = first_byte {
+            let labels = RouteLabels { route: route.to_owned() };
+            self.first_byte.get_or_create(&labels).observe(time.as_secs_f64());
+        }
+    }
+
+    /// Counts an outcome of a service.
+    pub fn count(
+        family: &Family<ServiceLabels, Counter>,
+        service: &str,
+        outcome: &'static str,
+    ) {
+        let labels = ServiceLabels { service: service.to_owned(), outcome };
+        family.get_or_create(&labels).inc();
+    }
+
+    /// Returns all metrics as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry.borrow()) {
+            log::error!("metrics: encoding failed: {error}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/briarladder-gateway/src/peers/client.rs
@@ -0,0 +1,88 @@
+//! Calls to other daemons.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{HeaderValue, Request, header};
+use http_body_util::{BodyExt, Full};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::pool::{Freshness, Pool};
+
+/// A call to a peer that brought no answer.
+#[derive(Debug, Display, Error)]
+#[display("the peer {address} did not answer: {cause}")]
+pub struct PeerError {
+    /// The peer.
+    address: SocketAddr,
+    /// What went wrong.
+    cause: String,
+}
+
+/// Calls other daemons.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    pool: Rc<Pool>,
+}
+
+impl Peers {
+    /// Creates a client on a pool.
+    #[must_use]
+    pub fn new(pool: &Rc<Pool>) -> Peers {
+        Peers { pool: Rc::clone(pool) }
+    }
+
+    /// Sends a message and returns the answer. Dropping the future closes
+    /// the connection, which cancels the call at the peer.
+    ///
+    /// # Errors
+    ///
+    /// If no answer came within `timeout`.
+    pub async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &'static str,
+        message: &Q,
+        timeout: Duration,
+    ) -> Result<A, PeerError> {
+        let fail = |cause: String| PeerError { address, cause };
+        let body = serde_json::to_vec(message)
+            .map_err(|error| fail(error.to_string()))?;
+        let answer = tokio::time::timeout(
+            timeout,
+            self.exchange(address, path, Bytes::from(body)),
+        )
+        .await;
+        let answer = answer
+            .unwrap_or_else(|_| Err("no answer in time".to_owned()))
+            .map_err(fail)?;
+        serde_json::from_slice(&answer)
+            .map_err(|error| fail(error.to_string()))
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        path: &'static str,
+        body: Bytes,
+    ) -> Result<Bytes, String> {
+        let host = HeaderValue::from_str(&address.to_string())
+            .map_err(|error| error.to_string())?;
+        let request = Request::post(path)
+            .header(header::HOST, host)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| error.to_string())?;
+        let sent = self.pool.send(address, request, Freshness::Any).await;
+        let (response, lease) = sent.map_err(|error| error.to_string())?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        lease.give_back(None);
+        if !status.is_success() {
+            return Err(format!("status {status}"));
+        }
+        Ok(body)
+    }
+}
--- /dev/null
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -0,0 +1,107 @@
+//! Answering other daemons.
+
+use std::{convert::Infallible, rc::Rc};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::context::Gateway;
+
+use super::messages::{
+    Accepted, CHANGES_PATH, ChangesReply, ChangesRequest, HEARTBEATS_PATH,
+    Heartbeats, ItemMessage, PIECES_PATH, PiecesRequest, RELEASE_PATH,
+    Release,
+};
+
+/// The longest message of a peer. The references of the largest allowed
+/// stage fit.
+const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
+
+/// Answers one message.
+///
+/// # Errors
+///
+/// Never; a bad message gets an error status.
+pub async fn serve(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let path = request.uri().path().to_owned();
+    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
+    let Ok(body) = body.collect().await else {
+        return Ok(status(StatusCode::BAD_REQUEST));
+    };
+    let body = body.to_bytes();
+    Ok(match path.as_str() {
+        HEARTBEATS_PATH => {
+            answer(&body, |message: Heartbeats| heartbeats(&gateway, &message))
+        }
+        CHANGES_PATH => {
+            answer(&body, |message: ChangesRequest| changes(&gateway, message))
+        }
+        RELEASE_PATH => answer(&body, |message: Release| {
+            gateway.collector.release_here(&message.results);
+            Accepted {}
+        }),
+        PIECES_PATH => match serde_json::from_slice(&body) {
+            Ok(message) => {
+                let message: PiecesRequest = message;
+                encode(&gateway.collector.collect(message).await)
+            }
+            Err(error) => malformed(&error),
+        },
+        _ => status(StatusCode::NOT_FOUND),
+    })
+}
+
+fn heartbeats(gateway: &Gateway, message: &Heartbeats) -> Heartbeats {
+    let now = gateway.board.now();
+    let mut peers = gateway.board.peers.borrow_mut();
+    peers.merge(now, &message.beats);
+    Heartbeats { beats: peers.exchange(now, rand::random_range(0..4096)) }
+}
+
+fn changes(gateway: &Gateway, message: ChangesRequest) -> ChangesReply {
+    let mirror = gateway.board.mirror.borrow();
+    let since = mirror.since(message.after);
+    let complete = since.is_none();
+    let items = match &since {
+        Some(items) => items.iter().map(ItemMessage::from).collect(),
+        None => mirror.items().map(ItemMessage::from).collect(),
+    };
+    ChangesReply { complete, items, revision: mirror.revision() }
+}
+
+fn answer<Q: DeserializeOwned, A: Serialize>(
+    body: &[u8],
+    decide: impl FnOnce(Q) -> A,
+) -> Response<Full<Bytes>> {
+    match serde_json::from_slice(body) {
+        Ok(message) => encode(&decide(message)),
+        Err(error) => malformed(&error),
+    }
+}
+
+fn encode<A: Serialize>(answer: &A) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(answer) {
+        Ok(body) => Response::new(Full::new(Bytes::from(body))),
+        Err(error) => {
+            log::error!("peers: an answer can't be encoded: {error}");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn malformed(error: &serde_json::Error) -> Response<Full<Bytes>> {
+    log::warn!("peers: a message can't be read: {error}");
+    status(StatusCode::BAD_REQUEST)
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -0,0 +1,263 @@
+//! Connections to backend servers, peers and the store.
+//!
+//! The facts that decide about repetition are facts of one connection: whether
+//! it was used before, whether a byte was sent, and whether the answer ended.
+//! A [`Lease`] is one connection in use; dropping it closes the connection at
+//! once, which is how a request is cancelled.
+
+use std::{
+    cell::RefCell,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use briarladder_core::{
+    clock::SharedClock, retry::AttemptFailure, sorted::SortedMap,
+};
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use tokio::task::AbortHandle;
+
+use crate::net;
+
+/// An idle connection whose peer names no timeout is kept for this long.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// The part of a peer's idle timeout that is used, in hundredths. A request
+/// that meets the close of its connection may have been read.
+const USED_IDLE_HUNDREDTHS: u32 = 60;
+
+/// Idle connections kept for one address.
+const MAX_IDLE: usize = 8;
+
+/// How recently a connection must have been used.
+#[derive(Clone, Copy, Debug)]
+pub enum Freshness {
+    /// Any idle connection will do, for requests that may repeat.
+    Any,
+    /// Only one that was used within this time, or a new one.
+    UsedWithin(Duration),
+}
+
+/// A send that brought no answer.
+#[derive(Debug, Display, Error)]
+#[display("{failure}: {cause}")]
+pub struct SendError {
+    /// What the failure proves.
+    pub failure: AttemptFailure,
+    /// The error of the connection.
+    pub cause: String,
+}
+
+impl SendError {
+    fn unsent(cause: &io::Error) -> SendError {
+        SendError {
+            failure: AttemptFailure::ConnectFailed,
+            cause: cause.to_string(),
+        }
+    }
+}
+
+/// Closes its connection when dropped.
+#[derive(Debug)]
+struct ConnectionTask(AbortHandle);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    _task: ConnectionTask,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+    timeout: Duration,
+}
+
+/// The idle connections of a process.
+#[derive(Debug)]
+pub struct Pool {
+    clock: SharedClock,
+    idle: RefCell<SortedMap<SocketAddr, Vec<Idle>>>,
+}
+
+/// A connection in use.
+#[derive(Debug)]
+pub struct Lease {
+    pool: Rc<Pool>,
+    address: SocketAddr,
+    connection: Connection,
+    used_before: bool,
+}
+
+impl Lease {
+    /// Keeps the connection for another request. Call it only when the
+    /// answer has ended.
+    pub fn give_back(self, idle_timeout: Option<Duration>) {
+        let Lease { pool, address, connection, .. } = self;
+        if connection.sender.is_closed() {
+            return;
+        }
+        let since = pool.clock.now();
+        let timeout = idle_timeout
+            .map_or(IDLE_TIMEOUT, |t| t * USED_IDLE_HUNDREDTHS / 100);
+        let mut idle = pool.idle.borrow_mut();
+        let list = idle.entry_or_insert_with(address, Vec::new);
+        list.push(Idle { connection, since, timeout });
+        if list.len() > MAX_IDLE {
+            list.remove(0);
+        }
+    }
+}
+
+impl Pool {
+    /// Creates an empty pool.
+    #[must_use]
+    pub fn new(clock: SharedClock) -> Rc<Pool> {
+        Rc::new(Pool { clock, idle: RefCell::new(SortedMap::new()) })
+    }
+
+    /// Closes all idle connections, for example after a pause of the process
+    /// in which peers may have closed them.
+    pub fn clear(&self) {
+        *self.idle.borrow_mut() = SortedMap::new();
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn expire(&self) {
+        let now = self.clock.now();
+        self.idle.borrow_mut().retain(|_, list| {
+            list.retain(|idle| is_usable(idle, now));
+            !list.is_empty()
+        });
+    }
+
+    /// Sends a request and returns the head of its answer.
+    ///
+    /// A connection that turns out closed before a byte was sent is replaced
+    /// once.
+    ///
+    /// # Errors
+    ///
+    /// If no answer came; the error tells whether the request may have run.
+    pub async fn send(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        freshness: Freshness,
+    ) -> Result<(Response<Incoming>, Lease), SendError> {
+        let mut lease = self.checkout(address, freshness).await?;
+        let mut request = request;
+        loop {
+            match lease.connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, lease)),
+                Err(mut error) => {
+                    let cause = error.error().to_string();
+                    let Some(unsent) = error.take_message() else {
+                        let failure = AttemptFailure::Broken;
+                        return Err(SendError { failure, cause });
+                    };
+                    if !lease.used_before {
+                        let failure = AttemptFailure::ConnectFailed;
+                        return Err(SendError { failure, cause });
+                    }
+                    request = unsent;
+                    lease = self.open(address).await?;
+                }
+            }
+        }
+    }
+
+    async fn checkout(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        freshness: Freshness,
+    ) -> Result<Lease, SendError> {
+        if let Some(connection) = self.take_idle(address, freshness) {
+            return Ok(Lease {
+                pool: Rc::clone(self),
+                address,
+                connection,
+                used_before: true,
+            });
+        }
+        self.open(address).await
+    }
+
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        freshness: Freshness,
+    ) -> Option<Connection> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&address)?;
+        while let Some(last) = list.pop() {
+            let fresh = match freshness {
+                Freshness::Any => true,
+                Freshness::UsedWithin(limit) => {
+                    now.duration_since(last.since) <= limit
+                }
+            };
+            if !fresh {
+                list.push(last);
+                return None;
+            }
+            if is_usable(&last, now) {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    async fn open(
+        self: &Rc<Self>,
+        address: SocketAddr,
+    ) -> Result<Lease, SendError> {
+        let stream = net::connect(address)
+            .await
+            .map_err(|error| SendError::unsent(&error))?;
+        let handshake = http1::Builder::new()
+            .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+            .await;
+        let (sender, connection) = handshake.map_err(|error| SendError {
+            failure: AttemptFailure::ConnectFailed,
+            cause: error.to_string(),
+        })?;
+        let task = tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!("pool: a connection to {address} ended: {error}");
+            }
+        });
+        let task = ConnectionTask(task.abort_handle());
+        Ok(Lease {
+            pool: Rc::clone(self),
+            address,
+            connection: Connection { sender, _task: task },
+            used_before: false,
+        })
+    }
+}
+
+fn is_usable(idle: &Idle, now: Instant) -> bool {
+    let sender = &idle.connection.sender;
+    sender.is_ready()
+        && !sender.is_closed()
+        && now.duration_since(idle.since) < idle.timeout
+}
--- /dev/null
+++ b/crates/briarladder-gateway/src/process.rs
@@ -0,0 +1,258 @@
+//! The life of a gateway process: start, reload, planned stop.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context as _;
+use briarladder_core::{
+    clock::{SharedClock, SystemClock},
+    fleet::peers::Heartbeat,
+};
+use tokio::{
+    runtime::Builder,
+    signal::unix::{Signal, SignalKind, signal},
+    sync::watch,
+    task::{LocalSet, spawn_local},
+};
+
+use crate::{
+    board::{Board, Lifecycle},
+    context::Gateway,
+    dialect::Dialect,
+    listener,
+    metrics::Metrics,
+    net,
+    peers::{client::Peers, heartbeats},
+    pool::Pool,
+    settings::GatewaySettings,
+    stages::{self, collector::Collector},
+    store,
+};
+
+/// A stopping process stays at least this long, while the balancer still
+/// sends it new connections: two failed checks a second apart.
+const MIN_STOP: Duration = Duration::from_millis(3000);
+
+/// A stopping process ends this long before it would be killed.
+const STOP_RESERVE: Duration = Duration::from_millis(400);
+
+/// How often a stopping process looks whether it may end.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Reads the settings again.
+pub type Reload = Box<dyn Fn() -> anyhow::Result<GatewaySettings>>;
+
+/// Runs a gateway until a planned stop has ended.
+///
+/// # Errors
+///
+/// If an address can't be bound or the runtime can't be started.
+pub fn run(
+    settings: GatewaySettings,
+    dialect: Rc<dyn Dialect>,
+    reload: Reload,
+) -> anyhow::Result<()> {
+    // One thread: the VMs have a fraction of a core.
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("the runtime could not be started")?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve(settings, dialect, reload))
+}
+
+async fn serve(
+    settings: GatewaySettings,
+    dialect: Rc<dyn Dialect>,
+    reload: Reload,
+) -> anyhow::Result<()> {
+    let clock: SharedClock = Arc::new(SystemClock);
+    let mut signals = Signals::new()?;
+    let settings = Rc::new(settings);
+    let gateway = build(&clock, &settings, dialect);
+    let (stop, stopping) = watch::channel(false);
+    start(&gateway, &settings, stopping)?;
+    log::info!(
+        "process: event=started vm={} zone={} callers={} peers={} pid={}",
+        settings.vm,
+        settings.zone,
+        settings.callers,
+        settings.peers,
+        std::process::id()
+    );
+    loop {
+        match signals.next().await {
+            Asked::Reload => reload_settings(&gateway, &reload),
+            Asked::Stop => break,
+        }
+    }
+    stop_gracefully(&gateway, &settings, &stop).await;
+    Ok(())
+}
+
+fn build(
+    clock: &SharedClock,
+    settings: &GatewaySettings,
+    dialect: Rc<dyn Dialect>,
+) -> Rc<Gateway> {
+    // Wall-clock time only orders the incarnations of one VM; a clock that
+    // went back is corrected by the peers' answers.
+    let unix_ms = clock.unix().as_millis();
+    let incarnation = u64::try_from(unix_ms).unwrap_or(u64::MAX);
+    let me = Heartbeat::new(
+        &settings.vm,
+        &settings.zone,
+        settings.peers,
+        incarnation,
+    );
+    let board = Board::new(Arc::clone(clock), settings, me);
+    let metrics = Rc::new(Metrics::default());
+    let pool = Pool::new(Arc::clone(clock));
+    let collector = Collector::new(&board, &dialect, &pool, &metrics);
+    Rc::new(Gateway {
+        board,
+        dialect,
+        peers: Peers::new(&pool),
+        pool,
+        metrics,
+        collector,
+        vm: Arc::clone(&settings.vm),
+    })
+}
+
+/// Binds all addresses and starts the controllers.
+fn start(
+    gateway: &Rc<Gateway>,
+    settings: &Rc<GatewaySettings>,
+    stopping: watch::Receiver<bool>,
+) -> anyhow::Result<()> {
+    let bind = |address, what| {
+        net::listen(address).with_context(|| {
+            format!(
+                "the address {address} for {what} could not be bound; check \
+                 that no other process uses it"
+            )
+        })
+    };
+    let callers = bind(settings.callers, "callers")?;
+    let readiness = bind(settings.readiness, "readiness")?;
+    let peers = bind(settings.peers, "peers")?;
+    let metrics = bind(settings.metrics, "metrics")?;
+    let shared = || Rc::clone(gateway);
+    spawn_local(listener::peers(shared(), peers));
+    spawn_local(listener::readiness(shared(), readiness));
+    spawn_local(listener::metrics(shared(), metrics));
+    spawn_local(listener::callers(shared(), callers, stopping));
+    spawn_local(store::run(shared(), settings.store));
+    spawn_local(store::follow_peers(shared()));
+    spawn_local(heartbeats::run(shared(), Rc::clone(settings)));
+    spawn_local(Rc::clone(&gateway.collector).run());
+    spawn_local(stages::release::run(shared()));
+    Ok(())
+}
+
+fn reload_settings(gateway: &Gateway, reload: &Reload) {
+    match reload() {
+        Ok(settings) => {
+            log::info!(
+                "process: event=reloaded seeds={} outcome=in_force",
+                settings.seeds.len()
+            );
+            *gateway.board.seeds.borrow_mut() = settings.seeds;
+        }
+        Err(error) => log::error!(
+            "process: event=reloaded outcome=kept_old cause={error:#}"
+        ),
+    }
+}
+
+/// Ends the requests in progress, then returns.
+async fn stop_gracefully(
+    gateway: &Gateway,
+    settings: &GatewaySettings,
+    stop: &watch::Sender<bool>,
+) {
+    let board = &gateway.board;
+    let began = board.now();
+    log::info!(
+        "process: event=stopping open_requests={}",
+        board.open_requests.get()
+    );
+    board.lifecycle.set(Lifecycle::Stopping);
+    board.peers.borrow_mut().leave();
+    stop.send_replace(true);
+    let latest = settings.stop_grace.saturating_sub(STOP_RESERVE);
+    while !may_end(board.open_requests.get(), began, board.now(), latest) {
+        tokio::time::sleep(STOP_CHECK).await;
+    }
+    log::info!(
+        "process: event=stopped open_requests={} ms={}",
+        board.open_requests.get(),
+        board.now().duration_since(began).as_millis()
+    );
+}
+
+/// Decides whether a stopping process may end.
+fn may_end(
+    open_requests: usize,
+    began: Instant,
+    now: Instant,
+    latest: Duration,
+) -> bool {
+    let elapsed = now.duration_since(began);
+    elapsed >= latest || (open_requests == 0 && elapsed >= MIN_STOP)
+}
+
+/// What the operator asks for.
+enum Asked {
+    Reload,
+    Stop,
+}
+
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> anyhow::Result<Signals> {
+        let listen = |kind| {
+            signal(kind).context("a signal handler could not be installed")
+        };
+        Ok(Signals {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+            hangup: listen(SignalKind::hangup())?,
+        })
+    }
+
+    async fn next(&mut self) -> Asked {
+        tokio::select! {
+            _ = self.terminate.recv() => Asked::Stop,
+            _ = self.interrupt.recv() => Asked::Stop,
+            _ = self.hangup.recv() => Asked::Reload,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a stop that leaves while the balancer still sends
+    /// connections, and against one that is killed.
+    #[test]
+    fn may_end_bounds() {
+        let began = Instant::now();
+        let latest = Duration::from_secs(7);
+        let at = |ms| began + Duration::from_millis(ms);
+        assert!(!may_end(0, began, at(2000), latest));
+        assert!(may_end(0, began, at(3000), latest));
+        assert!(!may_end(1, began, at(6999), latest));
+        assert!(may_end(1, began, at(7000), latest));
+    }
+}
--- /dev/null
+++ b/crates/briarladder-gateway/src/request/accept.rs
@@ -0,0 +1,138 @@
+//! From the head of a caller's request to its route, workspace and times.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use briarladder_core::fleet::config::{
+    CallerLimits, FleetConfig, Route, Workspace,
+};
+use bytes::Bytes;
+use http::request;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::{
+    context::Gateway,
+    dialect::{CallerRequest, FormatError},
+    refusal::Refusal,
+};
+
+use super::record::Record;
+
+/// A request that is allowed.
+#[derive(Debug)]
+pub struct Accepted {
+    /// What its head says.
+    pub caller: CallerRequest,
+    /// The configuration that it uses to its end.
+    pub config: Rc<FleetConfig>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that runs it.
+    pub service: Arc<str>,
+    /// Its workspace, if callers have keys.
+    pub workspace: Option<Workspace>,
+    /// Its rank; 0 is the most urgent.
+    pub rank: u8,
+    /// When its answer should begin.
+    pub target: Instant,
+    /// When it is given up.
+    pub give_up: Instant,
+}
+
+impl Accepted {
+    /// Returns the time that is left.
+    #[must_use]
+    pub fn time_left(&self, now: Instant) -> Duration {
+        self.give_up.saturating_duration_since(now)
+    }
+}
+
+/// Decides whether a request is allowed and where it goes.
+///
+/// # Errors
+///
+/// With the refusal for the caller.
+pub fn accept(
+    gateway: &Gateway,
+    head: &request::Parts,
+    record: &mut Record,
+) -> Result<Accepted, Refusal> {
+    let Some(config) = gateway.board.config() else {
+        return Err(Refusal::NotConfigured);
+    };
+    record.config_version = config.version;
+    let caller = decode(gateway, head, record)?;
+    let path = head.uri.path();
+    let route = config.routes.find(&caller.host, path).cloned();
+    let route = route.ok_or(Refusal::NoRoute)?;
+    record.route = Some(Arc::clone(&route.name));
+    let workspace = find_workspace(&config, &route, &caller)?;
+    record.workspace = workspace.as_ref().map(|w| Arc::clone(&w.name));
+    let service = route.service_at(rand::random()).cloned();
+    let service = service.ok_or(Refusal::NoServer)?;
+    let started = record.started();
+    let patience = caller.patience.unwrap_or(route.timeout);
+    Ok(Accepted {
+        rank: workspace.as_ref().and_then(|w| w.rank).unwrap_or(route.rank),
+        target: started + route.target,
+        give_up: started + patience.min(route.timeout),
+        caller,
+        config,
+        route,
+        service,
+        workspace,
+    })
+}
+
+fn decode(
+    gateway: &Gateway,
+    head: &request::Parts,
+    record: &mut Record,
+) -> Result<CallerRequest, Refusal> {
+    match gateway.dialect.caller_request(head) {
+        Ok(caller) => {
+            record.attempt = Arc::clone(&caller.attempt);
+            Ok(caller)
+        }
+        Err(FormatError { problem, .. }) => {
+            record.cause = Some(problem);
+            Err(Refusal::Malformed)
+        }
+    }
+}
+
+fn find_workspace(
+    config: &FleetConfig,
+    route: &Route,
+    caller: &CallerRequest,
+) -> Result<Option<Workspace>, Refusal> {
+    let Some(keys) = &config.keys else { return Ok(None) };
+    let found = caller.key.as_ref().and_then(|key| keys.get(key));
+    match found {
+        Some(workspace) => Ok(Some(workspace.clone())),
+        None if route.anonymous => Ok(None),
+        None => Err(Refusal::UnknownKey),
+    }
+}
+
+/// Reads a caller's body whole, so that it can be sent more than once.
+///
+/// # Errors
+///
+/// With the refusal for the caller.
+pub async fn read_body(
+    body: Incoming,
+    limits: &CallerLimits,
+) -> Result<Bytes, Refusal> {
+    match Limited::new(body, limits.max_body_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err(Refusal::BodyTooLong)
+        }
+        Err(_) => Err(Refusal::BodyIncomplete),
+    }
+}
--- /dev/null
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -0,0 +1,112 @@
+//! The path of one request: accept, stages, send, answer.
+
+pub mod accept;
+mod dispatch;
+pub mod record;
+
+use std::{rc::Rc, time::Duration};
+
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use tokio::time::timeout_at;
+
+use crate::{
+    body::ReplyBody, context::Gateway, refusal::Refusal, stages::preparation,
+};
+
+use self::{
+    accept::{Accepted, accept, read_body},
+    dispatch::dispatch,
+    record::Record,
+};
+
+/// The shortest wait that a refused caller is told.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// The part of the time left that a refused caller is told to wait at most,
+/// as a divisor, so that its next attempt has time to be served.
+const RETRY_AFTER_DIVISOR: u32 = 4;
+
+/// A request that ends without an answer of a server.
+#[derive(Debug)]
+pub struct Ended {
+    /// What the caller is told.
+    pub refusal: Refusal,
+    /// When the cause is expected to have passed.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<Refusal> for Ended {
+    fn from(refusal: Refusal) -> Ended {
+        Ended { refusal, retry_after: None }
+    }
+}
+
+/// Serves one request of a caller.
+pub async fn serve(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    // Whatever follows a chunked body on its connection may have been framed
+    // for another reading of the same bytes, so it is not read.
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let mut response = respond(&gateway, request).await;
+    if chunked {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn respond(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    let mut record = Record::new(&gateway.board, &gateway.metrics);
+    let (head, body) = request.into_parts();
+    let accepted = match accept(gateway, &head, &mut record) {
+        Ok(accepted) => accepted,
+        Err(refusal) => return refuse(record, refusal.into(), None),
+    };
+    let limits = accepted.config.limits;
+    let give_up = accepted.give_up.into();
+    let read = timeout_at(give_up, read_body(body, &limits)).await;
+    let body = match read.unwrap_or(Err(Refusal::TimeOutUnsent)) {
+        Ok(body) => body,
+        Err(refusal) => {
+            return refuse(record, refusal.into(), Some(&accepted));
+        }
+    };
+    let prepare = preparation::run(gateway, &accepted, &mut record);
+    let prepared = timeout_at(give_up, prepare).await;
+    let prepared =
+        prepared.unwrap_or_else(|_| Err(Refusal::TimeOutUnsent.into()));
+    let results = match prepared {
+        Ok(results) => results,
+        Err(ended) => return refuse(record, ended, Some(&accepted)),
+    };
+    match dispatch(gateway, &accepted, &head, body, &results, record).await {
+        Ok(response) => response,
+        Err((record, ended)) => refuse(*record, ended, Some(&accepted)),
+    }
+}
+
+/// Answers a request that ends without an answer of a server, at once.
+fn refuse(
+    mut record: Record,
+    ended: Ended,
+    accepted: Option<&Accepted>,
+) -> Response<ReplyBody> {
+    let Ended { refusal, retry_after } = ended;
+    let longest = accepted.map_or(MIN_RETRY_AFTER, |accepted| {
+        let patience = accepted.give_up.duration_since(record.started());
+        patience / RETRY_AFTER_DIVISOR
+    });
+    let wait = retry_after
+        .unwrap_or(MIN_RETRY_AFTER)
+        .min(longest)
+        .max(MIN_RETRY_AFTER);
+    record.status = refusal.status().as_u16();
+    record.end(refusal.label());
+    refusal.response(Some(wait))
+}
--- /dev/null
+++ b/crates/briarladder-gateway/src/request/record.rs
@@ -0,0 +1,124 @@
+//! What is known of one request, for its log line and the metrics.
+//!
+//! The line is written when the record is dropped, so that a request whose
+//! caller has left is logged too.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{board::Board, metrics::Metrics};
+
+/// The record of one request.
+#[derive(Debug)]
+pub struct Record {
+    board: Rc<Board>,
+    metrics: Rc<Metrics>,
+    started: Instant,
+    /// The caller's attempt.
+    pub attempt: Arc<str>,
+    /// The route, once it is known.
+    pub route: Option<Arc<str>>,
+    /// The workspace, once it is known.
+    pub workspace: Option<Arc<str>>,
+    /// The version of the configuration that the request uses.
+    pub config_version: u64,
+    /// The server of the last send.
+    pub server: Option<Arc<str>>,
+    /// Sends to servers.
+    pub sends: u32,
+    /// The time that the stages took.
+    pub stages: Option<Duration>,
+    /// The time to the head of the answer.
+    first_byte: Option<Duration>,
+    /// The status that the caller gets.
+    pub status: u16,
+    /// What decided the outcome.
+    pub cause: Option<String>,
+    relayed_bytes: usize,
+    outcome: Option<&'static str>,
+}
+
+impl Record {
+    /// Starts the record of a request.
+    #[must_use]
+    pub fn new(board: &Rc<Board>, metrics: &Rc<Metrics>) -> Record {
+        board.open_requests.set(board.open_requests.get() + 1);
+        metrics.open_requests.inc();
+        Record {
+            board: Rc::clone(board),
+            metrics: Rc::clone(metrics),
+            started: board.now(),
+            attempt: Arc::from("-"),
+            route: None,
+            workspace: None,
+            config_version: 0,
+            server: None,
+            sends: 0,
+            stages: None,
+            first_byte: None,
+            status: 0,
+            cause: None,
+            relayed_bytes: 0,
+            outcome: None,
+        }
+    }
+
+    /// Returns when the request arrived.
+    #[must_use]
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Records that the head of the answer is there.
+    pub fn head_arrived(&mut self) {
+        self.first_byte = Some(self.elapsed());
+    }
+
+    /// Counts bytes of the answer.
+    pub fn relayed(&mut self, bytes: usize) {
+        self.relayed_bytes += bytes;
+    }
+
+    /// Sets the outcome.
+    pub fn end(&mut self, outcome: &'static str) {
+        self.outcome = Some(outcome);
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.board.now().duration_since(self.started)
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        self.board.open_requests.set(self.board.open_requests.get() - 1);
+        self.metrics.open_requests.dec();
+        let outcome = self.outcome.unwrap_or("caller_left");
+        let route = self.route.as_deref().unwrap_or("-");
+        self.metrics.request_ended(route, outcome, self.first_byte);
+        log::info!(
+            "request: id={} route={route} workspace={} outcome={outcome} \
+             status={} ms={} first_ms={} stages_ms={} server={} sends={} \
+             bytes={} config={} cause={:?}",
+            self.attempt,
+            self.workspace.as_deref().unwrap_or("-"),
+            self.status,
+            self.elapsed().as_millis(),
+            millis(self.first_byte),
+            millis(self.stages),
+            self.server.as_deref().unwrap_or("-"),
+            self.sends,
+            self.relayed_bytes,
+            self.config_version,
+            self.cause.as_deref().unwrap_or("-"),
+        );
+    }
+}
+
+fn millis(time: Option<Duration>) -> i128 {
+    // Minus one stands for a time that was never reached.
+    time.and_then(|time| i128::try_from(time.as_millis()).ok()).unwrap_or(-1)
+}
--- /dev/null
+++ b/crates/briarladder-gateway/src/settings.rs
@@ -0,0 +1,45 @@
+//! The settings of a gateway, in the product's own words.
+//!
+//! The adapter of a platform fills them from the platform's settings file.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use briarladder_core::{
+    fleet::{budget::BudgetTerms, placement::Regions},
+    sorted::SortedMap,
+};
+
+/// What a gateway knows at its start.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// The name of the VM.
+    pub vm: Arc<str>,
+    /// The availability zone of the VM.
+    pub zone: Arc<str>,
+    /// The regions of all zones.
+    pub regions: SortedMap<Arc<str>, Arc<str>>,
+    /// Where callers are served.
+    pub callers: SocketAddr,
+    /// Where readiness is told.
+    pub readiness: SocketAddr,
+    /// Where peers are served.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// Peer addresses of some daemons; they may be out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The longest time of a planned stop.
+    pub stop_grace: Duration,
+    /// The retry budget of each service over the whole fleet.
+    pub retry_budget: BudgetTerms,
+}
+
+impl GatewaySettings {
+    /// Returns the regions as placement reads them.
+    #[must_use]
+    pub fn region_map(&self) -> Regions {
+        Regions::new(self.regions.clone())
+    }
+}
