Place by long prefix over the fleet, collect in one place, order by rank

Change: a prefix that takes longer to read than a round trip between regions has one server in the fleet; large results are made in its zone; up to eight servers of a service share one collector; pieces that can meet their target go first, by rank; pieces that can't be made in time are refused on arrival.

--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -5,9 +5,14 @@
 //! the pieces that arrive meanwhile wait together and fill the next call. So
 //! calls are short at low load and full at high load, without a timer.
 //!
-//! Waiting pieces are ordered by the time at which they are needed. A piece
-//! that can't meet its target any more comes after those that can, and a piece
-//! that can't meet its deadline is given up at once.
+//! Pieces that can still meet their target come first, by rank and then by
+//! the time at which they are needed. Under a flood, ordering by time alone
+//! would serve each piece just as it becomes late. A part of each call is kept
+//! for what has waited longest, whatever its rank. A piece that can't be made
+//! before its deadline, with all that is ahead of it, is given up at once.
+//!
+//! A few servers are collected for by one daemon of the fleet, since two
+//! half-filled queues fill no call; many are collected for by zone.
 //!
 //! # Example
 //!
@@ -29,11 +34,13 @@
 //! };
 //! let now = Instant::now();
 //! let mut queue = PieceQueue::new(spec);
-//! queue.set_servers(["maker-1".into()]);
+//! queue.set_servers([("maker-1".into(), "zone-a".into())]);
 //! for id in 0..3 {
 //!     queue.push(Order {
 //!         id,
 //!         rank: 0,
+//!         stage: 0,
+//!         zone: "zone-a".into(),
 //!         due: now + Duration::from_secs(1),
 //!         deadline: now + Duration::from_secs(5),
 //!         result_bytes: 1000,
@@ -53,10 +60,16 @@
 
 use super::config::PieceSpec;
 
-/// How much later a piece counts as needed for each rank below the first.
-/// About the time of one call, so that a more urgent piece goes a call
-/// earlier, and a less urgent one still has its turn.
-const RANK_OFFSET: Duration = Duration::from_millis(250);
+/// One place in this many of a call goes to the piece that has been needed
+/// longest, so that a flood of a more urgent rank starves no other.
+const FLOOR_ONE_IN: usize = 8;
+
+/// Up to this many servers of a service are collected for by one daemon.
+const MAX_SHARED_SERVERS: usize = 8;
+
+/// Results from this size on are made in the zone where they are needed, if
+/// a server there is idle.
+const LARGE_RESULT_BYTES: u64 = 500_000;
 
 /// How long a server that refused a call gets none; each further refusal
 /// doubles the time.
@@ -77,6 +90,10 @@
     pub id: u64,
     /// The rank of its request; 0 is the most urgent.
     pub rank: u8,
+    /// The stage. Later stages have more work to lose.
+    pub stage: usize,
+    /// The zone where the result is needed.
+    pub zone: Arc<str>,
     /// When the piece is needed so that its request meets its target.
     pub due: Instant,
     /// When the piece is of no use any more.
@@ -117,6 +134,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Lane {
+    zone: Option<Arc<str>>,
     calls: u32,
     in_call_bytes: u64,
     results: SortedMap<Arc<str>, Held>,
@@ -159,15 +177,16 @@
         self.spec = spec;
     }
 
-    /// Sets the servers that take calls. What is known of a server that
+    /// Sets the servers that take calls, with their zones. What is known of a server that
     /// stays is kept.
     pub fn set_servers(
         &mut self,
-        servers: impl IntoIterator<Item = Arc<str>>,
+        servers: impl IntoIterator<Item = (Arc<str>, Arc<str>)>,
     ) {
         let mut lanes = SortedMap::new();
-        for server in servers {
+        for (server, zone) in servers {
             let mut lane = self.lanes.remove(&*server).unwrap_or_default();
+            lane.zone = Some(zone);
             lane.closed = false;
             lanes.insert(server, lane);
         }
@@ -191,14 +210,22 @@
         self.waiting.retain(|order| !ids.contains(&order.id));
     }
 
-    /// Takes the pieces that can't be made before their deadline.
+    /// Takes the pieces that can't be made before their deadline, with all
+    /// that is ahead of them.
     pub fn take_late(&mut self, now: Instant) -> Vec<u64> {
+        self.sort_waiting(now);
         let shortest = self.spec.call + self.spec.item;
         let mut late = Vec::new();
+        let mut ahead = 0;
+        let waits: Vec<Duration> =
+            (0..self.waiting.len()).map(|at| self.wait_behind(at)).collect();
         self.waiting.retain(|order| {
-            let hopeless = now + shortest > order.deadline;
+            let start = now + waits[ahead];
+            let hopeless = start + shortest > order.deadline;
             if hopeless {
                 late.push(order.id);
+            } else {
+                ahead += 1;
             }
             !hopeless
         });
@@ -262,12 +289,17 @@
     /// Estimates how long a piece that is pushed now waits for its call.
     #[must_use]
     pub fn expected_wait(&self) -> Duration {
+        self.wait_behind(self.waiting.len())
+    }
+
+    /// Estimates the wait of a piece with this many pieces ahead of it.
+    fn wait_behind(&self, ahead: usize) -> Duration {
         let servers = u32::try_from(self.lanes.len().max(1)).unwrap_or(1)
             * self.spec.slots.max(1);
         let batch = u32::try_from(self.spec.batch.max(1)).unwrap_or(1);
         let full_call = self.spec.call + self.spec.item * batch;
-        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
-        let queued = full_call * waiting / (batch * servers);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let queued = full_call * ahead / (batch * servers);
         let busy = self.lanes.values().all(|l| l.calls >= self.spec.slots);
         if busy { queued + full_call / 2 } else { queued }
     }
@@ -294,11 +326,13 @@
         let call = self.spec.call + self.spec.item;
         self.waiting.sort_by_key(|order| {
             let misses_target = now + call > order.due;
-            (misses_target, order.due + RANK_OFFSET * order.rank.into())
+            let later_stage = misses_target.then_some(Reverse(order.stage));
+            (misses_target, order.rank, later_stage, order.due)
         });
     }
 
-    /// Returns the idle server with the most room.
+    /// Returns an idle server: one where a large result is needed if there
+    /// is one, else the one with the most room.
     fn idle_server(&self, now: Instant) -> Option<Arc<str>> {
         let first = self.waiting.first()?;
         let others = self.lanes.len() > 1;
@@ -314,7 +348,10 @@
                 self.fits(lane.held_bytes() + first.result_bytes)
                     || lane.held_bytes() == 0
             })
-            .min_by_key(|(name, lane)| (lane.held_bytes(), Reverse(*name)))
+            .min_by_key(|(name, lane)| {
+                let elsewhere = lane.zone.as_ref() != Some(&first.zone);
+                (elsewhere, lane.held_bytes(), Reverse(*name))
+            })
             .map(|(name, _)| Arc::clone(name))
     }
 
@@ -322,26 +359,16 @@
         bytes <= self.spec.room_bytes / 100 * USED_ROOM_HUNDREDTHS
     }
 
-    /// Moves the first waiting pieces that fit into a call.
+    /// Moves waiting pieces that fit into a call.
     fn take_batch(&mut self, server: Arc<str>) -> Call {
-        let held = self.lanes.get(&*server).map_or(0, Lane::held_bytes);
+        let chosen = self.choose_batch(&server);
+        let mut ids = Vec::with_capacity(chosen.len());
         let mut result_bytes = 0;
-        let mut ids = Vec::new();
-        let alone = self.lanes.len() == 1;
-        let batch = self.spec.batch.max(1);
-        let mut kept = Vec::with_capacity(self.waiting.len());
-        for order in std::mem::take(&mut self.waiting) {
-            let wanted = alone || order.avoid.as_ref() != Some(&server);
-            let bytes = result_bytes + order.result_bytes;
-            let room = self.fits(held + bytes) || held + result_bytes == 0;
-            if ids.len() < batch && wanted && room {
-                result_bytes = bytes;
-                ids.push(order.id);
-            } else {
-                kept.push(order);
-            }
+        for &at in &chosen {
+            ids.push(self.waiting[at].id);
+            result_bytes += self.waiting[at].result_bytes;
         }
-        self.waiting = kept;
+        self.waiting.retain(|order| !ids.contains(&order.id));
         if !ids.is_empty()
             && let Some(lane) = self.lanes.get_mut(&*server)
         {
@@ -352,6 +379,81 @@
         let expected = self.spec.call + self.spec.item * pieces;
         Call { server, ids, expected, result_bytes }
     }
+
+    /// Chooses the positions of the pieces for a call: first those whose
+    /// result is needed near the server, then the rest, and in the last
+    /// places what has been needed longest.
+    fn choose_batch(&self, server: &Arc<str>) -> Vec<usize> {
+        let Some(lane) = self.lanes.get(&**server) else { return Vec::new() };
+        let alone = self.lanes.len() == 1;
+        let batch = self.spec.batch.max(1);
+        let by_rank = batch - batch / FLOOR_ONE_IN;
+        let mut longest: Vec<usize> = (0..self.waiting.len()).collect();
+        longest.sort_by_key(|&at| self.waiting[at].due);
+        let near = |at: &usize| {
+            let order = &self.waiting[*at];
+            *at == 0
+                || order.result_bytes < LARGE_RESULT_BYTES
+                || lane.zone.as_ref() == Some(&order.zone)
+        };
+        let in_order = 0..self.waiting.len();
+        let candidates: Vec<usize> = in_order
+            .clone()
+            .filter(near)
+            .chain(in_order.filter(|at| !near(at)))
+            .collect();
+        let mut chosen = Vec::new();
+        let mut bytes = lane.held_bytes();
+        let mut add = |at: usize, places: usize| {
+            let order = &self.waiting[at];
+            let wanted = alone || order.avoid.as_ref() != Some(server);
+            let fits = self.fits(bytes + order.result_bytes) || bytes == 0;
+            if chosen.len() < places && wanted && fits && !chosen.contains(&at)
+            {
+                bytes += order.result_bytes;
+                chosen.push(at);
+            }
+        };
+        for &at in &candidates {
+            add(at, by_rank);
+        }
+        for at in longest.into_iter().chain(candidates) {
+            add(at, batch);
+        }
+        chosen
+    }
+}
+
+/// Which servers a daemon collects for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CollectingZone {
+    /// All servers of the service; a daemon of this zone does it.
+    Shared(Arc<str>),
+    /// The servers of this zone; a daemon of the same zone does it.
+    Own(Arc<str>),
+}
+
+/// Returns who collects for the servers of a service, given the zones of all
+/// its servers and the zone whose servers are preferred.
+#[must_use]
+pub fn collecting_zone<'a>(
+    zones: impl IntoIterator<Item = &'a Arc<str>>,
+    preferred: &Arc<str>,
+) -> CollectingZone {
+    let mut count: SortedMap<Arc<str>, usize> = SortedMap::new();
+    for zone in zones {
+        *count.entry_or_insert_with(Arc::clone(zone), || 0) += 1;
+    }
+    let servers: usize = count.values().sum();
+    if servers > MAX_SHARED_SERVERS {
+        return CollectingZone::Own(Arc::clone(preferred));
+    }
+    // The zone with the most servers; of equal ones the first by name.
+    let largest = count
+        .iter()
+        .max_by_key(|(zone, servers)| (**servers, Reverse(Arc::clone(zone))))
+        .map(|(zone, _)| Arc::clone(zone));
+    CollectingZone::Shared(largest.unwrap_or_else(|| Arc::clone(preferred)))
 }
 
 /// An estimate counts for this long; then the collector counts as idle, so
--- a/crates/briarladder-core/src/fleet/peers.rs
+++ b/crates/briarladder-core/src/fleet/peers.rs
@@ -40,7 +40,7 @@
 const AVOID_FOR: Duration = Duration::from_millis(1500);
 
 /// A dead peer is forgotten after this time.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+const FORGET_AFTER: Duration = Duration::from_mins(1);
 
 /// The heartbeats in one exchange. It bounds the bytes of an exchange in a
 /// large fleet; a random part is sent each time.
@@ -198,7 +198,7 @@
         self.largest
     }
 
-    /// Returns the daemon that does a duty for a zone: the first in
+    /// Returns the daemon that does a duty near a zone: the first in
     /// rendezvous order among the live daemons of the zone, else of all.
     /// Two daemons may disagree for a moment, so a duty must allow that.
     #[must_use]
--- a/crates/briarladder-core/src/fleet/placement.rs
+++ b/crates/briarladder-core/src/fleet/placement.rs
@@ -3,7 +3,9 @@
 //! Servers of the caller's zone come first, then those of the region, then
 //! the rest. Requests that share a prompt prefix go to the same server, which
 //! all daemons agree on without messages, until that server holds clearly
-//! more of this daemon's work than the others.
+//! more of this daemon's work than the others. A prefix that takes longer to
+//! read than a round trip between regions has one server in the whole fleet;
+//! a shorter one has one in each zone.
 //!
 //! # Example
 //!
@@ -43,13 +45,39 @@
 /// group, so that a few requests never move a prefix.
 const AFFINITY_SLACK: usize = 3;
 
+/// The prompt tokens that an engine reads in a millisecond, as an order of
+/// magnitude: it only tells long prefixes from short ones.
+const READ_TOKENS_PER_MS: u64 = 60;
+
+/// A round trip between regions, and what it costs beyond its time. Reading
+/// a prefix takes longer than this from 2,400 tokens on.
+const FAR_ROUND_TRIP: Duration = Duration::from_millis(40);
+
+/// A prompt prefix that requests share.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Affinity<'a> {
+    /// Identifies its content.
+    pub prefix: &'a str,
+    /// Its length.
+    pub tokens: u64,
+}
+
+impl Affinity<'_> {
+    /// Returns whether reading the prefix takes longer than a round trip to
+    /// a server that has read it.
+    fn outweighs_distance(self) -> bool {
+        let reading = Duration::from_millis(self.tokens / READ_TOKENS_PER_MS);
+        reading > FAR_ROUND_TRIP
+    }
+}
+
 /// What a request wants of its server.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
     /// The zone of this daemon.
     pub zone: &'a str,
     /// The shared prompt prefix, if there is one.
-    pub affinity: Option<&'a str>,
+    pub affinity: Option<Affinity<'a>>,
     /// The servers that were tried before.
     pub tried: &'a [Arc<str>],
     /// A random number that spreads requests over equal servers.
@@ -152,11 +180,14 @@
             .into_iter()
             .filter(|server| !wish.tried.contains(&server.name))
             .collect();
+        let anywhere = wish.affinity.is_some_and(Affinity::outweighs_distance);
         let rank = |server: &&ListedServer| {
-            (
-                self.is_avoided(now, &server.name),
-                self.regions.distance(wish.zone, &server.zone),
-            )
+            let distance = if anywhere {
+                Distance::Zone
+            } else {
+                self.regions.distance(wish.zone, &server.zone)
+            };
+            (self.is_avoided(now, &server.name), distance)
         };
         let best = untried.iter().map(rank).min()?;
         let group: Vec<&ListedServer> = untried
@@ -164,7 +195,7 @@
             .filter(|server| rank(server) == best)
             .collect();
         match wish.affinity {
-            Some(prefix) => by_affinity(prefix, &group, &running),
+            Some(affinity) => by_affinity(affinity.prefix, &group, &running),
             None => by_load(wish.point, &group, &running),
         }
     }
@@ -230,7 +261,8 @@
         server
     }
 
-    fn wish<'a>(affinity: Option<&'a str>, tried: &'a [Arc<str>]) -> Wish<'a> {
+    fn wish<'a>(prefix: Option<&'a str>, tried: &'a [Arc<str>]) -> Wish<'a> {
+        let affinity = prefix.map(|prefix| Affinity { prefix, tokens: 300 });
         Wish { zone: "z1", affinity, tried, point: 5 }
     }
 
@@ -271,6 +303,26 @@
         assert_ne!(choose(Some(&home)).name, home);
     }
 
+    /// Guards against a long prefix that each zone reads for itself, and
+    /// against a short one that makes requests travel.
+    #[test]
+    fn choose_affinity_by_length() {
+        let servers: Vec<ListedServer> = (0..9)
+            .map(|at| server(&format!("s{at}"), &format!("z{}", at % 3)))
+            .collect();
+        let placement = Placement::default();
+        let now = Instant::now();
+        let choose = |zone: &str, tokens| {
+            let affinity = Some(Affinity { prefix: "p", tokens });
+            let wish = Wish { zone, affinity, tried: &[], point: 0 };
+            let chosen = placement.choose(now, &wish, &servers, |_| 0);
+            chosen.unwrap().clone()
+        };
+        assert_eq!(choose("z0", 13_300).name, choose("z1", 13_300).name);
+        assert_eq!(&*choose("z0", 300).zone, "z0");
+        assert_eq!(&*choose("z1", 300).zone, "z1");
+    }
+
     /// Guards against a retry at a server that has failed the request.
     #[test]
     fn choose_skips_tried() {
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -6,7 +6,8 @@
 use std::{sync::Arc, time::Duration};
 
 use briarladder_core::fleet::{
-    config::FleetConfig, mirror::Item, server::ListedServer, stages::Handle,
+    config::FleetConfig, mirror::Item, placement::Affinity,
+    server::ListedServer, stages::Handle,
 };
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -65,9 +66,13 @@
     /// Returns the longest prefix that other requests share: all parts but
     /// the last, which belongs to the request or its session.
     #[must_use]
-    pub fn shared_prefix(&self) -> Option<&str> {
-        let at = self.parts.len().saturating_sub(2);
-        self.parts.get(at).map(|part| &*part.id)
+    pub fn shared_prefix(&self) -> Option<Affinity<'_>> {
+        let last = self.parts.len().saturating_sub(1).max(1);
+        let shared = self.parts.get(..last)?;
+        Some(Affinity {
+            prefix: &shared.last()?.id,
+            tokens: shared.iter().map(|part| part.tokens).sum(),
+        })
     }
 }
 
--- a/crates/briarladder-gateway/src/net.rs
+++ b/crates/briarladder-gateway/src/net.rs
@@ -11,7 +11,7 @@
 
 /// Sent bytes that stay unacknowledged for this long end the connection.
 /// Three round trips between regions fit many times.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2000);
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// An idle connection is probed after this time.
 const PROBE_AFTER: Duration = Duration::from_secs(2);
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -29,8 +29,10 @@
 pub struct PiecesRequest {
     /// The service that makes them.
     pub service: Arc<str>,
-    /// The zone whose servers should make them.
-    pub zone: Arc<str>,
+    /// The zone whose servers should make them, or all servers.
+    pub zone: Option<Arc<str>>,
+    /// The zone where the results are needed.
+    pub home: Arc<str>,
     /// The attempt of the caller.
     pub attempt: Arc<str>,
     /// The stage.
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -34,7 +34,7 @@
 
 /// A stopping process stays at least this long, while the balancer still
 /// sends it new connections: two failed checks a second apart.
-const MIN_STOP: Duration = Duration::from_millis(3000);
+const MIN_STOP: Duration = Duration::from_secs(3);
 
 /// A stopping process ends this long before it would be killed.
 const STOP_RESERVE: Duration = Duration::from_millis(400);
@@ -83,11 +83,8 @@
         settings.peers,
         std::process::id()
     );
-    loop {
-        match signals.next().await {
-            Asked::Reload => reload_settings(&gateway, &reload),
-            Asked::Stop => break,
-        }
+    while let Asked::Reload = signals.next().await {
+        reload_settings(&gateway, &reload);
     }
     stop_gracefully(&gateway, &settings, &stop).await;
     Ok(())
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -24,7 +24,7 @@
     board::RunningGuard,
     body::{Relay, ReplyBody},
     context::Gateway,
-    dialect::{AnswerHead, Dispatch},
+    dialect::{AnswerHead, Dispatch, Prompt},
     metrics::Metrics,
     pool::{Freshness, Lease, SendError},
     refusal::Refusal,
@@ -88,7 +88,13 @@
     failure: AttemptFailure,
     cause: String,
     /// The answer of a server that reports a failure of its own.
-    own_failure: Option<(response::Parts, Bytes)>,
+    own_failure: Option<Box<WholeAnswer>>,
+}
+
+/// An answer that was read whole.
+struct WholeAnswer {
+    head: response::Parts,
+    body: Bytes,
 }
 
 impl From<SendError> for Failed {
@@ -129,7 +135,7 @@
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut last_failure = None;
     let refusal = loop {
-        let Some(server) = choose_server(&outgoing, &tried) else {
+        let Some(server) = choose_server(gateway, accepted, &tried) else {
             record.cause.get_or_insert_with(|| "no server left".to_owned());
             break match sends.may_have_run() {
                 0 => Refusal::NoServer,
@@ -173,8 +179,9 @@
         }
     };
     if refusal == Refusal::Unknown
-        && let Some((head, body)) = last_failure
+        && let Some(answer) = last_failure
     {
+        let WholeAnswer { head, body } = *answer;
         record.status = head.status.as_u16();
         record.end("server_failed");
         return Ok(whole_response(&head, body));
@@ -182,17 +189,19 @@
     Err((Box::new(record), refusal.into()))
 }
 
-fn choose_server(
-    outgoing: &Outgoing<'_>,
+/// Chooses the server that runs a request.
+#[must_use]
+pub fn choose_server(
+    gateway: &Gateway,
+    accepted: &Accepted,
     tried: &[Arc<str>],
 ) -> Option<Arc<ListedServer>> {
-    let board = &outgoing.gateway.board;
-    let accepted = outgoing.accepted;
+    let board = &gateway.board;
     let servers = board.servers.borrow();
     let prompt = accepted.caller.prompt.as_ref();
     let wish = Wish {
         zone: &board.zone,
-        affinity: prompt.and_then(|prompt| prompt.shared_prefix()),
+        affinity: prompt.and_then(Prompt::shared_prefix),
         tried,
         point: rand::random(),
     };
@@ -340,7 +349,8 @@
             return Ok(Usable::Whole(head, body));
         }
         // A status that promises "not run" is only passed on with proof.
-        let own_failure = (!is_promise(status)).then_some((head, body));
+        let own_failure = (!is_promise(status))
+            .then(|| Box::new(WholeAnswer { head, body }));
         Err(Failed {
             failure: AttemptFailure::ErrorStatus,
             cause: format!("the server answered {status}"),
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -1,7 +1,7 @@
 //! The path of one request: accept, stages, send, answer.
 
 pub mod accept;
-mod dispatch;
+pub mod dispatch;
 pub mod record;
 
 use std::{rc::Rc, time::Duration};
@@ -28,7 +28,7 @@
 const RETRY_AFTER_DIVISOR: u32 = 4;
 
 /// A request that ends without an answer of a server.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Ended {
     /// What the caller is told.
     pub refusal: Refusal,
--- a/crates/briarladder-gateway/src/stages/collector.rs
+++ b/crates/briarladder-gateway/src/stages/collector.rs
@@ -47,16 +47,12 @@
 /// The longest time to release results at their maker.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Returns the name of the duty to collect for the servers of a zone.
-#[must_use]
-pub fn duty(service: &str, zone: &str) -> String {
-    format!("{service}@{zone}")
-}
-
+/// Which servers a queue is for.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct QueueKey {
     service: Arc<str>,
-    zone: Arc<str>,
+    /// The zone of the servers, or all of the service.
+    zone: Option<Arc<str>>,
 }
 
 /// The pieces of one request and stage.
@@ -163,7 +159,7 @@
     ) -> PiecesReply {
         let key = QueueKey {
             service: Arc::clone(&request.service),
-            zone: Arc::clone(&request.zone),
+            zone: request.zone.clone(),
         };
         let Some(spec) = self.spec(&key.service) else {
             let failed = vec![PieceReply::Failed];
@@ -258,13 +254,15 @@
     /// Gives up late pieces and starts calls to idle servers.
     fn pump(self: &Rc<Self>, key: &QueueKey) {
         let now = self.board.now();
-        let servers: Vec<Arc<str>> = self
+        let servers: Vec<(Arc<str>, Arc<str>)> = self
             .board
             .servers
             .borrow()
             .ready(&key.service)
-            .filter(|server| server.zone == key.zone)
-            .map(|server| Arc::clone(&server.name))
+            .filter(|server| {
+                key.zone.as_ref().is_none_or(|zone| *zone == server.zone)
+            })
+            .map(|server| (Arc::clone(&server.name), Arc::clone(&server.zone)))
             .collect();
         let mut queues = self.queues.borrow_mut();
         let Some(queue) = queues.get_mut(key) else { return };
@@ -521,12 +519,10 @@
     fn note_released(&self, result: &ReleasedResult) {
         let server = self.board.servers.borrow().get(&result.maker).cloned();
         let Some(server) = server else { return };
-        let key = QueueKey {
-            service: Arc::clone(&server.service),
-            zone: Arc::clone(&server.zone),
-        };
-        if let Some(queue) = self.queues.borrow_mut().get_mut(&key) {
-            queue.pieces.released(&result.maker, &result.reference);
+        for (key, queue) in self.queues.borrow_mut().iter_mut() {
+            if key.service == server.service {
+                queue.pieces.released(&result.maker, &result.reference);
+            }
         }
     }
 
@@ -555,6 +551,8 @@
         Order {
             id,
             rank: self.batch.request.rank,
+            stage: self.batch.request.stage,
+            zone: Arc::clone(&self.batch.request.home),
             due: self.batch.due,
             deadline: self.batch.deadline,
             result_bytes: self.batch.request.result_bytes,
--- a/crates/briarladder-gateway/src/stages/mod.rs
+++ b/crates/briarladder-gateway/src/stages/mod.rs
@@ -1,5 +1,7 @@
 //! The stages of a request: asking for pieces, and collecting them.
 
 pub mod collector;
+mod costs;
+mod duty;
 pub mod preparation;
 pub mod release;
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -3,10 +3,8 @@
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use briarladder_core::fleet::{
-    config::{PieceSpec, ServiceWork},
-    peers::Heartbeat,
-    placement::Distance,
-    stages::{Handle, StagePlan},
+    config::ServiceWork,
+    stages::{Handle, StageEstimate, StagePlan},
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
@@ -15,24 +13,17 @@
     metrics::Metrics,
     peers::messages::{PIECES_PATH, PieceReply, PiecesReply, PiecesRequest},
     refusal::Refusal,
-    request::{Ended, accept::Accepted, record::Record},
+    request::{
+        Ended, accept::Accepted, dispatch::choose_server, record::Record,
+    },
 };
 
-use super::collector::duty;
+use super::duty::{self, Duty};
 
 /// The time from the last stage to the first token: placing the request,
 /// fetching its inputs and reading a prompt whose prefix is cached.
 const FIRST_TOKEN_TIME: Duration = Duration::from_millis(200);
 
-/// What it counts for to use servers of another region.
-const FAR_COST: Duration = Duration::from_millis(80);
-
-/// What it counts for to use servers of another zone of the region.
-const REGION_COST: Duration = Duration::from_millis(20);
-
-/// What it counts for that a megabyte of results crosses zones.
-const CROSSING_COST_PER_MB: Duration = Duration::from_millis(15);
-
 /// A collector that stops answering is replaced this often for one stage.
 const MAX_COLLECTORS: usize = 2;
 
@@ -112,12 +103,17 @@
         record.cause = Some(error.to_string());
         Refusal::Malformed
     })?;
+    // Results are made where the request itself will run.
+    let home = choose_server(gateway, accepted, &[]).map_or_else(
+        || Arc::clone(&gateway.board.zone),
+        |server| Arc::clone(&server.zone),
+    );
     let mut running = FuturesUnordered::new();
     while !plan.is_complete() {
         for stage in plan.startable() {
             plan.started(stage);
-            let order = order(gateway, accepted, &plan, stage);
-            running.push(run_stage(gateway, accepted, order));
+            let (duty, order) = order(gateway, accepted, &plan, stage, &home);
+            running.push(run_stage(gateway, accepted, duty, order));
         }
         let Some(StageEnd { stage, results }) = running.next().await else {
             record.cause = Some("the stages wait for each other".to_owned());
@@ -140,11 +136,13 @@
     accepted: &Accepted,
     plan: &StagePlan<'_>,
     stage: usize,
-) -> PiecesRequest {
+    home: &Arc<str>,
+) -> (Duty, PiecesRequest) {
     let now = gateway.board.now();
     let spec = &accepted.route.stages[stage];
-    let after =
-        plan.time_after(stage, &|service| piece_spec(accepted, service));
+    let after = plan.time_after(stage, &|service| {
+        estimate(gateway, accepted, service, home)
+    });
     let due = accepted.target.checked_sub(after + FIRST_TOKEN_TIME);
     let due_ms = due.map_or(0, |due| match due.checked_duration_since(now) {
         Some(ahead) => millis(ahead),
@@ -157,14 +155,12 @@
         .map(|handle| handle.reference)
         .collect();
     let first = spec.after.is_empty();
-    PiecesRequest {
+    let bytes = spec.result_bytes * u64::from(plan.pieces(stage));
+    let duty = duty::for_pieces(gateway, &spec.service, home, bytes);
+    let request = PiecesRequest {
         service: Arc::clone(&spec.service),
-        zone: choose_zone(
-            gateway,
-            spec.result_bytes,
-            plan.pieces(stage),
-            &spec.service,
-        ),
+        zone: duty.zone.clone(),
+        home: Arc::clone(home),
         attempt: Arc::clone(&accepted.caller.attempt),
         stage,
         pieces: plan.pieces(stage),
@@ -174,63 +170,47 @@
         left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         rank: accepted.rank,
         result_bytes: spec.result_bytes,
-    }
+    };
+    (duty, request)
 }
 
 fn millis(time: Duration) -> i64 {
     i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
 }
 
-fn piece_spec(accepted: &Accepted, service: &str) -> Option<PieceSpec> {
-    match accepted.config.services.get(service)?.work {
-        ServiceWork::Pieces(spec) => Some(spec),
-        _ => None,
-    }
-}
-
-/// Chooses the zone whose servers make the pieces: this daemon's own, where
-/// the request itself will run, unless another is clearly less loaded.
-fn choose_zone(
+/// Estimates a stage from its published cost and the last wait that its
+/// collector has told.
+fn estimate(
     gateway: &Gateway,
-    result_bytes: u64,
-    pieces: u32,
+    accepted: &Accepted,
     service: &Arc<str>,
-) -> Arc<str> {
-    let board = &gateway.board;
-    let now = board.now();
-    let servers = board.servers.borrow();
-    let waits = board.waits.borrow();
-    let placement = board.placement.borrow();
-    let megabytes = result_bytes * u64::from(pieces) / 1_000_000;
-    let crossing =
-        CROSSING_COST_PER_MB * u32::try_from(megabytes).unwrap_or(u32::MAX);
-    servers
-        .ready(service)
-        .map(|server| &server.zone)
-        .min_by_key(|zone| {
-            let distance = match placement.distance(&board.zone, zone) {
-                Distance::Zone => Duration::ZERO,
-                Distance::Region => REGION_COST + crossing,
-                Distance::Far => FAR_COST + crossing,
-            };
-            waits.wait(now, service, zone) + distance
-        })
-        .map_or_else(|| Arc::clone(&board.zone), Arc::clone)
+    home: &Arc<str>,
+) -> StageEstimate {
+    let work = accepted.config.services.get(service).map(|s| &s.work);
+    let Some(ServiceWork::Pieces(spec)) = work else {
+        return StageEstimate::default();
+    };
+    let duty = duty::for_pieces(gateway, service, home, 0);
+    let now = gateway.board.now();
+    let waits = gateway.board.waits.borrow();
+    let wait = waits.wait(now, service, &duty.wait_zone());
+    StageEstimate { wait, call: spec.call, item: spec.item }
 }
 
 async fn run_stage(
     gateway: &Rc<Gateway>,
     accepted: &Accepted,
+    duty: Duty,
     order: PiecesRequest,
 ) -> StageEnd {
     let stage = order.stage;
-    let reply = ask(gateway, accepted, &order).await;
+    let reply = ask(gateway, accepted, &duty, &order).await;
     let wait = Duration::from_millis(reply.wait_ms);
     let now = gateway.board.now();
     gateway.board.waits.borrow_mut().heard(
         now,
         &order.service,
-        &order.zone,
+        &duty.wait_zone(),
         wait,
     );
     StageEnd { stage, results: results_of(gateway, &order, reply, wait) }
@@ -271,15 +251,16 @@
     }
 }
 
-/// Asks the collector of the zone; if it does not answer, the next one, and
-/// at last this daemon itself. Pieces may be made again.
+/// Asks the collector; if it does not answer, the next one, and at last this
+/// daemon itself. Pieces may be made again.
 async fn ask(
     gateway: &Rc<Gateway>,
     accepted: &Accepted,
+    duty: &Duty,
     order: &PiecesRequest,
 ) -> PiecesReply {
     for _ in 0..MAX_COLLECTORS {
-        let Some(holder) = collector_of(gateway, order) else { break };
+        let Some(holder) = duty.other_holder(gateway) else { break };
         let left = accepted.time_left(gateway.board.now());
         let reply = gateway
             .peers
@@ -302,15 +283,3 @@
     }
     gateway.collector.collect(order.clone()).await
 }
-
-/// Returns the daemon that collects for a zone, unless it is this one.
-fn collector_of(
-    gateway: &Gateway,
-    order: &PiecesRequest,
-) -> Option<Heartbeat> {
-    let now = gateway.board.now();
-    let peers = gateway.board.peers.borrow();
-    let duty = duty(&order.service, &order.zone);
-    let holder = peers.duty_holder(now, &duty, &order.zone)?;
-    (holder.name != gateway.vm).then(|| holder.clone())
-}
--- a/crates/briarladder-gateway/src/store.rs
+++ b/crates/briarladder-gateway/src/store.rs
@@ -125,7 +125,7 @@
         let body = self.get(&path, WATCH_WAIT + ANSWER_TIMEOUT).await?;
         let changes = self.gateway.dialect.decode_changes(&body)?;
         for item in changes.items {
-            apply(&self.gateway, item);
+            apply(&self.gateway, &item);
         }
         self.gateway.board.mirror.borrow_mut().advance(changes.revision);
         Ok(())
@@ -254,7 +254,7 @@
         apply_list(gateway, &items, reply.revision);
     } else {
         for item in items {
-            apply(gateway, item);
+            apply(gateway, &item);
         }
         gateway.board.mirror.borrow_mut().advance(reply.revision);
     }
@@ -262,7 +262,7 @@
 
 fn apply_list(gateway: &Gateway, items: &[Item], revision: u64) {
     for item in items {
-        apply(gateway, item.clone());
+        apply(gateway, item);
     }
     let removed =
         gateway.board.mirror.borrow_mut().apply_full(items, revision);
@@ -271,10 +271,10 @@
     }
 }
 
-fn apply(gateway: &Gateway, item: Item) {
+fn apply(gateway: &Gateway, item: &Item) {
     let news = gateway.board.mirror.borrow_mut().apply(item.clone());
     if news {
-        take_effect(gateway, &item);
+        take_effect(gateway, item);
     }
 }
 
