Make large results near their request and just in time

Work was held for callers of streams that had left.

Change: a stage with large results starts when its slack is used; a large result leaves its home zone only if it would be late or the zone has more than it can take; a request without a long prefix runs where its results lie; the time until callers leave bounds the stages; waits are judged by the usual size of calls under backlog.

--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -20,7 +20,7 @@
 //! use std::time::{Duration, Instant};
 //!
 //! use briarladder_core::fleet::{
-//!     collect::{Order, PieceQueue},
+//!     collect::{Home, Order, PieceQueue},
 //!     config::PieceSpec,
 //! };
 //!
@@ -40,7 +40,7 @@
 //!         id,
 //!         rank: 0,
 //!         stage: 0,
-//!         zone: "zone-a".into(),
+//!         home: Home::Fixed("zone-a".into()),
 //!         due: now + Duration::from_secs(1),
 //!         deadline: now + Duration::from_secs(5),
 //!         result_bytes: 1000,
@@ -67,8 +67,15 @@
 /// Up to this many servers of a service are collected for by one daemon.
 const MAX_SHARED_SERVERS: usize = 8;
 
+/// A piece waits for a server of its home zone only while this many full
+/// calls fit before it is needed.
+const HOME_CALLS: u32 = 2;
+
+/// The weight of the newest call in the usual size of calls under backlog.
+const BATCH_SMOOTHING: f64 = 0.1;
+
 /// Results from this size on are made in the zone where they are needed, if
-/// a server there is idle.
+/// that does not make them late.
 const LARGE_RESULT_BYTES: u64 = 500_000;
 
 /// How long a server that refused a call gets none; each further refusal
@@ -83,6 +90,25 @@
 /// results whose release is on its way and sizes that are approximate.
 const USED_ROOM_HUNDREDTHS: u64 = 90;
 
+/// Where a result is needed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Home {
+    /// In this zone.
+    Fixed(Arc<str>),
+    /// Best in this zone, but the request can run where the results are.
+    Preferred(Arc<str>),
+}
+
+impl Home {
+    /// Returns the zone.
+    #[must_use]
+    pub fn zone(&self) -> &Arc<str> {
+        match self {
+            Home::Fixed(zone) | Home::Preferred(zone) => zone,
+        }
+    }
+}
+
 /// A piece that waits.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -92,8 +118,8 @@
     pub rank: u8,
     /// The stage. Later stages have more work to lose.
     pub stage: usize,
-    /// The zone where the result is needed.
-    pub zone: Arc<str>,
+    /// Where the result is needed.
+    pub home: Home,
     /// When the piece is needed so that its request meets its target.
     pub due: Instant,
     /// When the piece is of no use any more.
@@ -163,13 +189,21 @@
     spec: PieceSpec,
     waiting: Vec<Order>,
     lanes: SortedMap<Arc<str>, Lane>,
+    /// Pieces of a call while more wait: fewer than a full batch when the
+    /// servers lack room for results.
+    usual_batch: f64,
 }
 
 impl PieceQueue {
     /// Creates an empty queue without servers.
     #[must_use]
     pub fn new(spec: PieceSpec) -> PieceQueue {
-        PieceQueue { spec, waiting: Vec::new(), lanes: SortedMap::new() }
+        PieceQueue {
+            spec,
+            waiting: Vec::new(),
+            lanes: SortedMap::new(),
+            usual_batch: f64::from(count(spec.batch.max(1))),
+        }
     }
 
     /// Sets the published cost and capacity of a server.
@@ -239,9 +273,10 @@
         }
         self.expire_results(now);
         self.sort_waiting(now);
-        let server = self.idle_server(now)?;
-        let call = self.take_batch(server);
-        (!call.ids.is_empty()).then_some(call)
+        self.idle_servers(now).into_iter().find_map(|server| {
+            let call = self.take_batch(now, server);
+            (!call.ids.is_empty()).then_some(call)
+        })
     }
 
     /// Records the end of a call of `bytes` expected result bytes, and the
@@ -294,14 +329,13 @@
 
     /// Estimates the wait of a piece with this many pieces ahead of it.
     fn wait_behind(&self, ahead: usize) -> Duration {
-        let servers = u32::try_from(self.lanes.len().max(1)).unwrap_or(1)
-            * self.spec.slots.max(1);
-        let batch = u32::try_from(self.spec.batch.max(1)).unwrap_or(1);
-        let full_call = self.spec.call + self.spec.item * batch;
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        let queued = full_call * ahead / (batch * servers);
+        let lanes = count(self.lanes.len().max(1)) * self.spec.slots.max(1);
+        let batch = self.usual_batch.max(1.0);
+        let call = self.spec.call + self.spec.item.mul_f64(batch);
+        let calls = f64::from(count(ahead)) / (batch * f64::from(lanes));
+        let queued = call.mul_f64(calls);
         let busy = self.lanes.values().all(|l| l.calls >= self.spec.slots);
-        if busy { queued + full_call / 2 } else { queued }
+        if busy { queued + call / 2 } else { queued }
     }
 
     /// Returns the number of waiting pieces.
@@ -331,28 +365,23 @@
         });
     }
 
-    /// Returns an idle server: one where a large result is needed if there
-    /// is one, else the one with the most room.
-    fn idle_server(&self, now: Instant) -> Option<Arc<str>> {
-        let first = self.waiting.first()?;
-        let others = self.lanes.len() > 1;
-        self.lanes
+    /// Returns the idle servers: those where the first piece is needed come
+    /// first, then those with the most room.
+    fn idle_servers(&self, now: Instant) -> Vec<Arc<str>> {
+        let home = self.waiting.first().map(|order| order.home.zone());
+        let mut idle: Vec<(&Arc<str>, &Lane)> = self
+            .lanes
             .iter()
             .filter(|(_, lane)| !lane.closed)
             .filter(|(_, lane)| lane.calls < self.spec.slots.max(1))
             .filter(|(_, lane)| {
                 lane.paused_until.is_none_or(|until| until <= now)
             })
-            .filter(|(name, _)| !others || first.avoid.as_ref() != Some(*name))
-            .filter(|(_, lane)| {
-                self.fits(lane.held_bytes() + first.result_bytes)
-                    || lane.held_bytes() == 0
-            })
-            .min_by_key(|(name, lane)| {
-                let elsewhere = lane.zone.as_ref() != Some(&first.zone);
-                (elsewhere, lane.held_bytes(), Reverse(*name))
-            })
-            .map(|(name, _)| Arc::clone(name))
+            .collect();
+        idle.sort_by_key(|(_, lane)| {
+            (lane.zone.as_ref() != home, lane.held_bytes())
+        });
+        idle.into_iter().map(|(name, _)| Arc::clone(name)).collect()
     }
 
     fn fits(&self, bytes: u64) -> bool {
@@ -360,8 +389,8 @@
     }
 
     /// Moves waiting pieces that fit into a call.
-    fn take_batch(&mut self, server: Arc<str>) -> Call {
-        let chosen = self.choose_batch(&server);
+    fn take_batch(&mut self, now: Instant, server: Arc<str>) -> Call {
+        let chosen = self.choose_batch(now, &server);
         let mut ids = Vec::with_capacity(chosen.len());
         let mut result_bytes = 0;
         for &at in &chosen {
@@ -375,41 +404,39 @@
             lane.calls += 1;
             lane.in_call_bytes += result_bytes;
         }
+        if !self.waiting.is_empty() && !ids.is_empty() {
+            let taken = u32::try_from(ids.len()).unwrap_or(u32::MAX);
+            self.usual_batch = self.usual_batch * (1.0 - BATCH_SMOOTHING)
+                + f64::from(taken) * BATCH_SMOOTHING;
+        }
         let pieces = u32::try_from(ids.len()).unwrap_or(u32::MAX);
         let expected = self.spec.call + self.spec.item * pieces;
         Call { server, ids, expected, result_bytes }
     }
 
-    /// Chooses the positions of the pieces for a call: first those whose
-    /// result is needed near the server, then the rest, and in the last
-    /// places what has been needed longest.
-    fn choose_batch(&self, server: &Arc<str>) -> Vec<usize> {
+    /// Chooses the positions of the pieces for a call: in order, but for the
+    /// last places, which go to what has been needed longest.
+    fn choose_batch(&self, now: Instant, server: &Arc<str>) -> Vec<usize> {
         let Some(lane) = self.lanes.get(&**server) else { return Vec::new() };
         let alone = self.lanes.len() == 1;
         let batch = self.spec.batch.max(1);
         let by_rank = batch - batch / FLOOR_ONE_IN;
-        let mut longest: Vec<usize> = (0..self.waiting.len()).collect();
-        longest.sort_by_key(|&at| self.waiting[at].due);
-        let near = |at: &usize| {
-            let order = &self.waiting[*at];
-            *at == 0
-                || order.result_bytes < LARGE_RESULT_BYTES
-                || lane.zone.as_ref() == Some(&order.zone)
-        };
-        let in_order = 0..self.waiting.len();
-        let candidates: Vec<usize> = in_order
-            .clone()
-            .filter(near)
-            .chain(in_order.filter(|at| !near(at)))
+        let candidates: Vec<usize> = (0..self.waiting.len())
+            .filter(|&at| {
+                let order = &self.waiting[at];
+                alone
+                    || (order.avoid.as_ref() != Some(server)
+                        && self.may_leave_home(now, lane, order))
+            })
             .collect();
+        let mut longest = candidates.clone();
+        longest.sort_by_key(|&at| self.waiting[at].due);
         let mut chosen = Vec::new();
         let mut bytes = lane.held_bytes();
         let mut add = |at: usize, places: usize| {
             let order = &self.waiting[at];
-            let wanted = alone || order.avoid.as_ref() != Some(server);
             let fits = self.fits(bytes + order.result_bytes) || bytes == 0;
-            if chosen.len() < places && wanted && fits && !chosen.contains(&at)
-            {
+            if chosen.len() < places && fits && !chosen.contains(&at) {
                 bytes += order.result_bytes;
                 chosen.push(at);
             }
@@ -422,6 +449,45 @@
         }
         chosen
     }
+
+    /// Decides whether a piece may be made by this server: a large result
+    /// leaves its zone only if the zone has no server, has more waiting than
+    /// its next calls take, or would make it late.
+    fn may_leave_home(
+        &self,
+        now: Instant,
+        lane: &Lane,
+        order: &Order,
+    ) -> bool {
+        let Home::Fixed(home) = &order.home else { return true };
+        if order.result_bytes < LARGE_RESULT_BYTES
+            || lane.zone.as_ref() == Some(home)
+        {
+            return true;
+        }
+        let batch = u32::try_from(self.spec.batch).unwrap_or(u32::MAX);
+        let full_call = self.spec.call + self.spec.item * batch;
+        if now + full_call * HOME_CALLS > order.due {
+            return true;
+        }
+        let home_lanes = self
+            .lanes
+            .values()
+            .filter(|lane| !lane.closed && lane.zone.as_ref() == Some(home))
+            .count();
+        let home_waiting = self
+            .waiting
+            .iter()
+            .filter(|other| other.result_bytes >= LARGE_RESULT_BYTES)
+            .filter(|other| other.home.zone() == home)
+            .count();
+        let taken = self.usual_batch * f64::from(count(home_lanes));
+        f64::from(count(home_waiting)) > taken
+    }
+}
+
+fn count(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
 }
 
 /// Which servers a daemon collects for.
--- a/crates/briarladder-core/src/fleet/config.rs
+++ b/crates/briarladder-core/src/fleet/config.rs
@@ -136,6 +136,8 @@
     pub timeout: Duration,
     /// The time within which an answer has its full value.
     pub target: Duration,
+    /// The longest pause between events of a stream with full value.
+    pub target_gap: Duration,
     /// The rank; 0 is the most urgent.
     pub rank: u8,
     /// The services, with weights.
@@ -159,6 +161,7 @@
             kind: RouteKind::Idempotent,
             timeout: Duration::from_secs(5),
             target: Duration::from_secs(1),
+            target_gap: Duration::ZERO,
             rank: 0,
             splits: vec![Split { service: Arc::from(name), weight: 1 }],
             max_attempts: 1,
@@ -167,6 +170,18 @@
         }
     }
 
+    /// Returns how long callers wait for the head of an answer: those of a
+    /// stream leave when nothing comes for a while.
+    #[must_use]
+    pub fn head_patience(&self) -> Duration {
+        if !self.kind.is_stream() {
+            return self.timeout;
+        }
+        let by_target = self.target * LEAVE_AFTER_TARGETS;
+        let by_gap = self.target_gap * LEAVE_AFTER_GAPS;
+        LEAVE_AFTER.max(by_target).max(by_gap).min(self.timeout)
+    }
+
     /// Returns the service for a point of the weights. A request uses one
     /// point for its whole life, so that repetitions stay with the service.
     #[must_use]
@@ -232,6 +247,12 @@
     }
 }
 
+/// Callers of a stream leave when nothing comes for the longest of this time,
+/// this many targets and this many of the longest pauses.
+const LEAVE_AFTER: Duration = Duration::from_secs(2);
+const LEAVE_AFTER_TARGETS: u32 = 4;
+const LEAVE_AFTER_GAPS: u32 = 8;
+
 /// A group of backend servers that do the same work.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -299,6 +320,20 @@
         assert_eq!(table.len(), 3);
     }
 
+    /// Guards against work for callers of a stream that have left.
+    #[test]
+    fn head_patience_by_kind() {
+        let mut route = Route::new("r", "a", "/");
+        route.timeout = Duration::from_secs(8);
+        route.target = Duration::from_millis(1200);
+        assert_eq!(route.head_patience(), route.timeout);
+        route.kind = RouteKind::Stream { resumable: false };
+        assert_eq!(route.head_patience(), Duration::from_millis(4800));
+        route.target = Duration::from_millis(100);
+        route.target_gap = Duration::from_millis(300);
+        assert_eq!(route.head_patience(), Duration::from_millis(2400));
+    }
+
     /// Guards against splits that don't follow the weights.
     #[test]
     fn service_at_weights() {
--- a/crates/briarladder-core/src/fleet/placement.rs
+++ b/crates/briarladder-core/src/fleet/placement.rs
@@ -65,7 +65,8 @@
 impl Affinity<'_> {
     /// Returns whether reading the prefix takes longer than a round trip to
     /// a server that has read it.
-    fn outweighs_distance(self) -> bool {
+    #[must_use]
+    pub fn outweighs_distance(self) -> bool {
         let reading = Duration::from_millis(self.tokens / READ_TOKENS_PER_MS);
         reading > FAR_ROUND_TRIP
     }
--- a/crates/briarladder-core/src/fleet/stages.rs
+++ b/crates/briarladder-core/src/fleet/stages.rs
@@ -242,6 +242,30 @@
             })
     }
 
+    /// Returns how much later a stage may start without delaying the
+    /// request: what the longest other chain of stages still takes beyond
+    /// the stage and those that follow it.
+    pub fn slack(
+        &self,
+        stage: usize,
+        estimate: &impl Fn(&Arc<str>) -> StageEstimate,
+    ) -> Duration {
+        let total = |stage| {
+            self.stage_time(stage, estimate) + self.time_after(stage, estimate)
+        };
+        let longest = (0..self.specs.len())
+            .filter(|&other| {
+                matches!(
+                    self.progress[other],
+                    Progress::Waiting | Progress::Running
+                )
+            })
+            .map(total)
+            .max()
+            .unwrap_or_default();
+        longest.saturating_sub(total(stage))
+    }
+
     fn stage_time(
         &self,
         stage: usize,
@@ -336,6 +360,21 @@
         assert_eq!(error, StageError::WrongCount { given: 2, wanted: 1 });
     }
 
+    /// Guards against results that lie at their maker, in bounded room, while
+    /// a longer chain of stages is worked on.
+    #[test]
+    fn slack_short_branch() {
+        let specs = [spec(&[]), spec(&[]), spec(&[1]), spec(&[2])];
+        let plan = StagePlan::new(&specs, &[1, 1, 1, 1]).unwrap();
+        let estimate = |_: &Arc<str>| StageEstimate {
+            wait: Duration::ZERO,
+            call: Duration::from_millis(100),
+            item: Duration::ZERO,
+        };
+        assert_eq!(plan.slack(0, &estimate), Duration::from_millis(200));
+        assert_eq!(plan.slack(1, &estimate), Duration::ZERO);
+    }
+
     /// Guards against a due time that ignores the stages to come.
     #[test]
     fn time_after_chain() {
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -33,6 +33,8 @@
     pub zone: Option<Arc<str>>,
     /// The zone where the results are needed.
     pub home: Arc<str>,
+    /// Whether the request can run in another zone as well.
+    pub movable: bool,
     /// The attempt of the caller.
     pub attempt: Arc<str>,
     /// The stage.
--- a/crates/briarladder-gateway/src/request/accept.rs
+++ b/crates/briarladder-gateway/src/request/accept.rs
@@ -39,16 +39,24 @@
     pub rank: u8,
     /// When its answer should begin.
     pub target: Instant,
+    /// When it is given up if the head of its answer has not come.
+    pub head_by: Instant,
     /// When it is given up.
     pub give_up: Instant,
 }
 
 impl Accepted {
-    /// Returns the time that is left.
+    /// Returns the time that is left for the whole answer.
     #[must_use]
     pub fn time_left(&self, now: Instant) -> Duration {
         self.give_up.saturating_duration_since(now)
     }
+
+    /// Returns the time that is left until the head of the answer.
+    #[must_use]
+    pub fn time_to_head(&self, now: Instant) -> Duration {
+        self.head_by.saturating_duration_since(now)
+    }
 }
 
 /// Decides whether a request is allowed and where it goes.
@@ -79,6 +87,7 @@
     Ok(Accepted {
         rank: workspace.as_ref().and_then(|w| w.rank).unwrap_or(route.rank),
         target: started + route.target,
+        head_by: started + patience.min(route.head_patience()),
         give_up: started + patience.min(route.timeout),
         caller,
         config,
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -135,7 +135,9 @@
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut last_failure = None;
     let refusal = loop {
-        let Some(server) = choose_server(gateway, accepted, &tried) else {
+        let Some(server) =
+            choose_server(gateway, accepted, prepared.zone(), &tried)
+        else {
             record.cause.get_or_insert_with(|| "no server left".to_owned());
             break match sends.may_have_run() {
                 0 => Refusal::NoServer,
@@ -189,18 +191,19 @@
     Err((Box::new(record), refusal.into()))
 }
 
-/// Chooses the server that runs a request.
+/// Chooses the server that runs a request, near a zone.
 #[must_use]
 pub fn choose_server(
     gateway: &Gateway,
     accepted: &Accepted,
+    zone: &str,
     tried: &[Arc<str>],
 ) -> Option<Arc<ListedServer>> {
     let board = &gateway.board;
     let servers = board.servers.borrow();
     let prompt = accepted.caller.prompt.as_ref();
     let wish = Wish {
-        zone: &board.zone,
+        zone,
         affinity: prompt.and_then(Prompt::shared_prefix),
         tried,
         point: rand::random(),
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -69,7 +69,7 @@
         Err(refusal) => return refuse(record, refusal.into(), None),
     };
     let limits = accepted.config.limits;
-    let give_up = accepted.give_up.into();
+    let give_up = accepted.head_by.into();
     let read = timeout_at(give_up, read_body(body, &limits)).await;
     let body = match read.unwrap_or(Err(Refusal::TimeOutUnsent)) {
         Ok(body) => body,
--- a/crates/briarladder-gateway/src/stages/collector.rs
+++ b/crates/briarladder-gateway/src/stages/collector.rs
@@ -9,7 +9,7 @@
 
 use briarladder_core::{
     fleet::{
-        collect::{Call, CallEnd, Order, PieceQueue},
+        collect::{Call, CallEnd, Home, Order, PieceQueue},
         config::{PieceSpec, ServiceWork},
         server::{ListedServer, ServerState},
         stages::Handle,
@@ -226,6 +226,11 @@
         }
     }
 
+    fn waiting(&self, key: &QueueKey) -> usize {
+        let queues = self.queues.borrow();
+        queues.get(key).map_or(0, |queue| queue.pieces.waiting())
+    }
+
     fn wait_ms(&self, key: &QueueKey) -> u64 {
         let queues = self.queues.borrow();
         let wait = queues
@@ -292,6 +297,7 @@
         call: Call,
         jobs: Vec<(u64, Job)>,
     ) {
+        let began = self.board.now();
         let server = self.board.servers.borrow().get(&call.server).cloned();
         let outcomes = match server {
             Some(server) if server.state == ServerState::Ready => {
@@ -299,7 +305,7 @@
             }
             _ => Err("the server has left".to_owned()),
         };
-        self.end_call(&key, &call, jobs, outcomes);
+        self.end_call(&key, &call, jobs, began, outcomes);
         self.pump(&key);
     }
 
@@ -371,6 +377,7 @@
         key: &QueueKey,
         call: &Call,
         jobs: Vec<(u64, Job)>,
+        began: Instant,
         outcomes: Result<Vec<PieceOutcome>, String>,
     ) {
         let now = self.board.now();
@@ -382,6 +389,17 @@
                 _ => None,
             })
             .collect();
+        log::info!(
+            "collector: service={} server={} pieces={} made={} \
+             expected_ms={} ms={} waiting={}",
+            key.service,
+            call.server,
+            call.ids.len(),
+            made.len(),
+            call.expected.as_millis(),
+            now.duration_since(began).as_millis(),
+            self.waiting(key),
+        );
         let end = match &outcomes {
             Ok(_) => CallEnd::Worked,
             Err(_) => CallEnd::Refused,
@@ -552,7 +570,7 @@
             id,
             rank: self.batch.request.rank,
             stage: self.batch.request.stage,
-            zone: Arc::clone(&self.batch.request.home),
+            home: self.home(),
             due: self.batch.due,
             deadline: self.batch.deadline,
             result_bytes: self.batch.request.result_bytes,
@@ -560,6 +578,15 @@
         }
     }
 
+    fn home(&self) -> Home {
+        let zone = Arc::clone(&self.batch.request.home);
+        if self.batch.request.movable {
+            Home::Preferred(zone)
+        } else {
+            Home::Fixed(zone)
+        }
+    }
+
     fn piece_call(&self, now: Instant) -> PieceCall<'_> {
         let request = &self.batch.request;
         PieceCall {
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -3,13 +3,16 @@
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use briarladder_core::fleet::{
+    collect::Home,
     config::ServiceWork,
+    placement::Affinity,
     stages::{Handle, StageEstimate, StagePlan},
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
 use crate::{
     context::Gateway,
+    dialect::Prompt,
     metrics::Metrics,
     peers::messages::{PIECES_PATH, PieceReply, PiecesReply, PiecesRequest},
     refusal::Refusal,
@@ -24,6 +27,13 @@
 /// fetching its inputs and reading a prompt whose prefix is cached.
 const FIRST_TOKEN_TIME: Duration = Duration::from_millis(200);
 
+/// The part of its slack that a stage with large results waits, in
+/// hundredths. The rest covers estimates that are too short.
+const USED_SLACK_HUNDREDTHS: u32 = 70;
+
+/// Results from this size on are made only when they are needed.
+const LARGE_RESULT_BYTES: u64 = 500_000;
+
 /// A collector that stops answering is replaced this often for one stage.
 const MAX_COLLECTORS: usize = 2;
 
@@ -36,6 +46,7 @@
     gateway: Rc<Gateway>,
     results: RefCell<Vec<Handle>>,
     last: Vec<Handle>,
+    zone: Arc<str>,
 }
 
 impl Prepared {
@@ -44,6 +55,7 @@
             gateway: Rc::clone(gateway),
             results: RefCell::default(),
             last: Vec::new(),
+            zone: Arc::clone(&gateway.board.zone),
         }
     }
 
@@ -53,6 +65,12 @@
         &self.last
     }
 
+    /// Returns the zone where the request runs best.
+    #[must_use]
+    pub fn zone(&self) -> &Arc<str> {
+        &self.zone
+    }
+
     /// Releases all results, once the request has used them.
     pub fn release(&self) {
         let results = self.results.take();
@@ -103,17 +121,14 @@
         record.cause = Some(error.to_string());
         Refusal::Malformed
     })?;
-    // Results are made where the request itself will run.
-    let home = choose_server(gateway, accepted, &[]).map_or_else(
-        || Arc::clone(&gateway.board.zone),
-        |server| Arc::clone(&server.zone),
-    );
+    let home = home(gateway, accepted);
     let mut running = FuturesUnordered::new();
     while !plan.is_complete() {
         for stage in plan.startable() {
             plan.started(stage);
+            let delay = start_delay(gateway, accepted, &plan, stage, &home);
             let (duty, order) = order(gateway, accepted, &plan, stage, &home);
-            running.push(run_stage(gateway, accepted, duty, order));
+            running.push(run_stage(gateway, accepted, delay, duty, order));
         }
         let Some(StageEnd { stage, results }) = running.next().await else {
             record.cause = Some("the stages wait for each other".to_owned());
@@ -128,15 +143,72 @@
     }
     record.stages = Some(gateway.board.now().duration_since(started));
     prepared.last = plan.last_results();
+    prepared.zone = results_zone(gateway, accepted, &home, &prepared.last);
     Ok(prepared)
 }
 
+/// Returns where the results are needed: in the zone of the server that has
+/// read a long prefix, else best in this daemon's zone.
+fn home(gateway: &Gateway, accepted: &Accepted) -> Home {
+    let own = &gateway.board.zone;
+    let prompt = accepted.caller.prompt.as_ref();
+    let bound = prompt
+        .and_then(Prompt::shared_prefix)
+        .is_some_and(Affinity::outweighs_distance);
+    let server = choose_server(gateway, accepted, own, &[]);
+    match server {
+        Some(server) if bound => Home::Fixed(Arc::clone(&server.zone)),
+        Some(server) => Home::Preferred(Arc::clone(&server.zone)),
+        None => Home::Preferred(Arc::clone(own)),
+    }
+}
+
+/// Returns the zone where the request runs best: where large results lie, if
+/// it can run anywhere.
+fn results_zone(
+    gateway: &Gateway,
+    accepted: &Accepted,
+    home: &Home,
+    results: &[Handle],
+) -> Arc<str> {
+    let large = accepted
+        .route
+        .stages
+        .iter()
+        .any(|stage| stage.result_bytes >= LARGE_RESULT_BYTES);
+    if matches!(home, Home::Fixed(_)) || !large {
+        return Arc::clone(home.zone());
+    }
+    let servers = gateway.board.servers.borrow();
+    results.first().and_then(|result| servers.get(&result.maker)).map_or_else(
+        || Arc::clone(home.zone()),
+        |maker| Arc::clone(&maker.zone),
+    )
+}
+
+/// Returns how long a stage waits before it starts, so that large results
+/// are ready just when the other stages are.
+fn start_delay(
+    gateway: &Gateway,
+    accepted: &Accepted,
+    plan: &StagePlan<'_>,
+    stage: usize,
+    home: &Home,
+) -> Duration {
+    if accepted.route.stages[stage].result_bytes < LARGE_RESULT_BYTES {
+        return Duration::ZERO;
+    }
+    let slack = plan
+        .slack(stage, &|service| estimate(gateway, accepted, service, home));
+    slack * USED_SLACK_HUNDREDTHS / 100
+}
+
 fn order(
     gateway: &Gateway,
     accepted: &Accepted,
     plan: &StagePlan<'_>,
     stage: usize,
-    home: &Arc<str>,
+    home: &Home,
 ) -> (Duty, PiecesRequest) {
     let now = gateway.board.now();
     let spec = &accepted.route.stages[stage];
@@ -148,7 +220,8 @@
         Some(ahead) => millis(ahead),
         None => -millis(now.duration_since(due)),
     });
-    let left = accepted.time_left(now).saturating_sub(after);
+    let left =
+        accepted.time_to_head(now).saturating_sub(after + FIRST_TOKEN_TIME);
     let inputs: Vec<Arc<str>> = plan
         .inputs(stage)
         .into_iter()
@@ -156,11 +229,12 @@
         .collect();
     let first = spec.after.is_empty();
     let bytes = spec.result_bytes * u64::from(plan.pieces(stage));
-    let duty = duty::for_pieces(gateway, &spec.service, home, bytes);
+    let duty = duty::for_pieces(gateway, &spec.service, home.zone(), bytes);
     let request = PiecesRequest {
         service: Arc::clone(&spec.service),
         zone: duty.zone.clone(),
-        home: Arc::clone(home),
+        home: Arc::clone(home.zone()),
+        movable: matches!(home, Home::Preferred(_)),
         attempt: Arc::clone(&accepted.caller.attempt),
         stage,
         pieces: plan.pieces(stage),
@@ -184,13 +258,13 @@
     gateway: &Gateway,
     accepted: &Accepted,
     service: &Arc<str>,
-    home: &Arc<str>,
+    home: &Home,
 ) -> StageEstimate {
     let work = accepted.config.services.get(service).map(|s| &s.work);
     let Some(ServiceWork::Pieces(spec)) = work else {
         return StageEstimate::default();
     };
-    let duty = duty::for_pieces(gateway, service, home, 0);
+    let duty = duty::for_pieces(gateway, service, home.zone(), 0);
     let now = gateway.board.now();
     let waits = gateway.board.waits.borrow();
     let wait = waits.wait(now, service, &duty.wait_zone());
@@ -200,10 +274,17 @@
 async fn run_stage(
     gateway: &Rc<Gateway>,
     accepted: &Accepted,
+    delay: Duration,
     duty: Duty,
-    order: PiecesRequest,
+    mut order: PiecesRequest,
 ) -> StageEnd {
     let stage = order.stage;
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
+        order.due_ms -= millis(delay);
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        order.left_ms = order.left_ms.saturating_sub(delay_ms);
+    }
     let reply = ask(gateway, accepted, &duty, &order).await;
     let wait = Duration::from_millis(reply.wait_ms);
     let now = gateway.board.now();
@@ -261,7 +342,7 @@
 ) -> PiecesReply {
     for _ in 0..MAX_COLLECTORS {
         let Some(holder) = duty.other_holder(gateway) else { break };
-        let left = accepted.time_left(gateway.board.now());
+        let left = accepted.time_to_head(gateway.board.now());
         let reply = gateway
             .peers
             .call(holder.address, PIECES_PATH, order, left + COLLECTOR_SLACK)
--- a/crates/briarladder-gateway/src/stages/release.rs
+++ b/crates/briarladder-gateway/src/stages/release.rs
@@ -16,7 +16,7 @@
 use super::duty;
 
 /// The time for which releases are gathered.
-pub const GATHER: Duration = Duration::from_millis(60);
+pub const GATHER: Duration = Duration::from_millis(25);
 
 /// The longest time to tell a peer.
 const TIMEOUT: Duration = Duration::from_millis(500);
