Finish what is begun before other late work

Late requests held results at their makers while their last stage waited behind others; 3,248 results were never used, and 84 requests reached an engine after their inputs had expired.

Change: among late pieces those of requests with made pieces go first; a late piece is only admitted with three times its wait to spare; a maker without room is left alone for 350 ms; a request whose inputs are gone ends at once.

--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -39,7 +39,7 @@
 //!     queue.push(Order {
 //!         id,
 //!         rank: 0,
-//!         stage: 0,
+//!         progress: 0,
 //!         home: Home::Fixed("zone-a".into()),
 //!         due: now + Duration::from_secs(1),
 //!         deadline: now + Duration::from_secs(5),
@@ -71,6 +71,14 @@
 /// calls fit before it is needed.
 const HOME_CALLS: u32 = 2;
 
+/// The wait of a piece that misses its target counts this many times, unless
+/// its request has pieces already: newer pieces that can be on time go first.
+const LATE_WAIT_FACTOR: u32 = 3;
+
+/// A server that lacks room, although its known results fit, gets no piece
+/// for this long. Results of a collector before this one lie there.
+const UNKNOWN_RESULTS_PAUSE: Duration = Duration::from_millis(350);
+
 /// The weight of the newest call in the usual size of calls under backlog.
 const BATCH_SMOOTHING: f64 = 0.1;
 
@@ -116,8 +124,9 @@
     pub id: u64,
     /// The rank of its request; 0 is the most urgent.
     pub rank: u8,
-    /// The stage. Later stages have more work to lose.
-    pub stage: usize,
+    /// The pieces of its request that are made. They fill room at their
+    /// makers, and are lost if the rest comes too late.
+    pub progress: u32,
     /// Where the result is needed.
     pub home: Home,
     /// When the piece is needed so that its request meets its target.
@@ -254,7 +263,12 @@
         let waits: Vec<Duration> =
             (0..self.waiting.len()).map(|at| self.wait_behind(at)).collect();
         self.waiting.retain(|order| {
-            let start = now + waits[ahead];
+            let misses_target = now + shortest > order.due;
+            let factor = match order.progress {
+                0 if misses_target => LATE_WAIT_FACTOR,
+                _ => 1,
+            };
+            let start = now + waits[ahead] * factor;
             let hopeless = start + shortest > order.deadline;
             if hopeless {
                 late.push(order.id);
@@ -317,7 +331,7 @@
     /// Records that a server lacks room for results.
     pub fn out_of_room(&mut self, now: Instant, server: &str) {
         if let Some(lane) = self.lanes.get_mut(server) {
-            lane.paused_until = Some(now + REFUSAL_PAUSE);
+            lane.paused_until = Some(now + UNKNOWN_RESULTS_PAUSE);
         }
     }
 
@@ -360,8 +374,8 @@
         let call = self.spec.call + self.spec.item;
         self.waiting.sort_by_key(|order| {
             let misses_target = now + call > order.due;
-            let later_stage = misses_target.then_some(Reverse(order.stage));
-            (misses_target, order.rank, later_stage, order.due)
+            let progress = misses_target.then_some(Reverse(order.progress));
+            (misses_target, progress, order.rank, order.due)
         });
     }
 
--- a/crates/briarladder-core/src/fleet/collect/tests.rs
+++ b/crates/briarladder-core/src/fleet/collect/tests.rs
@@ -18,7 +18,7 @@
     Order {
         id,
         rank: 0,
-        stage: 0,
+        progress: 0,
         home: Home::Fixed(Arc::from("z")),
         due: now + Duration::from_millis(due_ms),
         deadline: now + Duration::from_secs(8),
@@ -143,7 +143,7 @@
     let mut waited = order(4, now, 300);
     waited.rank = 2;
     let mut almost_done = order(5, now, 20);
-    almost_done.stage = 2;
+    almost_done.progress = 2;
     for order in [usual, overdue, urgent, waited, almost_done] {
         queue.push(order);
     }
@@ -254,6 +254,24 @@
     assert!(!late.contains(&0), "the first can be made");
 }
 
+/// Guards against work that is begun for requests that are late already while
+/// newer ones always go first, and ends unused.
+#[test]
+fn take_late_misses_target() {
+    let now = Instant::now();
+    let mut queue = queue(&["a"]);
+    for id in 0..40 {
+        let mut order = order(id, now, 10);
+        order.deadline = now + Duration::from_secs(3);
+        order.progress = u32::from(id >= 30);
+        queue.push(order);
+    }
+    let late = queue.take_late(now);
+    // Three times the wait leaves room for about three calls.
+    assert!((8..=14).contains(&late.len()), "{}", late.len());
+    assert!(!late.contains(&39), "its request has pieces already");
+}
+
 /// Guards against queues that are cut too small to fill a call, and against
 /// one daemon that collects for a whole large fleet.
 #[test]
--- a/crates/briarladder-core/src/fleet/stages.rs
+++ b/crates/briarladder-core/src/fleet/stages.rs
@@ -168,6 +168,20 @@
         })
     }
 
+    /// Returns the pieces that are made.
+    #[must_use]
+    pub fn pieces_made(&self) -> u32 {
+        (0..self.specs.len())
+            .filter(|&stage| {
+                matches!(
+                    self.progress[stage],
+                    Progress::Done(_) | Progress::Released
+                )
+            })
+            .map(|stage| self.pieces[stage])
+            .sum()
+    }
+
     /// Returns all results that a stage needs.
     #[must_use]
     pub fn inputs(&self, stage: usize) -> Vec<Handle> {
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -97,6 +97,8 @@
 pub struct AnswerHead {
     /// It states that the request was not run.
     pub not_run: bool,
+    /// The results of the stages are gone, so no server can run it.
+    pub inputs_gone: bool,
     /// Another server has the address.
     pub other_server: bool,
     /// It carries the server's signature.
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -49,6 +49,8 @@
     pub due_ms: i64,
     /// The time after which the pieces are of no use.
     pub left_ms: u64,
+    /// The pieces of the request that are made.
+    pub progress: u32,
     /// The rank; 0 is the most urgent.
     pub rank: u8,
     /// The expected size of one result.
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -89,6 +89,8 @@
     cause: String,
     /// The answer of a server that reports a failure of its own.
     own_failure: Option<Box<WholeAnswer>>,
+    /// No server can run the request, since its inputs are gone.
+    inputs_gone: bool,
 }
 
 /// An answer that was read whole.
@@ -103,13 +105,19 @@
             failure: error.failure,
             cause: error.cause,
             own_failure: None,
+            inputs_gone: false,
         }
     }
 }
 
 impl Failed {
     fn new(failure: AttemptFailure, cause: impl Into<String>) -> Failed {
-        Failed { failure, cause: cause.into(), own_failure: None }
+        Failed {
+            failure,
+            cause: cause.into(),
+            own_failure: None,
+            inputs_gone: false,
+        }
     }
 }
 
@@ -172,7 +180,8 @@
         tried.push(Arc::clone(&server.name));
         record.cause = Some(failed.cause);
         last_failure = failed.own_failure.or(last_failure);
-        let in_time = accepted.time_left(board.now()) > MIN_RETRY_TIME;
+        let in_time = !failed.inputs_gone
+            && accepted.time_to_head(board.now()) > MIN_RETRY_TIME;
         let pay = || board.try_repeat(&accepted.service);
         match sends.failed(failed.failure, in_time, pay) {
             NextStep::Retry => {}
@@ -323,7 +332,10 @@
             if collect(answer.body).await.is_ok() {
                 answer.lease.give_back(facts.idle_timeout);
             }
-            return Err(Failed::new(AttemptFailure::RefusedNotRun, cause));
+            let failure = AttemptFailure::RefusedNotRun;
+            let mut failed = Failed::new(failure, cause);
+            failed.inputs_gone = facts.inputs_gone;
+            return Err(failed);
         }
         if status.is_success() {
             if !facts.signed || !facts.echoes_attempt {
@@ -358,6 +370,7 @@
             failure: AttemptFailure::ErrorStatus,
             cause: format!("the server answered {status}"),
             own_failure,
+            inputs_gone: false,
         })
     }
 
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -23,10 +23,14 @@
 /// The shortest wait that a refused caller is told.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// The part of the time left that a refused caller is told to wait at most,
-/// as a divisor, so that its next attempt has time to be served.
+/// The part of its time that a refused caller is told to wait at most, as a
+/// divisor, so that its next attempt has time to be served.
 const RETRY_AFTER_DIVISOR: u32 = 4;
 
+/// A backlog takes this many times its own work, since new work comes in
+/// meanwhile.
+const BACKLOG_FACTOR: u32 = 3;
+
 /// A request that ends without an answer of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
@@ -103,7 +107,7 @@
         patience / RETRY_AFTER_DIVISOR
     });
     let wait = retry_after
-        .unwrap_or(MIN_RETRY_AFTER)
+        .map_or(MIN_RETRY_AFTER, |wait| wait * BACKLOG_FACTOR)
         .min(longest)
         .max(MIN_RETRY_AFTER);
     record.status = refusal.status().as_u16();
--- a/crates/briarladder-gateway/src/stages/collector.rs
+++ b/crates/briarladder-gateway/src/stages/collector.rs
@@ -569,7 +569,7 @@
         Order {
             id,
             rank: self.batch.request.rank,
-            stage: self.batch.request.stage,
+            progress: self.batch.request.progress,
             home: self.home(),
             due: self.batch.due,
             deadline: self.batch.deadline,
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -242,6 +242,7 @@
         inputs,
         due_ms,
         left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        progress: plan.pieces_made(),
         rank: accepted.rank,
         result_bytes: spec.result_bytes,
     };
