--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -487,7 +487,9 @@
             members.iter().map(|&at| self.waiting[at].result_bytes).sum();
         let whole = chosen.places.len() + members.len() <= places
             && self.fits(chosen.held + bytes);
-        let split = chosen.places.is_empty() || self.begun.contains(&group);
+        let split = chosen.places.is_empty()
+            || self.begun.contains(&group)
+            || members.iter().any(|member| chosen.places.contains(member));
         if !whole && !split {
             return;
         }
