Choose among the homes of a prefix by when answers begin

Change: of the first three servers in rendezvous order the one that begins soonest is chosen, from the smoothed delay of its answers, the unread prompts that this daemon has sent, and the time to read the prefix elsewhere.

The test of the room pushes 24 pieces instead of 20, so that a full call is left after 13.

--- a/crates/briarladder-core/src/fleet/collect/tests.rs
+++ b/crates/briarladder-core/src/fleet/collect/tests.rs
@@ -91,7 +91,7 @@
 fn next_call_room() {
     let now = Instant::now();
     let mut queue = queue(&["a"]);
-    for id in 0..20 {
+    for id in 0..24 {
         queue.push(order(id, now, 900));
     }
     let first = queue.next_call(now).unwrap();
--- a/crates/briarladder-core/src/fleet/placement.rs
+++ b/crates/briarladder-core/src/fleet/placement.rs
@@ -3,7 +3,8 @@
 //! Servers of the caller's zone come first, then those of the region, then
 //! the rest. Requests that share a prompt prefix go to the same server, which
 //! all daemons agree on without messages, until that server holds clearly
-//! more of this daemon's work than the others. A prefix that takes longer to
+//! more of this daemon's work than the others, or until its answers begin so
+//! late that reading the prefix elsewhere is quicker. A prefix that takes longer to
 //! read than a round trip between regions has one server in the whole fleet;
 //! a shorter one has one in each zone.
 //!
@@ -41,6 +42,17 @@
 /// The longest avoidance, so that a server that recovers is found again.
 const LONGEST_AVOIDANCE: Duration = Duration::from_secs(4);
 
+/// Servers in rendezvous order of a prefix that are considered. Few, so that
+/// a prefix is read at few servers.
+const HOMES: usize = 3;
+
+/// The weight of the newest answer in the delay of a server.
+const DELAY_SMOOTHING: f64 = 0.3;
+
+/// A delay fades to a third in this time, so that a server that was slow is
+/// tried again.
+const DELAY_FADES: Duration = Duration::from_millis(1500);
+
 /// The requests that a preferred server may hold above the mean of its
 /// group, so that a few requests never move a prefix.
 const AFFINITY_SLACK: usize = 3;
@@ -67,11 +79,17 @@
     /// a server that has read it.
     #[must_use]
     pub fn outweighs_distance(self) -> bool {
-        let reading = Duration::from_millis(self.tokens / READ_TOKENS_PER_MS);
-        reading > FAR_ROUND_TRIP
+        reading_time(self.tokens) > FAR_ROUND_TRIP
     }
 }
 
+/// Returns the time that an engine takes to read prompt tokens, as an order
+/// of magnitude.
+#[must_use]
+pub fn reading_time(tokens: u64) -> Duration {
+    Duration::from_millis(tokens / READ_TOKENS_PER_MS)
+}
+
 /// What a request wants of its server.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
@@ -127,6 +145,32 @@
 pub struct Load {
     failures: u32,
     avoid_until: Option<Instant>,
+    delay: Option<Delay>,
+    /// Time to read the prompts that this daemon has sent and whose answers
+    /// have not begun.
+    unread: Duration,
+}
+
+/// How much later than expected the answers of a server begin.
+#[derive(Clone, Copy, Debug)]
+struct Delay {
+    smoothed: Duration,
+    seen_at: Instant,
+}
+
+impl Delay {
+    fn at(self, now: Instant) -> Duration {
+        let age = now.duration_since(self.seen_at).as_secs_f64();
+        self.smoothed.mul_f64((-age / DELAY_FADES.as_secs_f64()).exp())
+    }
+}
+
+impl Load {
+    /// Estimates how long a new request waits before it is read.
+    fn wait(&self, now: Instant) -> Duration {
+        let delay = self.delay.map_or(Duration::ZERO, |delay| delay.at(now));
+        delay.max(self.unread)
+    }
 }
 
 /// The experience of this daemon with the servers.
@@ -160,7 +204,40 @@
 
     /// Records that a server answered.
     pub fn succeeded(&mut self, server: &str) {
-        self.loads.remove(server);
+        if let Some(load) = self.loads.get_mut(server) {
+            load.failures = 0;
+            load.avoid_until = None;
+        }
+    }
+
+    /// Records that a prompt was sent that takes this time to read.
+    pub fn sent(&mut self, server: &Arc<str>, reading: Duration) {
+        let load =
+            self.loads.entry_or_insert_with(Arc::clone(server), Load::default);
+        load.unread += reading;
+    }
+
+    /// Records that an answer has begun, or will not.
+    pub fn read(&mut self, server: &str, reading: Duration) {
+        if let Some(load) = self.loads.get_mut(server) {
+            load.unread = load.unread.saturating_sub(reading);
+        }
+    }
+
+    /// Records how much later than expected an answer has begun.
+    pub fn delayed(
+        &mut self,
+        now: Instant,
+        server: &Arc<str>,
+        delay: Duration,
+    ) {
+        let load =
+            self.loads.entry_or_insert_with(Arc::clone(server), Load::default);
+        let before =
+            load.delay.map_or(Duration::ZERO, |before| before.at(now));
+        let smoothed = before.mul_f64(1.0 - DELAY_SMOOTHING)
+            + delay.mul_f64(DELAY_SMOOTHING);
+        load.delay = Some(Delay { smoothed, seen_at: now });
     }
 
     /// Forgets servers that are no longer listed.
@@ -196,11 +273,47 @@
             .filter(|server| rank(server) == best)
             .collect();
         match wish.affinity {
-            Some(affinity) => by_affinity(affinity.prefix, &group, &running),
+            Some(affinity) => {
+                self.by_affinity(now, affinity, &group, &running)
+            }
             None => by_load(wish.point, &group, &running),
         }
     }
 
+    /// Returns the server that begins soonest among the first in rendezvous
+    /// order of the prefix, of those that are not clearly busier than the
+    /// group. All but the first have the prefix still to read.
+    fn by_affinity<'a>(
+        &self,
+        now: Instant,
+        affinity: Affinity<'_>,
+        group: &[&'a ListedServer],
+        running: &impl Fn(&str) -> usize,
+    ) -> Option<&'a ListedServer> {
+        let total: usize =
+            group.iter().map(|server| running(&server.name)).sum();
+        let bound = 2 * total / group.len().max(1) + AFFINITY_SLACK;
+        let names = group.iter().map(|server| ByName(server));
+        let order = rendezvous::order(affinity.prefix, names);
+        let first = order.first().map(|server| server.0);
+        order
+            .into_iter()
+            .enumerate()
+            .filter(|(_, server)| running(&server.0.name) < bound)
+            .take(HOMES)
+            .min_by_key(|(at, server)| {
+                let reading = match at {
+                    0 => Duration::ZERO,
+                    _ => reading_time(affinity.tokens),
+                };
+                let load = self.loads.get(&*server.0.name);
+                let wait = load.map_or(Duration::ZERO, |load| load.wait(now));
+                (reading + wait, *at)
+            })
+            .map(|(_, server)| server.0)
+            .or(first)
+    }
+
     fn is_avoided(&self, now: Instant, server: &str) -> bool {
         self.loads
             .get(server)
@@ -209,25 +322,6 @@
     }
 }
 
-/// Returns the first server in rendezvous order of the prefix that is not
-/// clearly busier than the group.
-fn by_affinity<'a>(
-    prefix: &str,
-    group: &[&'a ListedServer],
-    running: &impl Fn(&str) -> usize,
-) -> Option<&'a ListedServer> {
-    let total: usize = group.iter().map(|server| running(&server.name)).sum();
-    let bound = 2 * total / group.len().max(1) + AFFINITY_SLACK;
-    let order =
-        rendezvous::order(prefix, group.iter().map(|server| ByName(server)));
-    let first = order.first().map(|server| server.0);
-    order
-        .iter()
-        .map(|server| server.0)
-        .find(|server| running(&server.name) < bound)
-        .or(first)
-}
-
 /// Returns the less loaded of two random servers.
 fn by_load<'a>(
     point: u64,
@@ -324,6 +418,34 @@
         assert_eq!(&*choose("z1", 300).zone, "z1");
     }
 
+    /// Guards against requests that queue behind long prompts at the home of
+    /// their short prefix while other servers are idle, and against a long
+    /// prefix that moves for a short delay.
+    #[test]
+    fn choose_delayed_home() {
+        let servers: Vec<ListedServer> =
+            (0..6).map(|at| server(&format!("s{at}"), "z1")).collect();
+        let now = Instant::now();
+        let choose = |placement: &Placement, now, tokens| {
+            let affinity = Some(Affinity { prefix: "p", tokens });
+            let wish = Wish { zone: "z1", affinity, tried: &[], point: 0 };
+            let chosen = placement.choose(now, &wish, &servers, |_| 0);
+            chosen.unwrap().name.clone()
+        };
+        let mut placement = Placement::default();
+        let home = choose(&placement, now, 350);
+        placement.delayed(now, &home, Duration::from_millis(400));
+        assert_ne!(choose(&placement, now, 350), home);
+        assert_eq!(choose(&placement, now, 13_300), home);
+        let later = now + Duration::from_secs(30);
+        assert_eq!(choose(&placement, later, 350), home);
+        let reading = Duration::from_millis(900);
+        placement.sent(&home, reading);
+        assert_ne!(choose(&placement, later, 13_300), home);
+        placement.read(&home, reading);
+        assert_eq!(choose(&placement, later, 13_300), home);
+    }
+
     /// Guards against a retry at a server that has failed the request.
     #[test]
     fn choose_skips_tried() {
--- a/crates/briarladder-gateway/src/board.rs
+++ b/crates/briarladder-gateway/src/board.rs
@@ -199,6 +199,37 @@
     }
 }
 
+/// Counts a prompt as unread until the guard is dropped.
+#[derive(Debug)]
+pub struct ReadingGuard {
+    board: Rc<Board>,
+    server: Arc<str>,
+    reading: Duration,
+}
+
+impl ReadingGuard {
+    /// Counts a prompt that takes this time to read.
+    #[must_use]
+    pub fn new(
+        board: &Rc<Board>,
+        server: &Arc<str>,
+        reading: Duration,
+    ) -> ReadingGuard {
+        board.placement.borrow_mut().sent(server, reading);
+        ReadingGuard {
+            board: Rc::clone(board),
+            server: Arc::clone(server),
+            reading,
+        }
+    }
+}
+
+impl Drop for ReadingGuard {
+    fn drop(&mut self) {
+        self.board.placement.borrow_mut().read(&self.server, self.reading);
+    }
+}
+
 /// Counts one request at a server while it lives.
 #[derive(Debug)]
 pub struct RunningGuard {
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -74,6 +74,12 @@
             tokens: shared.iter().map(|part| part.tokens).sum(),
         })
     }
+
+    /// Returns the tokens that are read even where the prefix is cached.
+    #[must_use]
+    pub fn own_tokens(&self) -> u64 {
+        self.parts.last().map_or(self.prompt_tokens, |part| part.tokens)
+    }
 }
 
 /// What a backend server is told beside the caller's own headers.
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -5,7 +5,7 @@
 use briarladder_core::{
     fleet::{
         attempt::{NextStep, Sends},
-        placement::Wish,
+        placement::{Wish, reading_time},
         server::ListedServer,
         stages::Handle,
     },
@@ -21,7 +21,7 @@
 use tokio::time::{sleep_until, timeout_at};
 
 use crate::{
-    board::RunningGuard,
+    board::{ReadingGuard, RunningGuard},
     body::{Relay, ReplyBody},
     context::Gateway,
     dialect::{AnswerHead, Dispatch, Prompt},
@@ -158,7 +158,7 @@
             board.first_sent(&accepted.service);
         }
         let running = board.start_running(&server.name);
-        let sent = outgoing.send_once(&server);
+        let sent = outgoing.send_and_learn(&server);
         let sent = timeout_at(accepted.give_up.into(), sent).await;
         let failed = match sent {
             Ok(Ok(answer)) => {
@@ -260,6 +260,30 @@
 }
 
 impl Outgoing<'_> {
+    /// Sends the request to one server and learns from the time that it
+    /// takes to begin its answer.
+    async fn send_and_learn(
+        &self,
+        server: &ListedServer,
+    ) -> Result<Usable, Failed> {
+        let Some(prompt) = &self.accepted.caller.prompt else {
+            return self.send_once(server).await;
+        };
+        let board = &self.gateway.board;
+        let reading = reading_time(prompt.own_tokens());
+        let unread = ReadingGuard::new(board, &server.name, reading);
+        let sent_at = board.now();
+        let answer = self.send_once(server).await;
+        drop(unread);
+        if answer.is_ok() {
+            let now = board.now();
+            let took = now.duration_since(sent_at);
+            let delay = took.saturating_sub(reading);
+            board.placement.borrow_mut().delayed(now, &server.name, delay);
+        }
+        answer
+    }
+
     /// Sends the request to one server and reads its answer as far as
     /// needed to know whether it can be passed on.
     async fn send_once(
