Test the daemon on the platform against a stand-in of its own

The tests start the real program: at most once under each fault, retries elsewhere, refusals that are true, draining, malformed entries, lost history, versions that go back, a start with the store down, stages and the release of results, streams, callers that leave, planned stop, reload, bad settings.

--- a/crates/briarladder-daemon/src/main.rs
+++ b/crates/briarladder-daemon/src/main.rs
@@ -6,7 +6,7 @@
 use briarladder_gateway::{logs, process as gateway};
 use briarladder_platform::{
     PlatformDialect,
-    settings::{self, SETTINGS_VARIABLE},
+    settings::{self, METRICS_PORT, SETTINGS_VARIABLE},
 };
 use clap::{Args, Parser, Subcommand};
 
@@ -39,12 +39,15 @@
     /// The settings file that the platform writes.
     #[arg(long, env = SETTINGS_VARIABLE)]
     settings: PathBuf,
+    /// The port of the metrics, on the address where callers connect.
+    #[arg(long, env = "BRIARLADDER_METRICS_PORT", default_value_t = METRICS_PORT)]
+    metrics_port: u16,
 }
 
 fn main() -> anyhow::Result<()> {
     let cli = Cli::parse();
     match (cli.command, cli.settings) {
-        (Some(Command::Platform(args)), _) => run_platform(args.settings),
+        (Some(Command::Platform(args)), _) => run_platform(args),
         (None, Some(settings)) => process::run(settings),
         (None, None) => anyhow::bail!(
             "neither flags nor a subcommand were given; see --help"
@@ -52,9 +55,10 @@
     }
 }
 
-fn run_platform(path: PathBuf) -> anyhow::Result<()> {
+fn run_platform(args: PlatformArgs) -> anyhow::Result<()> {
     logs::init()?;
-    let first = settings::load(&path)?;
-    let reload = Box::new(move || settings::load(&path));
+    let load = move || settings::load(&args.settings, args.metrics_port);
+    let first = load()?;
+    let reload = Box::new(load);
     gateway::run(first, Rc::new(PlatformDialect), reload)
 }
--- /dev/null
+++ b/crates/briarladder-daemon/tests/platform.rs
@@ -0,0 +1,491 @@
+//! The daemon on the users' platform, as separate processes before a stand-in
+//! of the store and of the workers.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use briarladder_platform_standins::{
+    Store, StoreFault, Worker, WorkerFault, WorkerSpec,
+    settings::{Addresses, config, settings_file},
+};
+use rustix::process::{Pid, Signal, kill_process};
+use tempfile::TempDir;
+use tokio::time::{Instant, sleep};
+
+/// The longest wait for something that takes milliseconds on an idle machine.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The time between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A daemon process; it is killed when dropped.
+struct Daemon {
+    child: Child,
+    addresses: Addresses,
+    folder: TempDir,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended by itself, as after a planned stop.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns an address that was free a moment ago.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl Daemon {
+    fn start(name: &str, store: &Store, seeds: &[SocketAddr]) -> Daemon {
+        let addresses = Addresses {
+            callers: free_address(),
+            readiness: free_address(),
+            peers: free_address(),
+        };
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("node.toml");
+        let text = settings_file(name, &addresses, seeds, store.address());
+        std::fs::write(&path, text).unwrap();
+        let output = std::fs::File::create(folder.path().join("log")).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_briarladderd"))
+            .arg("platform")
+            .arg("--settings")
+            .arg(&path)
+            .arg("--metrics-port")
+            .arg(free_address().port().to_string())
+            .stdout(output)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Daemon { child, addresses, folder }
+    }
+
+    fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("log")).unwrap()
+    }
+
+    async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/v1/ready", self.addresses.readiness);
+        reqwest::get(url).await.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    async fn wait_ready(&self) {
+        wait_for("the daemon is ready", || self.is_ready()).await;
+    }
+
+    fn request(&self, path: &str, attempt: &str) -> reqwest::RequestBuilder {
+        reqwest::Client::new()
+            .post(format!("http://{}{path}", self.addresses.callers))
+            .header("host", "shop.example")
+            .header("authorization", "Token k1")
+            .header("x-attempt-id", attempt)
+            .header("x-deadline-ms", "3000")
+            .body("order")
+    }
+
+    async fn status(&self, path: &str, attempt: &str) -> u16 {
+        let answer = self.request(path, attempt).send().await.unwrap();
+        answer.status().as_u16()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).unwrap();
+        kill_process(Pid::from_raw(id).unwrap(), signal).unwrap();
+    }
+}
+
+/// Sets a header that the request has already.
+fn replace(
+    request: reqwest::RequestBuilder,
+    name: &'static str,
+    value: &'static str,
+) -> reqwest::RequestBuilder {
+    let value = reqwest::header::HeaderValue::from_static(value);
+    request.headers([(name.parse().unwrap(), value)].into_iter().collect())
+}
+
+async fn wait_for<F: Future<Output = bool>>(
+    what: &str,
+    mut holds: impl FnMut() -> F,
+) {
+    let deadline = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        sleep(LOOK_INTERVAL).await;
+    }
+}
+
+/// A deployment with one daemon and two plain workers.
+struct Site {
+    store: Store,
+    workers: Vec<Worker>,
+    daemon: Daemon,
+}
+
+async fn site() -> Site {
+    let store = Store::start().await.unwrap();
+    store.put("op/config", &config(7));
+    let mut workers = Vec::new();
+    for id in ["i-1", "i-2"] {
+        let spec = WorkerSpec::plain(id, "plain");
+        workers.push(Worker::start(spec, &store).await.unwrap());
+    }
+    let daemon = Daemon::start("front-1", &store, &[]);
+    daemon.wait_ready().await;
+    Site { store, workers, daemon }
+}
+
+impl Site {
+    fn runs(&self) -> usize {
+        self.workers.iter().map(|worker| worker.seen().runs.len()).sum()
+    }
+
+    fn fault(&self, fault: WorkerFault) {
+        for worker in &self.workers {
+            worker.add_fault(fault);
+        }
+    }
+}
+
+/// Guards against an answer or a request that is changed on the way, and
+/// against a key that reaches a worker.
+#[tokio::test]
+async fn plain_answered() {
+    let site = site().await;
+    let answer = site.daemon.request("/plain/1?x=2", "a1").send().await;
+    let answer = answer.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.headers()["x-response-seal"], "seal");
+    assert_eq!(answer.headers()["x-attempt-id"], "a1");
+    assert_eq!(answer.text().await.unwrap(), "done");
+    let seen: Vec<_> = site
+        .workers
+        .iter()
+        .map(Worker::seen)
+        .filter(|seen| !seen.runs.is_empty())
+        .collect();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].last_headers["x-tenant"], "w1");
+    assert!(!seen[0].last_headers.contains_key("authorization"));
+    assert!(site.daemon.log().contains("id=a1 route=plain workspace=w1"));
+}
+
+/// Guards against requests that run without a route or a valid key.
+#[tokio::test]
+async fn refused_without_route_or_key() {
+    let site = site().await;
+    assert_eq!(site.daemon.status("/other/1", "a1").await, 404);
+    let request = site.daemon.request("/plain/1", "a2");
+    let request = replace(request, "authorization", "Token no");
+    assert_eq!(request.send().await.unwrap().status(), 401);
+    let unnamed = site.daemon.request("/plain/1", "").send().await;
+    assert_eq!(unnamed.unwrap().status(), 400);
+    assert_eq!(site.runs(), 0);
+}
+
+/// Guards against a daemon that serves, or promises the wrong thing, before
+/// it has a configuration.
+#[tokio::test]
+async fn not_configured_refused() {
+    let store = Store::start().await.unwrap();
+    let daemon = Daemon::start("front-1", &store, &[]);
+    wait_for("it refuses", || async {
+        let sent = daemon.request("/plain/1", "a1").send().await;
+        sent.is_ok_and(|answer| answer.status() == 503)
+    })
+    .await;
+    assert!(!daemon.is_ready().await);
+}
+
+/// Guards against a second run of what may not repeat, and against a promise
+/// that it has not run.
+#[tokio::test]
+async fn non_idempotent_once() {
+    let faults = [
+        (WorkerFault::Cut, 502),
+        (WorkerFault::OtherEcho, 502),
+        (WorkerFault::Unsigned, 502),
+        (WorkerFault::RefuseSilently, 502),
+        (WorkerFault::Error, 500),
+    ];
+    for (fault, status) in faults {
+        let site = site().await;
+        site.fault(fault);
+        assert_eq!(site.daemon.status("/once/1", "a1").await, status);
+        let most = usize::from(fault != WorkerFault::RefuseSilently);
+        assert_eq!(site.runs(), most, "{fault:?}");
+    }
+}
+
+/// Guards against a request that is lost although it may repeat or has not
+/// run.
+#[tokio::test]
+async fn retried_elsewhere() {
+    let faults = [
+        ("/plain/1", WorkerFault::Cut),
+        ("/plain/1", WorkerFault::Error),
+        ("/plain/1", WorkerFault::OtherEcho),
+        ("/once/1", WorkerFault::RefuseNotRun),
+    ];
+    for (path, fault) in faults {
+        let site = site().await;
+        // Whichever worker is asked first fails once, the other one not.
+        site.workers[0].add_fault(fault);
+        for at in 0..6 {
+            let status = site.daemon.status(path, &format!("a{at}")).await;
+            assert_eq!(status, 200, "{path} {fault:?}");
+        }
+    }
+}
+
+/// Guards against a refusal that promises nothing, or the wrong thing, when
+/// every worker states that it did not run the request.
+#[tokio::test]
+async fn refused_not_run() {
+    let site = site().await;
+    site.fault(WorkerFault::RefuseNotRun);
+    let answer = site.daemon.request("/once/1", "a1").send().await.unwrap();
+    assert_eq!(answer.status(), 503);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert_eq!(site.runs(), 0);
+}
+
+/// Guards against a request that outlives the time of its caller.
+#[tokio::test]
+async fn mute_worker_times_out() {
+    let site = site().await;
+    site.fault(WorkerFault::Mute);
+    let began = Instant::now();
+    let request = site.daemon.request("/once/1", "a1");
+    let request = replace(request, "x-deadline-ms", "400");
+    assert_eq!(request.send().await.unwrap().status(), 504);
+    let took = began.elapsed();
+    assert!(took >= Duration::from_millis(400), "{took:?}");
+    assert!(took < Duration::from_millis(2900), "{took:?}");
+    assert_eq!(site.runs(), 1);
+}
+
+/// Guards against new work for a worker that leaves.
+#[tokio::test]
+async fn draining_gets_none() {
+    let site = site().await;
+    site.workers[0].publish(&site.store, "draining");
+    wait_for("the daemon knows", || async {
+        site.daemon
+            .log()
+            .contains("server=i-1 service=plain zone=zone-a state=Draining")
+    })
+    .await;
+    let before = site.workers[0].seen().runs.len();
+    for at in 0..8 {
+        let attempt = format!("a{at}");
+        assert_eq!(site.daemon.status("/plain/1", &attempt).await, 200);
+    }
+    assert_eq!(site.workers[0].seen().runs.len(), before);
+}
+
+/// Guards against an entry of another writer that hides the good ones, and
+/// against a history that is lost.
+#[tokio::test]
+async fn malformed_and_forgotten() {
+    let site = site().await;
+    site.store.put_bytes("servers/i-9", b"\xff not json");
+    site.store.forget();
+    site.store.put("op/config", &config(9));
+    wait_for("the daemon has the new version", || async {
+        site.daemon.log().contains("version=9")
+    })
+    .await;
+    assert_eq!(site.daemon.status("/plain/1", "a1").await, 200);
+    let log = site.daemon.log();
+    assert!(log.contains("server=i-9 outcome=ignored"), "{log}");
+}
+
+/// Guards against a configuration that goes back.
+#[tokio::test]
+async fn older_version_ignored() {
+    let site = site().await;
+    site.store.put("op/config", &config(9));
+    site.store.put("op/config", &config(8));
+    site.store.put("op/config", &config(10));
+    wait_for("the daemon has the last version", || async {
+        site.daemon.log().contains("version=10")
+    })
+    .await;
+    assert!(!site.daemon.log().contains("version=8 "));
+}
+
+/// Guards against a daemon that stays without configuration because only the
+/// store can give it one.
+#[tokio::test]
+async fn store_down_peer_gives() {
+    let site = site().await;
+    site.store.set_fault(StoreFault::Status(503));
+    let seeds = [site.daemon.addresses.peers];
+    let second = Daemon::start("front-2", &site.store, &seeds);
+    second.wait_ready().await;
+    assert_eq!(second.status("/plain/1", "a1").await, 200);
+    assert!(second.log().contains("store: source=peer"));
+}
+
+/// Guards against a store that is asked without pause while it fails.
+#[tokio::test]
+async fn store_down_few_calls() {
+    let site = site().await;
+    site.store.set_fault(StoreFault::Status(503));
+    let before = site.store.calls();
+    sleep(Duration::from_secs(2)).await;
+    let calls = site.store.calls() - before;
+    assert!(calls <= 9, "{calls} calls in two seconds");
+    assert_eq!(site.daemon.status("/plain/1", "a1").await, 200);
+}
+
+/// Guards against pieces without their inputs, results of other requests, and
+/// results that are never released.
+#[tokio::test]
+async fn stages_in_order() {
+    let site = site().await;
+    let maker = |id: &str, service: &str| WorkerSpec::plain(id, service);
+    let first =
+        Worker::start(maker("m-1", "first"), &site.store).await.unwrap();
+    let second =
+        Worker::start(maker("m-2", "second"), &site.store).await.unwrap();
+    wait_for("the makers are listed", || async {
+        site.daemon.log().contains("server=m-2")
+    })
+    .await;
+    let request = site.daemon.request("/staged/1", "a1");
+    let request = request.header("x-pieces", "3,2").header("x-piece-key", "k");
+    assert_eq!(request.send().await.unwrap().status(), 200);
+    let made = &first.seen().piece_calls;
+    assert_eq!(made.len(), 1, "three pieces share a call");
+    assert_eq!(made[0]["items"].as_array().unwrap().len(), 3);
+    assert_eq!(made[0]["items"][1]["key"], "k");
+    let inputs = &second.seen().piece_calls[0]["items"][0]["inputs"];
+    assert_eq!(inputs, &serde_json::json!(["m-1/1", "m-1/2", "m-1/3"]));
+    let ran = site
+        .workers
+        .iter()
+        .map(Worker::seen)
+        .find(|seen| !seen.runs.is_empty())
+        .unwrap();
+    assert_eq!(ran.last_headers["x-inputs"], "m-2/1,m-2/2");
+    wait_for("all results are released", || async {
+        first.seen().released.len() == 3 && second.seen().released.len() == 2
+    })
+    .await;
+}
+
+/// Guards against a request whose stages can't run and that is held.
+#[tokio::test]
+async fn stages_without_makers() {
+    let site = site().await;
+    let request = site.daemon.request("/staged/1", "a1");
+    let request = request.header("x-pieces", "1,1").header("x-piece-key", "k");
+    let answer = request.send().await.unwrap();
+    assert_eq!(answer.status(), 503);
+    let wrong = site.daemon.request("/staged/1", "a2");
+    let wrong = wrong.header("x-pieces", "1").send().await.unwrap();
+    assert_eq!(wrong.status(), 400);
+    assert_eq!(site.runs(), 0);
+}
+
+async fn streaming(site: &Site, events: usize, pace_ms: u64) -> Worker {
+    let mut spec = WorkerSpec::plain("e-1", "engine");
+    spec.events = events;
+    spec.pace = Duration::from_millis(pace_ms);
+    let engine = Worker::start(spec, &site.store).await.unwrap();
+    wait_for("the engine is listed", || async {
+        site.daemon.log().contains("server=e-1")
+    })
+    .await;
+    engine
+}
+
+/// Guards against events that are lost, doubled or held back.
+#[tokio::test]
+async fn stream_whole() {
+    let site = site().await;
+    streaming(&site, 20, 5).await;
+    let answer = site.daemon.request("/stream/1", "a1").send().await.unwrap();
+    assert_eq!(answer.status(), 200);
+    let text = answer.text().await.unwrap();
+    let events: Vec<&str> = text.split_terminator("\n\n").collect();
+    assert_eq!(events.len(), 20);
+    for (at, event) in events.into_iter().enumerate() {
+        assert_eq!(event, format!("id: {at}\ndata: t{at}"));
+    }
+}
+
+/// Guards against a worker that goes on for a caller that has left.
+#[tokio::test]
+async fn stream_caller_leaves() {
+    let site = site().await;
+    let engine = streaming(&site, 100, 20).await;
+    let mut answer =
+        site.daemon.request("/stream/1", "a1").send().await.unwrap();
+    answer.chunk().await.unwrap();
+    drop(answer);
+    wait_for("the engine is told", || async {
+        engine.seen().streams_cut == 1
+    })
+    .await;
+}
+
+/// Guards against a planned stop that cuts a stream, and against one that
+/// does not end.
+#[tokio::test]
+async fn stop_finishes_stream() {
+    let mut site = site().await;
+    streaming(&site, 40, 25).await;
+    let answer = site.daemon.request("/stream/1", "a1").send().await.unwrap();
+    site.daemon.signal(Signal::TERM);
+    wait_for("it is not ready", || async { !site.daemon.is_ready().await })
+        .await;
+    let text = answer.text().await.unwrap();
+    assert!(text.ends_with("data: t39\n\n"), "{text}");
+    let deadline = Instant::now() + PATIENCE;
+    let status = loop {
+        if let Some(status) = site.daemon.child.try_wait().unwrap() {
+            break status;
+        }
+        assert!(Instant::now() < deadline, "the daemon still runs");
+        sleep(LOOK_INTERVAL).await;
+    };
+    assert!(status.success(), "{status}");
+}
+
+/// Guards against a reload that ends the process.
+#[tokio::test]
+async fn reload_keeps_serving() {
+    let site = site().await;
+    site.daemon.signal(Signal::HUP);
+    wait_for("the reload is logged", || async {
+        site.daemon.log().contains("event=reloaded")
+    })
+    .await;
+    assert_eq!(site.daemon.status("/plain/1", "a1").await, 200);
+}
+
+/// Guards against a start with bad settings that says nothing of the cause.
+#[tokio::test]
+async fn bad_settings_named() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("node.toml");
+    std::fs::write(&path, "nodeName = 7").unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_briarladderd"))
+        .args(["platform", "--settings"])
+        .arg(&path)
+        .output()
+        .unwrap();
+    assert!(!output.status.success());
+    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(error.contains("nodeName"), "{error}");
+}
