--- /dev/null
+++ b/crates/briarladder-core/src/fleet/events.rs
@@ -0,0 +1,130 @@
+//! The events of a stream, cut where a stream may be continued.
+//!
+//! A server may stop in the middle of an event. Only whole events are passed
+//! on, so that another server can continue after the last one without a torn
+//! or doubled event.
+//!
+//! # Example
+//!
+//! ```
+//! use briarladder_core::fleet::events::EventSplitter;
+//!
+//! let mut splitter = EventSplitter::default();
+//! let whole = splitter.push(b"id: 4\ndata: a\n\nid: 5\nda");
+//! assert_eq!(whole, b"id: 4\ndata: a\n\n");
+//! assert_eq!(splitter.last_id(), Some("4"));
+//! splitter.discard_rest();
+//! assert!(splitter.is_whole());
+//! ```
+
+/// The longest event that is waited for. A longer one is passed on as it
+/// comes, and its stream is not continued elsewhere.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Cuts a stream into whole events.
+#[derive(Clone, Debug, Default)]
+pub struct EventSplitter {
+    rest: Vec<u8>,
+    last_id: Option<String>,
+}
+
+impl EventSplitter {
+    /// Takes bytes and returns those that end with a whole event.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.rest.extend_from_slice(bytes);
+        let end = match last_event_end(&self.rest) {
+            Some(end) => end,
+            None if self.rest.len() > MAX_EVENT_BYTES => self.rest.len(),
+            None => return Vec::new(),
+        };
+        let rest = self.rest.split_off(end);
+        let whole = std::mem::replace(&mut self.rest, rest);
+        if let Some(id) = last_id(&whole) {
+            self.last_id = Some(id);
+        }
+        whole
+    }
+
+    /// Returns the id of the last whole event.
+    #[must_use]
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
+    /// Returns whether no part of an event is left over.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    /// Forgets the part of an event whose server has stopped.
+    pub fn discard_rest(&mut self) {
+        self.rest.clear();
+    }
+
+    /// Takes the bytes after the last whole event, for a stream that ends.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.rest)
+    }
+}
+
+/// Returns the position after the last blank line.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let by_newline = find_last(bytes, b"\n\n");
+    let by_return = find_last(bytes, b"\r\n\r\n");
+    by_newline.max(by_return)
+}
+
+fn find_last(bytes: &[u8], end: &[u8]) -> Option<usize> {
+    bytes
+        .windows(end.len())
+        .rposition(|window| window == end)
+        .map(|at| at + end.len())
+}
+
+fn last_id(events: &[u8]) -> Option<String> {
+    let text = String::from_utf8_lossy(events);
+    text.lines()
+        .filter_map(|line| line.strip_prefix("id:"))
+        .next_back()
+        .map(|id| id.trim().to_owned())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against torn events, whatever the cuts of the connection are.
+    #[test]
+    fn push_every_cut() {
+        let stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n";
+        for cut in 0..stream.len() {
+            let mut splitter = EventSplitter::default();
+            let mut whole = splitter.push(&stream[..cut]);
+            whole.extend(splitter.push(&stream[cut..]));
+            assert_eq!(whole, &stream[..30], "cut at {cut}");
+            assert_eq!(splitter.last_id(), Some("2"));
+            assert!(!splitter.is_whole());
+        }
+    }
+
+    /// Guards against events with other line ends that are held back.
+    #[test]
+    fn push_carriage_returns() {
+        let mut splitter = EventSplitter::default();
+        let whole = splitter.push(b"id: 7\r\ndata: a\r\n\r\nid");
+        assert_eq!(whole, b"id: 7\r\ndata: a\r\n\r\n");
+        assert_eq!(splitter.last_id(), Some("7"));
+    }
+
+    /// Guards against memory that grows with a stream without events.
+    #[test]
+    fn push_without_events() {
+        let mut splitter = EventSplitter::default();
+        let mut passed = 0;
+        for _ in 0..400 {
+            passed += splitter.push(&[b'x'; 1000]).len();
+        }
+        assert!(passed > 0);
+    }
+}
--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 pub mod budget;
 pub mod collect;
 pub mod config;
+pub mod events;
 pub mod mirror;
 pub mod peers;
 pub mod placement;
--- a/crates/briarladder-daemon/tests/platform.rs
+++ b/crates/briarladder-daemon/tests/platform.rs
@@ -424,6 +424,48 @@
     }
 }
 
+/// Guards against a stream that ends with its worker although another could
+/// continue it, and against events that are torn, lost or doubled then.
+#[tokio::test]
+async fn stream_resumed() {
+    for fault in [WorkerFault::Cut, WorkerFault::Mute] {
+        let site = site().await;
+        let first = streaming(&site, 20, 5).await;
+        first.add_fault(fault);
+        let mut spec = WorkerSpec::plain("e-2", "engine");
+        spec.events = 20;
+        let second = Worker::start(spec, &site.store).await.unwrap();
+        second.add_fault(fault);
+        wait_for("the second engine is listed", || async {
+            site.daemon.log().contains("server=e-2")
+        })
+        .await;
+        // Whichever engine is first stops half way, and so does the other
+        // one if it is asked for the whole stream.
+        let request = site.daemon.request("/resumed/1", "a1");
+        let text = request.send().await.unwrap().text().await.unwrap();
+        let events: Vec<&str> = text.split_terminator("\n\n").collect();
+        assert_eq!(events.len(), 20, "{fault:?}: {text}");
+        for (at, event) in events.into_iter().enumerate() {
+            assert_eq!(event, format!("id: {at}\ndata: t{at}"));
+        }
+        let runs = first.seen().runs.len() + second.seen().runs.len();
+        assert_eq!(runs, 2, "{fault:?}");
+    }
+}
+
+/// Guards against a stream that looks whole although its worker stopped.
+#[tokio::test]
+async fn stream_cut_not_whole() {
+    let site = site().await;
+    let engine = streaming(&site, 20, 5).await;
+    engine.add_fault(WorkerFault::Cut);
+    let answer = site.daemon.request("/stream/1", "a1").send().await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert!(answer.text().await.is_err(), "it must not look complete");
+    assert_eq!(engine.seen().runs.len(), 1);
+}
+
 /// Guards against a worker that goes on for a caller that has left.
 #[tokio::test]
 async fn stream_caller_leaves() {
--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -16,7 +16,7 @@
 use derive_more::{Display, Error};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use tokio::time::Sleep;
+use tokio::{sync::mpsc, time::Sleep};
 
 use crate::{board::RunningGuard, pool::Lease, request::record::Record};
 
@@ -38,6 +38,8 @@
     Full(Option<Bytes>),
     /// Bytes of a server as they arrive.
     Relay(Box<Relay>),
+    /// Events of a stream that more than one server may make.
+    Resumed(ResumedBody),
 }
 
 impl ReplyBody {
@@ -48,6 +50,22 @@
     }
 }
 
+/// A body whose events come from a task.
+#[derive(Debug)]
+pub struct ResumedBody {
+    events: mpsc::Receiver<Result<Bytes, RelayError>>,
+}
+
+impl ResumedBody {
+    /// Creates a body that ends when the sender is dropped.
+    #[must_use]
+    pub fn new(
+        events: mpsc::Receiver<Result<Bytes, RelayError>>,
+    ) -> ResumedBody {
+        ResumedBody { events }
+    }
+}
+
 /// A body that passes on what a server sends.
 #[derive(Debug)]
 pub struct Relay {
@@ -137,6 +155,10 @@
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
             ReplyBody::Relay(relay) => relay.poll(cx),
+            ReplyBody::Resumed(body) => body
+                .events
+                .poll_recv(cx)
+                .map(|event| event.map(|event| event.map(Frame::data))),
         }
     }
 
@@ -144,6 +166,7 @@
         match self {
             ReplyBody::Full(bytes) => bytes.is_none(),
             ReplyBody::Relay(relay) => relay.incoming.is_end_stream(),
+            ReplyBody::Resumed(_) => false,
         }
     }
 
@@ -155,6 +178,7 @@
                 }))
             }
             ReplyBody::Relay(relay) => relay.incoming.size_hint(),
+            ReplyBody::Resumed(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -95,6 +95,8 @@
     pub inputs: &'a [Handle],
     /// The rank; 0 is the most urgent.
     pub rank: u8,
+    /// The last event of a stream that is continued.
+    pub resume: Option<&'a str>,
 }
 
 /// The head of an answer of a backend server.
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -1,8 +1,11 @@
 //! The path of one request: accept, stages, send, answer.
 
 pub mod accept;
-pub mod dispatch;
+mod dispatch;
+mod headers;
+pub mod outgoing;
 pub mod record;
+mod resume;
 
 use std::{rc::Rc, time::Duration};
 
@@ -17,6 +20,7 @@
 use self::{
     accept::{Accepted, accept, read_body},
     dispatch::dispatch,
+    outgoing::Outgoing,
     record::Record,
 };
 
@@ -89,9 +93,18 @@
         Ok(results) => results,
         Err(ended) => return refuse(record, ended, Some(&accepted)),
     };
-    match dispatch(gateway, &accepted, &head, body, &results, record).await {
+    let outgoing = Outgoing {
+        gateway: Rc::clone(gateway),
+        accepted: Rc::new(accepted),
+        head: Rc::new(head),
+        body,
+        prepared: Rc::new(results),
+    };
+    match dispatch(&outgoing, record).await {
         Ok(response) => response,
-        Err((record, ended)) => refuse(*record, ended, Some(&accepted)),
+        Err((record, ended)) => {
+            refuse(*record, ended, Some(&outgoing.accepted))
+        }
     }
 }
 
--- /dev/null
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -0,0 +1,343 @@
+//! A request on its way to a backend server.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use briarladder_core::{
+    fleet::{
+        placement::{Wish, reading_time},
+        server::ListedServer,
+    },
+    retry::AttemptFailure,
+};
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode, header, request, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+
+use crate::{
+    board::ReadingGuard,
+    context::Gateway,
+    dialect::{AnswerHead, Dispatch, Prompt},
+    metrics::Metrics,
+    pool::{Freshness, Lease, SendError},
+    stages::preparation::Prepared,
+};
+
+use super::{accept::Accepted, headers::is_connection_header};
+
+/// A request that may not repeat only uses a connection that was used within
+/// this time. Backend servers close idle connections, and a request that
+/// meets the close has an unknown outcome.
+const NON_IDEMPOTENT_FRESHNESS: Duration = Duration::from_millis(700);
+
+/// Answers up to this size are read whole before they are passed on, so that
+/// one that breaks off can be asked for again.
+const MAX_BUFFERED_BYTES: usize = 512 * 1024;
+
+/// A request with what is needed to send it again.
+#[derive(Clone)]
+pub struct Outgoing {
+    /// The parts of the gateway.
+    pub gateway: Rc<Gateway>,
+    /// The request.
+    pub accepted: Rc<Accepted>,
+    /// Its head as the caller sent it.
+    pub head: Rc<request::Parts>,
+    /// Its body.
+    pub body: Bytes,
+    /// The results of its stages.
+    pub prepared: Rc<Prepared>,
+}
+
+/// An answer whose head has arrived.
+pub struct Answer {
+    /// The head.
+    pub head: response::Parts,
+    /// What the head says.
+    pub facts: AnswerHead,
+    /// The body as it comes.
+    pub body: Incoming,
+    /// The connection.
+    pub lease: Lease,
+}
+
+/// An answer that can be passed on.
+pub enum Usable {
+    /// It was read whole.
+    Whole(Box<WholeAnswer>),
+    /// Its body comes as it is passed on.
+    Flowing(Box<Answer>),
+}
+
+/// A send that brought no usable answer.
+pub struct Failed {
+    /// What the failure proves.
+    pub failure: AttemptFailure,
+    /// What went wrong.
+    pub cause: String,
+    /// The answer of a server that reports a failure of its own.
+    pub own_failure: Option<Box<WholeAnswer>>,
+    /// No server can run the request, since its inputs are gone.
+    pub inputs_gone: bool,
+}
+
+/// An answer that was read whole.
+pub struct WholeAnswer {
+    /// The head.
+    pub head: response::Parts,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl From<SendError> for Failed {
+    fn from(error: SendError) -> Failed {
+        Failed {
+            failure: error.failure,
+            cause: error.cause,
+            own_failure: None,
+            inputs_gone: false,
+        }
+    }
+}
+
+impl Failed {
+    /// Creates a failure without an answer.
+    #[must_use]
+    pub fn new(failure: AttemptFailure, cause: impl Into<String>) -> Failed {
+        Failed {
+            failure,
+            cause: cause.into(),
+            own_failure: None,
+            inputs_gone: false,
+        }
+    }
+}
+
+/// Chooses the server that runs a request, near a zone.
+#[must_use]
+pub fn choose_server(
+    gateway: &Gateway,
+    accepted: &Accepted,
+    zone: &str,
+    tried: &[Arc<str>],
+) -> Option<Arc<ListedServer>> {
+    let board = &gateway.board;
+    let servers = board.servers.borrow();
+    let prompt = accepted.caller.prompt.as_ref();
+    let wish = Wish {
+        zone,
+        affinity: prompt.and_then(Prompt::shared_prefix),
+        tried,
+        point: rand::random(),
+    };
+    let ready = servers.ready(&accepted.service).map(|server| &**server);
+    let chosen = board.placement.borrow().choose(
+        board.now(),
+        &wish,
+        ready,
+        |name| board.running(name),
+    )?;
+    servers.get(&chosen.name).cloned()
+}
+
+/// Logs a failed send and learns from it.
+pub fn note_failure(
+    outgoing: &Outgoing,
+    server: &ListedServer,
+    failed: &Failed,
+) {
+    let gateway = &outgoing.gateway;
+    let label = match failed.failure {
+        AttemptFailure::ConnectFailed => "connect_failed",
+        AttemptFailure::RefusedNotRun | AttemptFailure::Leaving => "refused",
+        AttemptFailure::Broken => "broken",
+        AttemptFailure::TimedOut => "time_out",
+        AttemptFailure::ErrorStatus => "error_status",
+        AttemptFailure::MismatchedEcho => "other_attempt",
+    };
+    count(gateway, &outgoing.accepted, label);
+    log::info!(
+        "dispatch: id={} server={} failure={label} cause={:?}",
+        outgoing.accepted.caller.attempt,
+        server.name,
+        failed.cause
+    );
+    // A server's own error answers say little about its other requests.
+    if failed.failure != AttemptFailure::ErrorStatus {
+        let now = gateway.board.now();
+        gateway.board.placement.borrow_mut().failed(now, &server.name);
+    }
+}
+
+/// Counts an outcome of a send.
+pub fn count(gateway: &Gateway, accepted: &Accepted, outcome: &'static str) {
+    Metrics::count(&gateway.metrics.sends, &accepted.service, outcome);
+}
+
+impl Outgoing {
+    /// Sends the request to one server and learns from the time that it
+    /// takes to begin its answer.
+    ///
+    /// # Errors
+    ///
+    /// If the answer can't be passed on.
+    pub async fn send_and_learn(
+        &self,
+        server: &ListedServer,
+        resume: Option<&str>,
+    ) -> Result<Usable, Failed> {
+        let Some(prompt) = &self.accepted.caller.prompt else {
+            return self.send_once(server, resume).await;
+        };
+        let board = &self.gateway.board;
+        let reading = reading_time(prompt.own_tokens());
+        let unread = ReadingGuard::new(board, &server.name, reading);
+        let sent_at = board.now();
+        let answer = self.send_once(server, resume).await;
+        drop(unread);
+        if answer.is_ok() {
+            let now = board.now();
+            let took = now.duration_since(sent_at);
+            let delay = took.saturating_sub(reading);
+            board.placement.borrow_mut().delayed(now, &server.name, delay);
+        }
+        answer
+    }
+
+    /// Sends the request to one server and reads its answer as far as
+    /// needed to know whether it can be passed on.
+    async fn send_once(
+        &self,
+        server: &ListedServer,
+        resume: Option<&str>,
+    ) -> Result<Usable, Failed> {
+        let request = self.request_for(server, resume)?;
+        let freshness = if self.accepted.route.kind.may_repeat() {
+            Freshness::Any
+        } else {
+            Freshness::UsedWithin(NON_IDEMPOTENT_FRESHNESS)
+        };
+        let pool = &self.gateway.pool;
+        let (response, lease) =
+            pool.send(server.address, request, freshness).await?;
+        let (head, body) = response.into_parts();
+        let attempt = &self.accepted.caller.attempt;
+        let facts = self.gateway.dialect.answer_head(&head, attempt);
+        self.judge(Answer { head, facts, body, lease }).await
+    }
+
+    fn request_for(
+        &self,
+        server: &ListedServer,
+        resume: Option<&str>,
+    ) -> Result<Request<Full<Bytes>>, Failed> {
+        let dialect = &self.gateway.dialect;
+        let mut headers = HeaderMap::with_capacity(self.head.headers.len());
+        for (name, value) in &self.head.headers {
+            let passes = !is_connection_header(name)
+                && name != header::CONTENT_LENGTH
+                && dialect.passes_to_server(name);
+            if passes {
+                headers.append(name, value.clone());
+            }
+        }
+        let now = self.gateway.board.now();
+        let workspace = self.accepted.workspace.as_ref();
+        let dispatch = Dispatch {
+            server: &server.name,
+            time_left: self.accepted.time_left(now),
+            workspace: workspace.map(|workspace| &*workspace.name),
+            inputs: self.prepared.results(),
+            resume,
+            rank: self.accepted.rank,
+        };
+        dialect.add_dispatch(&mut headers, &dispatch);
+        let target =
+            self.head.uri.path_and_query().map_or("/", |p| p.as_str());
+        let mut request = Request::builder()
+            .method(self.head.method.clone())
+            .uri(target)
+            .body(Full::new(self.body.clone()))
+            .map_err(|error| {
+                let failure = AttemptFailure::ConnectFailed;
+                Failed::new(failure, error.to_string())
+            })?;
+        *request.headers_mut() = headers;
+        Ok(request)
+    }
+
+    /// Decides whether an answer can be passed on.
+    async fn judge(&self, answer: Answer) -> Result<Usable, Failed> {
+        let facts = answer.facts;
+        let status = answer.head.status;
+        if facts.echoes_other {
+            let failure = AttemptFailure::MismatchedEcho;
+            return Err(Failed::new(failure, "an answer to another attempt"));
+        }
+        if facts.not_run || facts.other_server {
+            let cause = format!("refused with {status}");
+            if collect(answer.body).await.is_ok() {
+                answer.lease.give_back(facts.idle_timeout);
+            }
+            let failure = AttemptFailure::RefusedNotRun;
+            let mut failed = Failed::new(failure, cause);
+            failed.inputs_gone = facts.inputs_gone;
+            return Err(failed);
+        }
+        if status.is_success() {
+            if !facts.signed || !facts.echoes_attempt {
+                let failure = AttemptFailure::ErrorStatus;
+                return Err(Failed::new(failure, "a success without proof"));
+            }
+            if self.flows(&answer) {
+                return Ok(Usable::Flowing(Box::new(answer)));
+            }
+        }
+        self.judge_whole(answer).await
+    }
+
+    /// Reads an answer whole and decides whether it can be passed on.
+    async fn judge_whole(&self, answer: Answer) -> Result<Usable, Failed> {
+        let Answer { head, facts, body, lease } = answer;
+        let status = head.status;
+        let body = collect(body)
+            .await
+            .map_err(|cause| Failed::new(AttemptFailure::Broken, cause))?;
+        lease.give_back(facts.idle_timeout);
+        let failed = status.is_server_error()
+            || is_promise(status)
+            || (status.is_success() && !facts.signed);
+        if !failed {
+            return Ok(Usable::Whole(Box::new(WholeAnswer { head, body })));
+        }
+        // A status that promises "not run" is only passed on with proof.
+        let own_failure = (!is_promise(status))
+            .then(|| Box::new(WholeAnswer { head, body }));
+        Err(Failed {
+            failure: AttemptFailure::ErrorStatus,
+            cause: format!("the server answered {status}"),
+            own_failure,
+            inputs_gone: false,
+        })
+    }
+
+    fn flows(&self, answer: &Answer) -> bool {
+        use http_body::Body as _;
+        let longest = u64::try_from(MAX_BUFFERED_BYTES).unwrap_or(u64::MAX);
+        self.accepted.route.kind.is_stream()
+            || answer.body.size_hint().lower() > longest
+    }
+}
+
+/// Returns whether a status promises that the request has not run.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
+async fn collect(body: Incoming) -> Result<Bytes, String> {
+    let read = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
+    match read {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) => Err(format!("the answer broke off: {error}")),
+    }
+}
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -17,7 +17,7 @@
     peers::messages::{PIECES_PATH, PieceReply, PiecesReply, PiecesRequest},
     refusal::Refusal,
     request::{
-        Ended, accept::Accepted, dispatch::choose_server, record::Record,
+        Ended, accept::Accepted, outgoing::choose_server, record::Record,
     },
 };
 
