Make pieces where their inputs lie

Cause: each piece of the last stage fetches all results of the stage before, 0.4 MB a piece and 7 MB a request; nearly all of them crossed zones, since a small result could be made anywhere. Releases waited 25 ms to be gathered.

Change: a piece whose inputs are larger than its result has its home where they lie; a piece waits for a server of its home while 1.4 full calls fit before it is needed, instead of 2 (the test of that follows); a release is sent 10 ms after the first.

--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -45,6 +45,7 @@
 //!         due: now + Duration::from_secs(1),
 //!         deadline: now + Duration::from_secs(5),
 //!         result_bytes: 1000,
+//!         crossing_bytes: 1000,
 //!         avoid: None,
 //!     });
 //! }
@@ -68,9 +69,9 @@
 /// Up to this many servers of a service are collected for by one daemon.
 const MAX_SHARED_SERVERS: usize = 8;
 
-/// A piece waits for a server of its home zone only while this many full
-/// calls fit before it is needed.
-const HOME_CALLS: u32 = 2;
+/// A piece waits for a server of its home zone only while this many
+/// hundredths of a full call fit before it is needed.
+const HOME_CALL_HUNDREDTHS: u32 = 140;
 
 /// The wait of a piece that misses its target counts this many times, unless
 /// its request has pieces already: newer pieces that can be on time go first.
@@ -83,9 +84,9 @@
 /// The weight of the newest call in the usual size of calls under backlog.
 const BATCH_SMOOTHING: f64 = 0.1;
 
-/// Results from this size on are made in the zone where they are needed, if
+/// Pieces that move this much between zones are made in their home zone, if
 /// that does not make them late.
-const LARGE_RESULT_BYTES: u64 = 500_000;
+const LARGE_CROSSING_BYTES: u64 = 250_000;
 
 /// How long a server that refused a call gets none; each further refusal
 /// doubles the time.
@@ -99,7 +100,7 @@
 /// results whose release is on its way and sizes that are approximate.
 const USED_ROOM_HUNDREDTHS: u64 = 97;
 
-/// Where a result is needed.
+/// Where a piece is best made.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Home {
     /// In this zone.
@@ -131,14 +132,17 @@
     /// The pieces of its request that are made. They fill room at their
     /// makers, and are lost if the rest comes too late.
     pub progress: u32,
-    /// Where the result is needed.
+    /// Where it is best made.
     pub home: Home,
     /// When the piece is needed so that its request meets its target.
     pub due: Instant,
     /// When the piece is of no use any more.
     pub deadline: Instant,
-    /// The expected size of its result.
+    /// The expected size of its result, which takes room at its maker.
     pub result_bytes: u64,
+    /// The bytes that cross zones if it is made away from home: its result,
+    /// or the inputs that lie there.
+    pub crossing_bytes: u64,
     /// A server that failed to make it.
     pub avoid: Option<Arc<str>>,
 }
@@ -527,14 +531,14 @@
         order: &Order,
     ) -> bool {
         let Home::Fixed(home) = &order.home else { return true };
-        if order.result_bytes < LARGE_RESULT_BYTES
+        if order.crossing_bytes < LARGE_CROSSING_BYTES
             || lane.zone.as_ref() == Some(home)
         {
             return true;
         }
         let batch = u32::try_from(self.spec.batch).unwrap_or(u32::MAX);
         let full_call = self.spec.call + self.spec.item * batch;
-        if now + full_call * HOME_CALLS > order.due {
+        if now + full_call * HOME_CALL_HUNDREDTHS / 100 > order.due {
             return true;
         }
         let home_lanes = self
@@ -545,7 +549,7 @@
         let home_waiting = self
             .waiting
             .iter()
-            .filter(|other| other.result_bytes >= LARGE_RESULT_BYTES)
+            .filter(|other| other.crossing_bytes >= LARGE_CROSSING_BYTES)
             .filter(|other| other.home.zone() == home)
             .count();
         let taken = self.usual_batch * f64::from(count(home_lanes));
--- a/crates/briarladder-core/src/fleet/collect/tests.rs
+++ b/crates/briarladder-core/src/fleet/collect/tests.rs
@@ -24,6 +24,7 @@
         due: now + Duration::from_millis(due_ms),
         deadline: now + Duration::from_secs(8),
         result_bytes: 3_000_000,
+        crossing_bytes: 3_000_000,
         avoid: None,
     }
 }
@@ -188,6 +189,22 @@
     assert_eq!((&*second.server, second.ids), ("a", vec![2]));
 }
 
+/// Guards against inputs that cross zones although they are larger than the
+/// result.
+#[test]
+fn next_call_near_inputs() {
+    let now = Instant::now();
+    let mut queue = PieceQueue::new(spec());
+    let zones = [("a", "z1"), ("b", "z2")];
+    queue.set_servers(zones.map(|(a, z)| (Arc::from(a), Arc::from(z))));
+    let mut piece = order(1, now, 900);
+    piece.result_bytes = 6_000;
+    piece.crossing_bytes = 480_000;
+    piece.home = Home::Fixed(Arc::from("z2"));
+    queue.push(piece);
+    assert_eq!(&*queue.next_call(now).unwrap().server, "b");
+}
+
 /// Guards against large pieces that wait for a busy server of their zone
 /// until they are late, or while that zone has more than it can take.
 #[test]
@@ -200,7 +217,7 @@
     assert_eq!(&*queue.next_call(now).unwrap().server, "a");
     queue.push(order(2, now, 2000));
     assert!(queue.next_call(now).is_none(), "it can wait for its zone");
-    let later = now + Duration::from_millis(1500);
+    let later = now + Duration::from_millis(1650);
     assert_eq!(&*queue.next_call(later).unwrap().server, "b");
     let mut queue = PieceQueue::new(spec());
     queue.set_servers(zones.map(|(a, z)| (Arc::from(a), Arc::from(z))));
--- a/crates/briarladder-core/src/fleet/mirror.rs
+++ b/crates/briarladder-core/src/fleet/mirror.rs
@@ -11,9 +11,9 @@
 //! use briarladder_core::fleet::mirror::{Item, Mirror};
 //!
 //! let mut mirror = Mirror::default();
-//! mirror.apply(Item::present("servers/a", 7, b"{}".to_vec()));
-//! assert!(mirror.apply(Item::absent("servers/a", 9)));
-//! assert!(!mirror.apply(Item::present("servers/a", 8, b"{}".to_vec())));
+//! mirror.apply(Item::present("item-a", 7, b"{}".to_vec()));
+//! assert!(mirror.apply(Item::absent("item-a", 9)));
+//! assert!(!mirror.apply(Item::present("item-a", 8, b"{}".to_vec())));
 //! assert_eq!(mirror.revision(), 9);
 //! ```
 
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -31,10 +31,12 @@
     pub service: Arc<str>,
     /// The zone whose servers should make them, or all servers.
     pub zone: Option<Arc<str>>,
-    /// The zone where the results are needed.
+    /// The zone where the pieces are best made.
     pub home: Arc<str>,
     /// Whether the request can run in another zone as well.
     pub movable: bool,
+    /// The bytes of one piece that cross zones if it is made elsewhere.
+    pub crossing_bytes: u64,
     /// The attempt of the caller.
     pub attempt: Arc<str>,
     /// The stage.
--- a/crates/briarladder-gateway/src/stages/collector.rs
+++ b/crates/briarladder-gateway/src/stages/collector.rs
@@ -19,7 +19,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, Full};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::{
     board::Board,
@@ -109,6 +109,7 @@
     queues: RefCell<SortedMap<QueueKey, Queue>>,
     next_id: Cell<u64>,
     released: RefCell<Vec<Handle>>,
+    released_some: Notify,
 }
 
 /// Removes the pieces of a request from their queue when the requester
@@ -150,6 +151,7 @@
             queues: RefCell::default(),
             next_id: Cell::new(0),
             released: RefCell::default(),
+            released_some: Notify::new(),
         })
     }
 
@@ -512,7 +514,15 @@
 
     /// Gathers results to be released.
     pub fn release_later(&self, results: Vec<Handle>) {
-        self.released.borrow_mut().extend(results);
+        if !results.is_empty() {
+            self.released.borrow_mut().extend(results);
+            self.released_some.notify_one();
+        }
+    }
+
+    /// Waits until there are results to be released.
+    pub async fn wait_released(&self) {
+        self.released_some.notified().await;
     }
 
     /// Takes the gathered results.
@@ -594,6 +604,7 @@
             due: self.batch.due,
             deadline: self.batch.deadline,
             result_bytes: self.batch.request.result_bytes,
+            crossing_bytes: self.batch.request.crossing_bytes,
             avoid,
         }
     }
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -228,6 +228,9 @@
         .map(|handle| handle.reference)
         .collect();
     let first = spec.after.is_empty();
+    let (home, crossing_bytes) =
+        best_home(gateway, accepted, plan, stage, home);
+    let home = &home;
     let bytes = spec.result_bytes * u64::from(plan.pieces(stage));
     let duty = duty::for_pieces(gateway, &spec.service, home.zone(), bytes);
     let request = PiecesRequest {
@@ -235,6 +238,7 @@
         zone: duty.zone.clone(),
         home: Arc::clone(home.zone()),
         movable: matches!(home, Home::Preferred(_)),
+        crossing_bytes,
         attempt: Arc::clone(&accepted.caller.attempt),
         stage,
         pieces: plan.pieces(stage),
@@ -249,6 +253,38 @@
     (duty, request)
 }
 
+/// Returns where the pieces of a stage are best made, and how many bytes of
+/// each cross zones otherwise: where their inputs lie if these are larger than
+/// the result, else where the request runs.
+fn best_home(
+    gateway: &Gateway,
+    accepted: &Accepted,
+    plan: &StagePlan<'_>,
+    stage: usize,
+    home: &Home,
+) -> (Home, u64) {
+    let specs = &accepted.route.stages;
+    let spec = &specs[stage];
+    let input_bytes: u64 = spec
+        .after
+        .iter()
+        .map(|&before| {
+            specs[before].result_bytes * u64::from(plan.pieces(before))
+        })
+        .sum();
+    let servers = gateway.board.servers.borrow();
+    let maker = plan
+        .inputs(stage)
+        .first()
+        .and_then(|input| servers.get(&input.maker).cloned());
+    match maker {
+        Some(maker) if input_bytes > spec.result_bytes => {
+            (Home::Fixed(Arc::clone(&maker.zone)), input_bytes)
+        }
+        _ => (home.clone(), spec.result_bytes),
+    }
+}
+
 fn millis(time: Duration) -> i64 {
     i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
 }
--- a/crates/briarladder-gateway/src/stages/release.rs
+++ b/crates/briarladder-gateway/src/stages/release.rs
@@ -16,7 +16,7 @@
 use super::duty;
 
 /// The time for which releases are gathered.
-pub const GATHER: Duration = Duration::from_millis(25);
+pub const GATHER: Duration = Duration::from_millis(10);
 
 /// The longest time to tell a peer.
 const TIMEOUT: Duration = Duration::from_millis(500);
@@ -24,6 +24,7 @@
 /// Releases gathered results for as long as the process runs.
 pub async fn run(gateway: Rc<Gateway>) {
     loop {
+        gateway.collector.wait_released().await;
         tokio::time::sleep(GATHER).await;
         let released = gateway.collector.take_released();
         if !released.is_empty() {
