Let late requests make large results last

Cause: a request that misses its target held results of 3 MB while its other stages waited for seconds, and newer requests lacked the room.

Change: its stage with large results starts when all others are done.

--- a/crates/briarladder-core/src/fleet/stages.rs
+++ b/crates/briarladder-core/src/fleet/stages.rs
@@ -264,20 +264,39 @@
         stage: usize,
         estimate: &impl Fn(&Arc<str>) -> StageEstimate,
     ) -> Duration {
-        let total = |stage| {
-            self.stage_time(stage, estimate) + self.time_after(stage, estimate)
-        };
-        let longest = (0..self.specs.len())
+        let own = self.stage_time(stage, estimate)
+            + self.time_after(stage, estimate);
+        self.remaining(estimate).saturating_sub(own)
+    }
+
+    /// Estimates the time until all stages are done: the longest chain of
+    /// those that are not.
+    pub fn remaining(
+        &self,
+        estimate: &impl Fn(&Arc<str>) -> StageEstimate,
+    ) -> Duration {
+        (0..self.specs.len())
             .filter(|&other| {
                 matches!(
                     self.progress[other],
                     Progress::Waiting | Progress::Running
                 )
             })
-            .map(total)
+            .map(|stage| {
+                self.stage_time(stage, estimate)
+                    + self.time_after(stage, estimate)
+            })
             .max()
-            .unwrap_or_default();
-        longest.saturating_sub(total(stage))
+            .unwrap_or_default()
+    }
+
+    /// Returns whether other stages are not done yet.
+    #[must_use]
+    pub fn waits_for_others(&self, stage: usize) -> bool {
+        self.progress.iter().enumerate().any(|(other, progress)| {
+            other != stage
+                && matches!(progress, Progress::Waiting | Progress::Running)
+        })
     }
 
     fn stage_time(
@@ -387,6 +406,14 @@
         };
         assert_eq!(plan.slack(0, &estimate), Duration::from_millis(200));
         assert_eq!(plan.slack(1, &estimate), Duration::ZERO);
+        assert_eq!(plan.remaining(&estimate), Duration::from_millis(300));
+        assert!(plan.waits_for_others(0));
+        let mut plan = plan;
+        for stage in 1..4 {
+            plan.finished(stage, Vec::new());
+        }
+        assert!(!plan.waits_for_others(0), "only it is left");
+        assert_eq!(plan.slack(0, &estimate), Duration::ZERO);
     }
 
     /// Guards against a due time that ignores the stages to come.
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -125,6 +125,9 @@
     let mut running = FuturesUnordered::new();
     while !plan.is_complete() {
         for stage in plan.startable() {
+            if is_deferred(gateway, accepted, &plan, stage, &home) {
+                continue;
+            }
             plan.started(stage);
             let delay = start_delay(gateway, accepted, &plan, stage, &home);
             let (duty, order) = order(gateway, accepted, &plan, stage, &home);
@@ -186,6 +189,27 @@
     )
 }
 
+/// Decides whether a stage waits until all others are done. A request that
+/// misses its target would hold large results, and the room that newer
+/// requests need, for as long as its other stages wait.
+fn is_deferred(
+    gateway: &Gateway,
+    accepted: &Accepted,
+    plan: &StagePlan<'_>,
+    stage: usize,
+    home: &Home,
+) -> bool {
+    let estimate =
+        |service: &Arc<str>| estimate(gateway, accepted, service, home);
+    let large =
+        accepted.route.stages[stage].result_bytes >= LARGE_RESULT_BYTES;
+    let remaining = plan.remaining(&estimate) + FIRST_TOKEN_TIME;
+    large
+        && gateway.board.now() + remaining > accepted.target
+        && plan.waits_for_others(stage)
+        && !plan.slack(stage, &estimate).is_zero()
+}
+
 /// Returns how long a stage waits before it starts, so that large results
 /// are ready just when the other stages are.
 fn start_delay(
