--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -62,13 +62,18 @@
 
 use super::config::PieceSpec;
 
+mod waits;
+mod zone;
+
+pub use self::{
+    waits::WaitEstimates,
+    zone::{CollectingZone, collecting_zone},
+};
+
 /// One place in this many of a call goes to the piece that has been needed
 /// longest, so that a flood of a more urgent rank starves no other.
 const FLOOR_ONE_IN: usize = 8;
 
-/// Up to this many servers of a service are collected for by one daemon.
-const MAX_SHARED_SERVERS: usize = 8;
-
 /// A piece waits for a server of its home zone only while this many
 /// hundredths of a full call fit before it is needed.
 const HOME_CALL_HUNDREDTHS: u32 = 140;
@@ -369,12 +374,6 @@
         self.waiting.len()
     }
 
-    /// Returns the number of servers that take calls.
-    #[must_use]
-    pub fn servers(&self) -> usize {
-        self.lanes.len()
-    }
-
     fn expire_results(&mut self, now: Instant) {
         for (_, lane) in self.lanes.iter_mut() {
             lane.results.retain(|_, held| now < held.until);
@@ -569,86 +568,5 @@
     u32::try_from(n).unwrap_or(u32::MAX)
 }
 
-/// Which servers a daemon collects for.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum CollectingZone {
-    /// All servers of the service; a daemon of this zone does it.
-    Shared(Arc<str>),
-    /// The servers of this zone; a daemon of the same zone does it.
-    Own(Arc<str>),
-}
-
-/// Returns who collects for the servers of a service, given the zones of all
-/// its servers and the zone whose servers are preferred.
-#[must_use]
-pub fn collecting_zone<'a>(
-    zones: impl IntoIterator<Item = &'a Arc<str>>,
-    preferred: &Arc<str>,
-) -> CollectingZone {
-    let mut count: SortedMap<Arc<str>, usize> = SortedMap::new();
-    for zone in zones {
-        *count.entry_or_insert_with(Arc::clone(zone), || 0) += 1;
-    }
-    let servers: usize = count.values().sum();
-    if servers > MAX_SHARED_SERVERS {
-        return CollectingZone::Own(Arc::clone(preferred));
-    }
-    // The zone with the most servers; of equal ones the first by name.
-    let largest = count
-        .iter()
-        .max_by_key(|(zone, servers)| (**servers, Reverse(Arc::clone(zone))))
-        .map(|(zone, _)| Arc::clone(zone));
-    CollectingZone::Shared(largest.unwrap_or_else(|| Arc::clone(preferred)))
-}
-
-/// An estimate counts for this long; then the collector counts as idle, so
-/// that it is tried again.
-const ESTIMATE_LIFETIME: Duration = Duration::from_millis(1500);
-
-/// What this daemon has heard of the queues of the collectors.
-#[derive(Clone, Debug, Default)]
-pub struct WaitEstimates {
-    waits: SortedMap<(Arc<str>, Arc<str>), Estimate>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Estimate {
-    wait: Duration,
-    heard_at: Instant,
-}
-
-impl WaitEstimates {
-    /// Records the wait that the collector of a zone reports.
-    pub fn heard(
-        &mut self,
-        now: Instant,
-        service: &Arc<str>,
-        zone: &Arc<str>,
-        wait: Duration,
-    ) {
-        let key = (Arc::clone(service), Arc::clone(zone));
-        self.waits.insert(key, Estimate { wait, heard_at: now });
-    }
-
-    /// Returns the expected wait; an old report fades.
-    #[must_use]
-    pub fn wait(
-        &self,
-        now: Instant,
-        service: &Arc<str>,
-        zone: &Arc<str>,
-    ) -> Duration {
-        let key = (Arc::clone(service), Arc::clone(zone));
-        let Some(estimate) = self.waits.get(&key) else {
-            return Duration::ZERO;
-        };
-        let age = now.duration_since(estimate.heard_at);
-        let left = ESTIMATE_LIFETIME.saturating_sub(age);
-        estimate
-            .wait
-            .mul_f64(left.as_secs_f64() / ESTIMATE_LIFETIME.as_secs_f64())
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/briarladder-core/src/fleet/collect/tests.rs
+++ b/crates/briarladder-core/src/fleet/collect/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{waits::ESTIMATE_LIFETIME, *};
 
 const CALL_MS: u64 = 150;
 const ITEM_MS: u64 = 16;
--- a/crates/briarladder-core/src/fleet/placement.rs
+++ b/crates/briarladder-core/src/fleet/placement.rs
@@ -240,9 +240,9 @@
         load.delay = Some(Delay { smoothed, seen_at: now });
     }
 
-    /// Forgets servers that are no longer listed.
-    pub fn retain(&mut self, listed: impl Fn(&str) -> bool) {
-        self.loads.retain(|name, _| listed(name));
+    /// Forgets a server that is no longer listed.
+    pub fn forget(&mut self, server: &str) {
+        self.loads.remove(server);
     }
 
     /// Chooses a server, or `None` if all were tried. `running` tells the
--- a/crates/briarladder-gateway/src/stages/collector.rs
+++ b/crates/briarladder-gateway/src/stages/collector.rs
@@ -9,7 +9,7 @@
 
 use briarladder_core::{
     fleet::{
-        collect::{Call, CallEnd, Home, Order, PieceQueue},
+        collect::{Call, CallEnd, PieceQueue},
         config::{PieceSpec, ServiceWork},
         server::{ListedServer, ServerState},
         stages::Handle,
@@ -23,7 +23,7 @@
 
 use crate::{
     board::Board,
-    dialect::{Dialect, PieceCall, PieceOutcome, PieceSource},
+    dialect::{Dialect, PieceCall, PieceOutcome},
     metrics::Metrics,
     peers::messages::{
         PieceReply, PiecesReply, PiecesRequest, ReleasedResult,
@@ -31,6 +31,8 @@
     pool::{Freshness, Pool},
 };
 
+use super::batch::{Batch, Job};
+
 /// A call that takes this many times what is expected is given up.
 const CALL_PATIENCE: u32 = 4;
 
@@ -55,46 +57,6 @@
     zone: Option<Arc<str>>,
 }
 
-/// The pieces of one request and stage.
-struct Batch {
-    group: u64,
-    request: PiecesRequest,
-    due: Instant,
-    deadline: Instant,
-    replies: RefCell<Vec<Option<PieceReply>>>,
-    done: RefCell<Option<oneshot::Sender<Vec<PieceReply>>>>,
-}
-
-impl Batch {
-    /// Records what became of a piece. The first failure ends the batch.
-    fn finish(&self, piece: usize, reply: PieceReply) {
-        let failed = !matches!(reply, PieceReply::Made { .. });
-        let mut replies = self.replies.borrow_mut();
-        replies[piece] = Some(reply);
-        if failed || replies.iter().all(Option::is_some) {
-            let all = replies
-                .iter()
-                .map(|reply| reply.clone().unwrap_or(PieceReply::Failed))
-                .collect();
-            if let Some(done) = self.done.take() {
-                // The requester may have left; its guard cleans up.
-                let _ = done.send(all);
-            }
-        }
-    }
-
-    fn has_ended(&self) -> bool {
-        self.done.borrow().is_none()
-    }
-}
-
-#[derive(Clone)]
-struct Job {
-    batch: Rc<Batch>,
-    piece: u32,
-    tries: u32,
-}
-
 struct Queue {
     pieces: PieceQueue,
     jobs: SortedMap<u64, Job>,
@@ -123,7 +85,7 @@
 
 impl Drop for CancelGuard {
     fn drop(&mut self) {
-        self.batch.done.take();
+        self.batch.abandon();
         let mut queues = self.collector.queues.borrow_mut();
         if let Some(queue) = queues.get_mut(&self.key) {
             queue.pieces.cancel(&self.ids);
@@ -183,24 +145,10 @@
         request: PiecesRequest,
         done: oneshot::Sender<Vec<PieceReply>>,
     ) -> CancelGuard {
-        let now = self.board.now();
         let pieces = request.pieces;
-        let ahead = Duration::from_millis(request.due_ms.unsigned_abs());
         let group = self.next_id();
-        let batch = Rc::new(Batch {
-            group,
-            due: if request.due_ms < 0 {
-                now.checked_sub(ahead).unwrap_or(now)
-            } else {
-                now + ahead
-            },
-            deadline: now + Duration::from_millis(request.left_ms),
-            replies: RefCell::new(
-                (0..pieces).map(|_| None).collect::<Vec<_>>(),
-            ),
-            done: RefCell::new(Some(done)),
-            request,
-        });
+        let batch =
+            Rc::new(Batch::new(self.board.now(), group, request, done));
         let mut queues = self.queues.borrow_mut();
         let queue = queues.entry_or_insert_with(key.clone(), || Queue {
             pieces: PieceQueue::new(spec),
@@ -210,7 +158,7 @@
         let mut ids = Vec::new();
         for piece in 0..pieces {
             let id = self.next_id();
-            let job = Job { batch: Rc::clone(&batch), piece, tries: 0 };
+            let job = Job::new(&batch, piece);
             queue.pieces.push(job.order(id, None));
             queue.jobs.insert(id, job);
             ids.push(id);
@@ -458,7 +406,7 @@
     ) {
         let reply = match outcome {
             PieceOutcome::Made(reference) => {
-                if job.batch.has_ended() {
+                if job.has_ended() {
                     let maker = Arc::clone(server);
                     self.release_later(vec![Handle { reference, maker }]);
                     return;
@@ -499,7 +447,7 @@
         id: u64,
         mut job: Job,
     ) {
-        if job.batch.has_ended() {
+        if job.has_ended() {
             return;
         }
         job.tries += 1;
@@ -592,48 +540,3 @@
         }
     }
 }
-
-impl Job {
-    fn order(&self, id: u64, avoid: Option<Arc<str>>) -> Order {
-        Order {
-            id,
-            group: self.batch.group,
-            rank: self.batch.request.rank,
-            progress: self.batch.request.progress,
-            home: self.home(),
-            due: self.batch.due,
-            deadline: self.batch.deadline,
-            result_bytes: self.batch.request.result_bytes,
-            crossing_bytes: self.batch.request.crossing_bytes,
-            avoid,
-        }
-    }
-
-    fn home(&self) -> Home {
-        let zone = Arc::clone(&self.batch.request.home);
-        if self.batch.request.movable {
-            Home::Preferred(zone)
-        } else {
-            Home::Fixed(zone)
-        }
-    }
-
-    fn piece_call(&self, now: Instant) -> PieceCall<'_> {
-        let request = &self.batch.request;
-        PieceCall {
-            attempt: &request.attempt,
-            stage: request.stage,
-            piece: self.piece,
-            time_left: self.batch.deadline.saturating_duration_since(now),
-            source: match &request.key {
-                Some(key) => PieceSource::Key(key),
-                None => PieceSource::Inputs(&request.inputs),
-            },
-        }
-    }
-
-    fn finish(&self, reply: PieceReply) {
-        let piece = usize::try_from(self.piece).unwrap_or(usize::MAX);
-        self.batch.finish(piece, reply);
-    }
-}
--- a/crates/briarladder-gateway/src/stages/mod.rs
+++ b/crates/briarladder-gateway/src/stages/mod.rs
@@ -1,5 +1,6 @@
 //! The stages of a request: asking for pieces, and collecting them.
 
+mod batch;
 pub mod collector;
 mod costs;
 mod duty;
--- a/crates/briarladder-gateway/src/store.rs
+++ b/crates/briarladder-gateway/src/store.rs
@@ -343,6 +343,7 @@
                 item.revision
             );
             servers.remove(name);
+            gateway.board.placement.borrow_mut().forget(name);
         }
     }
 }
