Count a load report of a daemon that is behind

The report of a server came from the view of the newest epoch, so a report that only a daemon behind had was told as "no daemon has a load report of it", which is false. Which daemon asks a server first differs between runs; so did the test.

Change: the newest report of all views counts.

--- a/crates/briarladder-cli/src/operators/assess.rs
+++ b/crates/briarladder-cli/src/operators/assess.rs
@@ -284,7 +284,11 @@
     }
     let mut missing_versions = Vec::new();
     let mut extra_versions = Vec::new();
-    match &best.report {
+    // A daemon that is behind in its epoch may be the only one that has asked
+    // the server.
+    let reports = sights.iter().filter_map(|s| s.server.report.as_ref());
+    let newest_report = reports.min_by_key(|report| report.age_ms);
+    match newest_report {
         None if out.is_empty() => {
             find(Since::Unknown, "no daemon has a load report of it".into());
         }
@@ -318,7 +322,7 @@
         daemons_in_view: sights.len(),
         missing_versions,
         extra_versions,
-        report: best.report.clone(),
+        report: newest_report.cloned(),
         last_error: best.last_error.clone(),
     }
 }
--- a/crates/briarladder-cli/tests/operators.rs
+++ b/crates/briarladder-cli/tests/operators.rs
@@ -20,6 +20,7 @@
     membership::MemberState,
     names::{ModelVersionName, StageName, VmName, ZoneName},
     objects::Object,
+    sorted::SortedSet,
 };
 use briarladder_standins::cluster::ClusterSettings;
 use briarladder_wire::{
@@ -406,6 +407,31 @@
         behind,
         [format!("daemon {vm}: behind: 0 in force, and 1 elsewhere")]
     );
+    // A report that only the daemon behind has is still a report.
+    let mut places = good.clone();
+    let mut reported = SortedSet::new();
+    for (at, place) in places.iter_mut().enumerate() {
+        let Reply::Answered(status) = &mut place.reply else { panic!() };
+        if at == 0 {
+            status.epoch = Some(0);
+        }
+        for server in &mut status.servers {
+            if at == 0 && server.report.is_some() {
+                reported.insert(server.server.clone());
+            } else if reported.contains(&server.server) {
+                server.report = None;
+            }
+        }
+    }
+    assert!(!reported.is_empty());
+    let unreported: Vec<String> = assess(&places)
+        .findings
+        .into_iter()
+        .filter(|f| f.reason.contains("no daemon has a load report"))
+        .map(|f| f.subject.to_string())
+        .filter(|name| reported.iter().any(|s| name.contains(s.as_str())))
+        .collect();
+    assert_eq!(unreported, Vec::<String>::new());
     let other = good[1].vm.clone().unwrap();
     let doubted = reasons(&|status| {
         let mut members = status.members.iter_mut();
