--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -9,7 +9,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
@@ -124,6 +124,9 @@
         .min(longest)
         .max(MIN_RETRY_AFTER);
     record.status = refusal.status().as_u16();
+    if record.status == StatusCode::SERVICE_UNAVAILABLE.as_u16() {
+        record.retry_after = Some(wait);
+    }
     record.end(refusal.label());
     refusal.response(Some(wait))
 }
--- a/crates/briarladder-gateway/src/request/record.rs
+++ b/crates/briarladder-gateway/src/request/record.rs
@@ -35,6 +35,8 @@
     first_byte: Option<Duration>,
     /// The status that the caller gets.
     pub status: u16,
+    /// The wait that a refused caller is told.
+    pub retry_after: Option<Duration>,
     /// What decided the outcome.
     pub cause: Option<String>,
     relayed_bytes: usize,
@@ -60,6 +62,7 @@
             stages: None,
             first_byte: None,
             status: 0,
+            retry_after: None,
             cause: None,
             relayed_bytes: 0,
             outcome: None,
@@ -102,7 +105,7 @@
         log::info!(
             "request: id={} route={route} workspace={} outcome={outcome} \
              status={} ms={} first_ms={} stages_ms={} server={} sends={} \
-             bytes={} config={} cause={:?}",
+             bytes={} config={} retry_after_ms={} cause={:?}",
             self.attempt,
             self.workspace.as_deref().unwrap_or("-"),
             self.status,
@@ -113,6 +116,7 @@
             self.sends,
             self.relayed_bytes,
             self.config_version,
+            millis(self.retry_after),
             self.cause.as_deref().unwrap_or("-"),
         );
     }
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -387,6 +387,19 @@
                 &order.service,
                 refusal.label(),
             );
+            log::info!(
+                "stages: id={} stage={} service={} pieces={} outcome={} \
+                 wait_ms={} due_ms={} left_ms={} rank={}",
+                order.attempt,
+                order.stage,
+                order.service,
+                order.pieces,
+                refusal.label(),
+                wait.as_millis(),
+                order.due_ms,
+                order.left_ms,
+                order.rank,
+            );
             gateway.collector.release_later(made);
             Err(Ended { refusal, retry_after: Some(wait) })
         }
