Release results once their server has had the time to fetch them

Cause: results were released at the head of the engine's answer, about 0.35 s (1 s at p90) after the request was sent, though the engine fetches them when the request arrives and spends the rest reading the prompt. The makers of 3 MB results have room for 13 to 16, so this time bounded the stages in bursts.

Change: core::fleet::fetching estimates the time to fetch from the connect times to the zones, the links and a margin; results are released after it. If a server finds an input gone, it has not run the request: the margin doubles and the stages are done again. A request that is sent again after its results were released does its stages again too. Before, it failed. A resumed stream has the time of a silent caller for its stages, not what was left until the first head.

--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -31,6 +31,7 @@
 //!     item: Duration::from_millis(16),
 //!     room_bytes: 1_000_000,
 //!     result_lifetime: Duration::from_secs(4),
+//!     link_bytes_per_ms: 1_250_000,
 //! };
 //! let now = Instant::now();
 //! let mut queue = PieceQueue::new(spec);
--- a/crates/briarladder-core/src/fleet/collect/tests.rs
+++ b/crates/briarladder-core/src/fleet/collect/tests.rs
@@ -11,6 +11,7 @@
         item: Duration::from_millis(ITEM_MS),
         room_bytes: 42_000_000,
         result_lifetime: Duration::from_secs(4),
+        link_bytes_per_ms: 1_250_000,
     }
 }
 
--- a/crates/briarladder-core/src/fleet/config.rs
+++ b/crates/briarladder-core/src/fleet/config.rs
@@ -297,6 +297,8 @@
     pub room_bytes: u64,
     /// How long a result lasts after its call.
     pub result_lifetime: Duration,
+    /// What the link of the server carries.
+    pub link_bytes_per_ms: u64,
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/briarladder-core/src/fleet/fetching.rs
@@ -0,0 +1,190 @@
+//! How long a backend server takes to fetch the inputs of a request.
+//!
+//! Results take room at their makers until they are released, and that room
+//! bounds the stages. The first sign of a server that has fetched its inputs
+//! is the head of its answer, which comes only after it has read the prompt.
+//! So the time to fetch is estimated from round trips and links, and the
+//! results are released after it. A server that finds an input gone has not
+//! run the request; its inputs are made again and the margin grows.
+//!
+//! # Example
+//!
+//! ```
+//! use std::{sync::Arc, time::Duration};
+//!
+//! use briarladder_core::fleet::fetching::{Fetch, FetchTimes};
+//!
+//! let near: Arc<str> = Arc::from("a");
+//! let mut times = FetchTimes::default();
+//! times.connected(&near, Duration::from_millis(2));
+//! let fetch = Fetch {
+//!     server_zone: &near,
+//!     maker_zones: &[Arc::clone(&near)],
+//!     transfer: Duration::from_millis(6),
+//! };
+//! assert!(times.estimate(&fetch) < Duration::from_millis(60));
+//! ```
+
+use std::{sync::Arc, time::Duration};
+
+use crate::sorted::SortedMap;
+
+/// The round trip to a zone to which no connection was opened yet. It covers
+/// two regions of one continent.
+const UNKNOWN_ROUND_TRIP: Duration = Duration::from_millis(40);
+
+/// The margin above the estimate, as long as no input was found gone.
+const MIN_MARGIN: Duration = Duration::from_millis(20);
+
+/// The longest margin. Beyond it the head of the answer usually comes first.
+const MAX_MARGIN: Duration = Duration::from_secs(1);
+
+/// The margin shrinks by its part of this divisor with each request whose
+/// inputs were found.
+const MARGIN_DECAY_DIVISOR: u32 = 64;
+
+/// A longer round trip counts with its part of this divisor, since a
+/// connection may also wait for a busy process.
+const ROUND_TRIP_RISE_DIVISOR: u32 = 16;
+
+/// What a server has to fetch.
+#[derive(Clone, Copy, Debug)]
+pub struct Fetch<'a> {
+    /// The zone of the server.
+    pub server_zone: &'a str,
+    /// The zones of the makers that hold the inputs.
+    pub maker_zones: &'a [Arc<str>],
+    /// The time that the bytes take on the links.
+    pub transfer: Duration,
+}
+
+/// What a daemon knows of the time to fetch inputs.
+#[derive(Clone, Debug)]
+pub struct FetchTimes {
+    round_trips: SortedMap<Arc<str>, Duration>,
+    margin: Duration,
+}
+
+impl Default for FetchTimes {
+    fn default() -> FetchTimes {
+        FetchTimes { round_trips: SortedMap::new(), margin: MIN_MARGIN }
+    }
+}
+
+impl FetchTimes {
+    /// Records the time that a new connection to a zone took.
+    pub fn connected(&mut self, zone: &Arc<str>, took: Duration) {
+        let known =
+            self.round_trips.entry_or_insert_with(Arc::clone(zone), || took);
+        if took < *known {
+            *known = took;
+        } else {
+            *known += took.saturating_sub(*known) / ROUND_TRIP_RISE_DIVISOR;
+        }
+    }
+
+    /// Estimates the time from sending a request until its inputs are
+    /// fetched. The request may need a new connection. The way between two
+    /// other zones is at most the way over this daemon's own zone.
+    #[must_use]
+    pub fn estimate(&self, fetch: &Fetch<'_>) -> Duration {
+        let to_server = self.round_trip(fetch.server_zone);
+        let to_maker = fetch
+            .maker_zones
+            .iter()
+            .filter(|zone| ***zone != *fetch.server_zone)
+            .map(|zone| to_server + self.round_trip(zone))
+            .max();
+        let request = to_server + to_server / 2;
+        let inputs = to_maker.unwrap_or_default() + fetch.transfer;
+        request + inputs + self.margin
+    }
+
+    /// Records that a server found an input gone.
+    pub fn gone(&mut self) {
+        self.margin = (self.margin * 2).min(MAX_MARGIN);
+    }
+
+    /// Records that a server has fetched its inputs.
+    pub fn fetched(&mut self) {
+        let shrink = self.margin / MARGIN_DECAY_DIVISOR;
+        self.margin = self.margin.saturating_sub(shrink).max(MIN_MARGIN);
+    }
+
+    fn round_trip(&self, zone: &str) -> Duration {
+        self.round_trips.get(zone).copied().unwrap_or(UNKNOWN_ROUND_TRIP)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NEAR: Duration = Duration::from_millis(2);
+    const FAR: Duration = Duration::from_millis(42);
+
+    fn times() -> (FetchTimes, Arc<str>, Arc<str>) {
+        let (near, far) = (Arc::from("a"), Arc::from("b"));
+        let mut times = FetchTimes::default();
+        times.connected(&near, NEAR);
+        times.connected(&far, FAR);
+        (times, near, far)
+    }
+
+    fn fetch<'a>(server: &'a str, makers: &'a [Arc<str>]) -> Fetch<'a> {
+        let transfer = Duration::from_millis(6);
+        Fetch { server_zone: server, maker_zones: makers, transfer }
+    }
+
+    /// Guards against results that are released before a server in another
+    /// region could ask for them.
+    #[test]
+    fn estimate_covers_the_way() {
+        let (times, near, far) = times();
+        let makers = [Arc::clone(&near)];
+        let far_server = times.estimate(&fetch(&far, &makers));
+        // Half a round trip to the server, a whole one to the maker.
+        assert!(far_server >= FAR / 2 + FAR + Duration::from_millis(6));
+        let makers = [Arc::clone(&near), far];
+        let far_maker = times.estimate(&fetch(&near, &makers));
+        assert!(far_maker >= NEAR / 2 + FAR + Duration::from_millis(6));
+    }
+
+    /// Guards against room that is held for the time to another region while
+    /// all is near.
+    #[test]
+    fn estimate_near_is_short() {
+        let (times, near, _) = times();
+        let makers = [Arc::clone(&near)];
+        let estimate = times.estimate(&fetch(&near, &makers));
+        assert!(estimate < Duration::from_millis(40), "{estimate:?}");
+    }
+
+    /// Guards against a daemon that goes on releasing too early, and against
+    /// one that stays slow for good after a disturbance.
+    #[test]
+    fn margin_grows_and_shrinks() {
+        let (mut times, near, _) = times();
+        let makers = [Arc::clone(&near)];
+        let first = times.estimate(&fetch(&near, &makers));
+        for _ in 0..4 {
+            times.gone();
+        }
+        let grown = times.estimate(&fetch(&near, &makers));
+        assert!(grown >= first + MIN_MARGIN * 15);
+        for _ in 0..400 {
+            times.fetched();
+        }
+        assert_eq!(times.estimate(&fetch(&near, &makers)), first);
+    }
+
+    /// Guards against one slow connection that counts as the distance.
+    #[test]
+    fn connected_outlier_counts_little() {
+        let (mut times, near, _) = times();
+        times.connected(&near, Duration::from_millis(322));
+        let makers = [Arc::clone(&near)];
+        let estimate = times.estimate(&fetch(&near, &makers));
+        assert!(estimate < Duration::from_millis(70), "{estimate:?}");
+    }
+}
--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 pub mod collect;
 pub mod config;
 pub mod events;
+pub mod fetching;
 pub mod mirror;
 pub mod peers;
 pub mod placement;
--- a/crates/briarladder-core/src/fleet/stages.rs
+++ b/crates/briarladder-core/src/fleet/stages.rs
@@ -188,12 +188,16 @@
         self.results_of(&self.specs[stage].after)
     }
 
+    /// Returns the stages that no other stage follows.
+    pub fn last_stages(&self) -> impl Iterator<Item = usize> {
+        (0..self.specs.len())
+            .filter(|&stage| self.followers(stage).next().is_none())
+    }
+
     /// Returns the results of the stages that no other stage follows.
     #[must_use]
     pub fn last_results(&self) -> Vec<Handle> {
-        let last: Vec<usize> = (0..self.specs.len())
-            .filter(|&stage| self.followers(stage).next().is_none())
-            .collect();
+        let last: Vec<usize> = self.last_stages().collect();
         self.results_of(&last)
     }
 
--- a/crates/briarladder-gateway/src/board.rs
+++ b/crates/briarladder-gateway/src/board.rs
@@ -18,6 +18,7 @@
         budget::{BudgetTerms, RetryBudget},
         collect::WaitEstimates,
         config::FleetConfig,
+        fetching::FetchTimes,
         mirror::Mirror,
         peers::{Heartbeat, PeerTable},
         placement::Placement,
@@ -72,6 +73,8 @@
     /// Retry budgets by service; owner: the request path.
     budgets: RefCell<SortedMap<Arc<str>, RetryBudget>>,
     budget_terms: BudgetTerms,
+    /// How long servers take to fetch inputs; owner: the request path.
+    pub fetch_times: RefCell<FetchTimes>,
     /// Reports of the collectors' queues; owner: the stages.
     pub waits: RefCell<WaitEstimates>,
     /// Peer addresses to begin with; owner: the process.
@@ -102,6 +105,7 @@
             running: RefCell::default(),
             budgets: RefCell::default(),
             budget_terms: settings.retry_budget,
+            fetch_times: RefCell::default(),
             waits: RefCell::default(),
             seeds: RefCell::new(settings.seeds.clone()),
             lifecycle: Cell::new(Lifecycle::Serving),
--- a/crates/briarladder-gateway/src/pool.rs
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -103,10 +103,16 @@
     pool: Rc<Pool>,
     address: SocketAddr,
     connection: Connection,
-    used_before: bool,
+    connect_time: Option<Duration>,
 }
 
 impl Lease {
+    /// Returns the time that it took to open the connection, if it is new.
+    #[must_use]
+    pub fn connect_time(&self) -> Option<Duration> {
+        self.connect_time
+    }
+
     /// Keeps the connection for another request. Call it only when the
     /// answer has ended.
     pub fn give_back(self, idle_timeout: Option<Duration>) {
@@ -173,7 +179,7 @@
                         let failure = AttemptFailure::Broken;
                         return Err(SendError { failure, cause });
                     };
-                    if !lease.used_before {
+                    if lease.connect_time.is_some() {
                         let failure = AttemptFailure::ConnectFailed;
                         return Err(SendError { failure, cause });
                     }
@@ -194,7 +200,7 @@
                 pool: Rc::clone(self),
                 address,
                 connection,
-                used_before: true,
+                connect_time: None,
             });
         }
         self.open(address).await
@@ -230,9 +236,11 @@
         self: &Rc<Self>,
         address: SocketAddr,
     ) -> Result<Lease, SendError> {
+        let started = self.clock.now();
         let stream = net::connect(address)
             .await
             .map_err(|error| SendError::unsent(&error))?;
+        let connect_time = self.clock.now().duration_since(started);
         let handshake = http1::Builder::new()
             .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
             .await;
@@ -250,7 +258,7 @@
             pool: Rc::clone(self),
             address,
             connection: Connection { sender, _task: task },
-            used_before: false,
+            connect_time: Some(connect_time),
         })
     }
 }
--- a/crates/briarladder-gateway/src/request/accept.rs
+++ b/crates/briarladder-gateway/src/request/accept.rs
@@ -23,7 +23,7 @@
 use super::record::Record;
 
 /// A request that is allowed.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Accepted {
     /// What its head says.
     pub caller: CallerRequest,
@@ -52,6 +52,14 @@
         self.give_up.saturating_duration_since(now)
     }
 
+    /// Returns the request of a caller that has part of its answer: the time
+    /// until it leaves begins anew.
+    #[must_use]
+    pub fn continued(&self, now: Instant) -> Accepted {
+        let head_by = now + self.route.head_patience();
+        Accepted { head_by: head_by.min(self.give_up), ..self.clone() }
+    }
+
     /// Returns the time that is left until the head of the answer.
     #[must_use]
     pub fn time_to_head(&self, now: Instant) -> Duration {
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sending a request to a backend server and passing on its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use briarladder_core::fleet::attempt::{NextStep, Sends};
 use http::Response;
@@ -33,18 +33,27 @@
 ///
 /// With the refusal for the caller.
 pub async fn dispatch(
-    outgoing: &Outgoing,
+    mut outgoing: Outgoing,
     mut record: Record,
 ) -> Result<Response<ReplyBody>, (Box<Record>, Ended)> {
-    let Outgoing { gateway, accepted, prepared, .. } = outgoing;
+    let gateway = Rc::clone(&outgoing.gateway);
+    let accepted = Rc::clone(&outgoing.accepted);
     let board = &gateway.board;
     let route = &accepted.route;
     let mut sends = Sends::new(route.kind, route.max_attempts);
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut last_failure = None;
     let refusal = loop {
-        let Some(server) =
-            choose_server(gateway, accepted, prepared.zone(), &tried)
+        if outgoing.prepared.is_released()
+            && let Err(ended) = outgoing.prepare_again(&mut record).await
+        {
+            if sends.may_have_run() > 0 {
+                break Refusal::Unknown;
+            }
+            return Err((Box::new(record), ended));
+        }
+        let zone = outgoing.prepared.zone();
+        let Some(server) = choose_server(&gateway, &accepted, zone, &tried)
         else {
             record.cause.get_or_insert_with(|| "no server left".to_owned());
             break match sends.may_have_run() {
@@ -62,24 +71,27 @@
         let sent = timeout_at(accepted.give_up.into(), sent).await;
         let failed = match sent {
             Ok(Ok(answer)) => {
-                count(gateway, accepted, "answered");
+                count(&gateway, &accepted, "answered");
                 board.placement.borrow_mut().succeeded(&server.name);
-                return Ok(pass_on(outgoing, answer, record, running, sends));
+                return Ok(pass_on(&outgoing, answer, record, running, sends));
             }
             Ok(Err(failed)) => failed,
             Err(_) => {
-                count(gateway, accepted, "time_out");
+                count(&gateway, &accepted, "time_out");
                 record.cause = Some("no answer in time".to_owned());
                 break Refusal::TimeOutSent;
             }
         };
         drop(running);
-        note_failure(outgoing, &server, &failed);
-        tried.push(Arc::clone(&server.name));
+        note_failure(&outgoing, &server, &failed);
+        if failed.inputs_gone {
+            outgoing.prepared.release();
+        } else {
+            tried.push(Arc::clone(&server.name));
+        }
         record.cause = Some(failed.cause);
         last_failure = failed.own_failure.or(last_failure);
-        let in_time = !failed.inputs_gone
-            && accepted.time_to_head(board.now()) > MIN_RETRY_TIME;
+        let in_time = accepted.time_to_head(board.now()) > MIN_RETRY_TIME;
         let pay = || board.try_repeat(&accepted.service);
         match sends.failed(failed.failure, in_time, pay) {
             NextStep::Retry => {}
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -100,11 +100,10 @@
         body,
         prepared: Rc::new(results),
     };
-    match dispatch(&outgoing, record).await {
+    let accepted = Rc::clone(&outgoing.accepted);
+    match dispatch(outgoing, record).await {
         Ok(response) => response,
-        Err((record, ended)) => {
-            refuse(*record, ended, Some(&outgoing.accepted))
-        }
+        Err((record, ended)) => refuse(*record, ended, Some(&accepted)),
     }
 }
 
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -1,6 +1,6 @@
 //! A request on its way to a backend server.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use briarladder_core::{
     fleet::{
@@ -13,6 +13,7 @@
 use http::{HeaderMap, Request, StatusCode, header, request, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use tokio::time::{timeout, timeout_at};
 
 use crate::{
     board::ReadingGuard,
@@ -20,10 +21,13 @@
     dialect::{AnswerHead, Dispatch, Prompt},
     metrics::Metrics,
     pool::{Freshness, Lease, SendError},
-    stages::preparation::Prepared,
+    refusal::Refusal,
+    stages::preparation::{self, Prepared},
 };
 
-use super::{accept::Accepted, headers::is_connection_header};
+use super::{
+    Ended, accept::Accepted, headers::is_connection_header, record::Record,
+};
 
 /// A request that may not repeat only uses a connection that was used within
 /// this time. Backend servers close idle connections, and a request that
@@ -77,7 +81,7 @@
     pub cause: String,
     /// The answer of a server that reports a failure of its own.
     pub own_failure: Option<Box<WholeAnswer>>,
-    /// No server can run the request, since its inputs are gone.
+    /// The server did not find the inputs; they must be made again.
     pub inputs_gone: bool,
 }
 
@@ -162,8 +166,11 @@
         server.name,
         failed.cause
     );
-    // A server's own error answers say little about its other requests.
-    if failed.failure != AttemptFailure::ErrorStatus {
+    // A server's own error answers say little about its other requests, and
+    // it is not its fault if inputs are gone.
+    let blamed =
+        failed.failure != AttemptFailure::ErrorStatus && !failed.inputs_gone;
+    if blamed {
         let now = gateway.board.now();
         gateway.board.placement.borrow_mut().failed(now, &server.name);
     }
@@ -175,6 +182,25 @@
 }
 
 impl Outgoing {
+    /// Does the stages again, since the results of the first time are
+    /// released or gone.
+    ///
+    /// # Errors
+    ///
+    /// If a stage can't be done in time or fails.
+    pub async fn prepare_again(
+        &mut self,
+        record: &mut Record,
+    ) -> Result<(), Ended> {
+        log::info!("stages: id={} again", self.accepted.caller.attempt);
+        let accepted = Rc::clone(&self.accepted);
+        let stages = preparation::run(&self.gateway, &accepted, record);
+        let done = timeout_at(accepted.head_by.into(), stages).await;
+        let done = done.unwrap_or_else(|_| Err(Refusal::TimeOutUnsent.into()));
+        self.prepared = Rc::new(done?);
+        Ok(())
+    }
+
     /// Sends the request to one server and learns from the time that it
     /// takes to begin its answer.
     ///
@@ -187,13 +213,13 @@
         resume: Option<&str>,
     ) -> Result<Usable, Failed> {
         let Some(prompt) = &self.accepted.caller.prompt else {
-            return self.send_once(server, resume).await;
+            return self.send_and_release(server, resume).await;
         };
         let board = &self.gateway.board;
         let reading = reading_time(prompt.own_tokens());
         let unread = ReadingGuard::new(board, &server.name, reading);
         let sent_at = board.now();
-        let answer = self.send_once(server, resume).await;
+        let answer = self.send_and_release(server, resume).await;
         drop(unread);
         if answer.is_ok() {
             let now = board.now();
@@ -204,6 +230,34 @@
         answer
     }
 
+    /// Sends the request to one server and releases its inputs once the
+    /// server has had the time to fetch them.
+    async fn send_and_release(
+        &self,
+        server: &ListedServer,
+        resume: Option<&str>,
+    ) -> Result<Usable, Failed> {
+        let Some(fetch) = self.prepared.fetch(&server.zone) else {
+            return self.send_once(server, resume).await;
+        };
+        let times = &self.gateway.board.fetch_times;
+        let fetch_time = times.borrow().estimate(&fetch);
+        let mut sending = pin!(self.send_once(server, resume));
+        let early = timeout(fetch_time, &mut sending).await;
+        let answer = if let Ok(answer) = early {
+            answer
+        } else {
+            self.prepared.release();
+            sending.await
+        };
+        match &answer {
+            Ok(_) => times.borrow_mut().fetched(),
+            Err(failed) if failed.inputs_gone => times.borrow_mut().gone(),
+            Err(_) => {}
+        }
+        answer
+    }
+
     /// Sends the request to one server and reads its answer as far as
     /// needed to know whether it can be passed on.
     async fn send_once(
@@ -220,6 +274,10 @@
         let pool = &self.gateway.pool;
         let (response, lease) =
             pool.send(server.address, request, freshness).await?;
+        if let Some(took) = lease.connect_time() {
+            let mut times = self.gateway.board.fetch_times.borrow_mut();
+            times.connected(&server.zone, took);
+        }
         let (head, body) = response.into_parts();
         let attempt = &self.accepted.caller.attempt;
         let facts = self.gateway.dialect.answer_head(&head, attempt);
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -26,7 +26,6 @@
 use crate::{
     board::RunningGuard,
     body::{RelayError, ResumedBody},
-    stages::preparation,
 };
 
 use super::{
@@ -171,10 +170,10 @@
         mut failed: Failed,
     ) -> Option<(Answer, RunningGuard)> {
         let mut outgoing = self.outgoing.clone();
-        let accepted = Rc::clone(&outgoing.accepted);
         let gateway = Rc::clone(&outgoing.gateway);
         let board = &gateway.board;
-        let mut prepared = accepted.route.stages.is_empty();
+        let accepted = Rc::new(outgoing.accepted.continued(board.now()));
+        outgoing.accepted = Rc::clone(&accepted);
         loop {
             if let Some(server) = &self.record.server {
                 self.tried.push(Arc::clone(server));
@@ -184,18 +183,17 @@
                 }
             }
             let left = accepted.time_left(board.now());
-            let in_time = left > MIN_RESUME_TIME && !failed.inputs_gone;
+            let in_time = left > MIN_RESUME_TIME;
             let pay = || board.try_repeat(&accepted.service);
             let next = self.sends.failed(failed.failure, in_time, pay);
             if next != NextStep::Retry {
                 return None;
             }
-            if !prepared {
-                let stages =
-                    preparation::run(&gateway, &accepted, &mut self.record);
-                let done = timeout_at(accepted.give_up.into(), stages).await;
-                outgoing.prepared = Rc::new(done.ok()?.ok()?);
-                prepared = true;
+            if failed.inputs_gone {
+                outgoing.prepared.release();
+            }
+            if outgoing.prepared.is_released() {
+                outgoing.prepare_again(&mut self.record).await.ok()?;
             }
             let zone = outgoing.prepared.zone();
             let server =
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -5,6 +5,7 @@
 use briarladder_core::fleet::{
     collect::Home,
     config::ServiceWork,
+    fetching::Fetch,
     placement::Affinity,
     stages::{Handle, StageEstimate, StagePlan},
 };
@@ -46,6 +47,8 @@
     gateway: Rc<Gateway>,
     results: RefCell<Vec<Handle>>,
     last: Vec<Handle>,
+    maker_zones: Vec<Arc<str>>,
+    transfer: Duration,
     zone: Arc<str>,
 }
 
@@ -55,6 +58,8 @@
             gateway: Rc::clone(gateway),
             results: RefCell::default(),
             last: Vec::new(),
+            maker_zones: Vec::new(),
+            transfer: Duration::ZERO,
             zone: Arc::clone(&gateway.board.zone),
         }
     }
@@ -71,6 +76,23 @@
         &self.zone
     }
 
+    /// Returns what a server in a zone has to fetch before it runs the
+    /// request; `None` if it needs no results.
+    #[must_use]
+    pub fn fetch<'a>(&'a self, server_zone: &'a str) -> Option<Fetch<'a>> {
+        (!self.last.is_empty()).then_some(Fetch {
+            server_zone,
+            maker_zones: &self.maker_zones,
+            transfer: self.transfer,
+        })
+    }
+
+    /// Returns whether results that the request needs were released.
+    #[must_use]
+    pub fn is_released(&self) -> bool {
+        !self.last.is_empty() && self.results.borrow().is_empty()
+    }
+
     /// Releases all results, once the request has used them.
     pub fn release(&self) {
         let results = self.results.take();
@@ -146,10 +168,36 @@
     }
     record.stages = Some(gateway.board.now().duration_since(started));
     prepared.last = plan.last_results();
+    prepared.maker_zones = maker_zones(gateway, &prepared.last);
+    prepared.transfer = transfer_time(accepted, &plan);
     prepared.zone = results_zone(gateway, accepted, &home, &prepared.last);
     Ok(prepared)
 }
 
+fn maker_zones(gateway: &Gateway, results: &[Handle]) -> Vec<Arc<str>> {
+    let servers = gateway.board.servers.borrow();
+    let mut zones: Vec<Arc<str>> = results
+        .iter()
+        .filter_map(|result| servers.get(&result.maker))
+        .map(|maker| Arc::clone(&maker.zone))
+        .collect();
+    zones.sort_unstable();
+    zones.dedup();
+    zones
+}
+
+/// Returns how long the results for the request take on the links.
+fn transfer_time(accepted: &Accepted, plan: &StagePlan<'_>) -> Duration {
+    let time = |stage: usize| {
+        let spec = &accepted.route.stages[stage];
+        let service = accepted.config.services.get(&spec.service)?;
+        let ServiceWork::Pieces(work) = &service.work else { return None };
+        let bytes = spec.result_bytes * u64::from(plan.pieces(stage));
+        Some(Duration::from_millis(bytes / work.link_bytes_per_ms.max(1)))
+    };
+    plan.last_stages().filter_map(time).sum()
+}
+
 /// Returns where the results are needed: in the zone of the server that has
 /// read a long prefix, else best in this daemon's zone.
 fn home(gateway: &Gateway, accepted: &Accepted) -> Home {
