Count the reading of a request's own prompt in the time after its stages

Cause: the time from the last stage to the first token was 200 ms for every request, though a prompt of 30,000 own tokens takes 0.5 s to read. Its pieces were due too late, and a request that could not be on time any more still went before others.

Change: 140 ms and the reading time of the own tokens.

--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -6,7 +6,7 @@
     collect::Home,
     config::ServiceWork,
     fetching::Fetch,
-    placement::Affinity,
+    placement::{Affinity, reading_time},
     stages::{Handle, StageEstimate, StagePlan},
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -24,9 +24,10 @@
 
 use super::duty::{self, Duty};
 
-/// The time from the last stage to the first token: placing the request,
-/// fetching its inputs and reading a prompt whose prefix is cached.
-const FIRST_TOKEN_TIME: Duration = Duration::from_millis(200);
+/// The time from the last stage to the first token without the reading of
+/// the prompt: placing the request, fetching its inputs, and the wait for
+/// the prompts before it.
+const FIRST_TOKEN_TIME: Duration = Duration::from_millis(140);
 
 /// The part of its slack that a stage with large results waits, in
 /// hundredths. The rest covers estimates that are too short.
@@ -251,7 +252,7 @@
         |service: &Arc<str>| estimate(gateway, accepted, service, home);
     let large =
         accepted.route.stages[stage].result_bytes >= LARGE_RESULT_BYTES;
-    let remaining = plan.remaining(&estimate) + FIRST_TOKEN_TIME;
+    let remaining = plan.remaining(&estimate) + first_token_time(accepted);
     large
         && gateway.board.now() + remaining > accepted.target
         && plan.waits_for_others(stage)
@@ -287,13 +288,14 @@
     let after = plan.time_after(stage, &|service| {
         estimate(gateway, accepted, service, home)
     });
-    let due = accepted.target.checked_sub(after + FIRST_TOKEN_TIME);
+    let due = accepted.target.checked_sub(after + first_token_time(accepted));
     let due_ms = due.map_or(0, |due| match due.checked_duration_since(now) {
         Some(ahead) => millis(ahead),
         None => -millis(now.duration_since(due)),
     });
-    let left =
-        accepted.time_to_head(now).saturating_sub(after + FIRST_TOKEN_TIME);
+    let left = accepted
+        .time_to_head(now)
+        .saturating_sub(after + first_token_time(accepted));
     let inputs: Vec<Arc<str>> = plan
         .inputs(stage)
         .into_iter()
@@ -357,6 +359,14 @@
     }
 }
 
+/// Returns the time from the last stage to the first token, if the shared
+/// prefix of the prompt is cached.
+fn first_token_time(accepted: &Accepted) -> Duration {
+    let prompt = accepted.caller.prompt.as_ref();
+    let own_tokens = prompt.map_or(0, Prompt::own_tokens);
+    FIRST_TOKEN_TIME + reading_time(own_tokens)
+}
+
 fn millis(time: Duration) -> i64 {
     i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
 }
