--- a/crates/briarladder-gateway/src/request/accept.rs
+++ b/crates/briarladder-gateway/src/request/accept.rs
@@ -82,6 +82,10 @@
     };
     record.config_version = config.version;
     let caller = decode(gateway, head, record)?;
+    record.prompt = caller.prompt.as_ref().map(|prompt| {
+        let shared = prompt.shared_prefix().map_or(0, |p| p.tokens);
+        (shared, prompt.own_tokens())
+    });
     let path = head.uri.path();
     let route = config.routes.find(&caller.host, path).cloned();
     let route = route.ok_or(Refusal::NoRoute)?;
--- a/crates/briarladder-gateway/src/request/record.rs
+++ b/crates/briarladder-gateway/src/request/record.rs
@@ -25,6 +25,9 @@
     pub workspace: Option<Arc<str>>,
     /// The version of the configuration that the request uses.
     pub config_version: u64,
+    /// The tokens of its prompt: those that other requests share, and its
+    /// own.
+    pub prompt: Option<(u64, u64)>,
     /// The server of the last send.
     pub server: Option<Arc<str>>,
     /// Sends to servers.
@@ -57,6 +60,7 @@
             route: None,
             workspace: None,
             config_version: 0,
+            prompt: None,
             server: None,
             sends: 0,
             stages: None,
@@ -104,14 +108,16 @@
         self.metrics.request_ended(route, outcome, self.first_byte);
         log::info!(
             "request: id={} route={route} workspace={} outcome={outcome} \
-             status={} ms={} first_ms={} stages_ms={} server={} sends={} \
-             bytes={} config={} retry_after_ms={} cause={:?}",
+             status={} ms={} first_ms={} stages_ms={} prompt={}+{} \
+             server={} sends={} bytes={} config={} retry_after_ms={} cause={:?}",
             self.attempt,
             self.workspace.as_deref().unwrap_or("-"),
             self.status,
             self.elapsed().as_millis(),
             millis(self.first_byte),
             millis(self.stages),
+            self.prompt.map_or(0, |(shared, _)| shared),
+            self.prompt.map_or(0, |(_, own)| own),
             self.server.as_deref().unwrap_or("-"),
             self.sends,
             self.relayed_bytes,
