--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -29,7 +29,7 @@
 
 /// The part of its time that a refused caller is told to wait at most, as a
 /// divisor, so that its next attempt has time to be served.
-const RETRY_AFTER_DIVISOR: u32 = 4;
+const RETRY_AFTER_DIVISOR: u32 = 2;
 
 /// A backlog takes this many times its own work, since new work comes in
 /// meanwhile.
