Make gone inputs again, and refuse a stage without servers at once

A stage whose service has no server was held until its time ran out.

Change: StagePlan::restart does the stage and those before it again, at most twice and only while the request can meet its target. A stage without a listed server is refused at once.

--- a/crates/briarladder-core/src/fleet/stages.rs
+++ b/crates/briarladder-core/src/fleet/stages.rs
@@ -160,6 +160,27 @@
         self.progress[stage] = Progress::Done(results);
     }
 
+    /// Does a stage again that found an input gone, and with it all stages
+    /// that it needs. Returns the results of those that are still held.
+    pub fn restart(&mut self, stage: usize) -> Vec<Handle> {
+        let mut held = Vec::new();
+        let mut again = vec![stage];
+        while let Some(stage) = again.pop() {
+            if self.pieces[stage] == 0 {
+                continue;
+            }
+            let before = std::mem::replace(
+                &mut self.progress[stage],
+                Progress::Waiting,
+            );
+            if let Progress::Done(results) = before {
+                held.extend(results);
+            }
+            again.extend_from_slice(&self.specs[stage].after);
+        }
+        held
+    }
+
     /// Returns whether all stages are done.
     #[must_use]
     pub fn is_complete(&self) -> bool {
@@ -381,6 +402,25 @@
         assert_eq!(plan.last_results(), handles(&["d"]));
     }
 
+    /// Guards against a request that fails because an input is lost, against
+    /// stages that are done again without need, and against results that are
+    /// never released.
+    #[test]
+    fn restart_chain() {
+        let specs = [spec(&[]), spec(&[0]), spec(&[1]), spec(&[])];
+        let mut plan = StagePlan::new(&specs, &[1, 2, 1, 1]).unwrap();
+        for (stage, names) in [(0, &["a"][..]), (1, &["b", "c"]), (3, &["d"])]
+        {
+            plan.started(stage);
+            plan.finished(stage, handles(names));
+        }
+        assert_eq!(plan.take_spent(), handles(&["a"]));
+        plan.started(2);
+        assert_eq!(plan.restart(2), handles(&["b", "c"]));
+        assert_eq!(plan.startable(), [0], "the last stage keeps its result");
+        assert!(plan.take_spent().is_empty());
+    }
+
     /// Guards against an omitted stage that blocks those after it.
     #[test]
     fn startable_omitted_stage() {
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -36,6 +36,9 @@
 /// Results from this size on are made only when they are needed.
 const LARGE_RESULT_BYTES: u64 = 500_000;
 
+/// Stages whose inputs are gone are done again this often for a request.
+const MAX_RESTARTS: u32 = 2;
+
 /// A collector that stops answering is replaced this often for one stage.
 const MAX_COLLECTORS: usize = 2;
 
@@ -119,7 +122,15 @@
 /// A stage that was run.
 struct StageEnd {
     stage: usize,
-    results: Result<Vec<Handle>, Ended>,
+    results: Result<Vec<Handle>, StageFailure>,
+}
+
+/// Why a stage brought no results.
+struct StageFailure {
+    /// An input was gone.
+    inputs_gone: bool,
+    /// How the request ends, unless the stage is done again.
+    ended: Ended,
 }
 
 /// Runs all stages of a request.
@@ -146,8 +157,13 @@
     })?;
     let home = home(gateway, accepted);
     let mut running = FuturesUnordered::new();
+    let mut restarts = 0;
     while !plan.is_complete() {
         for stage in plan.startable() {
+            if !has_server(gateway, accepted, stage) {
+                record.cause = Some(format!("stage {stage}: no server"));
+                return Err(Refusal::NoServer.into());
+            }
             if is_deferred(gateway, accepted, &plan, stage, &home) {
                 continue;
             }
@@ -160,9 +176,30 @@
             record.cause = Some("the stages wait for each other".to_owned());
             return Err(Refusal::StageFailed.into());
         };
-        let results = results.inspect_err(|ended| {
-            record.cause = Some(format!("stage {stage}: {}", ended.refusal));
-        })?;
+        let results = match results {
+            Ok(results) => results,
+            Err(failure) if failure.inputs_gone && restarts < MAX_RESTARTS => {
+                restarts += 1;
+                prepared.release_spent(plan.restart(stage));
+                let again = is_on_time(gateway, accepted, &plan, &home);
+                log::info!(
+                    "stages: id={} stage={stage} outcome=inputs_gone \
+                     again={again}",
+                    accepted.caller.attempt
+                );
+                if again {
+                    continue;
+                }
+                let cause = format!("stage {stage}: inputs gone");
+                record.cause = Some(cause);
+                return Err(failure.ended);
+            }
+            Err(StageFailure { ended, .. }) => {
+                let cause = format!("stage {stage}: {}", ended.refusal);
+                record.cause = Some(cause);
+                return Err(ended);
+            }
+        };
         prepared.hold(&results);
         plan.finished(stage, results);
         prepared.release_spent(plan.take_spent());
@@ -238,6 +275,33 @@
     )
 }
 
+/// Returns whether a server is listed that can do a stage.
+fn has_server(gateway: &Gateway, accepted: &Accepted, stage: usize) -> bool {
+    let service = &accepted.route.stages[stage].service;
+    let servers = gateway.board.servers.borrow();
+    let listed = servers.ready(service).next().is_some();
+    if !listed {
+        log::info!(
+            "stages: id={} stage={stage} service={service} outcome=no_server",
+            accepted.caller.attempt,
+        );
+    }
+    listed
+}
+
+/// Returns whether a request can still meet its target.
+fn is_on_time(
+    gateway: &Gateway,
+    accepted: &Accepted,
+    plan: &StagePlan<'_>,
+    home: &Home,
+) -> bool {
+    let remaining = plan
+        .remaining(&|service| estimate(gateway, accepted, service, home))
+        + first_token_time(accepted);
+    gateway.board.now() + remaining <= accepted.target
+}
+
 /// Decides whether a stage waits until all others are done. A request that
 /// misses its target would hold large results, and the room that newer
 /// requests need, for as long as its other stages wait.
@@ -252,9 +316,8 @@
         |service: &Arc<str>| estimate(gateway, accepted, service, home);
     let large =
         accepted.route.stages[stage].result_bytes >= LARGE_RESULT_BYTES;
-    let remaining = plan.remaining(&estimate) + first_token_time(accepted);
     large
-        && gateway.board.now() + remaining > accepted.target
+        && !is_on_time(gateway, accepted, plan, home)
         && plan.waits_for_others(stage)
         && !plan.slack(stage, &estimate).is_zero()
 }
@@ -421,9 +484,10 @@
     order: &PiecesRequest,
     reply: PiecesReply,
     wait: Duration,
-) -> Result<Vec<Handle>, Ended> {
+) -> Result<Vec<Handle>, StageFailure> {
     let wanted = usize::try_from(order.pieces).unwrap_or(usize::MAX);
     let mut made = Vec::new();
+    let inputs_gone = reply.pieces.contains(&PieceReply::InputGone);
     let mut refusal =
         (reply.pieces.len() != wanted).then_some(Refusal::StageFailed);
     for piece in reply.pieces {
@@ -459,7 +523,8 @@
                 order.rank,
             );
             gateway.collector.release_later(made);
-            Err(Ended { refusal, retry_after: Some(wait) })
+            let ended = Ended { refusal, retry_after: Some(wait) };
+            Err(StageFailure { inputs_gone, ended })
         }
     }
 }
