Add briarladder follow: one request through the logs of all processes

The way from the id of a failed request to its cause took a grep for each kind of line and each process.

--- a/crates/briarladder-cli/src/lib.rs
+++ b/crates/briarladder-cli/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod bench;
 pub mod demo;
 pub mod fleet;
+pub mod follow;
 pub mod operators;
 pub mod samples;
--- a/crates/briarladder-cli/src/main.rs
+++ b/crates/briarladder-cli/src/main.rs
@@ -7,7 +7,7 @@
 use std::process::ExitCode;
 
 use briarladder_cli::{
-    bench, demo,
+    bench, demo, follow,
     operators::{status, timeline},
 };
 use clap::{CommandFactory, Parser, Subcommand};
@@ -31,6 +31,7 @@
   briarladder bench steady
   briarladder status --daemon 10.0.1.4:7001
   briarladder timeline --daemon 10.0.1.4:7001 --from 15m --html page.html
+  briarladder follow 8f21c0 front-*.log
   briarladder completions bash";
 
 /// The operators' command of briarladder.
@@ -49,6 +50,7 @@
     Bench(bench::Args),
     Status(status::Args),
     Timeline(timeline::Args),
+    Follow(follow::Args),
     Completions(completions::Args),
 }
 
@@ -61,6 +63,7 @@
         Command::Bench(args) => bench::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Timeline(args) => timeline::run(&args),
+        Command::Follow(args) => follow::run(&args),
         Command::Completions(args) => {
             Ok(completions::run(&args, Cli::command()))
         }
