--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -178,23 +178,16 @@
         };
         let results = match results {
             Ok(results) => results,
-            Err(failure) if failure.inputs_gone && restarts < MAX_RESTARTS => {
+            Err(StageFailure { inputs_gone, ended }) => {
                 restarts += 1;
-                prepared.release_spent(plan.restart(stage));
-                let again = is_on_time(gateway, accepted, &plan, &home);
-                log::info!(
-                    "stages: id={} stage={stage} outcome=inputs_gone \
-                     again={again}",
-                    accepted.caller.attempt
-                );
-                if again {
-                    continue;
+                if inputs_gone && restarts <= MAX_RESTARTS {
+                    prepared.release_spent(plan.restart(stage));
+                    let again = is_on_time(gateway, accepted, &plan, &home);
+                    log_inputs_gone(accepted, stage, again);
+                    if again {
+                        continue;
+                    }
                 }
-                let cause = format!("stage {stage}: inputs gone");
-                record.cause = Some(cause);
-                return Err(failure.ended);
-            }
-            Err(StageFailure { ended, .. }) => {
                 let cause = format!("stage {stage}: {}", ended.refusal);
                 record.cause = Some(cause);
                 return Err(ended);
@@ -275,6 +268,13 @@
     )
 }
 
+fn log_inputs_gone(accepted: &Accepted, stage: usize, again: bool) {
+    log::info!(
+        "stages: id={} stage={stage} outcome=inputs_gone again={again}",
+        accepted.caller.attempt
+    );
+}
+
 /// Returns whether a server is listed that can do a stage.
 fn has_server(gateway: &Gateway, accepted: &Accepted, stage: usize) -> bool {
     let service = &accepted.route.stages[stage].service;
