Let the log lines of a request tell why it failed

Change: the request line has `at` and `limit_ms`; each failed piece has a line with the id of its request, the worker and what went wrong; the cause names a gone input. `briarladder follow` lists the starts of the processes when it finds no line.

--- a/crates/briarladder-cli/src/follow.rs
+++ b/crates/briarladder-cli/src/follow.rs
@@ -77,6 +77,10 @@
         })
     }
 
+    fn is_start(&self) -> bool {
+        self.text.contains("process: event=started")
+    }
+
     fn field(&self, name: &str) -> Option<&str> {
         self.text
             .split_whitespace()
@@ -131,10 +135,14 @@
     if found.is_empty() {
         eprintln!(
             "no line of {} logs has id={}: give the logs of all processes \
-             and the id of the attempt, not of the workspace",
+             and the id of the attempt, not of the workspace. A process \
+             that was killed has no line of what it held; the starts are:",
             args.logs.len(),
             args.id
         );
+        for line in lines.iter().filter(|line| line.is_start()) {
+            eprintln!("{} {} {}", line.time, line.source, line.text);
+        }
         return Ok(ExitCode::from(EXIT_NOT_FOUND));
     }
     for line in found {
--- a/crates/briarladder-cli/tests/follow.rs
+++ b/crates/briarladder-cli/tests/follow.rs
@@ -5,6 +5,7 @@
 use briarladder_cli::follow::{LogLine, follow};
 
 const FRONT_1: &str = "\
+2026-12-04T05:59:00.000Z INFO process: event=started vm=front-1
 2026-12-04T06:00:00.100Z INFO dispatch: id=a1 server=i-1 failure=broken
 2026-12-04T06:00:00.900Z INFO request: id=a1 outcome=answered server=i-2
 2026-12-04T06:00:00.950Z INFO request: id=a12 outcome=answered server=i-1
@@ -61,7 +62,9 @@
     assert!(text.contains("front-1"), "{text}");
     let missing = run("b1", &log);
     assert_eq!(missing.status.code(), Some(1));
-    assert!(String::from_utf8_lossy(&missing.stderr).contains("id=b1"));
+    let message = String::from_utf8_lossy(&missing.stderr);
+    assert!(message.contains("id=b1"), "{message}");
+    assert!(message.contains("event=started vm=front-1"), "{message}");
     let unreadable = run("a1", &folder.path().join("none.log"));
     assert_eq!(unreadable.status.code(), Some(2));
 }
--- a/crates/briarladder-gateway/src/request/accept.rs
+++ b/crates/briarladder-gateway/src/request/accept.rs
@@ -20,7 +20,7 @@
     refusal::Refusal,
 };
 
-use super::record::Record;
+use super::record::{Phase, Record};
 
 /// A request that is allowed.
 #[derive(Clone, Debug)]
@@ -96,6 +96,8 @@
     let service = service.ok_or(Refusal::NoServer)?;
     let started = record.started();
     let patience = caller.patience.unwrap_or(route.timeout);
+    record.limit = Some(patience.min(route.timeout));
+    record.phase = Phase::Body;
     Ok(Accepted {
         rank: workspace.as_ref().and_then(|w| w.rank).unwrap_or(route.rank),
         target: started + route.target,
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -19,7 +19,7 @@
         Answer, Outgoing, Usable, WholeAnswer, choose_server, count,
         note_failure,
     },
-    record::Record,
+    record::{Phase, Record},
     resume,
 };
 
@@ -63,6 +63,7 @@
         };
         record.server = Some(Arc::clone(&server.name));
         record.sends += 1;
+        record.phase = Phase::Server;
         if tried.is_empty() {
             board.first_sent(&accepted.service);
         }
--- a/crates/briarladder-gateway/src/request/record.rs
+++ b/crates/briarladder-gateway/src/request/record.rs
@@ -9,8 +9,30 @@
     time::{Duration, Instant},
 };
 
+use derive_more::Display;
+
 use crate::{board::Board, metrics::Metrics};
 
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Phase {
+    /// Its head is judged.
+    #[display("head")]
+    Head,
+    /// Its body is read.
+    #[display("body")]
+    Body,
+    /// This stage was the last to be started.
+    #[display("stage_{_0}")]
+    Stage(usize),
+    /// It was sent to a server whose answer has not begun.
+    #[display("server")]
+    Server,
+    /// Its answer is passed on.
+    #[display("answer")]
+    Answer,
+}
+
 /// The record of one request.
 #[derive(Debug)]
 pub struct Record {
@@ -36,6 +58,10 @@
     pub stages: Option<Duration>,
     /// The time to the head of the answer.
     first_byte: Option<Duration>,
+    /// How far it has come.
+    pub phase: Phase,
+    /// The time after which it is given up, from its arrival.
+    pub limit: Option<Duration>,
     /// The status that the caller gets.
     pub status: u16,
     /// The wait that a refused caller is told.
@@ -65,6 +91,8 @@
             sends: 0,
             stages: None,
             first_byte: None,
+            phase: Phase::Head,
+            limit: None,
             status: 0,
             retry_after: None,
             cause: None,
@@ -82,6 +110,7 @@
     /// Records that the head of the answer is there.
     pub fn head_arrived(&mut self) {
         self.first_byte = Some(self.elapsed());
+        self.phase = Phase::Answer;
     }
 
     /// Counts bytes of the answer.
@@ -108,12 +137,14 @@
         self.metrics.request_ended(route, outcome, self.first_byte);
         log::info!(
             "request: id={} route={route} workspace={} outcome={outcome} \
-             status={} ms={} first_ms={} stages_ms={} prompt={}+{} \
-             server={} sends={} bytes={} config={} retry_after_ms={} cause={:?}",
+             status={} at={} ms={} limit_ms={} first_ms={} stages_ms={} \
+             prompt={}+{} server={} sends={} bytes={} config={} retry_after_ms={} cause={:?}",
             self.attempt,
             self.workspace.as_deref().unwrap_or("-"),
             self.status,
+            self.phase,
             self.elapsed().as_millis(),
+            millis(self.limit),
             millis(self.first_byte),
             millis(self.stages),
             self.prompt.map_or(0, |(shared, _)| shared),
--- a/crates/briarladder-gateway/src/stages/batch.rs
+++ b/crates/briarladder-gateway/src/stages/batch.rs
@@ -99,6 +99,24 @@
         self.batch.has_ended()
     }
 
+    /// Returns the caller's attempt.
+    #[must_use]
+    pub fn attempt(&self) -> &str {
+        &self.batch.request.attempt
+    }
+
+    /// Returns the stage.
+    #[must_use]
+    pub fn stage(&self) -> usize {
+        self.batch.request.stage
+    }
+
+    /// Returns the number of the piece within its stage.
+    #[must_use]
+    pub fn piece(&self) -> u32 {
+        self.piece
+    }
+
     /// Returns what waits in a queue.
     #[must_use]
     pub fn order(&self, id: u64, avoid: Option<Arc<str>>) -> Order {
--- a/crates/briarladder-gateway/src/stages/collector.rs
+++ b/crates/briarladder-gateway/src/stages/collector.rs
@@ -390,6 +390,7 @@
                     "call_failed",
                 );
                 for (id, job) in jobs {
+                    log_failed(key, &call.server, &job, "call_failed");
                     self.try_again(key, &call.server, id, job);
                 }
             }
@@ -415,7 +416,10 @@
                 PieceReply::Made { reference, maker: Arc::clone(server) }
             }
             PieceOutcome::Late => PieceReply::Late,
-            PieceOutcome::InputGone => PieceReply::InputGone,
+            PieceOutcome::InputGone => {
+                log_failed(key, server, &job, "input_gone");
+                PieceReply::InputGone
+            }
             PieceOutcome::NoRoom => {
                 let now = self.board.now();
                 if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
@@ -425,6 +429,7 @@
                 return self.try_again(key, server, id, job);
             }
             PieceOutcome::Failed => {
+                log_failed(key, server, &job, "failed");
                 Metrics::count(&self.metrics.pieces, &key.service, "failed");
                 return self.try_again(key, server, id, job);
             }
@@ -452,6 +457,7 @@
         }
         job.tries += 1;
         if job.tries >= MAX_TRIES || !self.board.try_repeat(&key.service) {
+            log_failed(key, server, &job, "not_tried_again");
             return self.finish(key, id, &job, PieceReply::Failed);
         }
         if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
@@ -540,3 +546,23 @@
         }
     }
 }
+
+/// Logs what became of one piece under the id of its request.
+fn log_failed(
+    key: &QueueKey,
+    server: &Arc<str>,
+    job: &Job,
+    outcome: &'static str,
+) {
+    if !job.has_ended() {
+        log::info!(
+            "pieces: id={} stage={} piece={} service={} server={server} \
+             outcome={outcome} tries={}",
+            job.attempt(),
+            job.stage(),
+            job.piece(),
+            key.service,
+            job.tries
+        );
+    }
+}
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -18,7 +18,10 @@
     peers::messages::{PIECES_PATH, PieceReply, PiecesReply, PiecesRequest},
     refusal::Refusal,
     request::{
-        Ended, accept::Accepted, outgoing::choose_server, record::Record,
+        Ended,
+        accept::Accepted,
+        outgoing::choose_server,
+        record::{Phase, Record},
     },
 };
 
@@ -168,6 +171,7 @@
                 continue;
             }
             plan.started(stage);
+            record.phase = Phase::Stage(stage);
             let delay = start_delay(gateway, accepted, &plan, stage, &home);
             let (duty, order) = order(gateway, accepted, &plan, stage, &home);
             running.push(run_stage(gateway, accepted, delay, duty, order));
@@ -188,8 +192,12 @@
                         continue;
                     }
                 }
-                let cause = format!("stage {stage}: {}", ended.refusal);
-                record.cause = Some(cause);
+                record.phase = Phase::Stage(stage);
+                record.cause = Some(if inputs_gone {
+                    format!("stage {stage}: an input is gone")
+                } else {
+                    format!("stage {stage}: {}", ended.refusal)
+                });
                 return Err(ended);
             }
         };
