Remove what was decoded or written and never used

The longest time for a head, connections a server takes, the capacity of engines, a server's start time, the most tokens of an answer and StagePlan::take_all had no reader. An unknown field is ignored, so nothing changes for a configuration; a service whose servers answer requests is one variant now.

--- a/crates/briarladder-core/src/fleet/config.rs
+++ b/crates/briarladder-core/src/fleet/config.rs
@@ -50,8 +50,6 @@
     pub max_header_bytes: usize,
     /// The longest request body in bytes.
     pub max_body_bytes: usize,
-    /// The longest time for a request head.
-    pub header_timeout: Duration,
     /// The longest time between two requests of a connection.
     pub idle_timeout: Duration,
 }
@@ -61,7 +59,6 @@
         CallerLimits {
             max_header_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
-            header_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(15),
         }
     }
@@ -256,8 +253,6 @@
 /// A group of backend servers that do the same work.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
-    /// The most connections that one server takes from all callers.
-    pub max_connections: u32,
     /// What kind of server it is.
     pub work: ServiceWork,
 }
@@ -265,23 +260,12 @@
 /// What the servers of a service do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ServiceWork {
-    /// Answers requests without further knowledge.
-    Plain,
-    /// Generates tokens in batches.
-    Engine(EngineSpec),
+    /// Answers requests, as model engines and plain services do.
+    Requests,
     /// Makes pieces of a stage, several in one call.
     Pieces(PieceSpec),
 }
 
-/// The capacity of one model engine.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EngineSpec {
-    /// Requests in one batch.
-    pub slots: u32,
-    /// The memory for prompts and generated text, in tokens.
-    pub kv_capacity_tokens: u64,
-}
-
 /// The capacity and cost of one server that makes pieces.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PieceSpec {
--- a/crates/briarladder-core/src/fleet/server.rs
+++ b/crates/briarladder-core/src/fleet/server.rs
@@ -38,9 +38,6 @@
     pub zone: Arc<str>,
     /// Whether it takes new work.
     pub state: ServerState,
-    /// The Unix millisecond of its start; a change means that it has lost
-    /// all that it held.
-    pub born_unix_ms: u64,
 }
 
 impl ListedServer {
@@ -53,7 +50,6 @@
             address,
             zone: Arc::from(""),
             state: ServerState::Ready,
-            born_unix_ms: 0,
         }
     }
 }
--- a/crates/briarladder-core/src/fleet/stages.rs
+++ b/crates/briarladder-core/src/fleet/stages.rs
@@ -239,19 +239,6 @@
         spent
     }
 
-    /// Takes all results, for a request that ends.
-    pub fn take_all(&mut self) -> Vec<Handle> {
-        let mut all = Vec::new();
-        for progress in &mut self.progress {
-            if let Progress::Done(results) =
-                std::mem::replace(progress, Progress::Released)
-            {
-                all.extend(results);
-            }
-        }
-        all
-    }
-
     /// Estimates the time from the end of a stage to the start of the
     /// request itself: the longest chain of stages that follow.
     pub fn time_after(
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -47,8 +47,6 @@
 pub struct Prompt {
     /// Tokens to read.
     pub prompt_tokens: u64,
-    /// The most tokens to generate.
-    pub output_tokens: u64,
     /// The parts in order; requests share parts.
     pub parts: Vec<PromptPart>,
 }
--- a/crates/briarladder-gateway/src/stages/collector.rs
+++ b/crates/briarladder-gateway/src/stages/collector.rs
@@ -180,7 +180,7 @@
     fn spec(&self, service: &str) -> Option<PieceSpec> {
         match self.board.config()?.services.get(service)?.work {
             ServiceWork::Pieces(spec) => Some(spec),
-            _ => None,
+            ServiceWork::Requests => None,
         }
     }
 
