Probe listed dead members when a zone has no live ones

Cause: a daemon whose zone peers are all held to be dead sent no zone probe at all, except one in ten to a random dead member. Two daemons that a partition left alone in their zone found each other only by chance among all that had died before.

Change: without live members in the zone, each zone probe goes to a dead member, and those that the platform still lists come first.

Tests: next_probe_alone_in_zone fails before and passes after; the other 16 tests of the module pass.

--- a/crates/briarladder-core/src/membership/probe.rs
+++ b/crates/briarladder-core/src/membership/probe.rs
@@ -28,7 +28,8 @@
 pub(super) const INDIRECT_PEERS: usize = 2;
 
 /// One in this many zone probes goes to a dead member, so that the two sides
-/// of a healed partition find each other.
+/// of a healed partition find each other. Without live members in the zone,
+/// all do.
 const DEAD_PROBE_EVERY: u64 = 10;
 
 /// A member to probe.
@@ -79,20 +80,28 @@
         members: &SortedMap<VmName, Member>,
         rng: &mut impl Rng,
     ) -> Option<ProbeTarget> {
-        let zone_peer = |dead: bool, rng: &mut _| {
-            let wanted = |member: &&Member| {
+        let in_zone = |dead: bool| {
+            members.values().filter(move |member| {
                 member.name != *me
                     && member.zone == *zone
                     && (member.state == MemberState::Dead) == dead
-            };
-            members.values().filter(wanted).choose(rng)
+            })
+        };
+        // Most dead members were replaced; one that the platform lists may
+        // only be cut off.
+        let dead_peer = |rng: &mut _| {
+            let listed = in_zone(true).filter(|member| member.listed);
+            listed.choose(rng).or_else(|| in_zone(true).choose(rng))
         };
         if now >= self.zone_at {
             self.zone_at = now + ZONE_PROBE_INTERVAL;
             self.zone_probes += 1;
             let dead = self.zone_probes.is_multiple_of(DEAD_PROBE_EVERY);
-            let dead = if dead { zone_peer(true, rng) } else { None };
-            if let Some(target) = dead.or_else(|| zone_peer(false, rng)) {
+            let dead = if dead { dead_peer(rng) } else { None };
+            let target = dead
+                .or_else(|| in_zone(false).choose(rng))
+                .or_else(|| dead_peer(rng));
+            if let Some(target) = target {
                 return Some(ProbeTarget::of(target));
             }
         }
--- a/crates/briarladder-core/src/membership/tests.rs
+++ b/crates/briarladder-core/src/membership/tests.rs
@@ -411,3 +411,23 @@
         }
     }
 }
+
+/// Guards against two daemons that are alone in their zone, hold each other to
+/// be dead, and find each other only by chance among all that died before.
+#[test]
+fn next_probe_alone_in_zone() {
+    let now = Instant::now();
+    let mut members = Members::new(identity(0, 5), now);
+    for number in 1..40 {
+        members.observe(now, &said(number, 5, 0, MemberState::Dead));
+    }
+    members.seed(now, 1, &[seed(1, 0, SeedState::Live)]);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let probed: Vec<VmName> = (0..5)
+        .filter_map(|at| {
+            let at = now + probe::ZONE_PROBE_INTERVAL * at;
+            Some(members.next_probe(at, &mut rng)?.name)
+        })
+        .collect();
+    assert!(probed.contains(&vm(1)), "{probed:?}");
+}
