--- /dev/null
+++ b/crates/briarladder-core/src/fleet/cells.rs
@@ -0,0 +1,237 @@
+//! Which backend servers of the stages are coordinated together.
+//!
+//! The stages of a request are worked on by one daemon, which collects the
+//! pieces of many requests into calls and knows what waits at each service.
+//! The servers that one daemon calls form a cell. A few servers form one cell
+//! for the whole fleet, since two half-filled queues fill no call; more of
+//! them form a cell in each zone, and many in a zone several, so that the work
+//! of a coordinating daemon is bounded.
+//!
+//! # Example
+//!
+//! ```
+//! use std::sync::Arc;
+//!
+//! use briarladder_core::fleet::{
+//!     cells::{Cell, Cells},
+//!     server::ListedServer,
+//! };
+//!
+//! let mut server = ListedServer::new("m-1", "fetch", "10.0.0.1:80".parse()?);
+//! server.zone = Arc::from("a");
+//! let cells = Cells::of([[&server]]);
+//! assert_eq!(cells.cell_of(&server), Cell::fleet());
+//! # Ok::<(), std::net::AddrParseError>(())
+//! ```
+
+use std::{cmp::Reverse, sync::Arc};
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::{rendezvous, sorted::SortedMap};
+
+use super::server::ListedServer;
+
+/// Up to this many servers of each service form one cell.
+const MAX_FLEET_SERVERS: usize = 8;
+
+/// The servers of one service in a cell of a zone. A daemon that coordinates
+/// as many servers of three services makes about 200 calls a second.
+const MAX_CELL_SERVERS: usize = 16;
+
+/// Servers that one daemon coordinates.
+#[derive(
+    Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Cell {
+    /// The zone of the servers; none for those of all zones.
+    pub zone: Option<Arc<str>>,
+    /// The number of the cell within its zone.
+    pub number: usize,
+}
+
+impl Cell {
+    /// Returns the cell of all servers.
+    #[must_use]
+    pub fn fleet() -> Cell {
+        Cell { zone: None, number: 0 }
+    }
+
+    /// Returns a cell of a zone.
+    #[must_use]
+    pub fn in_zone(zone: &Arc<str>, number: usize) -> Cell {
+        Cell { zone: Some(Arc::clone(zone)), number }
+    }
+
+    /// Returns the name of the duty to coordinate the cell.
+    #[must_use]
+    pub fn duty(&self) -> String {
+        format!("stages@{}", CellName(self))
+    }
+}
+
+/// The name of a cell in logs.
+#[derive(Clone, Copy, Debug, Display)]
+#[display("{}/{}", _0.zone.as_deref().unwrap_or("fleet"), _0.number)]
+pub struct CellName<'a>(pub &'a Cell);
+
+/// The cells of all servers that make pieces.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Cells {
+    /// The number of cells of each zone; empty if there is one cell.
+    by_zone: SortedMap<Arc<str>, usize>,
+    /// The zone with the most servers.
+    largest_zone: Option<Arc<str>>,
+}
+
+impl Cells {
+    /// Works out the cells from the servers of each service.
+    #[must_use]
+    pub fn of<'a, S>(services: impl IntoIterator<Item = S>) -> Cells
+    where
+        S: IntoIterator<Item = &'a ListedServer>,
+    {
+        let mut all: SortedMap<Arc<str>, usize> = SortedMap::new();
+        let mut most: SortedMap<Arc<str>, usize> = SortedMap::new();
+        let mut largest_service = 0;
+        for servers in services {
+            let mut zones: SortedMap<Arc<str>, usize> = SortedMap::new();
+            for server in servers {
+                let zone = Arc::clone(&server.zone);
+                *zones.entry_or_insert_with(zone, || 0) += 1;
+            }
+            largest_service = largest_service.max(zones.values().sum());
+            for (zone, &servers) in zones.iter() {
+                *all.entry_or_insert_with(Arc::clone(zone), || 0) += servers;
+                let most = most.entry_or_insert_with(Arc::clone(zone), || 0);
+                *most = servers.max(*most);
+            }
+        }
+        // Of equal zones the first by name.
+        let largest_zone = all
+            .iter()
+            .max_by_key(|(zone, servers)| {
+                (**servers, Reverse(Arc::clone(zone)))
+            })
+            .map(|(zone, _)| Arc::clone(zone));
+        let mut by_zone = SortedMap::new();
+        if largest_service > MAX_FLEET_SERVERS {
+            for (zone, &servers) in most.iter() {
+                let cells = servers.div_ceil(MAX_CELL_SERVERS);
+                by_zone.insert(Arc::clone(zone), cells);
+            }
+        }
+        Cells { by_zone, largest_zone }
+    }
+
+    /// Returns the cell that a server belongs to.
+    #[must_use]
+    pub fn cell_of(&self, server: &ListedServer) -> Cell {
+        let Some(&cells) = self.by_zone.get(&*server.zone) else {
+            return Cell::fleet();
+        };
+        let score = |number: &usize| {
+            rendezvous::score(&server.name, &number.to_string())
+        };
+        let number = (0..cells).max_by_key(score).unwrap_or(0);
+        Cell::in_zone(&server.zone, number)
+    }
+
+    /// Returns whether a server belongs to a cell. All servers belong to the
+    /// cell of the fleet, which stands in for zones that lack a service.
+    #[must_use]
+    pub fn contains(&self, cell: &Cell, server: &ListedServer) -> bool {
+        cell.zone.is_none() || self.cell_of(server) == *cell
+    }
+
+    /// Iterates over the cells of zones; there are none if the fleet is one
+    /// cell.
+    pub fn in_zones(&self) -> impl Iterator<Item = Cell> {
+        self.by_zone.iter().flat_map(|(zone, &cells)| {
+            (0..cells).map(move |number| Cell::in_zone(zone, number))
+        })
+    }
+
+    /// Returns the zone near which a cell is best coordinated.
+    #[must_use]
+    pub fn near<'a>(&'a self, cell: &'a Cell) -> Option<&'a Arc<str>> {
+        cell.zone.as_ref().or(self.largest_zone.as_ref())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn servers(counts: &[(&str, usize)]) -> Vec<ListedServer> {
+        let address = "127.0.0.1:1".parse().unwrap();
+        counts
+            .iter()
+            .flat_map(|&(zone, count)| {
+                (0..count).map(move |at| {
+                    let name = format!("{zone}-{at}");
+                    let mut server = ListedServer::new(&name, "s", address);
+                    server.zone = Arc::from(zone);
+                    server
+                })
+            })
+            .collect()
+    }
+
+    /// Guards against queues that are cut too small to fill a call.
+    #[test]
+    fn of_few_is_one_cell() {
+        let few = servers(&[("a", 2), ("b", 2), ("c", 1)]);
+        let other = servers(&[("b", 2), ("c", 3)]);
+        let cells = Cells::of([&few, &other]);
+        assert_eq!(cells.cell_of(&few[4]), Cell::fleet());
+        assert_eq!(cells.in_zones().count(), 0);
+        let fleet = Cell::fleet();
+        let near = cells.near(&fleet).unwrap();
+        assert_eq!(&**near, "b", "the zone with the most servers");
+    }
+
+    /// Guards against one daemon that coordinates a whole large fleet.
+    #[test]
+    fn of_many_is_by_zone() {
+        let many = servers(&[("a", 3), ("b", 3), ("c", 3)]);
+        let cells = Cells::of([&many]);
+        let a = Cell::in_zone(&Arc::from("a"), 0);
+        assert_eq!(cells.cell_of(&many[0]), a);
+        assert!(!cells.contains(&a, &many[3]));
+        assert!(cells.contains(&Cell::fleet(), &many[3]));
+        assert_eq!(cells.in_zones().count(), 3);
+        assert_eq!(&**cells.near(&a).unwrap(), "a");
+    }
+
+    /// Guards against a duty that grows with its zone: 833 workers of a zone
+    /// are the size that the design is for.
+    #[test]
+    fn of_large_zone_is_split() {
+        let many = servers(&[("a", 833)]);
+        let cells = Cells::of([&many]);
+        let mut sizes: SortedMap<Cell, usize> = SortedMap::new();
+        for server in &many {
+            *sizes.entry_or_insert_with(cells.cell_of(server), || 0) += 1;
+        }
+        assert_eq!(sizes.len(), 53);
+        let largest = sizes.values().max().unwrap();
+        assert!(*largest <= 2 * MAX_CELL_SERVERS, "{largest} servers");
+    }
+
+    /// Guards against servers that move to another cell when one ends, which
+    /// loses what its coordinator knows of them.
+    #[test]
+    fn cell_of_is_stable() {
+        let mut many = servers(&[("a", 40)]);
+        let before = Cells::of([&many]);
+        let last = many.pop().unwrap();
+        let after = Cells::of([&many]);
+        assert_eq!(before.in_zones().count(), after.in_zones().count());
+        for server in &many {
+            assert_eq!(before.cell_of(server), after.cell_of(server));
+        }
+        assert!(before.cell_of(&last).number < 3);
+    }
+}
--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -11,8 +11,8 @@
 //! for what has waited longest, whatever its rank. A piece that can't be made
 //! before its deadline, with all that is ahead of it, is given up at once.
 //!
-//! A few servers are collected for by one daemon of the fleet, since two
-//! half-filled queues fill no call; many are collected for by zone.
+//! A group is split over two calls only to fill the first one: its rest goes
+//! first in the next call, which it would have waited for anyway.
 //!
 //! # Example
 //!
@@ -61,15 +61,7 @@
 
 use crate::sorted::{SortedMap, SortedSet};
 
-use super::config::PieceSpec;
-
-mod waits;
-mod zone;
-
-pub use self::{
-    waits::WaitEstimates,
-    zone::{CollectingZone, collecting_zone},
-};
+use super::{config::PieceSpec, entry::Throughput};
 
 /// One place in this many of a call goes to the piece that has been needed
 /// longest, so that a flood of a more urgent rank starves no other.
@@ -90,6 +82,13 @@
 /// The weight of the newest call in the usual size of calls under backlog.
 const BATCH_SMOOTHING: f64 = 0.1;
 
+/// Calls of a server that is neither slow nor shared take less than this many
+/// times what is expected.
+const NORMAL_SLOWNESS: f64 = 1.15;
+
+/// The weight of the newest call in the slowness of a server.
+const SLOWNESS_SMOOTHING: f64 = 0.3;
+
 /// Pieces that move this much between zones are made in their home zone, if
 /// that does not make them late.
 const LARGE_CROSSING_BYTES: u64 = 250_000;
@@ -153,6 +152,23 @@
     pub avoid: Option<Arc<str>>,
 }
 
+/// What became of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedCall<'a> {
+    /// The server.
+    pub server: &'a str,
+    /// How it ended.
+    pub end: CallEnd,
+    /// The time that it took.
+    pub took: Duration,
+    /// The time that was expected.
+    pub expected: Duration,
+    /// The expected size of all results.
+    pub result_bytes: u64,
+    /// The results that were made.
+    pub results: &'a [Arc<str>],
+}
+
 /// A call to be sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Call {
@@ -164,6 +180,9 @@
     pub expected: Duration,
     /// The expected size of all results.
     pub result_bytes: u64,
+    /// Whether the server begins calls at once, as far as is known. One that
+    /// is slow, or works for another daemon too, fetches inputs later.
+    pub begins_at_once: bool,
 }
 
 /// How a call ended.
@@ -189,10 +208,30 @@
     results: SortedMap<Arc<str>, Held>,
     paused_until: Option<Instant>,
     refusals: u32,
+    /// What its calls take, as a multiple of what is expected.
+    slowness: Slowness,
     /// The server is no longer listed and only ends its calls.
     closed: bool,
 }
 
+/// How many times longer than expected calls take, smoothed.
+#[derive(Clone, Copy, Debug)]
+struct Slowness(f64);
+
+impl Default for Slowness {
+    fn default() -> Slowness {
+        Slowness(1.0)
+    }
+}
+
+impl Slowness {
+    fn observe(&mut self, took: Duration, expected: Duration) {
+        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        self.0 = self.0 * (1.0 - SLOWNESS_SMOOTHING)
+            + ratio.max(1.0) * SLOWNESS_SMOOTHING;
+    }
+}
+
 impl Lane {
     fn pause(&mut self, now: Instant) {
         let doublings = self.refusals.min(MAX_DOUBLINGS);
@@ -310,27 +349,21 @@
         })
     }
 
-    /// Records the end of a call of `bytes` expected result bytes, and the
-    /// results that it made.
-    pub fn call_ended(
-        &mut self,
-        now: Instant,
-        server: &str,
-        end: CallEnd,
-        bytes: u64,
-        results: &[Arc<str>],
-    ) {
+    /// Records the end of a call and the results that it made.
+    pub fn call_ended(&mut self, now: Instant, call: &EndedCall<'_>) {
         let lifetime = self.spec.result_lifetime;
-        let Some(lane) = self.lanes.get_mut(server) else { return };
+        let Some(lane) = self.lanes.get_mut(call.server) else { return };
         lane.calls = lane.calls.saturating_sub(1);
-        lane.in_call_bytes = lane.in_call_bytes.saturating_sub(bytes);
-        match end {
+        lane.in_call_bytes =
+            lane.in_call_bytes.saturating_sub(call.result_bytes);
+        match call.end {
             CallEnd::Refused => lane.pause(now),
             CallEnd::Worked => {
                 lane.refusals = 0;
-                let each = bytes
-                    / u64::try_from(results.len().max(1)).unwrap_or(u64::MAX);
-                for result in results {
+                lane.slowness.observe(call.took, call.expected);
+                let results = u64::try_from(call.results.len().max(1));
+                let each = call.result_bytes / results.unwrap_or(u64::MAX);
+                for result in call.results {
                     let held = Held { bytes: each, until: now + lifetime };
                     lane.results.insert(Arc::clone(result), held);
                 }
@@ -369,6 +402,22 @@
         if busy { queued + call / 2 } else { queued }
     }
 
+    /// Returns what the servers can do with full calls.
+    #[must_use]
+    pub fn throughput(&self) -> Throughput {
+        let pieces = count(self.spec.batch.max(1));
+        let call = self.spec.call + self.spec.item * pieces;
+        let lanes: f64 = self
+            .lanes
+            .values()
+            .filter(|lane| !lane.closed)
+            .map(|lane| 1.0 / lane.slowness.0)
+            .sum();
+        let slots = f64::from(self.spec.slots.max(1));
+        let calls_per_s = lanes * slots / call.as_secs_f64();
+        Throughput { pieces_per_s: calls_per_s * f64::from(pieces), call }
+    }
+
     /// Returns the number of waiting pieces.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -439,7 +488,10 @@
         }
         let pieces = u32::try_from(ids.len()).unwrap_or(u32::MAX);
         let expected = self.spec.call + self.spec.item * pieces;
-        Call { server, ids, expected, result_bytes }
+        let lane = self.lanes.get(&*server);
+        let begins_at_once =
+            lane.is_some_and(|lane| lane.slowness.0 < NORMAL_SLOWNESS);
+        Call { server, ids, expected, result_bytes, begins_at_once }
     }
 
     /// Chooses the positions of the pieces for a call: in order, but for the
@@ -466,6 +518,7 @@
         for at in longest.iter().chain(&candidates) {
             self.add_group(&mut chosen, *at, &candidates, batch);
         }
+        self.fill_with_part(&mut chosen, &candidates, batch);
         chosen.places
     }
 
@@ -510,6 +563,28 @@
         }
     }
 
+    /// Fills the places that no whole group fits into with a part of the
+    /// next one, if the server has room for it.
+    fn fill_with_part(
+        &self,
+        chosen: &mut Batch,
+        candidates: &[usize],
+        places: usize,
+    ) {
+        for &at in candidates {
+            let bytes = self.waiting[at].result_bytes;
+            let full = chosen.places.len() >= places
+                || !self.fits(chosen.held + bytes);
+            if full {
+                return;
+            }
+            if !chosen.places.contains(&at) {
+                chosen.held += bytes;
+                chosen.places.push(at);
+            }
+        }
+    }
+
     /// Forgets the groups of which no piece waits.
     fn forget_whole_groups(&mut self) {
         let mut waiting = SortedSet::new();
--- a/crates/briarladder-core/src/fleet/config.rs
+++ b/crates/briarladder-core/src/fleet/config.rs
@@ -17,6 +17,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use crate::sorted::SortedMap;
 
 /// One published configuration, indexed for requests.
@@ -108,7 +110,7 @@
 }
 
 /// Work that is done before a request can run.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StageSpec {
     /// The service that does it.
     pub service: Arc<str>,
--- /dev/null
+++ b/crates/briarladder-core/src/fleet/entry/tests.rs
@@ -0,0 +1,187 @@
+use super::*;
+
+const CALL: Duration = Duration::from_millis(280);
+
+fn throughput(_: &str) -> Throughput {
+    Throughput { pieces_per_s: 100.0, call: CALL }
+}
+
+fn demand(service: &str, pieces: u32, lead_ms: u64) -> Demand {
+    Demand {
+        service: Arc::from(service),
+        pieces,
+        lead: Duration::from_millis(lead_ms),
+    }
+}
+
+fn entry(id: u64, now: Instant, demand: Vec<Demand>) -> Entry {
+    Entry {
+        id,
+        rank: 1,
+        demand,
+        time: Duration::from_millis(600),
+        target: now + Duration::from_secs(2),
+        deadline: now + Duration::from_secs(8),
+        arrived: now,
+    }
+}
+
+fn admitted(queue: &mut EntryQueue, now: Instant) -> Vec<u64> {
+    std::iter::from_fn(|| queue.admit(now, &throughput)).collect()
+}
+
+/// Guards against a burst that begins all its first stages at once: their
+/// results wait for the slowest service, fill the room of their makers and
+/// expire.
+#[test]
+fn admit_bounds_begun_work() {
+    let now = Instant::now();
+    let mut queue = EntryQueue::default();
+    for id in 0..200 {
+        let demand = vec![demand("fast", 1, 0), demand("slow", 6, 200)];
+        queue.push(entry(id, now, demand));
+    }
+    let first = admitted(&mut queue, now);
+    // The slow service may have 0.28 + 0.4 + 0.2 s of work: 88 pieces.
+    assert_eq!(first.len(), 15);
+    assert_eq!(queue.len(), 185);
+    assert!(admitted(&mut queue, now).is_empty());
+    queue.made(&demand("slow", 6, 200));
+    assert_eq!(admitted(&mut queue, now).len(), 1);
+}
+
+/// Guards against servers that idle because begun work is counted for ever.
+#[test]
+fn made_frees_all() {
+    let now = Instant::now();
+    let mut queue = EntryQueue::default();
+    for round in 0..50 {
+        queue.push(entry(round, now, vec![demand("s", 500, 10)]));
+        assert_eq!(queue.admit(now, &throughput), Some(round));
+        queue.made(&demand("s", 500, 10));
+    }
+    assert!(queue.expected_wait(now, &throughput).is_zero());
+}
+
+/// Guards against late or less urgent work that goes before work that can be
+/// on time.
+#[test]
+fn admit_order() {
+    let now = Instant::now();
+    let mut queue = EntryQueue::default();
+    let mut late = entry(1, now, vec![demand("s", 1, 0)]);
+    late.target = now;
+    late.rank = 0;
+    let usual = entry(2, now, vec![demand("s", 1, 0)]);
+    let mut urgent = entry(3, now, vec![demand("s", 1, 0)]);
+    urgent.rank = 0;
+    let mut sooner = entry(4, now, vec![demand("s", 1, 0)]);
+    sooner.target -= Duration::from_millis(100);
+    for (at, mut entry) in
+        [late, usual, urgent, sooner].into_iter().enumerate()
+    {
+        // The floor looks at the time of arrival, which is equal here.
+        entry.arrived = now;
+        assert_eq!(at, queue.len());
+        queue.push(entry);
+    }
+    queue.admissions = 1;
+    assert_eq!(admitted(&mut queue, now), [3, 4, 2, 1]);
+}
+
+/// Guards against a flood of the most urgent rank that leaves the others
+/// nothing.
+#[test]
+fn admit_floor() {
+    let start = Instant::now();
+    let mut queue = EntryQueue::default();
+    let mut usual = entry(0, start, vec![demand("s", 10, 0)]);
+    usual.rank = 2;
+    queue.push(usual);
+    queue.admissions = 1;
+    let now = start + Duration::from_millis(10);
+    let mut admitted = Vec::new();
+    for id in 1..40 {
+        let mut urgent = entry(id, now, vec![demand("s", 10, 0)]);
+        urgent.rank = 0;
+        queue.push(urgent);
+        while let Some(id) = queue.admit(now, &throughput) {
+            admitted.push(id);
+        }
+        queue.made(&demand("s", 10, 0));
+    }
+    let at = admitted.iter().position(|&id| id == 0);
+    assert!(at.is_some_and(|at| at <= 8), "{admitted:?}");
+}
+
+/// Guards against a request that can't begin and holds up others that use
+/// other services.
+#[test]
+fn admit_passes_blocked() {
+    let now = Instant::now();
+    let mut queue = EntryQueue::default();
+    queue.push(entry(1, now, vec![demand("full", 1000, 0)]));
+    assert_eq!(queue.admit(now, &throughput), Some(1));
+    queue.push(entry(2, now, vec![demand("full", 1, 0)]));
+    queue.push(entry(3, now, vec![demand("free", 1, 0)]));
+    assert_eq!(admitted(&mut queue, now), [3]);
+}
+
+/// Guards against requests that are held although all that is ahead of them
+/// takes longer than their time.
+#[test]
+fn take_hopeless_behind_backlog() {
+    let now = Instant::now();
+    let mut queue = EntryQueue::default();
+    for id in 0..300 {
+        let mut entry = entry(id, now, vec![demand("s", 6, 0)]);
+        entry.target = now + Duration::from_secs(9);
+        queue.push(entry);
+    }
+    let refused = queue.take_hopeless(now, &throughput);
+    // 6 pieces take 60 ms; 7.4 s are left beside the own time.
+    assert!((165..=180).contains(&refused.len()), "{}", refused.len());
+    assert!(refused.iter().all(|refused| refused.id > 100));
+    assert!(refused[0].wait > Duration::from_secs(7));
+    assert!(queue.take_hopeless(now, &throughput).is_empty());
+}
+
+/// Guards against requests that are late already and are held behind newer
+/// ones until their callers leave.
+#[test]
+fn take_hopeless_late() {
+    let now = Instant::now();
+    let mut queue = EntryQueue::default();
+    for id in 0..100 {
+        let mut entry = entry(id, now, vec![demand("s", 6, 0)]);
+        entry.target = now;
+        queue.push(entry);
+    }
+    let kept = 100 - queue.take_hopeless(now, &throughput).len();
+    // Three times the wait leaves room for a third of 7.4 s.
+    assert!((40..=55).contains(&kept), "{kept}");
+}
+
+/// Guards against a caller that has left and whose request still begins.
+#[test]
+fn cancel_waiting() {
+    let now = Instant::now();
+    let mut queue = EntryQueue::default();
+    queue.push(entry(1, now, vec![demand("s", 1, 0)]));
+    queue.cancel(1);
+    assert!(queue.is_empty());
+    assert_eq!(queue.admit(now, &throughput), None);
+}
+
+/// Guards against a service that is gone, whose throughput is zero: requests
+/// for it are refused, and never begin behind others.
+#[test]
+fn take_hopeless_without_servers() {
+    let now = Instant::now();
+    let mut queue = EntryQueue::default();
+    let gone = |_: &str| Throughput { pieces_per_s: 0.0, call: CALL };
+    queue.push(entry(1, now, vec![demand("s", 1, 0)]));
+    queue.push(entry(2, now, vec![demand("s", 1, 0)]));
+    assert_eq!(queue.admit(now, &gone), Some(1));
+    assert_eq!(queue.take_hopeless(now, &gone).len(), 1);
+}
--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -17,8 +17,10 @@
 
 pub mod attempt;
 pub mod budget;
+pub mod cells;
 pub mod collect;
 pub mod config;
+pub mod entry;
 pub mod events;
 pub mod fetching;
 pub mod mirror;
--- a/crates/briarladder-core/src/fleet/peers.rs
+++ b/crates/briarladder-core/src/fleet/peers.rs
@@ -61,6 +61,9 @@
     pub count: u64,
     /// Whether a planned stop has begun.
     pub leaving: bool,
+    /// How long a new request waits for its stages, if this daemon
+    /// coordinates any.
+    pub stage_wait_ms: u32,
 }
 
 impl Heartbeat {
@@ -79,6 +82,7 @@
             incarnation,
             count: 0,
             leaving: false,
+            stage_wait_ms: 0,
         }
     }
 }
@@ -120,8 +124,16 @@
     }
 
     /// Raises this daemon's counter.
-    pub fn beat(&mut self) {
+    pub fn beat(&mut self, stage_wait_ms: u32) {
         self.me.count += 1;
+        self.me.stage_wait_ms = stage_wait_ms;
+    }
+
+    /// Records the wait for stages that a peer has told beside its heartbeat.
+    pub fn heard_stage_wait(&mut self, name: &str, stage_wait_ms: u32) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.beat.stage_wait_ms = stage_wait_ms;
+        }
     }
 
     /// Announces that this daemon stops.
@@ -312,6 +324,23 @@
         assert!(table.duty_holder(now, "d", "c").is_some());
     }
 
+    /// Guards against requests that all go to one busy cell because its wait
+    /// is not known elsewhere.
+    #[test]
+    fn beat_tells_stage_wait() {
+        let now = Instant::now();
+        let mut busy = PeerTable::new(beat("busy", "a", 1));
+        let mut table = PeerTable::new(beat("me", "b", 1));
+        busy.beat(700);
+        table.merge(now, &busy.exchange(now, 0));
+        let wait = |table: &PeerTable| {
+            table.live_peers(now).next().unwrap().stage_wait_ms
+        };
+        assert_eq!(wait(&table), 700);
+        table.heard_stage_wait("busy", 40);
+        assert_eq!(wait(&table), 40);
+    }
+
     /// Guards against exchanges that grow with the fleet.
     #[test]
     fn exchange_bounded() {
--- a/crates/briarladder-core/src/fleet/server.rs
+++ b/crates/briarladder-core/src/fleet/server.rs
@@ -59,6 +59,7 @@
 pub struct Servers {
     by_name: SortedMap<Arc<str>, Arc<ListedServer>>,
     by_service: SortedMap<Arc<str>, Vec<Arc<ListedServer>>>,
+    changes: u64,
 }
 
 impl Servers {
@@ -70,6 +71,7 @@
             .entry_or_insert_with(Arc::clone(&server.service), Vec::new)
             .push(Arc::clone(&server));
         self.by_name.insert(Arc::clone(&server.name), server);
+        self.changes += 1;
     }
 
     /// Removes a server and returns whether it was listed.
@@ -80,9 +82,16 @@
         if let Some(list) = self.by_service.get_mut(&*server.service) {
             list.retain(|other| other.name != server.name);
         }
+        self.changes += 1;
         true
     }
 
+    /// Returns the number of changes of the list so far.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns a server.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<&Arc<ListedServer>> {
--- a/crates/briarladder-core/src/fleet/stages.rs
+++ b/crates/briarladder-core/src/fleet/stages.rs
@@ -89,7 +89,10 @@
 #[derive(Clone, Debug)]
 enum Progress {
     Waiting,
-    Running,
+    Running {
+        /// Its servers hold all inputs.
+        inputs_fetched: bool,
+    },
     Done(Vec<Handle>),
     Released,
 }
@@ -152,7 +155,16 @@
 
     /// Records that a stage runs.
     pub fn started(&mut self, stage: usize) {
-        self.progress[stage] = Progress::Running;
+        self.progress[stage] = Progress::Running { inputs_fetched: false };
+    }
+
+    /// Records that the servers that work on a stage have fetched all of its
+    /// inputs.
+    pub fn inputs_fetched(&mut self, stage: usize) {
+        if let Progress::Running { inputs_fetched } = &mut self.progress[stage]
+        {
+            *inputs_fetched = true;
+        }
     }
 
     /// Records the results of a stage.
@@ -184,21 +196,14 @@
     /// Returns whether all stages are done.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        self.progress.iter().all(|progress| {
-            matches!(progress, Progress::Done(_) | Progress::Released)
-        })
+        (0..self.specs.len()).all(|stage| self.is_done(stage))
     }
 
     /// Returns the pieces that are made.
     #[must_use]
     pub fn pieces_made(&self) -> u32 {
         (0..self.specs.len())
-            .filter(|&stage| {
-                matches!(
-                    self.progress[stage],
-                    Progress::Done(_) | Progress::Released
-                )
-            })
+            .filter(|&stage| self.is_done(stage))
             .map(|stage| self.pieces[stage])
             .sum()
     }
@@ -239,6 +244,16 @@
         spent
     }
 
+    /// Estimates the time from the start of a stage to the start of the
+    /// request itself.
+    pub fn time_from(
+        &self,
+        stage: usize,
+        estimate: &impl Fn(&Arc<str>) -> StageEstimate,
+    ) -> Duration {
+        self.stage_time(stage, estimate) + self.time_after(stage, estimate)
+    }
+
     /// Estimates the time from the end of a stage to the start of the
     /// request itself: the longest chain of stages that follow.
     pub fn time_after(
@@ -247,15 +262,13 @@
         estimate: &impl Fn(&Arc<str>) -> StageEstimate,
     ) -> Duration {
         self.followers(stage)
-            .map(|next| {
-                self.stage_time(next, estimate)
-                    + self.time_after(next, estimate)
-            })
+            .map(|next| self.time_from(next, estimate))
             .max()
             .unwrap_or_default()
     }
 
-    /// Returns whether a stage is done and so are all that need its results.
+    /// Returns whether a stage is done and all that need its results have
+    /// them.
     fn is_spent(&self, stage: usize) -> bool {
         let mut followers = self.followers(stage).peekable();
         matches!(self.progress[stage], Progress::Done(_))
@@ -263,11 +276,36 @@
             && followers.all(|other| {
                 matches!(
                     self.progress[other],
-                    Progress::Done(_) | Progress::Released
+                    Progress::Done(_)
+                        | Progress::Released
+                        | Progress::Running { inputs_fetched: true }
                 )
             })
     }
 
+    /// Returns how many stages still follow each other beside one that can
+    /// start: those of the longest chain that begins with another stage.
+    #[must_use]
+    pub fn others_left(&self, stage: usize) -> usize {
+        (0..self.specs.len())
+            .filter(|&other| other != stage)
+            .map(|other| self.chain_left(other))
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Returns how many stages of the longest chain from this one on are not
+    /// done.
+    fn chain_left(&self, stage: usize) -> usize {
+        let own = usize::from(!self.is_done(stage));
+        let after = self.followers(stage).map(|next| self.chain_left(next));
+        own + after.max().unwrap_or(0)
+    }
+
+    fn is_done(&self, stage: usize) -> bool {
+        matches!(self.progress[stage], Progress::Done(_) | Progress::Released)
+    }
+
     /// Returns how much later a stage may start without delaying the
     /// request: what the longest other chain of stages still takes beyond
     /// the stage and those that follow it.
@@ -276,8 +314,7 @@
         stage: usize,
         estimate: &impl Fn(&Arc<str>) -> StageEstimate,
     ) -> Duration {
-        let own = self.stage_time(stage, estimate)
-            + self.time_after(stage, estimate);
+        let own = self.time_from(stage, estimate);
         self.remaining(estimate).saturating_sub(own)
     }
 
@@ -288,16 +325,8 @@
         estimate: &impl Fn(&Arc<str>) -> StageEstimate,
     ) -> Duration {
         (0..self.specs.len())
-            .filter(|&other| {
-                matches!(
-                    self.progress[other],
-                    Progress::Waiting | Progress::Running
-                )
-            })
-            .map(|stage| {
-                self.stage_time(stage, estimate)
-                    + self.time_after(stage, estimate)
-            })
+            .filter(|&other| !self.is_done(other))
+            .map(|stage| self.time_from(stage, estimate))
             .max()
             .unwrap_or_default()
     }
@@ -305,10 +334,8 @@
     /// Returns whether other stages are not done yet.
     #[must_use]
     pub fn waits_for_others(&self, stage: usize) -> bool {
-        self.progress.iter().enumerate().any(|(other, progress)| {
-            other != stage
-                && matches!(progress, Progress::Waiting | Progress::Running)
-        })
+        (0..self.specs.len())
+            .any(|other| other != stage && !self.is_done(other))
     }
 
     fn stage_time(
@@ -447,6 +474,41 @@
         assert_eq!(plan.slack(0, &estimate), Duration::ZERO);
     }
 
+    /// Guards against results that fill the room of their makers while the
+    /// next stage works, though its servers have fetched them, and against
+    /// results that are released while one follower lacks them.
+    #[test]
+    fn take_spent_when_fetched() {
+        let specs = [spec(&[]), spec(&[0]), spec(&[0])];
+        let mut plan = StagePlan::new(&specs, &[1, 1, 1]).unwrap();
+        plan.started(0);
+        plan.finished(0, handles(&["a"]));
+        plan.started(1);
+        plan.started(2);
+        plan.inputs_fetched(1);
+        assert!(plan.take_spent().is_empty(), "stage 2 still needs it");
+        plan.inputs_fetched(2);
+        assert_eq!(plan.take_spent(), handles(&["a"]));
+        plan.finished(1, handles(&["b"]));
+        plan.finished(2, handles(&["c"]));
+        assert_eq!(plan.last_results(), handles(&["b", "c"]));
+    }
+
+    /// Guards against large results that are made while two or more stages
+    /// of the longest other chain are still to come.
+    #[test]
+    fn others_left_chain() {
+        let specs = [spec(&[]), spec(&[]), spec(&[1]), spec(&[2])];
+        let mut plan = StagePlan::new(&specs, &[1, 1, 1, 1]).unwrap();
+        assert_eq!(plan.others_left(0), 3);
+        plan.finished(1, handles(&["a"]));
+        plan.finished(2, handles(&["b"]));
+        plan.started(3);
+        assert_eq!(plan.others_left(0), 1, "the last one is worked on");
+        plan.finished(3, handles(&["c"]));
+        assert_eq!(plan.others_left(0), 0);
+    }
+
     /// Guards against a due time that ignores the stages to come.
     #[test]
     fn time_after_chain() {
--- a/crates/briarladder-gateway/src/board.rs
+++ b/crates/briarladder-gateway/src/board.rs
@@ -16,8 +16,8 @@
     clock::SharedClock,
     fleet::{
         budget::{BudgetTerms, RetryBudget},
-        collect::WaitEstimates,
-        config::FleetConfig,
+        cells::Cells,
+        config::{FleetConfig, ServiceWork},
         fetching::FetchTimes,
         mirror::Mirror,
         peers::{Heartbeat, PeerTable},
@@ -49,6 +49,13 @@
     LostAt(Instant),
 }
 
+/// The versions of what the cells are worked out from.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CellsVersion {
+    servers: u64,
+    config: u64,
+}
+
 /// The blackboard.
 #[derive(Debug)]
 pub struct Board {
@@ -75,14 +82,18 @@
     budget_terms: BudgetTerms,
     /// How long servers take to fetch inputs; owner: the request path.
     pub fetch_times: RefCell<FetchTimes>,
-    /// Reports of the collectors' queues; owner: the stages.
-    pub waits: RefCell<WaitEstimates>,
+    /// The cells of the servers that make pieces, with the versions of what
+    /// they were worked out from; owner: the board.
+    cells: RefCell<(CellsVersion, Rc<Cells>)>,
     /// Peer addresses to begin with; owner: the process.
     pub seeds: RefCell<Vec<SocketAddr>>,
     /// Whether the process stops; owner: the process.
     pub lifecycle: Cell<Lifecycle>,
     /// Requests of callers in progress; owner: the listener.
     pub open_requests: Cell<usize>,
+    /// Requests of other daemons whose stages are coordinated here; owner:
+    /// the coordinator.
+    pub open_stages: Cell<usize>,
 }
 
 impl Board {
@@ -106,10 +117,11 @@
             budgets: RefCell::default(),
             budget_terms: settings.retry_budget,
             fetch_times: RefCell::default(),
-            waits: RefCell::default(),
+            cells: RefCell::default(),
             seeds: RefCell::new(settings.seeds.clone()),
             lifecycle: Cell::new(Lifecycle::Serving),
             open_requests: Cell::new(0),
+            open_stages: Cell::new(0),
         })
     }
 
@@ -139,6 +151,35 @@
         newer
     }
 
+    /// Returns the versions of what the cells are worked out from.
+    #[must_use]
+    pub fn cells_version(&self) -> CellsVersion {
+        let config = self.config.borrow();
+        CellsVersion {
+            servers: self.servers.borrow().changes(),
+            config: config.as_ref().map_or(0, |config| config.version),
+        }
+    }
+
+    /// Returns the cells of the servers that make pieces.
+    #[must_use]
+    pub fn cells(&self) -> Rc<Cells> {
+        let Some(config) = self.config() else { return Rc::default() };
+        let version = self.cells_version();
+        let servers = self.servers.borrow();
+        let (known, cells) = &mut *self.cells.borrow_mut();
+        if *known != version {
+            let makers =
+                config.services.iter().filter_map(|(name, service)| {
+                    let makes = matches!(service.work, ServiceWork::Pieces(_));
+                    makes.then(|| servers.ready(name).map(|server| &**server))
+                });
+            *cells = Rc::new(Cells::of(makers));
+            *known = version;
+        }
+        Rc::clone(cells)
+    }
+
     /// Returns whether callers can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/briarladder-gateway/src/context.rs
+++ b/crates/briarladder-gateway/src/context.rs
@@ -3,8 +3,12 @@
 use std::{rc::Rc, sync::Arc};
 
 use crate::{
-    board::Board, dialect::Dialect, metrics::Metrics, peers::client::Peers,
-    pool::Pool, stages::collector::Collector,
+    board::Board,
+    dialect::Dialect,
+    metrics::Metrics,
+    peers::{client::Peers, watchdog::Watchdog},
+    pool::Pool,
+    stages::{coordinator::Coordinator, release::Releases},
 };
 
 /// The parts of a gateway.
@@ -19,8 +23,12 @@
     pub metrics: Rc<Metrics>,
     /// Calls to peers.
     pub peers: Peers,
-    /// Pieces of stages that this daemon collects.
-    pub collector: Rc<Collector>,
+    /// Watches daemons on which requests wait.
+    pub watchdog: Watchdog,
+    /// Stages that this daemon coordinates.
+    pub coordinator: Rc<Coordinator>,
+    /// Results to be released at other daemons.
+    pub releases: Releases,
     /// The name of the VM, for logs.
     pub vm: Arc<str>,
 }
--- a/crates/briarladder-gateway/src/peers/heartbeats.rs
+++ b/crates/briarladder-gateway/src/peers/heartbeats.rs
@@ -24,7 +24,9 @@
 /// Exchanges heartbeats for as long as the process runs.
 pub async fn run(gateway: Rc<Gateway>, settings: Rc<GatewaySettings>) {
     loop {
-        gateway.board.peers.borrow_mut().beat();
+        let stage_wait = gateway.coordinator.expected_wait().as_millis();
+        let stage_wait_ms = u32::try_from(stage_wait).unwrap_or(u32::MAX);
+        gateway.board.peers.borrow_mut().beat(stage_wait_ms);
         if let Some(address) = choose(&gateway, &settings) {
             exchange(&gateway, address).await;
         }
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -2,18 +2,23 @@
 
 use std::sync::Arc;
 
-use briarladder_core::fleet::{mirror::Item, peers::Heartbeat};
+use briarladder_core::fleet::{
+    cells::Cell, config::StageSpec, mirror::Item, peers::Heartbeat,
+};
 use serde::{Deserialize, Serialize};
 
 /// The path of an exchange of heartbeats.
 pub const HEARTBEATS_PATH: &str = "/peers/heartbeats";
 
-/// The path of a request for pieces.
-pub const PIECES_PATH: &str = "/peers/pieces";
+/// The path of a request for all stages of a request.
+pub const STAGES_PATH: &str = "/peers/stages";
 
 /// The path of a release of results.
 pub const RELEASE_PATH: &str = "/peers/release";
 
+/// The path of a question for a sign of life.
+pub const PING_PATH: &str = "/peers/ping";
+
 /// The path of a question for published items.
 pub const CHANGES_PATH: &str = "/peers/changes";
 
@@ -24,84 +29,89 @@
     pub beats: Vec<Heartbeat>,
 }
 
-/// All pieces of one stage of one request.
+/// All stages of one request.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct PiecesRequest {
-    /// The service that makes them.
-    pub service: Arc<str>,
-    /// The zone whose servers should make them, or all servers.
-    pub zone: Option<Arc<str>>,
-    /// The zone where the pieces are best made.
-    pub home: Arc<str>,
-    /// Whether the request can run in another zone as well.
-    pub movable: bool,
-    /// The bytes of one piece that cross zones if it is made elsewhere.
-    pub crossing_bytes: u64,
+pub struct StagesRequest {
+    /// The servers that work on them.
+    pub cell: Cell,
     /// The attempt of the caller.
     pub attempt: Arc<str>,
-    /// The stage.
-    pub stage: usize,
-    /// The number of pieces.
-    pub pieces: u32,
-    /// The caller's own input, for a first stage.
+    /// The stages.
+    pub stages: Vec<StageSpec>,
+    /// The number of pieces of each stage.
+    pub pieces: Vec<u32>,
+    /// The caller's own input, for the first stages.
     pub key: Option<Arc<str>>,
-    /// The results that each piece is made from, for a later stage.
-    pub inputs: Vec<Arc<str>>,
-    /// The time until the pieces are needed; negative if it has passed.
-    pub due_ms: i64,
-    /// The time after which the pieces are of no use.
-    pub left_ms: u64,
-    /// The pieces of the request that are made.
-    pub progress: u32,
+    /// The zone where the results are needed.
+    pub home: Arc<str>,
+    /// Whether the request can run in another zone as well.
+    pub movable: bool,
     /// The rank; 0 is the most urgent.
     pub rank: u8,
-    /// The expected size of one result.
-    pub result_bytes: u64,
+    /// The time until the results are needed so that the request meets its
+    /// target; negative if it has passed.
+    pub target_ms: i64,
+    /// The time after which the results are of no use.
+    pub left_ms: u64,
+}
+
+/// What became of the stages of a request.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StagesReply {
+    /// What became of them.
+    pub outcome: StagesOutcome,
+    /// How long a new request waits to begin.
+    pub wait_ms: u64,
 }
 
-/// What became of one piece.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// What became of the stages of a request.
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub enum PieceReply {
-    /// It was made.
-    Made {
-        /// The reference of the result.
-        reference: Arc<str>,
-        /// The server that holds it.
-        maker: Arc<str>,
+pub enum StagesOutcome {
+    /// They are done.
+    Done {
+        /// Identifies the results at the coordinator, to release them.
+        job: u64,
+        /// The servers that hold results.
+        makers: Vec<Arc<str>>,
+        /// The results that the request needs.
+        results: Vec<MadeResult>,
     },
-    /// It can't be made in time.
+    /// They can't be done in time.
     Late,
-    /// An input is gone.
-    InputGone,
-    /// It failed.
-    Failed,
+    /// They have not begun, and another daemon coordinates the cell now.
+    Moved {
+        /// That daemon.
+        holder: Heartbeat,
+    },
+    /// A stage failed.
+    Failed {
+        /// The stage.
+        stage: usize,
+        /// Its inputs were gone.
+        inputs_gone: bool,
+    },
 }
 
-/// What became of the pieces of a request.
+/// A result that a request needs.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct PiecesReply {
-    /// In the order of the pieces.
-    pub pieces: Vec<PieceReply>,
-    /// How long a new piece is expected to wait.
-    pub wait_ms: u64,
+pub struct MadeResult {
+    /// The position of the server that holds it.
+    pub maker: usize,
+    /// The reference.
+    pub reference: Arc<str>,
 }
 
 /// Results that are no longer needed.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Release {
-    /// The results.
-    pub results: Vec<ReleasedResult>,
+    /// The jobs whose results they are.
+    pub jobs: Vec<u64>,
 }
 
-/// A result that is no longer needed.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct ReleasedResult {
-    /// The reference.
-    pub reference: Arc<str>,
-    /// The server that holds it.
-    pub maker: Arc<str>,
-}
+/// Asks for a sign of life.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Ping {}
 
 /// The answer to a message that needs none.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
--- a/crates/briarladder-gateway/src/peers/mod.rs
+++ b/crates/briarladder-gateway/src/peers/mod.rs
@@ -9,3 +9,4 @@
 pub mod heartbeats;
 pub mod messages;
 pub mod server;
+pub mod watchdog;
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -12,8 +12,8 @@
 
 use super::messages::{
     Accepted, CHANGES_PATH, ChangesReply, ChangesRequest, HEARTBEATS_PATH,
-    Heartbeats, ItemMessage, PIECES_PATH, PiecesRequest, RELEASE_PATH,
-    Release,
+    Heartbeats, ItemMessage, PING_PATH, Ping, RELEASE_PATH, Release,
+    STAGES_PATH, StagesRequest,
 };
 
 /// The longest message of a peer. The references of the largest allowed
@@ -42,14 +42,15 @@
         CHANGES_PATH => {
             answer(&body, |message: ChangesRequest| changes(&gateway, message))
         }
+        PING_PATH => answer(&body, |Ping {}| Accepted {}),
         RELEASE_PATH => answer(&body, |message: Release| {
-            gateway.collector.release_here(&message.results);
+            gateway.coordinator.release(&message.jobs);
             Accepted {}
         }),
-        PIECES_PATH => match serde_json::from_slice(&body) {
+        STAGES_PATH => match serde_json::from_slice(&body) {
             Ok(message) => {
-                let message: PiecesRequest = message;
-                encode(&gateway.collector.collect(message).await)
+                let message: StagesRequest = message;
+                encode(&gateway.coordinator.run_stages(message).await)
             }
             Err(error) => malformed(&error),
         },
--- /dev/null
+++ b/crates/briarladder-gateway/src/peers/watchdog.rs
@@ -0,0 +1,97 @@
+//! Noticing that a daemon is lost on which requests wait.
+//!
+//! A VM without power or behind a cut sends no reset, and the probes of a
+//! connection notice that only after seconds. While requests wait for a
+//! daemon, it is asked for a sign of life several times a second.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use briarladder_core::sorted::SortedMap;
+use tokio::sync::Notify;
+
+use super::{
+    client::Peers,
+    messages::{Accepted, PING_PATH, Ping},
+};
+
+/// The time between two signs of life.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// The longest wait for one. Many round trips between regions fit.
+const TIMEOUT: Duration = Duration::from_millis(350);
+
+/// A daemon is lost after this many signs in a row did not come.
+const MAX_MISSES: u32 = 2;
+
+/// Watches daemons on which requests wait.
+#[derive(Debug, Default)]
+pub struct Watchdog {
+    watched: RefCell<SortedMap<SocketAddr, Rc<Watched>>>,
+}
+
+#[derive(Debug, Default)]
+struct Watched {
+    waiting: Cell<usize>,
+    lost: Notify,
+}
+
+/// A request that waits for a daemon.
+struct WaitGuard {
+    watched: Rc<Watched>,
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.watched.waiting.set(self.watched.waiting.get() - 1);
+    }
+}
+
+impl Watchdog {
+    /// Waits until a daemon is lost. It is watched until the future is
+    /// dropped.
+    pub async fn lost(&self, peers: &Peers, address: SocketAddr) {
+        let watched = Rc::clone(
+            self.watched
+                .borrow_mut()
+                .entry_or_insert_with(address, Rc::default),
+        );
+        let idle = watched.waiting.get() == 0;
+        watched.waiting.set(watched.waiting.get() + 1);
+        let guard = WaitGuard { watched: Rc::clone(&watched) };
+        if idle {
+            let watch = watch(peers.clone(), address, watched);
+            tokio::task::spawn_local(watch);
+        }
+        guard.watched.lost.notified().await;
+    }
+}
+
+/// Asks a daemon for signs of life while requests wait for it.
+async fn watch(peers: Peers, address: SocketAddr, watched: Rc<Watched>) {
+    let mut misses = 0;
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        if watched.waiting.get() == 0 {
+            return;
+        }
+        let answer: Result<Accepted, _> =
+            peers.call(address, PING_PATH, &Ping {}, TIMEOUT).await;
+        match answer {
+            Ok(_) => misses = 0,
+            Err(error) => {
+                misses += 1;
+                log::debug!("watchdog: misses={misses} {error}");
+            }
+        }
+        if misses >= MAX_MISSES {
+            log::info!("watchdog: peer={address} outcome=lost");
+            misses = 0;
+            watched.lost.notify_waiters();
+        }
+    }
+}
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -25,10 +25,10 @@
     listener,
     metrics::Metrics,
     net,
-    peers::{client::Peers, heartbeats},
+    peers::{client::Peers, heartbeats, watchdog::Watchdog},
     pool::Pool,
     settings::GatewaySettings,
-    stages::{self, collector::Collector},
+    stages::{collector::Collector, coordinator::Coordinator, release},
     store,
 };
 
@@ -110,12 +110,14 @@
     let pool = Pool::new(Arc::clone(clock));
     let collector = Collector::new(&board, &dialect, &pool, &metrics);
     Rc::new(Gateway {
-        board,
         dialect,
         peers: Peers::new(&pool),
+        watchdog: Watchdog::default(),
         pool,
         metrics,
-        collector,
+        coordinator: Coordinator::new(&board, collector),
+        releases: release::Releases::default(),
+        board,
         vm: Arc::clone(&settings.vm),
     })
 }
@@ -146,8 +148,8 @@
     spawn_local(store::run(shared(), settings.store));
     spawn_local(store::follow_peers(shared()));
     spawn_local(heartbeats::run(shared(), Rc::clone(settings)));
-    spawn_local(Rc::clone(&gateway.collector).run());
-    spawn_local(stages::release::run(shared()));
+    spawn_local(Rc::clone(&gateway.coordinator).run());
+    spawn_local(release::run(shared()));
     Ok(())
 }
 
@@ -182,7 +184,8 @@
     board.peers.borrow_mut().leave();
     stop.send_replace(true);
     let latest = settings.stop_grace.saturating_sub(STOP_RESERVE);
-    while !may_end(board.open_requests.get(), began, board.now(), latest) {
+    let open = || board.open_requests.get() + board.open_stages.get();
+    while !may_end(open(), began, board.now(), latest) {
         tokio::time::sleep(STOP_CHECK).await;
     }
     log::info!(
@@ -192,7 +195,8 @@
     );
 }
 
-/// Decides whether a stopping process may end.
+/// Decides whether a stopping process may end. `open_requests` counts those
+/// of callers and those whose stages are coordinated here.
 fn may_end(
     open_requests: usize,
     began: Instant,
--- a/crates/briarladder-gateway/src/request/accept.rs
+++ b/crates/briarladder-gateway/src/request/accept.rs
@@ -22,6 +22,9 @@
 
 use super::record::{Phase, Record};
 
+/// The ranks that are told apart.
+const RANKS: u8 = 10;
+
 /// A request that is allowed.
 #[derive(Clone, Debug)]
 pub struct Accepted {
@@ -37,6 +40,9 @@
     pub workspace: Option<Workspace>,
     /// Its rank; 0 is the most urgent.
     pub rank: u8,
+    /// Its place among requests that wait for the same servers; lower goes
+    /// first.
+    pub precedence: u8,
     /// When its answer should begin.
     pub target: Instant,
     /// When it is given up if the head of its answer has not come.
@@ -98,8 +104,10 @@
     let patience = caller.patience.unwrap_or(route.timeout);
     record.limit = Some(patience.min(route.timeout));
     record.phase = Phase::Body;
+    let rank = workspace.as_ref().and_then(|w| w.rank).unwrap_or(route.rank);
     Ok(Accepted {
-        rank: workspace.as_ref().and_then(|w| w.rank).unwrap_or(route.rank),
+        rank,
+        precedence: precedence(rank, route.rank),
         target: started + route.target,
         head_by: started + patience.min(route.head_patience()),
         give_up: started + patience.min(route.timeout),
@@ -111,6 +119,12 @@
     })
 }
 
+/// Returns the place of a request in a queue. The rank of its workspace goes
+/// first; that of its route decides among workspaces of equal rank.
+fn precedence(rank: u8, route_rank: u8) -> u8 {
+    rank.saturating_mul(RANKS).saturating_add(route_rank.min(RANKS - 1))
+}
+
 fn decode(
     gateway: &Gateway,
     head: &request::Parts,
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -22,7 +22,7 @@
     metrics::Metrics,
     pool::{Freshness, Lease, SendError},
     refusal::Refusal,
-    stages::preparation::{self, Prepared},
+    stages::{preparation, prepared::Prepared},
 };
 
 use super::{
--- a/crates/briarladder-gateway/src/request/record.rs
+++ b/crates/briarladder-gateway/src/request/record.rs
@@ -22,9 +22,9 @@
     /// Its body is read.
     #[display("body")]
     Body,
-    /// This stage was the last to be started.
-    #[display("stage_{_0}")]
-    Stage(usize),
+    /// A coordinator was asked for its stages.
+    #[display("stages")]
+    Stages,
     /// It was sent to a server whose answer has not begun.
     #[display("server")]
     Server,
--- a/crates/briarladder-gateway/src/stages/batch.rs
+++ b/crates/briarladder-gateway/src/stages/batch.rs
@@ -1,79 +1,159 @@
-//! The pieces of one request and stage, on their way through a collector.
+//! The pieces of one request and stage, on their way through the collector.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use briarladder_core::fleet::collect::{Home, Order};
-use tokio::sync::oneshot;
-
-use crate::{
-    dialect::{PieceCall, PieceSource},
-    peers::messages::{PieceReply, PiecesRequest},
+use briarladder_core::fleet::{
+    collect::{Home, Order},
+    stages::Handle,
 };
+use tokio::sync::mpsc;
+
+use crate::dialect::{PieceCall, PieceSource};
+
+/// What the pieces of a stage need.
+pub struct StageOrder {
+    /// The service that makes them.
+    pub service: Arc<str>,
+    /// The attempt of the caller.
+    pub attempt: Arc<str>,
+    /// The stage.
+    pub stage: usize,
+    /// The number of pieces.
+    pub pieces: u32,
+    /// The caller's own input, for a first stage.
+    pub key: Option<Arc<str>>,
+    /// The results that each piece is made from, for a later stage.
+    pub inputs: Vec<Arc<str>>,
+    /// The zones of the servers that hold them.
+    pub input_zones: Vec<Arc<str>>,
+    /// The time that they take on the links.
+    pub input_transfer: Duration,
+    /// Where the pieces are best made.
+    pub home: Home,
+    /// The bytes of one piece that cross zones if it is made elsewhere.
+    pub crossing_bytes: u64,
+    /// When the pieces are needed.
+    pub due: Instant,
+    /// When they are of no use any more.
+    pub deadline: Instant,
+    /// The pieces of the request that are made.
+    pub progress: u32,
+    /// The rank; 0 is the most urgent.
+    pub rank: u8,
+    /// The expected size of one result.
+    pub result_bytes: u64,
+}
+
+/// Why a stage brought no results.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StageFailure {
+    /// It can't be done in time.
+    Late,
+    /// An input is gone.
+    InputsGone,
+    /// A piece failed too often.
+    Failed,
+}
+
+/// What happens to a stage.
+#[derive(Debug)]
+pub enum StageEvent {
+    /// The servers that work on it have fetched its inputs.
+    InputsFetched {
+        /// The stage.
+        stage: usize,
+    },
+    /// It has ended.
+    Ended {
+        /// The stage.
+        stage: usize,
+        /// Its results in the order of the pieces.
+        results: Result<Vec<Handle>, StageFailure>,
+    },
+}
 
 /// The pieces of one request and stage.
 pub struct Batch {
     group: u64,
-    request: PiecesRequest,
-    due: Instant,
-    deadline: Instant,
-    replies: RefCell<Vec<Option<PieceReply>>>,
-    done: RefCell<Option<oneshot::Sender<Vec<PieceReply>>>>,
+    order: StageOrder,
+    made: RefCell<Vec<Option<Handle>>>,
+    fetched: RefCell<Vec<bool>>,
+    ended: Cell<bool>,
+    events: mpsc::UnboundedSender<StageEvent>,
 }
 
 impl Batch {
-    /// Creates a batch that tells `done` what became of its pieces.
+    /// Creates a batch that tells `events` what becomes of its pieces.
     #[must_use]
     pub fn new(
-        now: Instant,
         group: u64,
-        request: PiecesRequest,
-        done: oneshot::Sender<Vec<PieceReply>>,
+        order: StageOrder,
+        events: mpsc::UnboundedSender<StageEvent>,
     ) -> Batch {
-        let ahead = Duration::from_millis(request.due_ms.unsigned_abs());
-        let due = if request.due_ms < 0 {
-            now.checked_sub(ahead).unwrap_or(now)
-        } else {
-            now + ahead
-        };
+        let pieces = usize::try_from(order.pieces).unwrap_or(usize::MAX);
         Batch {
             group,
-            due,
-            deadline: now + Duration::from_millis(request.left_ms),
-            replies: RefCell::new((0..request.pieces).map(|_| None).collect()),
-            done: RefCell::new(Some(done)),
-            request,
+            made: RefCell::new(vec![None; pieces]),
+            fetched: RefCell::new(vec![false; pieces]),
+            ended: Cell::new(false),
+            order,
+            events,
         }
     }
 
-    /// Ends the batch for a requester that has left.
-    pub fn abandon(&self) {
-        self.done.take();
-    }
-
-    /// Records what became of a piece. The first failure ends the batch.
-    fn finish(&self, piece: usize, reply: PieceReply) {
-        let failed = !matches!(reply, PieceReply::Made { .. });
-        let mut replies = self.replies.borrow_mut();
-        replies[piece] = Some(reply);
-        if failed || replies.iter().all(Option::is_some) {
-            let all = replies
-                .iter()
-                .map(|reply| reply.clone().unwrap_or(PieceReply::Failed))
-                .collect();
-            if let Some(done) = self.done.take() {
-                // The requester may have left; its guard cleans up.
-                let _ = done.send(all);
-            }
+    /// Ends the batch for a requester that has left, and returns what was
+    /// made.
+    #[must_use]
+    pub fn abandon(&self) -> Vec<Handle> {
+        if self.ended.replace(true) {
+            return Vec::new();
         }
+        self.made.take().into_iter().flatten().collect()
     }
 
-    fn has_ended(&self) -> bool {
-        self.done.borrow().is_none()
+    /// Records a result. The last one ends the batch.
+    fn made(&self, piece: usize, result: Handle) {
+        let mut made = self.made.borrow_mut();
+        made[piece] = Some(result);
+        if made.iter().all(Option::is_some) {
+            let results = made.drain(..).flatten().collect();
+            drop(made);
+            self.end(Ok(results));
+        }
+    }
+
+    /// Records a failure, which ends the batch, and returns what was made.
+    fn failed(&self, failure: StageFailure) -> Vec<Handle> {
+        let made = self.abandon();
+        self.end(Err(failure));
+        made
+    }
+
+    fn end(&self, results: Result<Vec<Handle>, StageFailure>) {
+        self.ended.set(true);
+        self.tell(StageEvent::Ended { stage: self.order.stage, results });
+    }
+
+    /// Records that the server that works on a piece has its inputs.
+    fn inputs_fetched(&self, piece: usize) {
+        let mut fetched = self.fetched.borrow_mut();
+        if std::mem::replace(&mut fetched[piece], true) {
+            return;
+        }
+        if fetched.iter().all(|fetched| *fetched) {
+            let stage = self.order.stage;
+            self.tell(StageEvent::InputsFetched { stage });
+        }
+    }
+
+    fn tell(&self, event: StageEvent) {
+        // A requester that has left cleans up by its guard.
+        let _ = self.events.send(event);
     }
 }
 
@@ -96,19 +176,19 @@
     /// Returns whether the requester has its answer or has left.
     #[must_use]
     pub fn has_ended(&self) -> bool {
-        self.batch.has_ended()
+        self.batch.ended.get()
     }
 
-    /// Returns the caller's attempt.
+    /// Returns what the stage of the piece needs.
     #[must_use]
-    pub fn attempt(&self) -> &str {
-        &self.batch.request.attempt
+    pub fn stage(&self) -> &StageOrder {
+        &self.batch.order
     }
 
-    /// Returns the stage.
+    /// Returns the number of the group of pieces.
     #[must_use]
-    pub fn stage(&self) -> usize {
-        self.batch.request.stage
+    pub fn group(&self) -> u64 {
+        self.batch.group
     }
 
     /// Returns the number of the piece within its stage.
@@ -120,48 +200,62 @@
     /// Returns what waits in a queue.
     #[must_use]
     pub fn order(&self, id: u64, avoid: Option<Arc<str>>) -> Order {
+        let stage = &self.batch.order;
         Order {
             id,
             group: self.batch.group,
-            rank: self.batch.request.rank,
-            progress: self.batch.request.progress,
-            home: self.home(),
-            due: self.batch.due,
-            deadline: self.batch.deadline,
-            result_bytes: self.batch.request.result_bytes,
-            crossing_bytes: self.batch.request.crossing_bytes,
+            rank: stage.rank,
+            progress: stage.progress,
+            home: stage.home.clone(),
+            due: stage.due,
+            deadline: stage.deadline,
+            result_bytes: stage.result_bytes,
+            crossing_bytes: stage.crossing_bytes,
             avoid,
         }
     }
 
-    fn home(&self) -> Home {
-        let zone = Arc::clone(&self.batch.request.home);
-        if self.batch.request.movable {
-            Home::Preferred(zone)
-        } else {
-            Home::Fixed(zone)
-        }
-    }
-
     /// Returns what a server is asked for.
     #[must_use]
     pub fn piece_call(&self, now: Instant) -> PieceCall<'_> {
-        let request = &self.batch.request;
+        let stage = &self.batch.order;
         PieceCall {
-            attempt: &request.attempt,
-            stage: request.stage,
+            attempt: &stage.attempt,
+            stage: stage.stage,
             piece: self.piece,
-            time_left: self.batch.deadline.saturating_duration_since(now),
-            source: match &request.key {
+            time_left: self.time_left(now),
+            source: match &stage.key {
                 Some(key) => PieceSource::Key(key),
-                None => PieceSource::Inputs(&request.inputs),
+                None => PieceSource::Inputs(&stage.inputs),
             },
         }
     }
 
-    /// Records what became of the piece.
-    pub fn finish(&self, reply: PieceReply) {
-        let piece = usize::try_from(self.piece).unwrap_or(usize::MAX);
-        self.batch.finish(piece, reply);
+    fn time_left(&self, now: Instant) -> Duration {
+        self.batch.order.deadline.saturating_duration_since(now)
+    }
+
+    /// Records that the server has the inputs of the piece.
+    pub fn inputs_fetched(&self) {
+        self.batch.inputs_fetched(self.index());
+    }
+
+    /// Records the result of the piece.
+    pub fn made(&self, result: Handle) {
+        self.batch.made(self.index(), result);
+    }
+
+    /// Records that the piece failed for good, and returns the results of
+    /// its group, which are of no use without it.
+    #[must_use]
+    pub fn failed(&self, failure: StageFailure) -> Vec<Handle> {
+        if self.has_ended() {
+            return Vec::new();
+        }
+        self.batch.failed(failure)
+    }
+
+    fn index(&self) -> usize {
+        usize::try_from(self.piece).unwrap_or(usize::MAX)
     }
 }
--- a/crates/briarladder-gateway/src/stages/collector.rs
+++ b/crates/briarladder-gateway/src/stages/collector.rs
@@ -1,7 +1,8 @@
-//! Collecting pieces for the servers of a zone and calling them.
+//! Collecting pieces of many requests into calls.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell as StdCell, RefCell},
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -9,29 +10,29 @@
 
 use briarladder_core::{
     fleet::{
-        collect::{Call, CallEnd, PieceQueue},
+        cells::{Cell, CellName},
+        collect::{Call, CallEnd, EndedCall, PieceQueue},
         config::{PieceSpec, ServiceWork},
-        server::{ListedServer, ServerState},
+        entry::Throughput,
+        fetching::{Fetch, FetchTimes},
+        server::{ListedServer, ServerState, Servers},
         stages::Handle,
     },
-    sorted::SortedMap,
+    sorted::{SortedMap, SortedSet},
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, Full};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, mpsc};
 
 use crate::{
-    board::Board,
+    board::{Board, CellsVersion},
     dialect::{Dialect, PieceCall, PieceOutcome},
     metrics::Metrics,
-    peers::messages::{
-        PieceReply, PiecesReply, PiecesRequest, ReleasedResult,
-    },
     pool::{Freshness, Pool},
 };
 
-use super::batch::{Batch, Job};
+use super::batch::{Batch, Job, StageEvent, StageFailure, StageOrder};
 
 /// A call that takes this many times what is expected is given up.
 const CALL_PATIENCE: u32 = 4;
@@ -42,24 +43,24 @@
 /// How often a piece is tried.
 const MAX_TRIES: u32 = 4;
 
-/// How often waiting pieces are looked at when no call ends: to give up those
-/// that are late and to use servers whose pause is over.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The time for which releases are gathered.
+const GATHER_RELEASES: Duration = Duration::from_millis(5);
 
 /// The longest time to release results at their maker.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Which servers a queue is for.
+/// What a queue is for.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct QueueKey {
+    cell: Cell,
     service: Arc<str>,
-    /// The zone of the servers, or all of the service.
-    zone: Option<Arc<str>>,
 }
 
 struct Queue {
     pieces: PieceQueue,
     jobs: SortedMap<u64, Job>,
+    /// What the servers of `pieces` were taken from.
+    version: CellsVersion,
 }
 
 /// Collects pieces of many requests into calls.
@@ -69,14 +70,15 @@
     pool: Rc<Pool>,
     metrics: Rc<Metrics>,
     queues: RefCell<SortedMap<QueueKey, Queue>>,
-    next_id: Cell<u64>,
+    /// How long servers take to fetch the inputs of a call.
+    fetch_times: RefCell<FetchTimes>,
+    next_id: StdCell<u64>,
     released: RefCell<Vec<Handle>>,
     released_some: Notify,
 }
 
-/// Removes the pieces of a request from their queue when the requester
-/// leaves.
-struct CancelGuard {
+/// Removes the pieces of a stage from their queue when the requester leaves.
+pub struct CancelGuard {
     collector: Rc<Collector>,
     key: QueueKey,
     ids: Vec<u64>,
@@ -85,7 +87,8 @@
 
 impl Drop for CancelGuard {
     fn drop(&mut self) {
-        self.batch.abandon();
+        let made = self.batch.abandon();
+        self.collector.release_later(made);
         let mut queues = self.collector.queues.borrow_mut();
         if let Some(queue) = queues.get_mut(&self.key) {
             queue.pieces.cancel(&self.ids);
@@ -111,136 +114,177 @@
             pool: Rc::clone(pool),
             metrics: Rc::clone(metrics),
             queues: RefCell::default(),
-            next_id: Cell::new(0),
+            fetch_times: RefCell::default(),
+            next_id: StdCell::new(0),
             released: RefCell::default(),
             released_some: Notify::new(),
         })
     }
 
-    /// Makes the pieces of a request and returns what became of them.
-    pub async fn collect(
+    /// Returns the monotonic time.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.board.now()
+    }
+
+    /// Returns the listed servers.
+    #[must_use]
+    pub fn servers_listed(&self) -> &RefCell<Servers> {
+        &self.board.servers
+    }
+
+    /// Queues the pieces of a stage for the servers of a cell. What becomes
+    /// of them is told to `events` until the guard is dropped; there is no
+    /// guard if the service makes no pieces.
+    pub fn submit(
         self: &Rc<Self>,
-        request: PiecesRequest,
-    ) -> PiecesReply {
-        let key = QueueKey {
-            service: Arc::clone(&request.service),
-            zone: request.zone.clone(),
-        };
-        let Some(spec) = self.spec(&key.service) else {
-            let failed = vec![PieceReply::Failed];
-            return PiecesReply { pieces: failed, wait_ms: 0 };
-        };
-        let (done, all) = oneshot::channel();
-        let guard = self.push(&key, spec, request, done);
+        cell: &Cell,
+        order: StageOrder,
+        events: mpsc::UnboundedSender<StageEvent>,
+    ) -> Option<CancelGuard> {
+        let service = Arc::clone(&order.service);
+        let spec = self.spec(&service)?;
+        let key = QueueKey { cell: cell.clone(), service };
+        let guard = self.push(&key, spec, order, events);
         self.pump(&key);
-        let pieces = all.await.unwrap_or_default();
-        drop(guard);
-        PiecesReply { pieces, wait_ms: self.wait_ms(&key) }
+        Some(guard)
     }
 
     fn push(
         self: &Rc<Self>,
         key: &QueueKey,
         spec: PieceSpec,
-        request: PiecesRequest,
-        done: oneshot::Sender<Vec<PieceReply>>,
+        order: StageOrder,
+        events: mpsc::UnboundedSender<StageEvent>,
     ) -> CancelGuard {
-        let pieces = request.pieces;
-        let group = self.next_id();
-        let batch =
-            Rc::new(Batch::new(self.board.now(), group, request, done));
+        let pieces = order.pieces;
+        let batch = Rc::new(Batch::new(self.next_id(), order, events));
+        let mut ids = Vec::new();
+        self.with_queue(key, spec, |queue| {
+            for piece in 0..pieces {
+                let id = self.next_id();
+                let job = Job::new(&batch, piece);
+                queue.pieces.push(job.order(id, None));
+                queue.jobs.insert(id, job);
+                ids.push(id);
+            }
+        });
+        let collector = Rc::clone(self);
+        CancelGuard { collector, key: key.clone(), ids, batch }
+    }
+
+    fn with_queue<T>(
+        &self,
+        key: &QueueKey,
+        spec: PieceSpec,
+        use_queue: impl FnOnce(&mut Queue) -> T,
+    ) -> T {
         let mut queues = self.queues.borrow_mut();
         let queue = queues.entry_or_insert_with(key.clone(), || Queue {
             pieces: PieceQueue::new(spec),
             jobs: SortedMap::new(),
+            version: CellsVersion::default(),
         });
         queue.pieces.set_spec(spec);
-        let mut ids = Vec::new();
-        for piece in 0..pieces {
-            let id = self.next_id();
-            let job = Job::new(&batch, piece);
-            queue.pieces.push(job.order(id, None));
-            queue.jobs.insert(id, job);
-            ids.push(id);
-        }
-        CancelGuard {
-            collector: Rc::clone(self),
-            key: key.clone(),
-            ids,
-            batch,
-        }
+        self.refresh(key, queue);
+        use_queue(queue)
     }
 
-    fn next_id(&self) -> u64 {
-        let id = self.next_id.get();
-        self.next_id.set(id + 1);
-        id
+    /// Returns what the servers of a service in a cell can do.
+    #[must_use]
+    pub fn throughput(&self, cell: &Cell, service: &str) -> Throughput {
+        let key = QueueKey { cell: cell.clone(), service: Arc::from(service) };
+        let Some(spec) = self.spec(service) else {
+            return Throughput { pieces_per_s: 0.0, call: Duration::ZERO };
+        };
+        self.with_queue(&key, spec, |queue| queue.pieces.throughput())
     }
 
-    fn spec(&self, service: &str) -> Option<PieceSpec> {
+    /// Returns the wait for a call of the servers of a service.
+    #[must_use]
+    pub fn expected_wait(&self, cell: &Cell, service: &Arc<str>) -> Duration {
+        let service = Arc::clone(service);
+        let key = QueueKey { cell: cell.clone(), service };
+        let queues = self.queues.borrow();
+        queues
+            .get(&key)
+            .map_or(Duration::ZERO, |queue| queue.pieces.expected_wait())
+    }
+
+    /// Returns the published cost and capacity of a server of a service.
+    #[must_use]
+    pub fn spec(&self, service: &str) -> Option<PieceSpec> {
         match self.board.config()?.services.get(service)?.work {
             ServiceWork::Pieces(spec) => Some(spec),
             ServiceWork::Requests => None,
         }
     }
 
-    fn waiting(&self, key: &QueueKey) -> usize {
-        let queues = self.queues.borrow();
-        queues.get(key).map_or(0, |queue| queue.pieces.waiting())
+    /// Takes over the servers of a queue if the list has changed.
+    fn refresh(&self, key: &QueueKey, queue: &mut Queue) {
+        let version = self.board.cells_version();
+        if queue.version == version {
+            return;
+        }
+        queue.version = version;
+        let cells = self.board.cells();
+        let servers = self.board.servers.borrow();
+        let servers = servers
+            .ready(&key.service)
+            .filter(|server| cells.contains(&key.cell, server))
+            .map(|s| (Arc::clone(&s.name), Arc::clone(&s.zone)));
+        queue.pieces.set_servers(servers);
     }
 
-    fn wait_ms(&self, key: &QueueKey) -> u64 {
+    fn next_id(&self) -> u64 {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        id
+    }
+
+    fn waiting(&self, key: &QueueKey) -> usize {
         let queues = self.queues.borrow();
-        let wait = queues
-            .get(key)
-            .map_or(Duration::ZERO, |queue| queue.pieces.expected_wait());
-        u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)
+        queues.get(key).map_or(0, |queue| queue.pieces.waiting())
     }
 
-    /// Looks at all waiting pieces for as long as the process runs.
-    pub async fn run(self: Rc<Self>) {
-        loop {
-            tokio::time::sleep(CHECK_INTERVAL).await;
-            let waiting: Vec<QueueKey> = self
-                .queues
-                .borrow()
-                .iter()
-                .filter(|(_, queue)| queue.pieces.waiting() > 0)
-                .map(|(key, _)| key.clone())
-                .collect();
-            for key in waiting {
-                self.pump(&key);
-            }
+    /// Looks at all waiting pieces: gives up those that are late and uses
+    /// servers whose pause is over.
+    pub fn pump_all(self: &Rc<Self>) {
+        let waiting: Vec<QueueKey> = self
+            .queues
+            .borrow()
+            .iter()
+            .filter(|(_, queue)| queue.pieces.waiting() > 0)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in waiting {
+            self.pump(&key);
         }
     }
 
     /// Gives up late pieces and starts calls to idle servers.
     fn pump(self: &Rc<Self>, key: &QueueKey) {
         let now = self.board.now();
-        let servers: Vec<(Arc<str>, Arc<str>)> = self
-            .board
-            .servers
-            .borrow()
-            .ready(&key.service)
-            .filter(|server| {
-                key.zone.as_ref().is_none_or(|zone| *zone == server.zone)
-            })
-            .map(|server| (Arc::clone(&server.name), Arc::clone(&server.zone)))
-            .collect();
-        let mut queues = self.queues.borrow_mut();
-        let Some(queue) = queues.get_mut(key) else { return };
-        queue.pieces.set_servers(servers);
-        for id in queue.pieces.take_late(now) {
-            if let Some(job) = queue.jobs.remove(&id) {
-                job.finish(PieceReply::Late);
+        let mut late = Vec::new();
+        let mut calls = Vec::new();
+        if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
+            self.refresh(key, queue);
+            for id in queue.pieces.take_late(now) {
+                late.extend(queue.jobs.remove(&id));
+            }
+            while let Some(call) = queue.pieces.next_call(now) {
+                let jobs: Vec<(u64, Job)> = call
+                    .ids
+                    .iter()
+                    .filter_map(|id| Some((*id, queue.jobs.get(id)?.clone())))
+                    .collect();
+                calls.push((call, jobs));
             }
         }
-        while let Some(call) = queue.pieces.next_call(now) {
-            let jobs: Vec<(u64, Job)> = call
-                .ids
-                .iter()
-                .filter_map(|id| Some((*id, queue.jobs.get(id)?.clone())))
-                .collect();
+        for job in late {
+            self.fail(&job, StageFailure::Late);
+        }
+        for (call, jobs) in calls {
             let collector = Rc::clone(self);
             let key = key.clone();
             tokio::task::spawn_local(async move {
@@ -249,6 +293,10 @@
         }
     }
 
+    fn fail(&self, job: &Job, failure: StageFailure) {
+        self.release_later(job.failed(failure));
+    }
+
     async fn run_call(
         self: Rc<Self>,
         key: QueueKey,
@@ -286,6 +334,13 @@
         let path = self.dialect.pieces_path();
         let patience = (call.expected * CALL_PATIENCE).max(MIN_CALL_PATIENCE);
         let exchange = self.exchange(server, path, body);
+        let exchange = async {
+            if call.begins_at_once {
+                self.watch_fetching(server, jobs, exchange).await
+            } else {
+                exchange.await
+            }
+        };
         let answer = tokio::time::timeout(patience, exchange).await;
         let answer =
             answer.unwrap_or_else(|_| Err("no answer in time".to_owned()))?;
@@ -303,6 +358,49 @@
         Ok(outcomes)
     }
 
+    /// Waits for the answer to a call, and meanwhile tells its pieces when
+    /// the server has had the time to fetch their inputs.
+    async fn watch_fetching(
+        &self,
+        server: &ListedServer,
+        jobs: &[(u64, Job)],
+        exchange: impl Future<Output = Result<Bytes, String>>,
+    ) -> Result<Bytes, String> {
+        let mut exchange = pin!(exchange);
+        let fetch_time = self.fetch_time(server, jobs);
+        let early = tokio::time::timeout(fetch_time, &mut exchange).await;
+        for (_, job) in jobs {
+            job.inputs_fetched();
+        }
+        match early {
+            Ok(answer) => answer,
+            Err(_) => exchange.await,
+        }
+    }
+
+    /// Estimates how long a server takes to fetch the inputs of a call. Each
+    /// group has inputs of its own.
+    fn fetch_time(
+        &self,
+        server: &ListedServer,
+        jobs: &[(u64, Job)],
+    ) -> Duration {
+        let mut transfer = Duration::ZERO;
+        let mut zones: Vec<Arc<str>> = Vec::new();
+        let mut last_group = None;
+        for (_, job) in jobs {
+            if last_group.replace(job.group()) != Some(job.group()) {
+                transfer += job.stage().input_transfer;
+                zones.extend_from_slice(&job.stage().input_zones);
+            }
+        }
+        self.fetch_times.borrow().estimate(&Fetch {
+            server_zone: &server.zone,
+            maker_zones: &zones,
+            transfer,
+        })
+    }
+
     async fn exchange(
         &self,
         server: &ListedServer,
@@ -320,6 +418,10 @@
         let sent =
             self.pool.send(server.address, request, Freshness::Any).await;
         let (response, lease) = sent.map_err(|error| error.to_string())?;
+        if let Some(took) = lease.connect_time() {
+            let mut times = self.fetch_times.borrow_mut();
+            times.connected(&server.zone, took);
+        }
         let (head, body) = response.into_parts();
         let body = body.collect().await.map_err(|error| error.to_string())?;
         let facts = self.dialect.answer_head(&head, "");
@@ -348,8 +450,9 @@
             })
             .collect();
         log::info!(
-            "collector: service={} server={} pieces={} made={} \
+            "collector: cell={} service={} server={} pieces={} made={} \
              expected_ms={} ms={} waiting={}",
+            CellName(&key.cell),
             key.service,
             call.server,
             call.ids.len(),
@@ -363,16 +466,19 @@
             Err(_) => CallEnd::Refused,
         };
         if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
-            queue.pieces.call_ended(
-                now,
-                &call.server,
+            let ended = EndedCall {
+                server: &call.server,
                 end,
-                call.result_bytes,
-                &made,
-            );
+                took: now.duration_since(began),
+                expected: call.expected,
+                result_bytes: call.result_bytes,
+                results: &made,
+            };
+            queue.pieces.call_ended(now, &ended);
         }
         match outcomes {
             Ok(outcomes) => {
+                self.learn_fetching(&outcomes);
                 for ((id, job), outcome) in jobs.into_iter().zip(outcomes) {
                     self.end_piece(key, &call.server, id, job, outcome);
                 }
@@ -397,6 +503,16 @@
         }
     }
 
+    /// Learns whether inputs were released before a server had fetched them.
+    fn learn_fetching(&self, outcomes: &[PieceOutcome]) {
+        let mut times = self.fetch_times.borrow_mut();
+        if outcomes.contains(&PieceOutcome::InputGone) {
+            times.gone();
+        } else {
+            times.fetched();
+        }
+    }
+
     fn end_piece(
         &self,
         key: &QueueKey,
@@ -405,20 +521,25 @@
         job: Job,
         outcome: PieceOutcome,
     ) {
-        let reply = match outcome {
+        let maker = Arc::clone(server);
+        match outcome {
             PieceOutcome::Made(reference) => {
+                let result = Handle { reference, maker };
                 if job.has_ended() {
-                    let maker = Arc::clone(server);
-                    self.release_later(vec![Handle { reference, maker }]);
-                    return;
+                    return self.release_later(vec![result]);
                 }
                 Metrics::count(&self.metrics.pieces, &key.service, "made");
-                PieceReply::Made { reference, maker: Arc::clone(server) }
+                self.forget(key, id);
+                job.made(result);
+            }
+            PieceOutcome::Late => {
+                self.forget(key, id);
+                self.fail(&job, StageFailure::Late);
             }
-            PieceOutcome::Late => PieceReply::Late,
             PieceOutcome::InputGone => {
                 log_failed(key, server, &job, "input_gone");
-                PieceReply::InputGone
+                self.forget(key, id);
+                self.fail(&job, StageFailure::InputsGone);
             }
             PieceOutcome::NoRoom => {
                 let now = self.board.now();
@@ -426,22 +547,20 @@
                     queue.pieces.out_of_room(now, server);
                 }
                 Metrics::count(&self.metrics.pieces, &key.service, "no_room");
-                return self.try_again(key, server, id, job);
+                self.try_again(key, server, id, job);
             }
             PieceOutcome::Failed => {
                 log_failed(key, server, &job, "failed");
                 Metrics::count(&self.metrics.pieces, &key.service, "failed");
-                return self.try_again(key, server, id, job);
+                self.try_again(key, server, id, job);
             }
-        };
-        self.finish(key, id, &job, reply);
+        }
     }
 
-    fn finish(&self, key: &QueueKey, id: u64, job: &Job, reply: PieceReply) {
+    fn forget(&self, key: &QueueKey, id: u64) {
         if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
             queue.jobs.remove(&id);
         }
-        job.finish(reply);
     }
 
     /// Puts a piece back into its queue, if the retry budget allows it.
@@ -458,7 +577,8 @@
         job.tries += 1;
         if job.tries >= MAX_TRIES || !self.board.try_repeat(&key.service) {
             log_failed(key, server, &job, "not_tried_again");
-            return self.finish(key, id, &job, PieceReply::Failed);
+            self.forget(key, id);
+            return self.fail(&job, StageFailure::Failed);
         }
         if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
             queue.pieces.push(job.order(id, Some(Arc::clone(server))));
@@ -474,57 +594,57 @@
         }
     }
 
-    /// Waits until there are results to be released.
-    pub async fn wait_released(&self) {
-        self.released_some.notified().await;
-    }
-
-    /// Takes the gathered results.
-    #[must_use]
-    pub fn take_released(&self) -> Vec<Handle> {
-        self.released.take()
+    /// Releases gathered results for as long as the process runs.
+    pub async fn run_releases(self: Rc<Self>) {
+        loop {
+            self.released_some.notified().await;
+            tokio::time::sleep(GATHER_RELEASES).await;
+            self.release(self.released.take());
+        }
     }
 
-    /// Releases results of servers for which this daemon collects.
-    pub fn release_here(self: &Rc<Self>, results: &[ReleasedResult]) {
+    /// Releases results at their makers, and uses the room at once: a call
+    /// that follows arrives after the release.
+    fn release(self: &Rc<Self>, results: Vec<Handle>) {
         let mut by_maker: SortedMap<Arc<str>, Vec<Arc<str>>> =
             SortedMap::new();
-        for result in results {
-            by_maker
-                .entry_or_insert_with(Arc::clone(&result.maker), Vec::new)
-                .push(Arc::clone(&result.reference));
+        for Handle { reference, maker } in results {
+            by_maker.entry_or_insert_with(maker, Vec::new).push(reference);
         }
+        let mut services = SortedSet::new();
         for (maker, references) in by_maker.iter() {
+            // A maker that is gone has taken its results with it.
             let server = self.board.servers.borrow().get(maker).cloned();
             let Some(server) = server else { continue };
             let body = self.dialect.encode_release(references);
+            self.note_released(&server, references);
+            services.insert(Arc::clone(&server.service));
             let collector = Rc::clone(self);
-            let references = references.clone();
             tokio::task::spawn_local(async move {
                 collector.tell_released(&server, body).await;
-                collector.note_released(&server, &references);
             });
         }
+        let keys: Vec<QueueKey> = self
+            .queues
+            .borrow()
+            .keys()
+            .filter(|key| services.contains(&*key.service))
+            .cloned()
+            .collect();
+        for key in keys {
+            self.pump(&key);
+        }
     }
 
-    /// Counts the room of released results and uses it at once.
-    fn note_released(
-        self: &Rc<Self>,
-        server: &ListedServer,
-        references: &[Arc<str>],
-    ) {
-        let mut keys = Vec::new();
+    /// Counts the room of released results.
+    fn note_released(&self, server: &ListedServer, references: &[Arc<str>]) {
         for (key, queue) in self.queues.borrow_mut().iter_mut() {
             if key.service == server.service {
                 for reference in references {
                     queue.pieces.released(&server.name, reference);
                 }
-                keys.push(key.clone());
             }
         }
-        for key in keys {
-            self.pump(&key);
-        }
     }
 
     async fn tell_released(&self, server: &ListedServer, body: Bytes) {
@@ -558,8 +678,8 @@
         log::info!(
             "pieces: id={} stage={} piece={} service={} server={server} \
              outcome={outcome} tries={}",
-            job.attempt(),
-            job.stage(),
+            job.stage().attempt,
+            job.stage().stage,
             job.piece(),
             key.service,
             job.tries
--- /dev/null
+++ b/crates/briarladder-gateway/src/stages/plan_run.rs
@@ -0,0 +1,337 @@
+//! Working through the stages of one request.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use briarladder_core::fleet::{
+    collect::Home,
+    entry::{Demand, Throughput},
+    stages::{Handle, StageEstimate, StagePlan},
+};
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+
+use crate::peers::messages::StagesRequest;
+
+use super::{
+    batch::{StageEvent, StageFailure, StageOrder},
+    collector::{CancelGuard, Collector},
+    coordinator::Begun,
+    held::Held,
+    prepared::zones_of,
+};
+
+/// Results from this size on are made only when they are needed.
+pub const LARGE_RESULT_BYTES: u64 = 500_000;
+
+/// Stages whose inputs are gone are done again this often for a request.
+const MAX_RESTARTS: u32 = 2;
+
+/// The times of a request's stages.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// When the stages should be done so that the request meets its target.
+    pub target: Instant,
+    /// When they are of no use any more.
+    pub deadline: Instant,
+}
+
+/// What the stages have made.
+pub struct Done {
+    /// All results that are held.
+    pub held: Held,
+    /// Those that the request needs.
+    pub results: Vec<Handle>,
+}
+
+/// A stage that ended the plan.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedStage {
+    /// The stage.
+    pub stage: usize,
+    /// Why.
+    pub failure: StageFailure,
+}
+
+/// The stages of one request, on their way.
+pub struct PlanRun<'a> {
+    collector: Rc<Collector>,
+    request: &'a StagesRequest,
+    plan: StagePlan<'a>,
+    times: Times,
+    held: Held,
+    guards: Vec<CancelGuard>,
+    sender: UnboundedSender<StageEvent>,
+    events: UnboundedReceiver<StageEvent>,
+}
+
+impl<'a> PlanRun<'a> {
+    /// Creates a run that has not begun.
+    #[must_use]
+    pub fn new(
+        collector: &Rc<Collector>,
+        request: &'a StagesRequest,
+        plan: StagePlan<'a>,
+        times: Times,
+    ) -> PlanRun<'a> {
+        let (sender, events) = mpsc::unbounded_channel();
+        PlanRun {
+            collector: Rc::clone(collector),
+            request,
+            plan,
+            times,
+            held: Held::new(collector),
+            guards: Vec::new(),
+            sender,
+            events,
+        }
+    }
+
+    /// Returns the times of the stages.
+    #[must_use]
+    pub fn times(&self) -> Times {
+        self.times
+    }
+
+    /// Returns the time that the stages take once the request begins.
+    #[must_use]
+    pub fn expected_time(&self) -> Duration {
+        self.plan.remaining(&|service| self.full_call(service))
+    }
+
+    /// Returns what each stage needs of its service.
+    #[must_use]
+    pub fn demand(&self) -> Vec<(usize, Demand)> {
+        let whole = self.expected_time();
+        (0..self.request.stages.len())
+            .filter(|&stage| self.plan.pieces(stage) > 0)
+            .map(|stage| {
+                let estimate = |service: &Arc<str>| self.full_call(service);
+                // Stages begin as late as the longest chain allows.
+                let from = self.plan.time_from(stage, &estimate);
+                let demand = Demand {
+                    service: Arc::clone(&self.request.stages[stage].service),
+                    pieces: self.plan.pieces(stage),
+                    lead: whole.saturating_sub(from),
+                };
+                (stage, demand)
+            })
+            .collect()
+    }
+
+    /// Does all stages.
+    ///
+    /// # Errors
+    ///
+    /// With the stage that failed or is late.
+    pub async fn run(mut self, begun: &Begun) -> Result<Done, FailedStage> {
+        let mut restarts = 0;
+        loop {
+            self.start_ready();
+            if self.plan.is_complete() {
+                let results = self.plan.last_results();
+                return Ok(Done { held: self.held, results });
+            }
+            // OK because `self` keeps a sender.
+            let event = self.events.recv().await.unwrap();
+            let (stage, results) = match event {
+                StageEvent::InputsFetched { stage } => {
+                    self.plan.inputs_fetched(stage);
+                    self.held.release(&self.plan.take_spent());
+                    continue;
+                }
+                StageEvent::Ended { stage, results } => (stage, results),
+            };
+            match results {
+                Ok(results) => {
+                    self.held.hold(&results);
+                    self.plan.finished(stage, results);
+                    begun.stage_done(stage);
+                    self.held.release(&self.plan.take_spent());
+                }
+                Err(failure) => {
+                    restarts += 1;
+                    if failure != StageFailure::InputsGone
+                        || restarts > MAX_RESTARTS
+                        || !self.restart(stage)
+                    {
+                        return Err(self.failed(stage, failure));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Does a stage again whose inputs are gone, with those before it, if
+    /// the request can still meet its target. Returns whether it can.
+    fn restart(&mut self, stage: usize) -> bool {
+        let gone = self.plan.restart(stage);
+        self.held.release(&gone);
+        let again = self.is_on_time();
+        log::info!(
+            "stages: id={} stage={stage} outcome=inputs_gone again={again}",
+            self.request.attempt
+        );
+        again
+    }
+
+    fn failed(&self, stage: usize, failure: StageFailure) -> FailedStage {
+        let now = self.collector.now();
+        let spec = &self.request.stages[stage];
+        let due = self.due(stage);
+        let due_ms = due.saturating_duration_since(now).as_millis();
+        let late_ms = now.saturating_duration_since(due).as_millis();
+        let left = self.times.deadline.saturating_duration_since(now);
+        let wait =
+            self.collector.expected_wait(&self.request.cell, &spec.service);
+        log::info!(
+            "stages: id={} stage={stage} service={} pieces={} outcome={} \
+             wait_ms={} due_ms={due_ms} late_ms={late_ms} left_ms={} rank={}",
+            self.request.attempt,
+            spec.service,
+            self.plan.pieces(stage),
+            match failure {
+                StageFailure::Late => "stages_late",
+                StageFailure::InputsGone => "inputs_gone",
+                StageFailure::Failed => "stage_failed",
+            },
+            wait.as_millis(),
+            left.as_millis(),
+            self.request.rank,
+        );
+        FailedStage { stage, failure }
+    }
+
+    /// Starts the stages whose inputs are complete, unless they wait for
+    /// others.
+    fn start_ready(&mut self) {
+        for stage in self.plan.startable() {
+            if self.waits_for_others(stage) {
+                continue;
+            }
+            self.plan.started(stage);
+            let order = self.order(stage);
+            let sender = self.sender.clone();
+            let guard =
+                self.collector.submit(&self.request.cell, order, sender);
+            if let Some(guard) = guard {
+                self.guards.push(guard);
+            } else {
+                let results = Err(StageFailure::Failed);
+                let ended = StageEvent::Ended { stage, results };
+                // OK because `self` keeps the receiver.
+                self.sender.send(ended).unwrap();
+            }
+        }
+    }
+
+    /// Decides whether a stage waits for others. Large results fill the room
+    /// of their makers, so they are made while the last other stage is worked
+    /// on; a request that misses its target makes them after all others.
+    fn waits_for_others(&self, stage: usize) -> bool {
+        let large =
+            self.request.stages[stage].result_bytes >= LARGE_RESULT_BYTES;
+        let estimate = |service: &Arc<str>| self.estimate(service);
+        let early = self.plan.others_left(stage) > 1
+            || (!self.is_on_time() && self.plan.waits_for_others(stage));
+        large && early && !self.plan.slack(stage, &estimate).is_zero()
+    }
+
+    fn is_on_time(&self) -> bool {
+        let estimate = |service: &Arc<str>| self.estimate(service);
+        let remaining = self.plan.remaining(&estimate);
+        self.collector.now() + remaining <= self.times.target
+    }
+
+    /// Returns when a stage should be done.
+    fn due(&self, stage: usize) -> Instant {
+        let estimate = |service: &Arc<str>| self.estimate(service);
+        let after = self.plan.time_after(stage, &estimate);
+        self.times.target.checked_sub(after).unwrap_or(self.times.target)
+    }
+
+    fn order(&self, stage: usize) -> StageOrder {
+        let spec = &self.request.stages[stage];
+        let inputs = self.plan.inputs(stage);
+        let input_bytes = self.input_bytes(stage);
+        let home = self.home(&inputs, input_bytes, spec.result_bytes);
+        let estimate = |service: &Arc<str>| self.estimate(service);
+        let after = self.plan.time_after(stage, &estimate);
+        let deadline = self.times.deadline.checked_sub(after);
+        StageOrder {
+            service: Arc::clone(&spec.service),
+            attempt: Arc::clone(&self.request.attempt),
+            stage,
+            pieces: self.plan.pieces(stage),
+            key: self.request.key.clone().filter(|_| spec.after.is_empty()),
+            input_zones: zones_of(self.collector.servers_listed(), &inputs),
+            input_transfer: self.transfer(&spec.service, input_bytes),
+            crossing_bytes: match home {
+                Home::Fixed(_) if input_bytes > spec.result_bytes => {
+                    input_bytes
+                }
+                _ => spec.result_bytes,
+            },
+            home,
+            inputs: inputs.into_iter().map(|input| input.reference).collect(),
+            due: self.due(stage),
+            deadline: deadline.unwrap_or(self.times.deadline),
+            progress: self.plan.pieces_made(),
+            rank: self.request.rank,
+            result_bytes: spec.result_bytes,
+        }
+    }
+
+    /// Returns where the pieces of a stage are best made: where their inputs
+    /// lie if these are larger than the result, else where the request runs.
+    fn home(
+        &self,
+        inputs: &[Handle],
+        input_bytes: u64,
+        result_bytes: u64,
+    ) -> Home {
+        let zones = zones_of(self.collector.servers_listed(), inputs);
+        match zones.into_iter().next() {
+            Some(zone) if input_bytes > result_bytes => Home::Fixed(zone),
+            _ if self.request.movable => {
+                Home::Preferred(Arc::clone(&self.request.home))
+            }
+            _ => Home::Fixed(Arc::clone(&self.request.home)),
+        }
+    }
+
+    fn input_bytes(&self, stage: usize) -> u64 {
+        self.request.stages[stage]
+            .after
+            .iter()
+            .map(|&before| {
+                let pieces = u64::from(self.plan.pieces(before));
+                self.request.stages[before].result_bytes * pieces
+            })
+            .sum()
+    }
+
+    fn transfer(&self, service: &str, bytes: u64) -> Duration {
+        let spec = self.collector.spec(service);
+        let per_ms = spec.map_or(u64::MAX, |spec| spec.link_bytes_per_ms);
+        Duration::from_millis(bytes / per_ms.max(1))
+    }
+
+    /// Estimates a stage by what waits at its service.
+    fn estimate(&self, service: &Arc<str>) -> StageEstimate {
+        let Some(spec) = self.collector.spec(service) else {
+            return StageEstimate::default();
+        };
+        let wait = self.collector.expected_wait(&self.request.cell, service);
+        StageEstimate { wait, call: spec.call, item: spec.item }
+    }
+
+    /// Estimates a stage of a busy service, whose pieces share a full call.
+    fn full_call(&self, service: &Arc<str>) -> StageEstimate {
+        let Throughput { call, .. } =
+            self.collector.throughput(&self.request.cell, service);
+        StageEstimate { wait: Duration::ZERO, call, item: Duration::ZERO }
+    }
+}
--- a/crates/briarladder-gateway/src/stages/release.rs
+++ b/crates/briarladder-gateway/src/stages/release.rs
@@ -1,65 +1,62 @@
-//! Giving up results that are no longer needed.
+//! Telling coordinators that results are no longer needed.
 //!
 //! Room at the makers is bounded, so results are released as soon as they are
-//! used. Releases are gathered for a moment and sent to the daemon that
-//! collects for the maker, which keeps account of the maker's room.
+//! used. Releases are gathered for a moment.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
-use briarladder_core::{fleet::stages::Handle, sorted::SortedMap};
+use briarladder_core::sorted::SortedMap;
+use tokio::sync::Notify;
 
 use crate::{
     context::Gateway,
-    peers::messages::{Accepted, RELEASE_PATH, Release, ReleasedResult},
+    peers::messages::{Accepted, RELEASE_PATH, Release},
 };
 
-use super::duty;
-
 /// The time for which releases are gathered.
-pub const GATHER: Duration = Duration::from_millis(10);
+const GATHER: Duration = Duration::from_millis(5);
 
 /// The longest time to tell a peer.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Releases gathered results for as long as the process runs.
-pub async fn run(gateway: Rc<Gateway>) {
-    loop {
-        gateway.collector.wait_released().await;
-        tokio::time::sleep(GATHER).await;
-        let released = gateway.collector.take_released();
-        if !released.is_empty() {
-            send(&gateway, released);
-        }
+/// Releases that wait to be told.
+#[derive(Debug, Default)]
+pub struct Releases {
+    jobs: RefCell<SortedMap<SocketAddr, Vec<u64>>>,
+    added: Notify,
+}
+
+impl Releases {
+    /// Adds the results of a job of a coordinator.
+    pub fn add(&self, coordinator: SocketAddr, job: u64) {
+        self.jobs
+            .borrow_mut()
+            .entry_or_insert_with(coordinator, Vec::new)
+            .push(job);
+        self.added.notify_one();
     }
 }
 
-fn send(gateway: &Rc<Gateway>, released: Vec<Handle>) {
-    let mut by_holder: SortedMap<SocketAddr, Vec<ReleasedResult>> =
-        SortedMap::new();
-    let mut here = Vec::new();
-    for Handle { reference, maker } in released {
-        // A maker that is gone has taken its results with it.
-        let server = gateway.board.servers.borrow().get(&maker).cloned();
-        let Some(server) = server else { continue };
-        let duty = duty::for_server(gateway, &server.service, &server.zone);
-        let result = ReleasedResult { reference, maker };
-        match duty.other_holder(gateway) {
-            Some(holder) => by_holder
-                .entry_or_insert_with(holder.address, Vec::new)
-                .push(result),
-            None => here.push(result),
+/// Tells releases for as long as the process runs.
+pub async fn run(gateway: Rc<Gateway>) {
+    loop {
+        gateway.releases.added.notified().await;
+        tokio::time::sleep(GATHER).await;
+        for (&coordinator, jobs) in gateway.releases.jobs.take().iter() {
+            let message = Release { jobs: jobs.clone() };
+            let gateway = Rc::clone(&gateway);
+            tokio::task::spawn_local(tell(gateway, coordinator, message));
         }
     }
-    gateway.collector.release_here(&here);
-    for (&holder, results) in by_holder.iter() {
-        let message = Release { results: results.clone() };
-        tokio::task::spawn_local(tell(Rc::clone(gateway), holder, message));
-    }
 }
 
-async fn tell(gateway: Rc<Gateway>, holder: SocketAddr, message: Release) {
+async fn tell(
+    gateway: Rc<Gateway>,
+    coordinator: SocketAddr,
+    message: Release,
+) {
     let told: Result<Accepted, _> =
-        gateway.peers.call(holder, RELEASE_PATH, &message, TIMEOUT).await;
+        gateway.peers.call(coordinator, RELEASE_PATH, &message, TIMEOUT).await;
     if let Err(error) = told {
         // The makers drop the results by themselves after a while.
         log::debug!("release: {error}");
