Let a few daemons of each large zone read the store and feed the others

Change: core::fleet::readers names three readers in rendezvous order in a zone of more than five daemons. The others wait for changes at two of them and read for themselves when no reader that reaches the store has answered for 1.2 s beyond the wait. Waits grow with the zone, so that the calls to a reader stay bounded. Nothing changes in small zones. The store controller is split into reading, feeds and putting changes into force.

--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -26,5 +26,6 @@
 pub mod mirror;
 pub mod peers;
 pub mod placement;
+pub mod readers;
 pub mod server;
 pub mod stages;
--- a/crates/briarladder-gateway/src/board.rs
+++ b/crates/briarladder-gateway/src/board.rs
@@ -22,11 +22,14 @@
         mirror::Mirror,
         peers::{Heartbeat, PeerTable},
         placement::Placement,
+        readers::{self, Feeds, Role},
         server::Servers,
     },
     sorted::SortedMap,
 };
 
+use tokio::sync::Notify;
+
 use crate::settings::GatewaySettings;
 
 /// How far a process is between its start and its stop.
@@ -49,6 +52,15 @@
     LostAt(Instant),
 }
 
+/// How this daemon learns of changes of the store.
+#[derive(Clone, Debug)]
+pub struct StoreRole {
+    /// Whether it reads or is fed.
+    pub role: Role,
+    /// How long it waits for a change in one call to a reader.
+    pub feed_wait: Duration,
+}
+
 /// The versions of what the cells are worked out from.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct CellsVersion {
@@ -65,6 +77,10 @@
     pub zone: Arc<str>,
     /// Copy of the store; owner: the store controller.
     pub mirror: RefCell<Mirror>,
+    /// Told when the copy has changed; owner: the store controller.
+    pub mirror_changed: Notify,
+    /// Who feeds this daemon; owner: the store controller.
+    pub feeds: RefCell<Feeds>,
     /// Whether the store answers; owner: the store controller.
     pub store_contact: Cell<StoreContact>,
     /// Configuration in force; owner: the store controller.
@@ -108,6 +124,8 @@
             clock,
             zone: Arc::clone(&settings.zone),
             mirror: RefCell::default(),
+            mirror_changed: Notify::new(),
+            feeds: RefCell::default(),
             store_contact: Cell::new(StoreContact::Never),
             config: RefCell::new(None),
             servers: RefCell::default(),
@@ -230,6 +248,19 @@
         }))
     }
 
+    /// Returns how this daemon learns of changes.
+    #[must_use]
+    pub fn store_role(&self) -> StoreRole {
+        let peers = self.peers.borrow();
+        let live: Vec<Arc<str>> = peers
+            .live(self.now())
+            .filter(|beat| beat.zone == self.zone)
+            .map(|beat| Arc::clone(&beat.name))
+            .collect();
+        let role = readers::role(&peers.me().name, &self.zone, &live);
+        StoreRole { role, feed_wait: readers::feed_wait(live.len()) }
+    }
+
     /// Returns how long ago the store last failed to answer, while it does
     /// not answer.
     #[must_use]
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -122,6 +122,8 @@
 pub struct ChangesRequest {
     /// The revision that the sender has.
     pub after: u64,
+    /// How long to wait for a change.
+    pub wait_ms: u64,
 }
 
 /// One published item, or its removal.
@@ -145,6 +147,8 @@
     pub items: Vec<ItemMessage>,
     /// The revision up to which the peer knows changes.
     pub revision: u64,
+    /// Whether the store answers the peer.
+    pub in_contact: bool,
 }
 
 impl From<&Item> for ItemMessage {
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -1,6 +1,6 @@
 //! Answering other daemons.
 
-use std::{convert::Infallible, rc::Rc};
+use std::{convert::Infallible, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -20,6 +20,9 @@
 /// stage fit.
 const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
 
+/// The longest wait for a change. It bounds the calls that are kept waiting.
+const MAX_CHANGES_WAIT: Duration = Duration::from_secs(5);
+
 /// Answers one message.
 ///
 /// # Errors
@@ -39,9 +42,14 @@
         HEARTBEATS_PATH => {
             answer(&body, |message: Heartbeats| heartbeats(&gateway, &message))
         }
-        CHANGES_PATH => {
-            answer(&body, |message: ChangesRequest| changes(&gateway, message))
-        }
+        CHANGES_PATH => match serde_json::from_slice(&body) {
+            Ok(message) => {
+                let message: ChangesRequest = message;
+                wait_for_change(&gateway, message).await;
+                encode(&changes(&gateway, message))
+            }
+            Err(error) => malformed(&error),
+        },
         PING_PATH => answer(&body, |Ping {}| Accepted {}),
         RELEASE_PATH => answer(&body, |message: Release| {
             gateway.coordinator.release(&message.jobs);
@@ -65,6 +73,20 @@
     Heartbeats { beats: peers.exchange(now, rand::random_range(0..4096)) }
 }
 
+/// Waits until there is a change after the revision of the sender, for as
+/// long as it wants to.
+async fn wait_for_change(gateway: &Gateway, message: ChangesRequest) {
+    let board = &gateway.board;
+    let changed = async {
+        while board.mirror.borrow().revision() <= message.after {
+            board.mirror_changed.notified().await;
+        }
+    };
+    let wait = Duration::from_millis(message.wait_ms).min(MAX_CHANGES_WAIT);
+    // The answer tells whether there is a change.
+    let _ = tokio::time::timeout(wait, changed).await;
+}
+
 fn changes(gateway: &Gateway, message: ChangesRequest) -> ChangesReply {
     let mirror = gateway.board.mirror.borrow();
     let since = mirror.since(message.after);
@@ -73,7 +95,9 @@
         Some(items) => items.iter().map(ItemMessage::from).collect(),
         None => mirror.items().map(ItemMessage::from).collect(),
     };
-    ChangesReply { complete, items, revision: mirror.revision() }
+    let revision = mirror.revision();
+    let in_contact = gateway.board.store_lost_for().is_none();
+    ChangesReply { complete, items, revision, in_contact }
 }
 
 fn answer<Q: DeserializeOwned, A: Serialize>(
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -147,6 +147,9 @@
     spawn_local(listener::callers(shared(), callers, stopping));
     spawn_local(store::run(shared(), settings.store));
     spawn_local(store::follow_peers(shared()));
+    for feed in 0..store::FEEDS {
+        spawn_local(store::follow_reader(shared(), feed));
+    }
     spawn_local(heartbeats::run(shared(), Rc::clone(settings)));
     spawn_local(Rc::clone(&gateway.coordinator).run());
     spawn_local(release::run(shared()));
--- a/crates/briarladder-gateway/src/store.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -1,27 +1,31 @@
 //! Reading and watching the platform's store, with peers as a second source.
 //!
 //! One call waits for changes of all keys, so a daemon at rest makes one call
-//! in each wait. When the store turns this daemon away, the same changes are
-//! asked of a peer, whose copy answers the same questions.
+//! in each wait. In a large zone only a few daemons read the store and feed
+//! the others. When the store turns a daemon away, the same changes are asked
+//! of a peer, whose copy answers the same questions.
+
+mod apply;
+mod feed;
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use briarladder_core::fleet::mirror::Item;
+use briarladder_core::fleet::readers::Role;
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use rand::{RngExt, seq::IndexedRandom};
+use rand::RngExt;
 
 use crate::{
-    board::StoreContact,
-    context::Gateway,
-    dialect::{FormatError, ItemKind},
-    metrics::Metrics,
-    peers::messages::{CHANGES_PATH, ChangesReply, ChangesRequest},
-    pool::Freshness,
+    board::StoreContact, context::Gateway, dialect::FormatError,
+    metrics::Metrics, pool::Freshness,
 };
 
+use self::apply::{advance, apply, apply_list};
+
+pub use self::feed::{FEEDS, follow_peers, follow_reader};
+
 /// How long one call waits for changes. A connection that has gone silent is
 /// noticed after it, which keeps a daemon within the bounds for new
 /// configurations; longer waits save calls, which are billed.
@@ -34,14 +38,8 @@
 /// daemons of a fleet don't ask at once.
 const RETRY_WAIT: Duration = Duration::from_millis(250);
 
-/// The time between two questions to peers while the store does not answer.
-const PEER_INTERVAL: Duration = Duration::from_millis(400);
-
-/// The store may be silent for this long before peers are asked.
-const PEERS_AFTER: Duration = Duration::from_millis(300);
-
-/// The longest time for a question to a peer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(600);
+/// How often a daemon that is fed by others looks whether it still is.
+const FED_CHECK: Duration = Duration::from_millis(100);
 
 /// The largest answer of the store: a page and its encoding.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -70,7 +68,17 @@
 pub async fn run(gateway: Rc<Gateway>, store: SocketAddr) {
     let reader = Reader { gateway, store };
     let mut listed = false;
+    let mut reads = true;
     loop {
+        let reads_now = !reader.is_fed();
+        if reads_now != reads {
+            reads = reads_now;
+            log::info!("store: reads={reads}");
+        }
+        if !reads {
+            tokio::time::sleep(FED_CHECK).await;
+            continue;
+        }
         let result =
             if listed { reader.watch().await } else { reader.list().await };
         match result {
@@ -97,6 +105,13 @@
 }
 
 impl Reader {
+    /// Returns whether other daemons tell this one of all changes.
+    fn is_fed(&self) -> bool {
+        let board = &self.gateway.board;
+        board.feeds.borrow().is_fresh(board.now())
+            && matches!(board.store_role().role, Role::Follower(_))
+    }
+
     /// Lists all items.
     async fn list(&self) -> Result<(), StoreError> {
         let mut items = Vec::new();
@@ -127,7 +142,7 @@
         for item in changes.items {
             apply(&self.gateway, &item);
         }
-        self.gateway.board.mirror.borrow_mut().advance(changes.revision);
+        advance(&self.gateway, changes.revision);
         Ok(())
     }
 
@@ -197,153 +212,3 @@
         Metrics::count(&self.gateway.metrics.store_calls, "store", outcome);
     }
 }
-
-/// Asks peers while the store does not answer, for as long as the process
-/// runs.
-pub async fn follow_peers(gateway: Rc<Gateway>) {
-    loop {
-        tokio::time::sleep(PEER_INTERVAL).await;
-        let lost = gateway.board.store_lost_for();
-        if lost.is_some_and(|lost| lost > PEERS_AFTER) {
-            ask_peer(&gateway).await;
-        }
-    }
-}
-
-async fn ask_peer(gateway: &Gateway) {
-    let now = gateway.board.now();
-    let peer = {
-        let peers = gateway.board.peers.borrow();
-        let live: Vec<_> = peers.live_peers(now).collect();
-        live.choose(&mut rand::rng()).map(|beat| beat.address)
-    };
-    let Some(address) = peer else { return };
-    let after = gateway.board.mirror.borrow().revision();
-    let message = ChangesRequest { after };
-    let answer: Result<ChangesReply, _> = gateway
-        .peers
-        .call(address, CHANGES_PATH, &message, PEER_TIMEOUT)
-        .await;
-    let reply = match answer {
-        Ok(reply) => reply,
-        Err(error) => {
-            log::debug!("store: {error}");
-            return;
-        }
-    };
-    if reply.revision <= after {
-        return;
-    }
-    log::info!(
-        "store: source=peer peer={address} items={} revision={}",
-        reply.items.len(),
-        reply.revision
-    );
-    let items: Vec<Item> = reply
-        .items
-        .iter()
-        .filter_map(|message| match Item::try_from(message) {
-            Ok(item) => Some(item),
-            Err(error) => {
-                log::warn!("store: key={} from a peer: {error}", message.key);
-                None
-            }
-        })
-        .collect();
-    if reply.complete {
-        apply_list(gateway, &items, reply.revision);
-    } else {
-        for item in items {
-            apply(gateway, &item);
-        }
-        gateway.board.mirror.borrow_mut().advance(reply.revision);
-    }
-}
-
-fn apply_list(gateway: &Gateway, items: &[Item], revision: u64) {
-    for item in items {
-        apply(gateway, item);
-    }
-    let removed =
-        gateway.board.mirror.borrow_mut().apply_full(items, revision);
-    for item in removed {
-        take_effect(gateway, &item);
-    }
-}
-
-fn apply(gateway: &Gateway, item: &Item) {
-    let news = gateway.board.mirror.borrow_mut().apply(item.clone());
-    if news {
-        take_effect(gateway, item);
-    }
-}
-
-/// Puts a changed item into force.
-fn take_effect(gateway: &Gateway, item: &Item) {
-    match gateway.dialect.item_kind(&item.key) {
-        ItemKind::Config => config_changed(gateway, item),
-        ItemKind::Server(name) => server_changed(gateway, name, item),
-        ItemKind::Other => {}
-    }
-}
-
-fn config_changed(gateway: &Gateway, item: &Item) {
-    // A configuration that is taken away leaves the last one in force.
-    let Some(value) = &item.value else { return };
-    match gateway.dialect.decode_config(value) {
-        Ok(config) => {
-            let version = config.version;
-            let routes = config.routes.len();
-            if gateway.board.adopt(config) {
-                let shown = i64::try_from(version).unwrap_or(i64::MAX);
-                gateway.metrics.config_version.set(shown);
-                log::info!(
-                    "config: version={version} routes={routes} revision={} \
-                     outcome=in_force",
-                    item.revision
-                );
-            }
-        }
-        Err(error) => log::error!(
-            "config: revision={} outcome=rejected cause={error}",
-            item.revision
-        ),
-    }
-}
-
-fn server_changed(gateway: &Gateway, name: &str, item: &Item) {
-    let mut servers = gateway.board.servers.borrow_mut();
-    let decoded = item
-        .value
-        .as_ref()
-        .map(|value| gateway.dialect.decode_server(name, value));
-    match decoded {
-        Some(Ok(server)) => {
-            log::info!(
-                "servers: server={name} service={} zone={} state={:?} \
-                 revision={}",
-                server.service,
-                server.zone,
-                server.state,
-                item.revision
-            );
-            servers.insert(server);
-        }
-        Some(Err(error)) => {
-            log::warn!(
-                "servers: server={name} outcome=ignored cause={error} \
-                 revision={}",
-                item.revision
-            );
-            servers.remove(name);
-        }
-        None => {
-            log::info!(
-                "servers: server={name} state=gone revision={}",
-                item.revision
-            );
-            servers.remove(name);
-            gateway.board.placement.borrow_mut().forget(name);
-        }
-    }
-}
