--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -63,6 +63,10 @@
 
 use super::{config::PieceSpec, entry::Throughput};
 
+mod lane;
+
+use self::lane::{Held, Lane};
+
 /// One place in this many of a call goes to the piece that has been needed
 /// longest, so that a flood of a more urgent rank starves no other.
 const FLOOR_ONE_IN: usize = 8;
@@ -82,25 +86,10 @@
 /// The weight of the newest call in the usual size of calls under backlog.
 const BATCH_SMOOTHING: f64 = 0.1;
 
-/// Calls of a server that is neither slow nor shared take less than this many
-/// times what is expected.
-const NORMAL_SLOWNESS: f64 = 1.15;
-
-/// The weight of the newest call in the slowness of a server.
-const SLOWNESS_SMOOTHING: f64 = 0.3;
-
 /// Pieces that move this much between zones are made in their home zone, if
 /// that does not make them late.
 const LARGE_CROSSING_BYTES: u64 = 250_000;
 
-/// How long a server that refused a call gets none; each further refusal
-/// doubles the time.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(60);
-
-/// The doublings of [`REFUSAL_PAUSE`]; the longest pause is about two
-/// seconds, so that a server that comes back is used again.
-const MAX_DOUBLINGS: u32 = 5;
-
 /// The share of a server's room that is used, in hundredths. The rest covers
 /// results whose release is on its way and sizes that are approximate.
 const USED_ROOM_HUNDREDTHS: u64 = 97;
@@ -194,57 +183,6 @@
     Refused,
 }
 
-#[derive(Clone, Debug)]
-struct Held {
-    bytes: u64,
-    until: Instant,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Lane {
-    zone: Option<Arc<str>>,
-    calls: u32,
-    in_call_bytes: u64,
-    results: SortedMap<Arc<str>, Held>,
-    paused_until: Option<Instant>,
-    refusals: u32,
-    /// What its calls take, as a multiple of what is expected.
-    slowness: Slowness,
-    /// The server is no longer listed and only ends its calls.
-    closed: bool,
-}
-
-/// How many times longer than expected calls take, smoothed.
-#[derive(Clone, Copy, Debug)]
-struct Slowness(f64);
-
-impl Default for Slowness {
-    fn default() -> Slowness {
-        Slowness(1.0)
-    }
-}
-
-impl Slowness {
-    fn observe(&mut self, took: Duration, expected: Duration) {
-        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
-        self.0 = self.0 * (1.0 - SLOWNESS_SMOOTHING)
-            + ratio.max(1.0) * SLOWNESS_SMOOTHING;
-    }
-}
-
-impl Lane {
-    fn pause(&mut self, now: Instant) {
-        let doublings = self.refusals.min(MAX_DOUBLINGS);
-        self.paused_until = Some(now + REFUSAL_PAUSE * (1 << doublings));
-        self.refusals += 1;
-    }
-
-    fn held_bytes(&self) -> u64 {
-        let results: u64 = self.results.values().map(|held| held.bytes).sum();
-        self.in_call_bytes + results
-    }
-}
-
 /// The waiting pieces of one service, and the servers that make them.
 #[derive(Clone, Debug)]
 pub struct PieceQueue {
@@ -411,7 +349,7 @@
             .lanes
             .values()
             .filter(|lane| !lane.closed)
-            .map(|lane| 1.0 / lane.slowness.0)
+            .map(|lane| 1.0 / lane.slowness.times())
             .sum();
         let slots = f64::from(self.spec.slots.max(1));
         let calls_per_s = lanes * slots / call.as_secs_f64();
@@ -490,7 +428,7 @@
         let expected = self.spec.call + self.spec.item * pieces;
         let lane = self.lanes.get(&*server);
         let begins_at_once =
-            lane.is_some_and(|lane| lane.slowness.0 < NORMAL_SLOWNESS);
+            lane.is_some_and(|lane| lane.slowness.is_normal());
         Call { server, ids, expected, result_bytes, begins_at_once }
     }
 
--- /dev/null
+++ b/crates/briarladder-gateway/src/stages/collector/calls.rs
@@ -0,0 +1,142 @@
+//! Calling servers for pieces.
+
+use std::{pin::pin, sync::Arc, time::Duration};
+
+use briarladder_core::fleet::{
+    collect::Call, fetching::Fetch, server::ListedServer,
+};
+use bytes::Bytes;
+use http::{HeaderValue, Request, header};
+use http_body_util::{BodyExt, Full};
+
+use crate::{
+    dialect::{PieceCall, PieceOutcome},
+    pool::Freshness,
+};
+
+use super::{super::batch::Job, Collector, QueueKey};
+
+/// A call that takes this many times what is expected is given up.
+const CALL_PATIENCE: u32 = 4;
+
+/// A call is never given up sooner than this.
+const MIN_CALL_PATIENCE: Duration = Duration::from_millis(900);
+
+impl Collector {
+    pub(super) async fn call(
+        &self,
+        key: &QueueKey,
+        server: &ListedServer,
+        call: &Call,
+        jobs: &[(u64, Job)],
+    ) -> Result<Vec<PieceOutcome>, String> {
+        let now = self.board.now();
+        let pieces: Vec<PieceCall<'_>> =
+            jobs.iter().map(|(_, job)| job.piece_call(now)).collect();
+        for (_, job) in jobs {
+            if job.tries == 0 {
+                self.board.first_sent(&key.service);
+            }
+        }
+        let body = self.dialect.encode_pieces(&pieces);
+        let path = self.dialect.pieces_path();
+        let patience = (call.expected * CALL_PATIENCE).max(MIN_CALL_PATIENCE);
+        let exchange = self.exchange(server, path, body);
+        let exchange = async {
+            if call.begins_at_once {
+                self.watch_fetching(server, jobs, exchange).await
+            } else {
+                exchange.await
+            }
+        };
+        let answer = tokio::time::timeout(patience, exchange).await;
+        let answer =
+            answer.unwrap_or_else(|_| Err("no answer in time".to_owned()))?;
+        let outcomes = self
+            .dialect
+            .decode_pieces(&answer)
+            .map_err(|error| error.to_string())?;
+        if outcomes.len() != jobs.len() {
+            return Err(format!(
+                "{} outcomes for {} pieces",
+                outcomes.len(),
+                jobs.len()
+            ));
+        }
+        Ok(outcomes)
+    }
+
+    /// Waits for the answer to a call, and meanwhile tells its pieces when
+    /// the server has had the time to fetch their inputs.
+    async fn watch_fetching(
+        &self,
+        server: &ListedServer,
+        jobs: &[(u64, Job)],
+        exchange: impl Future<Output = Result<Bytes, String>>,
+    ) -> Result<Bytes, String> {
+        let mut exchange = pin!(exchange);
+        let fetch_time = self.fetch_time(server, jobs);
+        let early = tokio::time::timeout(fetch_time, &mut exchange).await;
+        for (_, job) in jobs {
+            job.inputs_fetched();
+        }
+        match early {
+            Ok(answer) => answer,
+            Err(_) => exchange.await,
+        }
+    }
+
+    /// Estimates how long a server takes to fetch the inputs of a call. Each
+    /// group has inputs of its own.
+    fn fetch_time(
+        &self,
+        server: &ListedServer,
+        jobs: &[(u64, Job)],
+    ) -> Duration {
+        let mut transfer = Duration::ZERO;
+        let mut zones: Vec<Arc<str>> = Vec::new();
+        let mut last_group = None;
+        for (_, job) in jobs {
+            if last_group.replace(job.group()) != Some(job.group()) {
+                transfer += job.stage().input_transfer;
+                zones.extend_from_slice(&job.stage().input_zones);
+            }
+        }
+        self.fetch_times.borrow().estimate(&Fetch {
+            server_zone: &server.zone,
+            maker_zones: &zones,
+            transfer,
+        })
+    }
+
+    pub(super) async fn exchange(
+        &self,
+        server: &ListedServer,
+        path: &'static str,
+        body: Bytes,
+    ) -> Result<Bytes, String> {
+        let host = HeaderValue::from_str(&server.address.to_string())
+            .map_err(|error| error.to_string())?;
+        let mut request = Request::post(path)
+            .header(header::HOST, host)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| error.to_string())?;
+        self.dialect.expect_server(request.headers_mut(), &server.name);
+        let sent =
+            self.pool.send(server.address, request, Freshness::Any).await;
+        let (response, lease) = sent.map_err(|error| error.to_string())?;
+        if let Some(took) = lease.connect_time() {
+            let mut times = self.fetch_times.borrow_mut();
+            times.connected(&server.zone, took);
+        }
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(|error| error.to_string())?;
+        let facts = self.dialect.answer_head(&head, "");
+        lease.give_back(facts.idle_timeout);
+        if !head.status.is_success() {
+            return Err(format!("refused with {}", head.status));
+        }
+        Ok(body.to_bytes())
+    }
+}
--- a/crates/briarladder-gateway/src/stages/collector.rs
+++ b/crates/briarladder-gateway/src/stages/collector/mod.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell as StdCell, RefCell},
-    pin::pin,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -14,41 +13,29 @@
         collect::{Call, CallEnd, EndedCall, PieceQueue},
         config::{PieceSpec, ServiceWork},
         entry::Throughput,
-        fetching::{Fetch, FetchTimes},
-        server::{ListedServer, ServerState, Servers},
+        fetching::FetchTimes,
+        server::{ServerState, Servers},
         stages::Handle,
     },
-    sorted::{SortedMap, SortedSet},
+    sorted::SortedMap,
 };
-use bytes::Bytes;
-use http::{HeaderValue, Request, header};
-use http_body_util::{BodyExt, Full};
 use tokio::sync::{Notify, mpsc};
 
 use crate::{
     board::{Board, CellsVersion},
-    dialect::{Dialect, PieceCall, PieceOutcome},
+    dialect::{Dialect, PieceOutcome},
     metrics::Metrics,
-    pool::{Freshness, Pool},
+    pool::Pool,
 };
 
-use super::batch::{Batch, Job, StageEvent, StageFailure, StageOrder};
-
-/// A call that takes this many times what is expected is given up.
-const CALL_PATIENCE: u32 = 4;
+mod calls;
+mod releases;
 
-/// A call is never given up sooner than this.
-const MIN_CALL_PATIENCE: Duration = Duration::from_millis(900);
+use super::batch::{Batch, Job, StageEvent, StageFailure, StageOrder};
 
 /// How often a piece is tried.
 const MAX_TRIES: u32 = 4;
 
-/// The time for which releases are gathered.
-const GATHER_RELEASES: Duration = Duration::from_millis(5);
-
-/// The longest time to release results at their maker.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// What a queue is for.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct QueueKey {
@@ -315,123 +302,6 @@
         self.pump(&key);
     }
 
-    async fn call(
-        &self,
-        key: &QueueKey,
-        server: &ListedServer,
-        call: &Call,
-        jobs: &[(u64, Job)],
-    ) -> Result<Vec<PieceOutcome>, String> {
-        let now = self.board.now();
-        let pieces: Vec<PieceCall<'_>> =
-            jobs.iter().map(|(_, job)| job.piece_call(now)).collect();
-        for (_, job) in jobs {
-            if job.tries == 0 {
-                self.board.first_sent(&key.service);
-            }
-        }
-        let body = self.dialect.encode_pieces(&pieces);
-        let path = self.dialect.pieces_path();
-        let patience = (call.expected * CALL_PATIENCE).max(MIN_CALL_PATIENCE);
-        let exchange = self.exchange(server, path, body);
-        let exchange = async {
-            if call.begins_at_once {
-                self.watch_fetching(server, jobs, exchange).await
-            } else {
-                exchange.await
-            }
-        };
-        let answer = tokio::time::timeout(patience, exchange).await;
-        let answer =
-            answer.unwrap_or_else(|_| Err("no answer in time".to_owned()))?;
-        let outcomes = self
-            .dialect
-            .decode_pieces(&answer)
-            .map_err(|error| error.to_string())?;
-        if outcomes.len() != jobs.len() {
-            return Err(format!(
-                "{} outcomes for {} pieces",
-                outcomes.len(),
-                jobs.len()
-            ));
-        }
-        Ok(outcomes)
-    }
-
-    /// Waits for the answer to a call, and meanwhile tells its pieces when
-    /// the server has had the time to fetch their inputs.
-    async fn watch_fetching(
-        &self,
-        server: &ListedServer,
-        jobs: &[(u64, Job)],
-        exchange: impl Future<Output = Result<Bytes, String>>,
-    ) -> Result<Bytes, String> {
-        let mut exchange = pin!(exchange);
-        let fetch_time = self.fetch_time(server, jobs);
-        let early = tokio::time::timeout(fetch_time, &mut exchange).await;
-        for (_, job) in jobs {
-            job.inputs_fetched();
-        }
-        match early {
-            Ok(answer) => answer,
-            Err(_) => exchange.await,
-        }
-    }
-
-    /// Estimates how long a server takes to fetch the inputs of a call. Each
-    /// group has inputs of its own.
-    fn fetch_time(
-        &self,
-        server: &ListedServer,
-        jobs: &[(u64, Job)],
-    ) -> Duration {
-        let mut transfer = Duration::ZERO;
-        let mut zones: Vec<Arc<str>> = Vec::new();
-        let mut last_group = None;
-        for (_, job) in jobs {
-            if last_group.replace(job.group()) != Some(job.group()) {
-                transfer += job.stage().input_transfer;
-                zones.extend_from_slice(&job.stage().input_zones);
-            }
-        }
-        self.fetch_times.borrow().estimate(&Fetch {
-            server_zone: &server.zone,
-            maker_zones: &zones,
-            transfer,
-        })
-    }
-
-    async fn exchange(
-        &self,
-        server: &ListedServer,
-        path: &'static str,
-        body: Bytes,
-    ) -> Result<Bytes, String> {
-        let host = HeaderValue::from_str(&server.address.to_string())
-            .map_err(|error| error.to_string())?;
-        let mut request = Request::post(path)
-            .header(header::HOST, host)
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
-            .map_err(|error| error.to_string())?;
-        self.dialect.expect_server(request.headers_mut(), &server.name);
-        let sent =
-            self.pool.send(server.address, request, Freshness::Any).await;
-        let (response, lease) = sent.map_err(|error| error.to_string())?;
-        if let Some(took) = lease.connect_time() {
-            let mut times = self.fetch_times.borrow_mut();
-            times.connected(&server.zone, took);
-        }
-        let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|error| error.to_string())?;
-        let facts = self.dialect.answer_head(&head, "");
-        lease.give_back(facts.idle_timeout);
-        if !head.status.is_success() {
-            return Err(format!("refused with {}", head.status));
-        }
-        Ok(body.to_bytes())
-    }
-
     fn end_call(
         &self,
         key: &QueueKey,
@@ -585,86 +455,6 @@
             queue.jobs.insert(id, job);
         }
     }
-
-    /// Gathers results to be released.
-    pub fn release_later(&self, results: Vec<Handle>) {
-        if !results.is_empty() {
-            self.released.borrow_mut().extend(results);
-            self.released_some.notify_one();
-        }
-    }
-
-    /// Releases gathered results for as long as the process runs.
-    pub async fn run_releases(self: Rc<Self>) {
-        loop {
-            self.released_some.notified().await;
-            tokio::time::sleep(GATHER_RELEASES).await;
-            self.release(self.released.take());
-        }
-    }
-
-    /// Releases results at their makers, and uses the room at once: a call
-    /// that follows arrives after the release.
-    fn release(self: &Rc<Self>, results: Vec<Handle>) {
-        let mut by_maker: SortedMap<Arc<str>, Vec<Arc<str>>> =
-            SortedMap::new();
-        for Handle { reference, maker } in results {
-            by_maker.entry_or_insert_with(maker, Vec::new).push(reference);
-        }
-        let mut services = SortedSet::new();
-        for (maker, references) in by_maker.iter() {
-            // A maker that is gone has taken its results with it.
-            let server = self.board.servers.borrow().get(maker).cloned();
-            let Some(server) = server else { continue };
-            let body = self.dialect.encode_release(references);
-            self.note_released(&server, references);
-            services.insert(Arc::clone(&server.service));
-            let collector = Rc::clone(self);
-            tokio::task::spawn_local(async move {
-                collector.tell_released(&server, body).await;
-            });
-        }
-        let keys: Vec<QueueKey> = self
-            .queues
-            .borrow()
-            .keys()
-            .filter(|key| services.contains(&*key.service))
-            .cloned()
-            .collect();
-        for key in keys {
-            self.pump(&key);
-        }
-    }
-
-    /// Counts the room of released results.
-    fn note_released(&self, server: &ListedServer, references: &[Arc<str>]) {
-        for (key, queue) in self.queues.borrow_mut().iter_mut() {
-            if key.service == server.service {
-                for reference in references {
-                    queue.pieces.released(&server.name, reference);
-                }
-            }
-        }
-    }
-
-    async fn tell_released(&self, server: &ListedServer, body: Bytes) {
-        let path = self.dialect.release_path();
-        let told = tokio::time::timeout(
-            RELEASE_TIMEOUT,
-            self.exchange(server, path, body),
-        )
-        .await;
-        match told {
-            Ok(Ok(_)) => {}
-            // The maker drops the results by itself after a while.
-            Ok(Err(error)) => {
-                log::debug!("collector: release at {}: {error}", server.name);
-            }
-            Err(_) => {
-                log::debug!("collector: release at {} timed out", server.name);
-            }
-        }
-    }
 }
 
 /// Logs what became of one piece under the id of its request.
--- /dev/null
+++ b/crates/briarladder-gateway/src/stages/collector/releases.rs
@@ -0,0 +1,99 @@
+//! Releasing results at their makers.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use briarladder_core::{
+    fleet::{server::ListedServer, stages::Handle},
+    sorted::{SortedMap, SortedSet},
+};
+use bytes::Bytes;
+
+use super::{Collector, QueueKey};
+
+/// The time for which releases are gathered.
+const GATHER_RELEASES: Duration = Duration::from_millis(5);
+
+/// The longest time to release results at their maker.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl Collector {
+    /// Gathers results to be released.
+    pub fn release_later(&self, results: Vec<Handle>) {
+        if !results.is_empty() {
+            self.released.borrow_mut().extend(results);
+            self.released_some.notify_one();
+        }
+    }
+
+    /// Releases gathered results for as long as the process runs.
+    pub async fn run_releases(self: Rc<Self>) {
+        loop {
+            self.released_some.notified().await;
+            tokio::time::sleep(GATHER_RELEASES).await;
+            self.release(self.released.take());
+        }
+    }
+
+    /// Releases results at their makers, and uses the room at once: a call
+    /// that follows arrives after the release.
+    fn release(self: &Rc<Self>, results: Vec<Handle>) {
+        let mut by_maker: SortedMap<Arc<str>, Vec<Arc<str>>> =
+            SortedMap::new();
+        for Handle { reference, maker } in results {
+            by_maker.entry_or_insert_with(maker, Vec::new).push(reference);
+        }
+        let mut services = SortedSet::new();
+        for (maker, references) in by_maker.iter() {
+            // A maker that is gone has taken its results with it.
+            let server = self.board.servers.borrow().get(maker).cloned();
+            let Some(server) = server else { continue };
+            let body = self.dialect.encode_release(references);
+            self.note_released(&server, references);
+            services.insert(Arc::clone(&server.service));
+            let collector = Rc::clone(self);
+            tokio::task::spawn_local(async move {
+                collector.tell_released(&server, body).await;
+            });
+        }
+        let keys: Vec<QueueKey> = self
+            .queues
+            .borrow()
+            .keys()
+            .filter(|key| services.contains(&*key.service))
+            .cloned()
+            .collect();
+        for key in keys {
+            self.pump(&key);
+        }
+    }
+
+    /// Counts the room of released results.
+    fn note_released(&self, server: &ListedServer, references: &[Arc<str>]) {
+        for (key, queue) in self.queues.borrow_mut().iter_mut() {
+            if key.service == server.service {
+                for reference in references {
+                    queue.pieces.released(&server.name, reference);
+                }
+            }
+        }
+    }
+
+    async fn tell_released(&self, server: &ListedServer, body: Bytes) {
+        let path = self.dialect.release_path();
+        let told = tokio::time::timeout(
+            RELEASE_TIMEOUT,
+            self.exchange(server, path, body),
+        )
+        .await;
+        match told {
+            Ok(Ok(_)) => {}
+            // The maker drops the results by itself after a while.
+            Ok(Err(error)) => {
+                log::debug!("collector: release at {}: {error}", server.name);
+            }
+            Err(_) => {
+                log::debug!("collector: release at {} timed out", server.name);
+            }
+        }
+    }
+}
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -1,6 +1,6 @@
 //! Asking for the stages of one request.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use briarladder_core::fleet::{
     cells::Cell,
@@ -154,7 +154,7 @@
     Ok((job(&reply, None), reply))
 }
 
-fn job(reply: &StagesReply, coordinator: Option<std::net::SocketAddr>) -> Job {
+fn job(reply: &StagesReply, coordinator: Option<SocketAddr>) -> Job {
     let number = match reply.outcome {
         StagesOutcome::Done { job, .. } => job,
         _ => 0,
--- a/crates/briarladder-gateway/src/stages/prepared.rs
+++ b/crates/briarladder-gateway/src/stages/prepared.rs
@@ -8,7 +8,9 @@
     time::Duration,
 };
 
-use briarladder_core::fleet::{fetching::Fetch, stages::Handle};
+use briarladder_core::fleet::{
+    fetching::Fetch, server::Servers, stages::Handle,
+};
 
 use crate::context::Gateway;
 
@@ -62,7 +64,7 @@
         Prepared {
             gateway: Rc::clone(gateway),
             job: Cell::new(Some(made.job)),
-            maker_zones: maker_zones(gateway, &made.results),
+            maker_zones: zones_of(&gateway.board.servers, &made.results),
             results: made.results,
             transfer: made.transfer,
             zone,
@@ -116,16 +118,10 @@
     }
 }
 
-/// Returns the zones of the servers that hold results.
-#[must_use]
-pub fn maker_zones(gateway: &Gateway, results: &[Handle]) -> Vec<Arc<str>> {
-    zones_of(&gateway.board.servers, results)
-}
-
 /// Returns the zones of the listed servers that hold results.
 #[must_use]
 pub fn zones_of(
-    servers: &RefCell<briarladder_core::fleet::server::Servers>,
+    servers: &RefCell<Servers>,
     results: &[Handle],
 ) -> Vec<Arc<str>> {
     let servers = servers.borrow();
