Count a request as begun by a guard that travels with its permission

Cause, found by reading: when a caller left between the moment at which its request was admitted and the next step of its task, nobody took its pieces off the account of begun work. Each such case would have kept that much of the coordinator's allowance for good.

Change: the guard that counts the pieces is made at the admission and sent as the permission, so that it counts them off wherever it is dropped.

--- a/crates/briarladder-gateway/src/stages/coordinator.rs
+++ b/crates/briarladder-gateway/src/stages/coordinator.rs
@@ -47,8 +47,9 @@
 /// A request that waits to begin.
 struct Waiting {
     cell: Cell,
-    demand: Vec<Demand>,
-    begin: oneshot::Sender<Result<(), NotBegun>>,
+    /// What each stage needs.
+    demand: Vec<(usize, Demand)>,
+    begin: oneshot::Sender<Result<Begun, NotBegun>>,
 }
 
 /// Why a request does not begin here.
@@ -274,27 +275,20 @@
             arrived: now,
         };
         let (begin, may_begin) = oneshot::channel();
-        let waiting = Waiting {
-            cell: cell.clone(),
-            demand: entry.demand.clone(),
-            begin,
-        };
+        let waiting =
+            Waiting { cell: cell.clone(), demand: demand.to_vec(), begin };
         self.waiting.borrow_mut().insert(id, waiting);
         self.with_entries(cell, |entries| entries.push(entry));
         let guard = EntryGuard { coordinator: self, cell, id };
         self.pump(cell);
         // The sender is only dropped without a word if the process ends.
-        may_begin.await.unwrap_or(Err(NotBegun::Late(Duration::ZERO)))?;
+        let answer = may_begin.await;
         drop(guard);
-        Ok(Begun {
-            coordinator: Rc::clone(self),
-            cell: cell.clone(),
-            demand: RefCell::new(demand.to_vec()),
-        })
+        answer.unwrap_or(Err(NotBegun::Late(Duration::ZERO)))
     }
 
     /// Refuses requests that can't be done in time and lets others begin.
-    fn pump(&self, cell: &Cell) {
+    fn pump(self: &Rc<Self>, cell: &Cell) {
         let now = self.board.now();
         let throughput = self.throughput(cell);
         let (refused, admitted) = self.with_entries(cell, |entries| {
@@ -313,15 +307,15 @@
         }
         for id in admitted {
             let waiting = self.waiting.borrow_mut().remove(&id);
-            if let Some(waiting) = waiting
-                && waiting.begin.send(Ok(())).is_err()
-            {
-                self.with_entries(cell, |entries| {
-                    for demand in &waiting.demand {
-                        entries.made(demand);
-                    }
-                });
-            }
+            let Some(waiting) = waiting else { continue };
+            // What has begun is counted by the guard, wherever it is dropped:
+            // the caller may leave while the message is on its way.
+            let begun = Begun {
+                coordinator: Rc::clone(self),
+                cell: waiting.cell,
+                demand: RefCell::new(waiting.demand),
+            };
+            let _ = waiting.begin.send(Ok(begun));
         }
     }
 
@@ -348,7 +342,7 @@
         }
     }
 
-    fn made(&self, cell: &Cell, made: &[Demand]) {
+    fn made(self: &Rc<Self>, cell: &Cell, made: &[Demand]) {
         self.with_entries(cell, |entries| {
             for demand in made {
                 entries.made(demand);
