Compare members in short, and hold requests until the first configuration

Cause: with many changes at once (machines stopped in turn, all killed) the digests of zones differ at each message, and each then carried all members of six zones both ways: most of the bytes between regions at 300 machines.

Change: daemons compare 8 bytes a member and tell only what differs; a message to another zone goes out each 4 s, less often in large zones. A daemon that has just started settles for 120 ms instead of 300 ms and keeps requests for up to a second after its start.

--- a/crates/briarladder-core/src/fleet/peers/digests.rs
+++ b/crates/briarladder-core/src/fleet/peers/digests.rs
@@ -7,7 +7,6 @@
 
 use std::sync::Arc;
 
-use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
 
 use crate::sorted::SortedMap;
@@ -38,11 +37,11 @@
     ) {
         if let Some(before) = before {
             let sum = self.sum_of(&before.zone);
-            *sum = sum.wrapping_sub(hash(before));
+            *sum = sum.wrapping_sub(part(before));
         }
         if let Some(after) = after {
             let sum = self.sum_of(&after.zone);
-            *sum = sum.wrapping_add(hash(after));
+            *sum = sum.wrapping_add(part(after));
         }
     }
 
@@ -77,18 +76,9 @@
 }
 
 /// Returns the part of a member in its zone's digest.
-fn hash(member: &Member) -> u64 {
-    if member.state == MemberState::Dead {
-        return 0;
+fn part(member: &Member) -> u64 {
+    match member.state {
+        MemberState::Dead => 0,
+        _ => member.hash(),
     }
-    let mut bytes = member.name.as_bytes().to_vec();
-    bytes.extend(member.incarnation.to_le_bytes());
-    bytes.extend(member.sequence.to_le_bytes());
-    bytes.push(match member.state {
-        MemberState::Ready => 0,
-        MemberState::Leaving => 1,
-        MemberState::Suspect => 2,
-        MemberState::Dead => 3,
-    });
-    rapidhash_v3(&bytes)
 }
--- a/crates/briarladder-core/src/fleet/peers/exchange.rs
+++ b/crates/briarladder-core/src/fleet/peers/exchange.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
 
 use super::{
@@ -17,7 +18,7 @@
 
 /// The members that one daemon tells at once of zones whose digests differ.
 /// At the target size a zone has 208.
-pub const MAX_SYNCED: usize = 512;
+const MAX_SYNCED: usize = 512;
 
 /// Changes are told for this long. Within it they have reached all daemons
 /// of a zone, and digests find who has missed one.
@@ -36,6 +37,48 @@
     pub beats: Vec<Beat>,
 }
 
+/// A member in short: the hash of its name, and that of what is known.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct KnownMember {
+    name: u32,
+    statement: u32,
+}
+
+impl KnownMember {
+    fn of(member: &Member) -> KnownMember {
+        KnownMember {
+            name: short(rapidhash_v3(member.name.as_bytes())),
+            statement: short(member.hash()),
+        }
+    }
+}
+
+/// Keeps the lower half of a hash. Two of 208 members share it once in
+/// 200,000 zones, and then learn of each other from later news.
+fn short(hash: u64) -> u32 {
+    u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default()
+}
+
+/// What a daemon knows of some zones.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Summary {
+    /// The zones.
+    pub zones: Vec<Arc<str>>,
+    /// Their members, dead ones included.
+    pub known: Vec<KnownMember>,
+}
+
+/// What a daemon knows otherwise than the sender of a summary.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Difference {
+    /// The members that it knows, and knows otherwise.
+    pub members: Vec<Member>,
+    /// The names of members that the sender knows otherwise.
+    wanted: Vec<u32>,
+}
+
 impl PeerTable {
     /// Returns the message to a member, or the answer for one.
     #[must_use]
@@ -73,26 +116,68 @@
     }
 
     /// Returns the zones that are known otherwise here than to the sender of
-    /// a message that was taken.
+    /// a message that was taken. Links between zones are billed, so that two
+    /// daemons of different zones tell each other only of these two; a daemon
+    /// learns of others from its own zone.
     #[must_use]
     pub fn differing(&self, message: &Exchange) -> Vec<Arc<str>> {
-        self.digests.differing(&message.digests)
+        let ends = [&self.me.zone, &message.from.zone];
+        let near = ends[0] == ends[1];
+        let zones = self.digests.differing(&message.digests).into_iter();
+        zones.filter(|zone| near || ends.contains(&zone)).collect()
     }
 
-    /// Returns all members of some zones, up to [`MAX_SYNCED`]. `start` is a
-    /// random number that picks a part of a longer list.
+    /// Returns what this daemon knows of some zones, in short.
     #[must_use]
-    pub fn members_of(&self, zones: &[Arc<str>], start: usize) -> Vec<Member> {
-        let me = std::iter::once(&self.me);
-        let members: Vec<&Member> = me
+    pub fn summary(&self, zones: Vec<Arc<str>>) -> Summary {
+        let known = self.of_zones(&zones).map(KnownMember::of).collect();
+        Summary { zones, known }
+    }
+
+    /// Compares what another daemon knows of some zones with what is known
+    /// here.
+    #[must_use]
+    pub fn compare(&self, summary: &Summary) -> Difference {
+        let mut theirs = summary.known.clone();
+        theirs.sort_unstable();
+        let mut members = Vec::new();
+        let mut wanted = theirs.clone();
+        for member in self.of_zones(&summary.zones) {
+            let here = KnownMember::of(member);
+            if theirs.binary_search(&here).is_err() {
+                members.push(member.clone());
+            }
+            wanted.retain(|there| *there != here);
+        }
+        members.truncate(MAX_SYNCED);
+        wanted.truncate(MAX_SYNCED);
+        let wanted = wanted.into_iter().map(|known| known.name).collect();
+        Difference { members, wanted }
+    }
+
+    /// Returns the members that another daemon lacks or knows less of, from
+    /// its answer to a summary, which was merged.
+    #[must_use]
+    pub fn wanted(&self, difference: &Difference) -> Vec<Member> {
+        std::iter::once(&self.me)
             .chain(self.peers.values().map(|peer| &peer.member))
-            .filter(|member| zones.contains(&member.zone))
-            .collect();
-        (0..members.len().min(MAX_SYNCED))
-            .map(|step| members[(start + step) % members.len()].clone())
+            .filter(|member| {
+                difference.wanted.contains(&KnownMember::of(member).name)
+            })
+            .filter(|member| !difference.members.contains(member))
+            .cloned()
             .collect()
     }
 
+    fn of_zones<'a>(
+        &'a self,
+        zones: &'a [Arc<str>],
+    ) -> impl Iterator<Item = &'a Member> {
+        std::iter::once(&self.me)
+            .chain(self.peers.values().map(|peer| &peer.member))
+            .filter(|member| zones.contains(&member.zone))
+    }
+
     /// Says that this daemon coordinates a cell and how long a new request
     /// waits for its stages.
     pub fn beat(&mut self, now: Instant, wait_ms: u32) {
--- a/crates/briarladder-core/src/fleet/peers/member.rs
+++ b/crates/briarladder-core/src/fleet/peers/member.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use derive_more::Display;
+use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
 
 /// The state of a member. Of two statements with equal incarnation and
@@ -79,6 +80,21 @@
         }
     }
 
+    /// Returns a hash of the statement, the same in all daemons.
+    #[must_use]
+    pub(super) fn hash(&self) -> u64 {
+        let mut bytes = self.name.as_bytes().to_vec();
+        bytes.extend(self.incarnation.to_le_bytes());
+        bytes.extend(self.sequence.to_le_bytes());
+        bytes.push(match self.state {
+            MemberState::Ready => 0,
+            MemberState::Leaving => 1,
+            MemberState::Suspect => 2,
+            MemberState::Dead => 3,
+        });
+        rapidhash_v3(&bytes)
+    }
+
     /// Returns whether this statement replaces another one of the same
     /// member.
     #[must_use]
--- a/crates/briarladder-core/src/fleet/peers/mod.rs
+++ b/crates/briarladder-core/src/fleet/peers/mod.rs
@@ -10,8 +10,8 @@
 //! What each message carries: the sender's own entry, the members that have
 //! changed in the last seconds, a digest of the members of each zone, and
 //! what the coordinators of cells last said. Daemons whose digests still
-//! differ afterwards tell each other all members of that zone
-//! ([`PeerTable::members_of`]).
+//! differ afterwards compare the members of that zone
+//! ([`PeerTable::compare`]).
 //!
 //! Daemons accuse only members of their own zone. A zone that can't be
 //! reached is noticed by the silence of its coordinators ([`beats`]).
@@ -53,7 +53,7 @@
 use self::{beats::Beats, digests::Digests};
 
 pub use self::{
-    exchange::{Exchange, MAX_NEWS, MAX_SYNCED},
+    exchange::{Difference, Exchange, MAX_NEWS, Summary},
     member::{Change, Member, MemberState},
     probes::Target,
 };
@@ -106,6 +106,8 @@
     /// When a member of the own zone was last heard from.
     contact_at: Option<Instant>,
     ticked_at: Option<Instant>,
+    /// When the next message may go to another zone.
+    far_at: Option<Instant>,
     largest: usize,
 }
 
@@ -122,6 +124,7 @@
             beats: Beats::default(),
             contact_at: None,
             ticked_at: None,
+            far_at: None,
             largest: 1,
         }
     }
--- a/crates/briarladder-core/src/fleet/peers/probes.rs
+++ b/crates/briarladder-core/src/fleet/peers/probes.rs
@@ -22,9 +22,13 @@
 /// reach a zone of the target size in about a second.
 const HURRY_FOR: Duration = Duration::from_secs(1);
 
-/// One message of this many goes to another zone. Links between zones are
-/// billed.
-const OTHER_ZONE_ONE_IN: u32 = 8;
+/// The time between two messages of a daemon to other zones, in a zone of up
+/// to [`FAR_ZONE`] daemons. Links between zones are billed.
+const FAR_INTERVAL: Duration = Duration::from_secs(4);
+
+/// In larger zones the time is longer, so that the messages of a zone don't
+/// grow with it.
+const FAR_ZONE: usize = 16;
 
 /// One message of this many goes to a dead member of the zone, so that the
 /// two sides of a healed cut find each other.
@@ -61,7 +65,12 @@
     }
 
     /// Returns the receiver of the next message.
-    pub fn next_target(&self, now: Instant, random: &mut impl Rng) -> Target {
+    pub fn next_target(
+        &mut self,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Target {
+        let far = self.far_target(now, random);
         let known = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
         let seed_one_in = SEED_ONE_IN.max(known);
         let near: Vec<&Member> = self
@@ -69,6 +78,9 @@
             .map(|peer| &peer.member)
             .filter(|member| member.state != MemberState::Dead)
             .collect();
+        if let Some(member) = far {
+            return Target::Member(member);
+        }
         // A daemon that is alone or cut off looks everywhere by turns.
         let alone = near.is_empty() || self.is_isolated(now);
         if random.random_ratio(1, if alone { 3 } else { seed_one_in }) {
@@ -93,9 +105,9 @@
         {
             return Target::Member(member.clone());
         }
-        let far = near.is_empty() || random.random_ratio(1, OTHER_ZONE_ONE_IN);
-        let far = if far { self.random_far(now, random) } else { None };
-        far.or_else(|| near.choose(random).copied())
+        near.choose(random)
+            .copied()
+            .or_else(|| self.random_far(now, random))
             .map_or(Target::Seed, |member| Target::Member(member.clone()))
     }
 
@@ -104,6 +116,25 @@
         self.peers.values().filter(move |peer| peer.member.zone == *zone)
     }
 
+    /// Returns a member of another zone if one is due.
+    fn far_target(
+        &mut self,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<Member> {
+        if self.far_at.is_some_and(|at| now < at) {
+            return None;
+        }
+        let zone = self.in_zone().count() + 1;
+        let times = zone.div_ceil(FAR_ZONE);
+        let interval = FAR_INTERVAL * u32::try_from(times).unwrap_or(u32::MAX);
+        // A random part keeps daemons that started together apart.
+        let interval = interval.mul_f64(random.random_range(0.75..1.25));
+        let first = self.far_at.replace(now + interval).is_none();
+        let far = self.random_far(now, random).cloned();
+        if first { None } else { far }
+    }
+
     fn random_far(
         &self,
         now: Instant,
--- a/crates/briarladder-core/src/fleet/peers/simulation.rs
+++ b/crates/briarladder-core/src/fleet/peers/simulation.rs
@@ -65,8 +65,10 @@
     pub(super) loss: f64,
     /// A zone that no message enters or leaves.
     pub(super) cut_zone: Option<usize>,
-    /// Whole lists of zones that were sent.
+    /// Comparisons of what is known of zones.
     pub(super) synced: usize,
+    /// Members that were told in them.
+    pub(super) told: usize,
 }
 
 fn zone_name(zone: usize) -> String {
@@ -108,6 +110,7 @@
             loss: 0.0,
             cut_zone: None,
             synced: 0,
+            told: 0,
         }
     }
 
@@ -313,11 +316,13 @@
         table.take(now, &answer);
         let zones = table.differing(&answer);
         if !zones.is_empty() {
-            let start = self.random.random_range(0..4096);
-            let mine = self.table(from).members_of(&zones, start);
-            self.table_mut(to).merge(now, &mine);
-            let theirs = self.table(to).members_of(&zones, start);
-            self.table_mut(from).merge(now, &theirs);
+            let summary = self.table(from).summary(zones);
+            let difference = self.table(to).compare(&summary);
+            let table = self.table_mut(from);
+            table.merge(now, &difference.members);
+            let wanted = table.wanted(&difference);
+            self.table_mut(to).merge(now, &wanted);
+            self.told += difference.members.len() + wanted.len();
             self.synced += 1;
         }
         true
--- a/crates/briarladder-core/src/fleet/peers/tests.rs
+++ b/crates/briarladder-core/src/fleet/peers/tests.rs
@@ -36,6 +36,9 @@
         let agreement = fleet.play(4);
         let wrong = agreement.wrong_share();
         assert!(wrong <= 0.01, "{wrong} of {daemons} after 3 s");
+        // Each daemon learns of each other one a few times at most.
+        let told = fleet.told / (daemons * daemons);
+        assert!(told <= 4, "{told} times");
     }
 }
 
@@ -151,9 +154,15 @@
     assert_eq!((message.digests.len(), message.news.len()), (12, 0));
     tables[1].take(later, &message);
     assert!(tables[1].differing(&message).is_empty());
-    let gone = all[14].clone();
-    tables[1].merge(later, &[Member { sequence: 1, ..gone }]);
-    assert_eq!(tables[1].differing(&message), [Arc::from("z2")]);
+    for changed in [13, 14] {
+        let changed = all[changed].clone();
+        tables[1].merge(later, &[Member { sequence: 1, ..changed }]);
+    }
+    // The sender is of another zone: it tells nothing of a third one.
+    assert_eq!(tables[1].differing(&message), [Arc::from("z1")]);
+    let summary = tables[0].summary(vec![Arc::from("z1")]);
+    let difference = tables[1].compare(&summary);
+    assert_eq!(difference.members.len(), 1);
 }
 
 /// Guards against a stopping daemon that keeps its duties.
--- a/crates/briarladder-gateway/src/peers/membership.rs
+++ b/crates/briarladder-gateway/src/peers/membership.rs
@@ -6,14 +6,17 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use briarladder_core::fleet::peers::{Change, Exchange, Member, Target};
+use briarladder_core::fleet::peers::{
+    Change, Difference, Exchange, Member, Target,
+};
 use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
 
 use crate::{context::Gateway, settings::GatewaySettings, stages::cells};
 
 use super::messages::{
-    CHECK_PATH, Check, Checked, EXCHANGE_PATH, MEMBERS_PATH, Members,
+    Accepted, CHECK_PATH, COMPARE_PATH, Check, Checked, EXCHANGE_PATH,
+    MEMBERS_PATH, Members,
 };
 
 /// The longest time for an answer: round trips between regions fit.
@@ -22,7 +25,7 @@
 /// The longest time for the answer of a daemon that checks on another one.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// The longest time for an exchange of all members of some zones.
+/// The longest time for a message with members.
 const MEMBERS_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// The time between two attempts to find a seed after the start.
@@ -43,7 +46,8 @@
             let wait_ms = u32::try_from(wait).unwrap_or(u32::MAX);
             board.peers.borrow_mut().beat(now, wait_ms);
         }
-        let target = board.peers.borrow().next_target(now, &mut rand::rng());
+        let target =
+            board.peers.borrow_mut().next_target(now, &mut rand::rng());
         let contact = contact(Rc::clone(&gateway), settings.peers, target);
         tokio::task::spawn_local(contact);
         let (live, interval) = {
@@ -105,8 +109,8 @@
     others.choose(&mut rand::rng()).copied()
 }
 
-/// Exchanges a message with a daemon, and all members of the zones that are
-/// known otherwise there.
+/// Exchanges a message with a daemon, and compares the members of the zones
+/// that are known otherwise there.
 async fn exchange(
     gateway: &Gateway,
     address: SocketAddr,
@@ -126,15 +130,24 @@
     if zones.is_empty() {
         return Ok(());
     }
-    let members =
-        board.peers.borrow().members_of(&zones, rand::random_range(0..4096));
-    let message = Members { zones, members };
-    let answer: Members = gateway
+    let summary = board.peers.borrow().summary(zones);
+    let difference: Difference = gateway
         .peers
-        .call(address, MEMBERS_PATH, &message, MEMBERS_TIMEOUT)
+        .call(address, COMPARE_PATH, &summary, MEMBERS_TIMEOUT)
         .await?;
-    let changes = board.peers.borrow_mut().merge(board.now(), &answer.members);
-    log_changes(&changes, "members");
+    let members = {
+        let mut peers = board.peers.borrow_mut();
+        let changes = peers.merge(board.now(), &difference.members);
+        log_changes(&changes, "members");
+        peers.wanted(&difference)
+    };
+    if !members.is_empty() {
+        let message = Members { members };
+        let _: Accepted = gateway
+            .peers
+            .call(address, MEMBERS_PATH, &message, MEMBERS_TIMEOUT)
+            .await?;
+    }
     Ok(())
 }
 
@@ -159,11 +172,16 @@
     log_changes(change.as_slice(), "silent");
 }
 
-/// Logs what this daemon believes from now on of others of the fleet.
+/// Logs what this daemon believes from now on of others of the fleet. Members
+/// that become known are one line: after a start they are hundreds.
 pub fn log_changes(changes: &[Change], source: &str) {
+    let new = changes.iter().filter(|change| change.from.is_none()).count();
+    if new > 0 {
+        log::info!("membership: new={new} source={source}");
+    }
     for change in changes {
         let Change { name, incarnation, from, to } = change;
-        let from = from.map_or_else(|| "-".to_owned(), |f| f.to_string());
+        let Some(from) = from else { continue };
         log::info!(
             "membership: vm={name} incarnation={incarnation} from={from} \
              state={to} source={source}"
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -12,7 +12,10 @@
 /// The path of an exchange of what two daemons know of the fleet.
 pub const EXCHANGE_PATH: &str = "/peers/exchange";
 
-/// The path of an exchange of all members of some zones.
+/// The path of a comparison of the members of some zones.
+pub const COMPARE_PATH: &str = "/peers/compare";
+
+/// The path of members that the receiver lacks.
 pub const MEMBERS_PATH: &str = "/peers/members";
 
 /// The path of a question whether a daemon is reached from another one.
@@ -30,12 +33,10 @@
 /// The path of a question for published items.
 pub const CHANGES_PATH: &str = "/peers/changes";
 
-/// All members of some zones, in both directions.
+/// Members that the receiver lacks.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct Members {
-    /// The zones that the sender asks for, or was asked for.
-    pub zones: Vec<Arc<str>>,
-    /// Their members as the sender knows them.
+    /// The members.
     pub members: Vec<Member>,
 }
 
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
-use briarladder_core::fleet::peers::Exchange;
+use briarladder_core::fleet::peers::{Exchange, Summary};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,9 +15,9 @@
     changes::{CHANGES_PATH, ChangesReply, ChangesRequest},
     membership,
     messages::{
-        Accepted, CHECK_PATH, Check, Checked, EXCHANGE_PATH, MEMBERS_PATH,
-        Members, PING_PATH, Ping, RELEASE_PATH, Release, STAGES_PATH,
-        StagesRequest,
+        Accepted, CHECK_PATH, COMPARE_PATH, Check, Checked, EXCHANGE_PATH,
+        MEMBERS_PATH, Members, PING_PATH, Ping, RELEASE_PATH, Release,
+        STAGES_PATH, StagesRequest,
     },
 };
 
@@ -50,8 +50,11 @@
         EXCHANGE_PATH => {
             answer(&body, |message: Exchange| exchange(&gateway, &message))
         }
+        COMPARE_PATH => answer(&body, |summary: Summary| {
+            gateway.board.peers.borrow().compare(&summary)
+        }),
         MEMBERS_PATH => {
-            answer(&body, |message: Members| members(&gateway, message))
+            answer(&body, |message: Members| members(&gateway, &message))
         }
         CHECK_PATH => match postcard::from_bytes(&body) {
             Ok(message) => encode(&check(&gateway, message).await),
@@ -93,14 +96,11 @@
     answer
 }
 
-fn members(gateway: &Gateway, message: Members) -> Members {
-    let now = gateway.board.now();
+fn members(gateway: &Gateway, message: &Members) -> Accepted {
     let mut peers = gateway.board.peers.borrow_mut();
-    let changes = peers.merge(now, &message.members);
+    let changes = peers.merge(gateway.board.now(), &message.members);
     membership::log_changes(&changes, "members");
-    let start = rand::random_range(0..4096);
-    let members = peers.members_of(&message.zones, start);
-    Members { zones: message.zones, members }
+    Accepted {}
 }
 
 /// Asks a daemon for a sign of life on behalf of another one.
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -31,6 +31,10 @@
 /// divisor, so that its next attempt has time to be served.
 const RETRY_AFTER_DIVISOR: u32 = 2;
 
+/// A process that has just started may keep requests for this long until it
+/// knows its configuration.
+const FIRST_CONFIG_WAIT: Duration = Duration::from_secs(1);
+
 /// A backlog takes this many times its own work, since new work comes in
 /// meanwhile.
 const BACKLOG_FACTOR: u32 = 3;
@@ -72,6 +76,7 @@
 ) -> Response<ReplyBody> {
     let mut record = Record::new(&gateway.board, &gateway.metrics);
     let (head, body) = request.into_parts();
+    wait_for_config(gateway).await;
     let accepted = match accept(gateway, &head, &mut record) {
         Ok(accepted) => accepted,
         Err(refusal) => return refuse(record, refusal.into(), None),
@@ -107,6 +112,22 @@
     }
 }
 
+/// Waits for the first configuration of a process that has just started. It
+/// is on its way, and a refusal would cost the caller one of its attempts.
+async fn wait_for_config(gateway: &Gateway) {
+    let board = &gateway.board;
+    let until = board.started_at + FIRST_CONFIG_WAIT;
+    let configured = async {
+        while !board.is_ready() {
+            board.mirror_changed.notified().await;
+        }
+    };
+    if board.config().is_none() {
+        // The request is refused if there is none by then.
+        let _ = timeout_at(until.into(), configured).await;
+    }
+}
+
 /// Answers a request that ends without an answer of a server, at once.
 fn refuse(
     mut record: Record,
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -42,13 +42,16 @@
 /// How often a daemon that is fed by others looks whether it still is.
 const FED_CHECK: Duration = Duration::from_millis(100);
 
+/// How often a daemon that has just started looks for others.
+const JOIN_CHECK: Duration = Duration::from_millis(20);
+
 /// A daemon that has just started waits this long for others of the fleet,
 /// which know what is published, before it reads the store.
 const JOIN_WAIT: Duration = Duration::from_secs(1);
 
 /// After another daemon has answered, the members of the zone become known
 /// within this time.
-const SETTLE_WAIT: Duration = Duration::from_millis(300);
+const SETTLE_WAIT: Duration = Duration::from_millis(120);
 
 /// The largest answer of the store: a page and its encoding.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -130,7 +133,7 @@
             if settled || now.duration_since(board.started_at) >= JOIN_WAIT {
                 return;
             }
-            tokio::time::sleep(FED_CHECK).await;
+            tokio::time::sleep(JOIN_CHECK).await;
         }
     }
 
