Heed servers that leave or want a pause, and survive bytes without end

Cause: a server that said in its answers that it leaves, or for how long it wants no request, was asked again until the store told. A stalled stream that sent a byte now and then was never continued, and a slow one that no other engine could continue was cut. The answer to a call for pieces was read without a limit. A planned stop closed kept connections while a request was on its way.

Change: core::fleet::bars keeps what servers have said, by run of the server, for requests and for calls; a refusal tells when the first of them opens. Heads of answers are limited to 32 KB, bodies that are longer than what is kept are passed on as they come, and only events count as progress of a stream. Kept connections stay open for 1.5 s of a planned stop and are closed with an answer.

--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -316,10 +316,17 @@
         }
     }
 
+    /// Keeps calls from a server that wants none until a time.
+    pub fn pause_until(&mut self, server: &str, until: Instant) {
+        if let Some(lane) = self.lanes.get_mut(server) {
+            lane.pause_at_least(until);
+        }
+    }
+
     /// Records that a server lacks room for results.
     pub fn out_of_room(&mut self, now: Instant, server: &str) {
         if let Some(lane) = self.lanes.get_mut(server) {
-            lane.paused_until = Some(now + UNKNOWN_RESULTS_PAUSE);
+            lane.pause_at_least(now + UNKNOWN_RESULTS_PAUSE);
         }
     }
 
--- a/crates/briarladder-core/src/fleet/collect/lane.rs
+++ b/crates/briarladder-core/src/fleet/collect/lane.rs
@@ -85,10 +85,17 @@
     /// Keeps calls from the server for a while, longer each time.
     pub fn pause(&mut self, now: Instant) {
         let doublings = self.refusals.min(MAX_DOUBLINGS);
-        self.paused_until = Some(now + REFUSAL_PAUSE * (1 << doublings));
+        self.pause_at_least(now + REFUSAL_PAUSE * (1 << doublings));
         self.refusals += 1;
     }
 
+    /// Keeps calls from the server until a time, or later if it is paused
+    /// for longer.
+    pub fn pause_at_least(&mut self, until: Instant) {
+        let until = self.paused_until.map_or(until, |known| known.max(until));
+        self.paused_until = Some(until);
+    }
+
     /// Returns the room that is taken.
     pub fn held_bytes(&self) -> u64 {
         let results: u64 = self.results.values().map(|held| held.bytes).sum();
--- a/crates/briarladder-core/src/fleet/config.rs
+++ b/crates/briarladder-core/src/fleet/config.rs
@@ -93,6 +93,13 @@
         }
     }
 
+    /// Returns whether another server may go on with an answer that broke
+    /// off.
+    #[must_use]
+    pub fn is_resumable(self) -> bool {
+        matches!(self, RouteKind::Stream { resumable: true })
+    }
+
     /// Returns whether the answer is a stream of events.
     #[must_use]
     pub fn is_stream(self) -> bool {
--- a/crates/briarladder-core/src/fleet/events.rs
+++ b/crates/briarladder-core/src/fleet/events.rs
@@ -26,6 +26,8 @@
 pub struct EventSplitter {
     rest: Vec<u8>,
     last_id: Option<String>,
+    /// A part of an event was passed on and its end was not.
+    torn: bool,
 }
 
 impl EventSplitter {
@@ -33,8 +35,14 @@
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.rest.extend_from_slice(bytes);
         let end = match last_event_end(&self.rest) {
-            Some(end) => end,
-            None if self.rest.len() > MAX_EVENT_BYTES => self.rest.len(),
+            Some(end) => {
+                self.torn = false;
+                end
+            }
+            None if self.rest.len() > MAX_EVENT_BYTES => {
+                self.torn = true;
+                self.rest.len()
+            }
             None => return Vec::new(),
         };
         let rest = self.rest.split_off(end);
@@ -54,7 +62,14 @@
     /// Returns whether no part of an event is left over.
     #[must_use]
     pub fn is_whole(&self) -> bool {
-        self.rest.is_empty()
+        self.rest.is_empty() && !self.torn
+    }
+
+    /// Returns whether another server may go on after the last event: no
+    /// part of a further one was passed on.
+    #[must_use]
+    pub fn may_go_on(&self) -> bool {
+        !self.torn
     }
 
     /// Forgets the part of an event whose server has stopped.
@@ -126,5 +141,8 @@
             passed += splitter.push(&[b'x'; 1000]).len();
         }
         assert!(passed > 0);
+        assert!(!splitter.may_go_on(), "a torn event can't be continued");
+        splitter.push(b"\n\n");
+        assert!(splitter.may_go_on());
     }
 }
--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 //! ```
 
 pub mod attempt;
+pub mod bars;
 pub mod budget;
 pub mod cells;
 pub mod collect;
--- a/crates/briarladder-gateway/src/board.rs
+++ b/crates/briarladder-gateway/src/board.rs
@@ -15,6 +15,7 @@
 use briarladder_core::{
     clock::SharedClock,
     fleet::{
+        bars::Bars,
         budget::{BudgetTerms, RetryBudget},
         cells::Cells,
         config::{FleetConfig, ServiceWork},
@@ -23,14 +24,14 @@
         peers::{Member, PeerTable},
         placement::Placement,
         readers::{self, Feeds, Role},
-        server::Servers,
+        server::{ListedServer, ServerState, Servers},
     },
     sorted::SortedMap,
 };
 
 use tokio::sync::Notify;
 
-use crate::settings::GatewaySettings;
+use crate::{dialect::AnswerHead, settings::GatewaySettings};
 
 /// How far a process is between its start and its stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -65,6 +66,7 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct CellsVersion {
     servers: u64,
+    bars: u64,
     config: u64,
 }
 
@@ -87,6 +89,8 @@
     config: RefCell<Option<Rc<FleetConfig>>>,
     /// Listed servers; owner: the store controller.
     pub servers: RefCell<Servers>,
+    /// Servers that have asked for no work; owner: the request path.
+    pub bars: RefCell<Bars>,
     /// Live daemons; owner: the membership controller.
     pub peers: RefCell<PeerTable>,
     /// When another daemon first answered; owner: the membership controller.
@@ -136,6 +140,7 @@
             store_contact: Cell::new(StoreContact::Never),
             config: RefCell::new(None),
             servers: RefCell::default(),
+            bars: RefCell::default(),
             peers: RefCell::new(PeerTable::new(me)),
             joined_at: Cell::new(None),
             started_at,
@@ -185,6 +190,7 @@
         let config = self.config.borrow();
         CellsVersion {
             servers: self.servers.borrow().changes(),
+            bars: self.bars.borrow().changes(),
             config: config.as_ref().map_or(0, |config| config.version),
         }
     }
@@ -208,6 +214,32 @@
         Rc::clone(cells)
     }
 
+    /// Returns whether a server takes new work, as the platform lists it and
+    /// as it has said itself.
+    #[must_use]
+    pub fn takes_work(&self, server: &ListedServer) -> bool {
+        server.state == ServerState::Ready
+            && self.bars.borrow().is_open(self.now(), server)
+    }
+
+    /// Learns from the head of an answer whether a server wants more work.
+    pub fn heed(&self, server: &ListedServer, facts: &AnswerHead) {
+        let now = self.now();
+        let mut bars = self.bars.borrow_mut();
+        if facts.leaving && bars.leaves(now, server) {
+            log::info!("servers: server={} state=says_leaving", server.name);
+        }
+        if let Some(pause) = facts.wants_none_for
+            && bars.wants_none_for(now, server, pause)
+        {
+            log::info!(
+                "servers: server={} state=closed for_ms={}",
+                server.name,
+                pause.as_millis()
+            );
+        }
+    }
+
     /// Returns whether callers can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -69,6 +69,8 @@
 /// A body that passes on what a server sends.
 #[derive(Debug)]
 pub struct Relay {
+    /// What was read before, in reverse order.
+    begun: Vec<Bytes>,
     incoming: Incoming,
     give_up: Pin<Box<Sleep>>,
     lease: Option<Lease>,
@@ -78,9 +80,11 @@
 }
 
 impl Relay {
-    /// Creates a body that must end before `give_up`.
+    /// Creates a body that must end before `give_up`. It begins with bytes
+    /// that were read already.
     #[must_use]
     pub fn new(
+        mut begun: Vec<Bytes>,
         incoming: Incoming,
         give_up: Sleep,
         lease: Lease,
@@ -88,7 +92,9 @@
         record: Record,
         running: RunningGuard,
     ) -> Relay {
+        begun.reverse();
         Relay {
+            begun,
             incoming,
             give_up: Box::pin(give_up),
             lease: Some(lease),
@@ -102,6 +108,10 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        if let Some(bytes) = self.begun.pop() {
+            self.record.relayed(bytes.len());
+            return Poll::Ready(Some(Ok(Frame::data(bytes))));
+        }
         let frame = Pin::new(&mut self.incoming).poll_frame(cx);
         match frame {
             Poll::Ready(Some(Ok(frame))) => {
@@ -165,7 +175,9 @@
     fn is_end_stream(&self) -> bool {
         match self {
             ReplyBody::Full(bytes) => bytes.is_none(),
-            ReplyBody::Relay(relay) => relay.incoming.is_end_stream(),
+            ReplyBody::Relay(relay) => {
+                relay.begun.is_empty() && relay.incoming.is_end_stream()
+            }
             ReplyBody::Resumed(_) => false,
         }
     }
@@ -177,8 +189,11 @@
                     u64::try_from(bytes.len()).unwrap_or(u64::MAX)
                 }))
             }
-            ReplyBody::Relay(relay) => relay.incoming.size_hint(),
-            ReplyBody::Resumed(_) => SizeHint::default(),
+            // A length is only known of a body that was not begun.
+            ReplyBody::Relay(relay) if relay.begun.is_empty() => {
+                relay.incoming.size_hint()
+            }
+            ReplyBody::Relay(_) | ReplyBody::Resumed(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -113,6 +113,10 @@
     pub echoes_attempt: bool,
     /// It names another attempt.
     pub echoes_other: bool,
+    /// The server is about to leave and wants no new work.
+    pub leaving: bool,
+    /// The server turned the request away and wants no other for this long.
+    pub wants_none_for: Option<Duration>,
     /// How long the server keeps an idle connection.
     pub idle_timeout: Option<Duration>,
 }
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -20,6 +20,10 @@
 /// A peer that sends no request for this long is disconnected.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// A kept connection of a caller stays open for this long after a planned
+/// stop has begun. Within it the next request of most callers comes.
+const STOP_LINGER: Duration = Duration::from_millis(1500);
+
 /// The smallest buffer that the HTTP library accepts for a head.
 const MIN_HEAD_BYTES: usize = 8192;
 
@@ -83,8 +87,15 @@
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         _ = stop.changed() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // A request may be on its way. Its answer closes the connection.
+            let lingering = connection.as_mut();
+            let ended = tokio::time::timeout(STOP_LINGER, lingering).await;
+            if let Ok(ended) = ended {
+                ended
+            } else {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
     if let Err(error) = ended {
--- a/crates/briarladder-gateway/src/pool.rs
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -36,6 +36,10 @@
 /// that meets the close of its connection may have been read.
 const USED_IDLE_HUNDREDTHS: u32 = 60;
 
+/// The longest head of an answer. A server in trouble may send bytes without
+/// end where its head is due.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
 /// Idle connections kept for one address.
 const MAX_IDLE: usize = 8;
 
@@ -249,6 +253,7 @@
             .map_err(|error| SendError::unsent(&error))?;
         let connect_time = self.clock.now().duration_since(started);
         let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
             .await;
         let (sender, connection) = handshake.map_err(|error| {
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -9,11 +9,13 @@
 use crate::{
     board::RunningGuard,
     body::{Relay, ReplyBody},
+    context::Gateway,
     refusal::Refusal,
 };
 
 use super::{
     Ended,
+    accept::Accepted,
     headers::copy_head,
     outgoing::{
         Answer, Outgoing, Usable, WholeAnswer, choose_server, count,
@@ -56,10 +58,13 @@
         let Some(server) = choose_server(&gateway, &accepted, zone, &tried)
         else {
             record.cause.get_or_insert_with(|| "no server left".to_owned());
-            break match sends.may_have_run() {
-                0 => Refusal::NoServer,
-                _ => Refusal::Unknown,
-            };
+            if sends.may_have_run() == 0 {
+                let retry_after = first_opens_in(&gateway, &accepted);
+                let refusal = Refusal::NoServer;
+                let ended = Ended { refusal, retry_after };
+                return Err((Box::new(record), ended));
+            }
+            break Refusal::Unknown;
         };
         record.server = Some(Arc::clone(&server.name));
         record.sends += 1;
@@ -110,6 +115,14 @@
     Err((Box::new(record), refusal.into()))
 }
 
+/// Returns when a server takes requests again, if all have asked for none.
+fn first_opens_in(gateway: &Gateway, accepted: &Accepted) -> Option<Duration> {
+    let board = &gateway.board;
+    let servers = board.servers.borrow();
+    let ready = servers.ready(&accepted.service).map(|server| &**server);
+    board.bars.borrow().first_opens_in(board.now(), ready)
+}
+
 fn pass_on(
     outgoing: &Outgoing,
     answer: Usable,
@@ -119,7 +132,8 @@
 ) -> Response<ReplyBody> {
     record.head_arrived();
     outgoing.prepared.release();
-    let resumable = outgoing.accepted.route.kind.may_repeat();
+    // A plain answer has no events after which another server could go on.
+    let resumable = outgoing.accepted.route.kind.is_resumable();
     match answer {
         Usable::Whole(answer) => {
             record.status = answer.head.status.as_u16();
@@ -142,10 +156,11 @@
             response
         }
         Usable::Flowing(answer) => {
-            let Answer { head, facts, body, lease } = *answer;
+            let Answer { head, facts, begun, body, lease } = *answer;
             record.status = head.status.as_u16();
             let give_up = sleep_until(outgoing.accepted.give_up.into());
             let relay = Relay::new(
+                begun,
                 body,
                 give_up,
                 lease,
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -14,7 +14,8 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    body::ReplyBody, context::Gateway, refusal::Refusal, stages::preparation,
+    board::Lifecycle, body::ReplyBody, context::Gateway, refusal::Refusal,
+    stages::preparation,
 };
 
 use self::{
@@ -35,16 +36,12 @@
 /// knows its configuration.
 const FIRST_CONFIG_WAIT: Duration = Duration::from_secs(1);
 
-/// A backlog takes this many times its own work, since new work comes in
-/// meanwhile.
-const BACKLOG_FACTOR: u32 = 3;
-
 /// A request that ends without an answer of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
     /// What the caller is told.
     pub refusal: Refusal,
-    /// When the cause is expected to have passed.
+    /// When the caller may come back.
     pub retry_after: Option<Duration>,
 }
 
@@ -63,7 +60,8 @@
     // for another reading of the same bytes, so it is not read.
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = respond(&gateway, request).await;
-    if chunked {
+    let stopping = gateway.board.lifecycle.get() == Lifecycle::Stopping;
+    if chunked || stopping {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -140,7 +138,7 @@
         patience / RETRY_AFTER_DIVISOR
     });
     let wait = retry_after
-        .map_or(MIN_RETRY_AFTER, |wait| wait * BACKLOG_FACTOR)
+        .unwrap_or(MIN_RETRY_AFTER)
         .min(longest)
         .max(MIN_RETRY_AFTER);
     record.status = refusal.status().as_u16();
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -59,7 +59,9 @@
     pub head: response::Parts,
     /// What the head says.
     pub facts: AnswerHead,
-    /// The body as it comes.
+    /// The bytes of the body that were read already.
+    pub begun: Vec<Bytes>,
+    /// The rest of the body as it comes.
     pub body: Incoming,
     /// The connection.
     pub lease: Lease,
@@ -134,7 +136,10 @@
         tried,
         point: rand::random(),
     };
-    let ready = servers.ready(&accepted.service).map(|server| &**server);
+    let ready = servers
+        .ready(&accepted.service)
+        .map(|server| &**server)
+        .filter(|server| board.takes_work(server));
     let chosen = board.placement.borrow().choose(
         board.now(),
         &wish,
@@ -281,7 +286,9 @@
         let (head, body) = response.into_parts();
         let attempt = &self.accepted.caller.attempt;
         let facts = self.gateway.dialect.answer_head(&head, attempt);
-        self.judge(Answer { head, facts, body, lease }).await
+        self.gateway.board.heed(server, &facts);
+        self.judge(Answer { head, facts, begun: Vec::new(), body, lease })
+            .await
     }
 
     fn request_for(
@@ -334,7 +341,7 @@
         }
         if facts.not_run || facts.other_server {
             let cause = format!("refused with {status}");
-            if collect(answer.body).await.is_ok() {
+            if read_out(answer.body).await {
                 answer.lease.give_back(facts.idle_timeout);
             }
             let failure = AttemptFailure::RefusedNotRun;
@@ -356,11 +363,20 @@
 
     /// Reads an answer whole and decides whether it can be passed on.
     async fn judge_whole(&self, answer: Answer) -> Result<Usable, Failed> {
-        let Answer { head, facts, body, lease } = answer;
+        let Answer { head, facts, mut body, lease, .. } = answer;
         let status = head.status;
-        let body = collect(body)
-            .await
-            .map_err(|cause| Failed::new(AttemptFailure::Broken, cause))?;
+        let broken = |cause| Failed::new(AttemptFailure::Broken, cause);
+        let read = read_up_to(&mut body, MAX_BUFFERED_BYTES).await;
+        let body = match read.map_err(broken)? {
+            Read::Whole(body) => body,
+            Read::Part(begun) if status.is_success() => {
+                let answer = Answer { head, facts, begun, body, lease };
+                return Ok(Usable::Flowing(Box::new(answer)));
+            }
+            Read::Part(_) => {
+                return Err(broken("the answer does not end".to_owned()));
+            }
+        };
         lease.give_back(facts.idle_timeout);
         let failed = status.is_server_error()
             || is_promise(status)
@@ -392,10 +408,36 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
-async fn collect(body: Incoming) -> Result<Bytes, String> {
-    let read = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
-    match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) => Err(format!("the answer broke off: {error}")),
+/// A body that was read.
+enum Read {
+    /// It has ended.
+    Whole(Bytes),
+    /// It goes on after these bytes.
+    Part(Vec<Bytes>),
+}
+
+/// Reads a body until it ends or is longer than a limit.
+async fn read_up_to(
+    body: &mut Incoming,
+    limit: usize,
+) -> Result<Read, String> {
+    let mut begun = Vec::new();
+    let mut len = 0;
+    while let Some(frame) = body.frame().await {
+        let frame =
+            frame.map_err(|error| format!("the answer broke off: {error}"))?;
+        if let Ok(data) = frame.into_data() {
+            len += data.len();
+            begun.push(data);
+        }
+        if len > limit {
+            return Ok(Read::Part(begun));
+        }
     }
+    Ok(Read::Whole(Bytes::from(begun.concat())))
+}
+
+/// Reads the rest of a refusal, which leaves the connection usable.
+async fn read_out(body: Incoming) -> bool {
+    Limited::new(body, MAX_BUFFERED_BYTES).collect().await.is_ok()
 }
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -1,8 +1,9 @@
 //! Passing on a stream that another server may continue.
 //!
-//! Events are passed on whole. When the server's answer breaks off, or nothing
-//! comes for a while, another server is asked to continue after the last
-//! event. The caller sees one answer with the head of the first server. The
+//! Events are passed on whole. When the server's answer breaks off, or no
+//! whole event comes for a while, another server is asked to continue after
+//! the last event. A server that is only slow is waited for if no other one
+//! can go on. The caller sees one answer with the head of the first server. The
 //! stages before the request are done again: their results were released when
 //! the first server had used them, since the room for results is what bounds
 //! the stages.
@@ -13,15 +14,13 @@
     fleet::{
         attempt::{NextStep, Sends},
         events::EventSplitter,
+        server::ListedServer,
     },
     retry::AttemptFailure,
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use tokio::{
-    sync::mpsc,
-    time::{timeout, timeout_at},
-};
+use tokio::{sync::mpsc, time::timeout_at};
 
 use crate::{
     board::RunningGuard,
@@ -35,7 +34,7 @@
     record::Record,
 };
 
-/// A server that sends no event for this many of the longest pauses of its
+/// A server that sends no whole event for this many of the longest pauses of its
 /// route counts as stopped.
 const STOPPED_AFTER_GAPS: u32 = 4;
 
@@ -67,7 +66,8 @@
         sends,
         tried: Vec::new(),
     };
-    tokio::task::spawn_local(relay.run(answer, running));
+    let part = Part { answer, _running: running };
+    tokio::task::spawn_local(relay.run(part));
     ResumedBody::new(body)
 }
 
@@ -79,8 +79,22 @@
     CallerLeft,
     /// The time of the request has run out.
     TimeOut,
-    /// The server stopped.
+    /// The answer broke off.
     Stopped(Failed),
+    /// No whole event came for a while, whatever else did.
+    Stalled,
+}
+
+/// One server's part of a stream.
+struct Part {
+    answer: Answer,
+    _running: RunningGuard,
+}
+
+/// A server that goes on, with what it is sent.
+struct Next {
+    outgoing: Outgoing,
+    server: Arc<ListedServer>,
 }
 
 struct Resumable {
@@ -93,60 +107,97 @@
 }
 
 impl Resumable {
-    async fn run(mut self, first: Answer, first_running: RunningGuard) {
-        let mut part = Some((first, first_running));
-        while let Some((answer, running)) = part.take() {
-            let end = self.pass_part(answer).await;
-            drop(running);
-            match end {
-                PartEnd::Complete => self.record.end("answered"),
-                PartEnd::CallerLeft => {}
+    async fn run(mut self, mut part: Part) {
+        // A stalled server is waited for if no other one can go on.
+        let mut patient = false;
+        loop {
+            let failed = match self.pass_part(&mut part.answer, patient).await
+            {
+                PartEnd::Complete => {
+                    part.answer
+                        .lease
+                        .give_back(part.answer.facts.idle_timeout);
+                    return self.record.end("answered");
+                }
+                PartEnd::CallerLeft => return,
                 PartEnd::TimeOut => {
                     self.record.end("time_out_midway");
                     // The caller may have left in the same moment.
                     let _ = self.events.send(Err(RelayError::TimeOut)).await;
+                    return;
                 }
-                PartEnd::Stopped(failed) => {
-                    self.splitter.discard_rest();
-                    let cause = failed.cause.clone();
-                    part = self.resume(failed).await;
-                    if part.is_none() {
-                        self.record.end("broken_off");
-                        let error = RelayError::Server(cause);
-                        let _ = self.events.send(Err(error)).await;
+                PartEnd::Stopped(failed) => failed,
+                PartEnd::Stalled => {
+                    let failed = stopped_by("no event in time");
+                    let Some(next) = self.next_server(&failed).await else {
+                        patient = true;
+                        continue;
+                    };
+                    // The stalled server stops before another one starts.
+                    drop(part);
+                    match self.go_on(next).await {
+                        Ok(next) => {
+                            part = next;
+                            continue;
+                        }
+                        Err(failed) => failed,
                     }
                 }
-            }
+            };
+            patient = false;
+            self.splitter.discard_rest();
+            let cause = failed.cause.clone();
+            let Some(next) = self.resume(failed).await else {
+                self.record.end("broken_off");
+                let error = RelayError::Server(cause);
+                let _ = self.events.send(Err(error)).await;
+                return;
+            };
+            part = next;
         }
     }
 
     /// Passes on the events of one server.
-    async fn pass_part(&mut self, answer: Answer) -> PartEnd {
-        let Answer { facts, mut body, lease, .. } = answer;
+    async fn pass_part(
+        &mut self,
+        answer: &mut Answer,
+        patient: bool,
+    ) -> PartEnd {
+        let gateway = Rc::clone(&self.outgoing.gateway);
         let give_up = self.outgoing.accepted.give_up;
         let gap = self.outgoing.accepted.route.target_gap;
-        let stopped = (gap * STOPPED_AFTER_GAPS).max(MIN_STOPPED_AFTER);
+        let stalled = (gap * STOPPED_AFTER_GAPS).max(MIN_STOPPED_AFTER);
+        let mut event_at = gateway.board.now();
         loop {
-            let next =
-                timeout_at(give_up.into(), timeout(stopped, body.frame()));
+            let stalled_at =
+                if patient { give_up } else { event_at + stalled };
+            let until = stalled_at.min(give_up);
+            let next = timeout_at(until.into(), answer.body.frame());
             let next = tokio::select! {
                 next = next => next,
                 () = self.events.closed() => return PartEnd::CallerLeft,
             };
-            let Ok(next) = next else { return PartEnd::TimeOut };
             let frame = match next {
-                Err(_) => return stopped_by("no event in time"),
-                Ok(Some(Err(error))) => return stopped_by(error.to_string()),
+                Err(_) if until == give_up => return PartEnd::TimeOut,
+                Err(_) => return PartEnd::Stalled,
+                Ok(Some(Err(error))) => {
+                    return PartEnd::Stopped(stopped_by(error.to_string()));
+                }
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) => break,
             };
             let Some(data) = frame.data_ref() else { continue };
             let whole = self.splitter.push(data);
+            if whole.is_empty() {
+                continue;
+            }
+            if self.splitter.may_go_on() {
+                event_at = gateway.board.now();
+            }
             if !self.pass(whole).await {
                 return PartEnd::CallerLeft;
             }
         }
-        lease.give_back(facts.idle_timeout);
         let rest = self.splitter.take_rest();
         if self.pass(rest).await {
             PartEnd::Complete
@@ -164,66 +215,88 @@
         self.events.send(Ok(Bytes::from(bytes))).await.is_ok()
     }
 
-    /// Asks other servers to continue.
-    async fn resume(
-        &mut self,
-        mut failed: Failed,
-    ) -> Option<(Answer, RunningGuard)> {
+    /// Asks other servers to continue until one does.
+    async fn resume(&mut self, mut failed: Failed) -> Option<Part> {
+        loop {
+            let next = self.next_server(&failed).await?;
+            failed = match self.go_on(next).await {
+                Ok(part) => return Some(part),
+                Err(failed) => failed,
+            };
+        }
+    }
+
+    /// Finds another server to continue, and makes its inputs again if they
+    /// are gone.
+    async fn next_server(&mut self, failed: &Failed) -> Option<Next> {
+        if !self.splitter.may_go_on() {
+            return None;
+        }
         let mut outgoing = self.outgoing.clone();
         let gateway = Rc::clone(&outgoing.gateway);
         let board = &gateway.board;
         let accepted = Rc::new(outgoing.accepted.continued(board.now()));
         outgoing.accepted = Rc::clone(&accepted);
-        loop {
-            if let Some(server) = &self.record.server {
-                self.tried.push(Arc::clone(server));
-                let listed = board.servers.borrow().get(server).cloned();
-                if let Some(listed) = listed {
-                    note_failure(&outgoing, &listed, &failed);
-                }
+        if let Some(server) = &self.record.server {
+            self.tried.push(Arc::clone(server));
+            let listed = board.servers.borrow().get(server).cloned();
+            if let Some(listed) = listed {
+                note_failure(&outgoing, &listed, failed);
             }
-            let left = accepted.time_left(board.now());
-            let in_time = left > MIN_RESUME_TIME;
-            let pay = || board.try_repeat(&accepted.service);
-            let next = self.sends.failed(failed.failure, in_time, pay);
-            if next != NextStep::Retry {
-                return None;
-            }
-            if failed.inputs_gone {
+        }
+        let left = accepted.time_left(board.now());
+        let in_time = left > MIN_RESUME_TIME;
+        let pay = || board.try_repeat(&accepted.service);
+        let next = self.sends.failed(failed.failure, in_time, pay);
+        if next != NextStep::Retry {
+            return None;
+        }
+        if failed.inputs_gone {
+            outgoing.prepared.release();
+        }
+        if outgoing.prepared.is_released() {
+            outgoing.prepare_again(&mut self.record).await.ok()?;
+        }
+        let zone = outgoing.prepared.zone();
+        let server = choose_server(&gateway, &accepted, zone, &self.tried)?;
+        Some(Next { outgoing, server })
+    }
+
+    /// Sends what is left of a stream to another server.
+    async fn go_on(&mut self, next: Next) -> Result<Part, Failed> {
+        let Next { outgoing, server } = next;
+        self.splitter.discard_rest();
+        let board = &outgoing.gateway.board;
+        let accepted = &outgoing.accepted;
+        log::info!(
+            "resume: id={} server={} after={}",
+            accepted.caller.attempt,
+            server.name,
+            self.splitter.last_id().unwrap_or("-")
+        );
+        self.record.server = Some(Arc::clone(&server.name));
+        self.record.sends += 1;
+        let running = board.start_running(&server.name);
+        let after = self.splitter.last_id();
+        let sent = timeout_at(
+            accepted.give_up.into(),
+            outgoing.send_and_learn(&server, after),
+        );
+        let sent = sent.await.unwrap_or_else(|_| {
+            let failure = AttemptFailure::TimedOut;
+            Err(Failed::new(failure, "no answer in time"))
+        });
+        match sent? {
+            Usable::Flowing(answer) => {
                 outgoing.prepared.release();
+                Ok(Part { answer: *answer, _running: running })
             }
-            if outgoing.prepared.is_released() {
-                outgoing.prepare_again(&mut self.record).await.ok()?;
-            }
-            let zone = outgoing.prepared.zone();
-            let server =
-                choose_server(&gateway, &accepted, zone, &self.tried)?;
-            log::info!(
-                "resume: id={} server={} after={}",
-                accepted.caller.attempt,
-                server.name,
-                self.splitter.last_id().unwrap_or("-")
-            );
-            self.record.server = Some(Arc::clone(&server.name));
-            self.record.sends += 1;
-            let running = board.start_running(&server.name);
-            let after = self.splitter.last_id();
-            let sent = timeout_at(
-                accepted.give_up.into(),
-                outgoing.send_and_learn(&server, after),
-            );
-            failed = match sent.await.ok()? {
-                Ok(Usable::Flowing(answer)) => {
-                    outgoing.prepared.release();
-                    return Some((*answer, running));
-                }
-                Ok(Usable::Whole(_)) => return None,
-                Err(failed) => failed,
-            };
+            // An answer that is no stream can't go on with one.
+            Usable::Whole(_) => Err(stopped_by("the answer is no stream")),
         }
     }
 }
 
-fn stopped_by(cause: impl Into<String>) -> PartEnd {
-    PartEnd::Stopped(Failed::new(AttemptFailure::Broken, cause))
+fn stopped_by(cause: impl Into<String>) -> Failed {
+    Failed::new(AttemptFailure::Broken, cause)
 }
--- a/crates/briarladder-gateway/src/stages/collector/calls.rs
+++ b/crates/briarladder-gateway/src/stages/collector/calls.rs
@@ -7,7 +7,7 @@
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 
 use crate::{
     dialect::{PieceCall, PieceOutcome},
@@ -22,6 +22,10 @@
 /// A call is never given up sooner than this.
 const MIN_CALL_PATIENCE: Duration = Duration::from_millis(900);
 
+/// The longest answer to a call. The references of the largest batch take a
+/// few kilobytes.
+const MAX_ANSWER_BYTES: usize = 256 * 1024;
+
 impl Collector {
     pub(super) async fn call(
         &self,
@@ -131,8 +135,10 @@
             times.connected(&server.zone, took);
         }
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|error| error.to_string())?;
         let facts = self.dialect.answer_head(&head, "");
+        self.board.heed(server, &facts);
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|error| error.to_string())?;
         lease.give_back(facts.idle_timeout);
         if !head.status.is_success() {
             return Err(format!("refused with {}", head.status));
--- a/crates/briarladder-gateway/src/stages/collector/mod.rs
+++ b/crates/briarladder-gateway/src/stages/collector/mod.rs
@@ -14,7 +14,7 @@
         config::{PieceSpec, ServiceWork},
         entry::Throughput,
         fetching::FetchTimes,
-        server::{ServerState, Servers},
+        server::Servers,
         stages::Handle,
     },
     sorted::SortedMap,
@@ -216,11 +216,19 @@
         queue.version = version;
         let cells = self.board.cells();
         let servers = self.board.servers.borrow();
+        let bars = self.board.bars.borrow();
         let servers = servers
             .ready(&key.service)
             .filter(|server| cells.contains(&key.cell, server))
-            .map(|s| (Arc::clone(&s.name), Arc::clone(&s.zone)));
-        queue.pieces.set_servers(servers);
+            .filter(|server| !bars.is_leaving(server));
+        let names = servers.clone();
+        let names = names.map(|s| (Arc::clone(&s.name), Arc::clone(&s.zone)));
+        queue.pieces.set_servers(names);
+        for server in servers {
+            if let Some(until) = bars.paused_until(server) {
+                queue.pieces.pause_until(&server.name, until);
+            }
+        }
     }
 
     fn next_id(&self) -> u64 {
@@ -293,10 +301,10 @@
         let began = self.board.now();
         let server = self.board.servers.borrow().get(&call.server).cloned();
         let outcomes = match server {
-            Some(server) if server.state == ServerState::Ready => {
+            Some(server) if self.board.takes_work(&server) => {
                 self.call(&key, &server, &call, &jobs).await
             }
-            _ => Err("the server has left".to_owned()),
+            _ => Err("the server takes no work".to_owned()),
         };
         self.end_call(&key, &call, jobs, began, outcomes);
         self.pump(&key);
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -40,6 +40,10 @@
 /// replaced this often for one request.
 const MAX_COORDINATORS: usize = 3;
 
+/// A backlog takes this many times its own work, since new work comes in
+/// meanwhile.
+const BACKLOG_FACTOR: u32 = 3;
+
 /// Beyond the time of the request, an answer of a coordinator may take this
 /// much longer, so that its own judgement arrives first.
 const COORDINATOR_SLACK: Duration = Duration::from_millis(50);
@@ -68,7 +72,7 @@
     record.phase = Phase::Stages;
     let home = home(gateway, accepted);
     let (job, reply) = ask(gateway, accepted, &plan, &home, record).await?;
-    let wait = Duration::from_millis(reply.wait_ms);
+    let wait = Duration::from_millis(reply.wait_ms) * BACKLOG_FACTOR;
     let results: Vec<Handle> = match reply.outcome {
         StagesOutcome::Done { makers, results, .. } => results
             .into_iter()
