Let stand-ins feed a zone whose reader is cut off

The reader noticed its silent connection only after 3.8 s, said meanwhile that it was in contact, and the others knew only those two to ask, so that a version came 4.1 s after its acknowledgement (bound 4 s).

--- a/crates/briarladder-gateway/src/board.rs
+++ b/crates/briarladder-gateway/src/board.rs
@@ -47,6 +47,8 @@
 pub enum StoreContact {
     /// No answer yet since the start.
     Never,
+    /// Others read for this daemon.
+    Fed,
     /// It answers.
     Regular,
     /// It has not answered since this time.
@@ -60,6 +62,8 @@
     pub role: Role,
     /// How long it waits for a change in one call to its source.
     pub feed_wait: Duration,
+    /// How long it waits for a change in one call to the store.
+    pub reader_wait: Duration,
 }
 
 /// The versions of what the cells are worked out from.
@@ -303,15 +307,25 @@
         let peers = self.peers.borrow();
         let live = peers.live_in_zone(self.now());
         let role = readers::role(&peers.me().name, &self.zone, &live);
-        StoreRole { role, feed_wait: readers::feed_wait(self.change_bound) }
+        StoreRole {
+            role,
+            feed_wait: readers::feed_wait(self.change_bound),
+            reader_wait: readers::reader_wait(self.change_bound, live.len()),
+        }
     }
 
     /// Returns whether this daemon learns of changes, from the store or from
     /// another daemon that does.
     #[must_use]
     pub fn hears_of_changes(&self) -> bool {
-        self.store_contact.get() == StoreContact::Regular
-            || self.feeds.borrow().is_fresh(self.now())
+        match self.store_contact.get() {
+            StoreContact::Regular => true,
+            StoreContact::Never
+            | StoreContact::Fed
+            | StoreContact::LostAt(_) => {
+                self.feeds.borrow().is_fresh(self.now())
+            }
+        }
     }
 
     /// Returns how long ago the store last failed to answer, while it does
@@ -323,7 +337,7 @@
                 Some(self.now().duration_since(since))
             }
             StoreContact::Never => Some(Duration::MAX),
-            StoreContact::Regular => None,
+            StoreContact::Regular | StoreContact::Fed => None,
         }
     }
 }
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -111,12 +111,14 @@
     Checked { reached: answer.is_ok() }
 }
 
-/// Waits until there is a change after the revision of the sender, for as
-/// long as it wants to.
+/// Waits until there is a change after the revision of the sender, or this
+/// daemon learns of no more, for as long as the sender wants to.
 async fn wait_for_change(gateway: &Gateway, message: ChangesRequest) {
     let board = &gateway.board;
     let changed = async {
-        while !board.mirror.borrow().has_news_after(message.after) {
+        while !board.mirror.borrow().has_news_after(message.after)
+            && board.hears_of_changes()
+        {
             board.mirror_changed.notified().await;
         }
     };
--- a/crates/briarladder-gateway/src/store/feed.rs
+++ b/crates/briarladder-gateway/src/store/feed.rs
@@ -36,33 +36,35 @@
 
 /// Follows a source for as long as the process runs and is a follower.
 pub async fn follow_source(gateway: Rc<Gateway>) {
+    let mut last: Option<Arc<str>> = None;
     loop {
-        let StoreRole { role, feed_wait } = gateway.board.store_role();
+        let StoreRole { role, feed_wait, .. } = gateway.board.store_role();
         let Some((source, address)) = source(&gateway, &role) else {
             tokio::time::sleep(LOOK_INTERVAL).await;
             continue;
         };
+        // A new source shows at once whether it is of use.
+        let known = last.as_ref() == Some(&source);
+        let wait = if known { feed_wait } else { Duration::ZERO };
         let asked_at = gateway.board.now();
-        let answer = ask(&gateway, address, feed_wait).await;
+        let answer = ask(&gateway, address, wait).await;
         let now = gateway.board.now();
-        match answer {
-            Ok(in_contact) => {
-                let mut feeds = gateway.board.feeds.borrow_mut();
-                if in_contact {
-                    feeds.heard(now, &source, feed_wait);
-                } else {
-                    feeds.failed(now, &source);
-                }
-            }
-            Err(error) => {
-                log::info!(
-                    "store: source={source} outcome=lost cause={error}"
-                );
-                gateway.board.feeds.borrow_mut().failed(now, &source);
-            }
+        let failure = match answer {
+            Ok(true) => None,
+            Ok(false) => Some("it has lost the store".to_owned()),
+            Err(error) => Some(error.to_string()),
+        };
+        if let Some(cause) = failure {
+            log::info!("store: source={source} outcome=lost cause={cause}");
+            gateway.board.feeds.borrow_mut().failed(now, &source);
+            gateway.board.mirror_changed.notify_waiters();
+            last = None;
+            continue;
         }
+        gateway.board.feeds.borrow_mut().heard(now, &source, feed_wait);
+        last = Some(source);
         // An answer that comes at once, again and again, is no feed.
-        if now.duration_since(asked_at) < LOOK_INTERVAL {
+        if known && now.duration_since(asked_at) < LOOK_INTERVAL {
             tokio::time::sleep(LOOK_INTERVAL).await;
         }
     }
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -27,13 +27,8 @@
 
 pub use self::feed::{follow_peers, follow_source};
 
-/// How long one call waits for changes. A connection that has gone silent is
-/// noticed after it, which keeps a daemon within the bounds for new
-/// configurations; longer waits save calls, which are billed.
-const WATCH_WAIT: Duration = Duration::from_secs(3);
-
 /// A call is given up this long after its wait.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// The wait after a failed call; a random part of it is added, so that the
 /// daemons of a fleet don't ask at once.
@@ -87,6 +82,7 @@
         if reads_now != reads {
             reads = reads_now;
             log::info!("store: reads={reads}");
+            reader.gateway.board.store_contact.set(StoreContact::Fed);
         }
         if !reads {
             tokio::time::sleep(FED_CHECK).await;
@@ -180,8 +176,9 @@
     /// Waits for changes, and returns whether there were any.
     async fn watch(&self) -> Result<bool, StoreError> {
         let after = self.gateway.board.mirror.borrow().revision();
-        let path = self.gateway.dialect.watch_path(after, WATCH_WAIT);
-        let body = self.get(&path, WATCH_WAIT + ANSWER_TIMEOUT).await?;
+        let wait = self.gateway.board.store_role().reader_wait;
+        let path = self.gateway.dialect.watch_path(after, wait);
+        let body = self.get(&path, wait + ANSWER_TIMEOUT).await?;
         let changes = self.gateway.dialect.decode_changes(&body)?;
         for item in &changes.items {
             if let Some(item) = decode(&self.gateway, item) {
@@ -234,22 +231,30 @@
 
     fn answered(&self) {
         let board = &self.gateway.board;
-        if board.store_contact.get() != StoreContact::Regular {
+        if matches!(
+            board.store_contact.get(),
+            StoreContact::Never | StoreContact::LostAt(_)
+        ) {
             let revision = board.mirror.borrow().revision();
             log::info!("store: contact=regained revision={revision}");
-            board.store_contact.set(StoreContact::Regular);
         }
+        board.store_contact.set(StoreContact::Regular);
         self.count("answered");
     }
 
     fn failed(&self, error: &StoreError) {
         let board = &self.gateway.board;
-        if board.store_contact.get() == StoreContact::Regular {
+        if matches!(
+            board.store_contact.get(),
+            StoreContact::Regular | StoreContact::Fed
+        ) {
             let revision = board.mirror.borrow().revision();
             log::warn!(
                 "store: contact=lost revision={revision} cause={error}"
             );
             board.store_contact.set(StoreContact::LostAt(board.now()));
+            // Those that wait for changes here look elsewhere.
+            board.mirror_changed.notify_waiters();
         }
         self.count("failed");
     }
