Refuse requests late in a planned stop that may not end, and answer the rest

Change: core::fleet::stopping decides what is taken during a stop and when the last answers go out. Requests that come later than 2.5 s and may last beyond the stop are refused with a time to come back; 0.3 s before the end requests without the head of an answer get a final one, which promises "not run" only if nothing was sent.

--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -30,3 +30,4 @@
 pub mod readers;
 pub mod server;
 pub mod stages;
+pub mod stopping;
--- a/crates/briarladder-gateway/src/board.rs
+++ b/crates/briarladder-gateway/src/board.rs
@@ -25,6 +25,7 @@
         placement::Placement,
         readers::{self, Feeds, Role},
         server::{ListedServer, ServerState, Servers},
+        stopping::Stop,
     },
     sorted::SortedMap,
 };
@@ -39,7 +40,7 @@
     /// It serves.
     Serving,
     /// A planned stop has begun.
-    Stopping,
+    Stopping(Stop),
 }
 
 /// Whether the store answers this daemon.
@@ -119,6 +120,8 @@
     pub seeds: RefCell<Vec<SocketAddr>>,
     /// Whether the process stops; owner: the process.
     pub lifecycle: Cell<Lifecycle>,
+    /// Told when a planned stop begins; owner: the process.
+    pub stop_begun: Notify,
     /// Requests of callers in progress; owner: the listener.
     pub open_requests: Cell<usize>,
     /// Requests of other daemons whose stages are coordinated here; owner:
@@ -157,6 +160,7 @@
             cells: RefCell::default(),
             seeds: RefCell::new(settings.seeds.clone()),
             lifecycle: Cell::new(Lifecycle::Serving),
+            stop_begun: Notify::new(),
             open_requests: Cell::new(0),
             open_stages: Cell::new(0),
         })
@@ -252,6 +256,28 @@
             && !self.servers.borrow().is_empty()
     }
 
+    /// Returns the planned stop, if one has begun.
+    #[must_use]
+    pub fn stop(&self) -> Option<Stop> {
+        match self.lifecycle.get() {
+            Lifecycle::Serving => None,
+            Lifecycle::Stopping(stop) => Some(stop),
+        }
+    }
+
+    /// Waits until requests without the head of an answer must get a final
+    /// one because the process ends.
+    pub async fn last_answers(&self) {
+        let stop = loop {
+            let begun = self.stop_begun.notified();
+            if let Some(stop) = self.stop() {
+                break stop;
+            }
+            begun.await;
+        };
+        tokio::time::sleep_until(stop.last_answers_at().into()).await;
+    }
+
     /// Returns the requests of this daemon that a server holds.
     #[must_use]
     pub fn running(&self, server: &str) -> usize {
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -12,7 +12,7 @@
     sync::watch,
 };
 
-use crate::{board::Lifecycle, context::Gateway, net, peers, request};
+use crate::{context::Gateway, net, peers, request};
 
 /// The wait after a failed accept, for example without free descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -71,7 +71,7 @@
     mut stop: StopSignal,
 ) {
     let limits = gateway.board.config().map(|c| c.limits).unwrap_or_default();
-    let serving = gateway.board.lifecycle.get() == Lifecycle::Serving;
+    let serving = gateway.board.stop().is_none();
     let service = service_fn(|request: Request<Incoming>| {
         let gateway = Rc::clone(&gateway);
         async move { Ok::<_, Infallible>(request::serve(gateway, request).await) }
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -1,15 +1,11 @@
 //! The life of a gateway process: start, reload, planned stop.
 
-use std::{
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use anyhow::Context as _;
 use briarladder_core::{
     clock::{SharedClock, SystemClock},
-    fleet::peers::Member,
+    fleet::{peers::Member, stopping::Stop},
 };
 use tokio::{
     runtime::Builder,
@@ -32,13 +28,6 @@
     store,
 };
 
-/// A stopping process stays at least this long, while the balancer still
-/// sends it new connections: two failed checks a second apart.
-const MIN_STOP: Duration = Duration::from_secs(3);
-
-/// A stopping process ends this long before it would be killed.
-const STOP_RESERVE: Duration = Duration::from_millis(400);
-
 /// How often a stopping process looks whether it may end.
 const STOP_CHECK: Duration = Duration::from_millis(50);
 
@@ -177,13 +166,14 @@
         "process: event=stopping open_requests={}",
         board.open_requests.get()
     );
-    board.lifecycle.set(Lifecycle::Stopping);
+    let plan = Stop::new(began, settings.stop_grace);
+    board.lifecycle.set(Lifecycle::Stopping(plan));
+    board.stop_begun.notify_waiters();
     board.peers.borrow_mut().leave();
     membership::announce_stop(gateway);
     stop.send_replace(true);
-    let latest = settings.stop_grace.saturating_sub(STOP_RESERVE);
     let open = || board.open_requests.get() + board.open_stages.get();
-    while !may_end(open(), began, board.now(), latest) {
+    while !plan.may_end(board.now(), open()) {
         tokio::time::sleep(STOP_CHECK).await;
     }
     log::info!(
@@ -193,18 +183,6 @@
     );
 }
 
-/// Decides whether a stopping process may end. `open_requests` counts those
-/// of callers and those whose stages are coordinated here.
-fn may_end(
-    open_requests: usize,
-    began: Instant,
-    now: Instant,
-    latest: Duration,
-) -> bool {
-    let elapsed = now.duration_since(began);
-    elapsed >= latest || (open_requests == 0 && elapsed >= MIN_STOP)
-}
-
 /// What the operator asks for.
 enum Asked {
     Reload,
@@ -237,21 +215,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a stop that leaves while the balancer still sends
-    /// connections, and against one that is killed.
-    #[test]
-    fn may_end_bounds() {
-        let began = Instant::now();
-        let latest = Duration::from_secs(7);
-        let at = |ms| began + Duration::from_millis(ms);
-        assert!(!may_end(0, began, at(2000), latest));
-        assert!(may_end(0, began, at(3000), latest));
-        assert!(!may_end(1, began, at(6999), latest));
-        assert!(may_end(1, began, at(7000), latest));
-    }
-}
--- a/crates/briarladder-gateway/src/refusal.rs
+++ b/crates/briarladder-gateway/src/refusal.rs
@@ -33,6 +33,9 @@
     /// The daemon has no configuration yet.
     #[display("the daemon has just started; try again")]
     NotConfigured,
+    /// The daemon stops and may not finish the request.
+    #[display("the daemon stops; try again")]
+    Stopping,
     /// No server of the service can be reached.
     #[display("no server of the service takes the request; try again later")]
     NoServer,
@@ -65,6 +68,7 @@
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NotConfigured
+            | Refusal::Stopping
             | Refusal::NoServer
             | Refusal::StagesLate
             | Refusal::StageFailed
@@ -84,6 +88,7 @@
             Refusal::UnknownKey => "unknown_key",
             Refusal::NoRoute => "no_route",
             Refusal::NotConfigured => "not_configured",
+            Refusal::Stopping => "stopping",
             Refusal::NoServer => "no_server",
             Refusal::StagesLate => "stages_late",
             Refusal::StageFailed => "stage_failed",
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -14,8 +14,7 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    board::Lifecycle, body::ReplyBody, context::Gateway, refusal::Refusal,
-    stages::preparation,
+    body::ReplyBody, context::Gateway, refusal::Refusal, stages::preparation,
 };
 
 use self::{
@@ -60,8 +59,7 @@
     // for another reading of the same bytes, so it is not read.
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = respond(&gateway, request).await;
-    let stopping = gateway.board.lifecycle.get() == Lifecycle::Stopping;
-    if chunked || stopping {
+    if chunked || gateway.board.stop().is_some() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -79,6 +77,13 @@
         Ok(accepted) => accepted,
         Err(refusal) => return refuse(record, refusal.into(), None),
     };
+    let board = &gateway.board;
+    let taken = board
+        .stop()
+        .is_none_or(|stop| stop.takes(board.now(), accepted.give_up));
+    if !taken {
+        return refuse(record, Refusal::Stopping.into(), Some(&accepted));
+    }
     let limits = accepted.config.limits;
     let give_up = accepted.head_by.into();
     let read = timeout_at(give_up, read_body(body, &limits)).await;
@@ -89,9 +94,11 @@
         }
     };
     let prepare = preparation::run(gateway, &accepted, &mut record);
-    let prepared = timeout_at(give_up, prepare).await;
-    let prepared =
-        prepared.unwrap_or_else(|_| Err(Refusal::TimeOutUnsent.into()));
+    let prepared = tokio::select! {
+        prepared = timeout_at(give_up, prepare) => prepared
+            .unwrap_or_else(|_| Err(Refusal::TimeOutUnsent.into())),
+        () = board.last_answers() => Err(Refusal::Stopping.into()),
+    };
     let results = match prepared {
         Ok(results) => results,
         Err(ended) => return refuse(record, ended, Some(&accepted)),
@@ -102,11 +109,28 @@
         head: Rc::new(head),
         body,
         prepared: Rc::new(results),
+        sent: Rc::default(),
     };
     let accepted = Rc::clone(&outgoing.accepted);
-    match dispatch(outgoing, record).await {
-        Ok(response) => response,
-        Err((record, ended)) => refuse(*record, ended, Some(&accepted)),
+    let sent = Rc::clone(&outgoing.sent);
+    tokio::select! {
+        answer = dispatch(outgoing, record) => match answer {
+            Ok(response) => response,
+            Err((record, ended)) => refuse(*record, ended, Some(&accepted)),
+        },
+        () = board.last_answers() => {
+            // The record of the request ends with what was dispatched.
+            let may_have_run = sent.get();
+            log::info!(
+                "process: id={} outcome=cut_by_stop may_have_run={may_have_run}",
+                accepted.caller.attempt
+            );
+            if may_have_run {
+                Refusal::Unknown.response(None)
+            } else {
+                Refusal::Stopping.response(Some(MIN_RETRY_AFTER))
+            }
+        }
     }
 }
 
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -1,6 +1,6 @@
 //! A request on its way to a backend server.
 
-use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use briarladder_core::{
     fleet::{
@@ -51,6 +51,8 @@
     pub body: Bytes,
     /// The results of its stages.
     pub prepared: Rc<Prepared>,
+    /// Whether it was passed on to a server, which may have run it.
+    pub sent: Rc<Cell<bool>>,
 }
 
 /// An answer whose head has arrived.
@@ -277,6 +279,7 @@
             Freshness::UsedWithin(NON_IDEMPOTENT_FRESHNESS)
         };
         let pool = &self.gateway.pool;
+        self.sent.set(true);
         let (response, lease) =
             pool.send(server.address, request, freshness).await?;
         if let Some(took) = lease.connect_time() {
