Write the last log lines of a stop, and end the process at once

After its last answers a daemon dropped all connections one by one, and the thread that writes lines ended with it.

--- a/crates/briarladder-daemon/src/main.rs
+++ b/crates/briarladder-daemon/src/main.rs
@@ -56,9 +56,9 @@
 }
 
 fn run_platform(args: PlatformArgs) -> anyhow::Result<()> {
-    logs::init()?;
+    let flusher = logs::init()?;
     let load = move || settings::load(&args.settings, args.metrics_port);
     let first = load()?;
     let reload = Box::new(load);
-    gateway::run(first, Rc::new(PlatformDialect), reload)
+    gateway::run(first, Rc::new(PlatformDialect), reload, &flusher)
 }
--- a/crates/briarladder-gateway/src/logs.rs
+++ b/crates/briarladder-gateway/src/logs.rs
@@ -12,6 +12,7 @@
         mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     thread,
+    time::Duration,
 };
 
 /// Lines that wait to be written. At a few hundred bytes a line this bounds
@@ -21,16 +22,52 @@
 /// Lines written with one call.
 const BATCH_LINES: usize = 64;
 
+/// The longest wait for the last lines of a process that ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// What the writing thread is told.
+#[derive(Debug)]
+enum Message {
+    Line(Vec<u8>),
+    /// To be answered when all lines before are written.
+    Flush(SyncSender<()>),
+}
+
 /// Writes each line without waiting.
 #[derive(Debug)]
 pub struct LineSender {
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Message>,
     dropped: Arc<AtomicU64>,
 }
 
+/// Waits for the lines that are not written yet.
+#[derive(Clone, Debug)]
+pub struct Flusher {
+    lines: SyncSender<Message>,
+}
+
+impl Flusher {
+    /// Waits until all lines so far are written, but not for long.
+    pub fn flush(&self) {
+        let (written, wait) = sync_channel(1);
+        if self.lines.try_send(Message::Flush(written)).is_ok() {
+            // A reader that has stopped must not keep the process.
+            let _ = wait.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
+}
+
+impl LineSender {
+    /// Returns what waits for the lines of this sender.
+    #[must_use]
+    pub fn flusher(&self) -> Flusher {
+        Flusher { lines: self.lines.clone() }
+    }
+}
+
 impl Write for LineSender {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        match self.lines.try_send(line.to_vec()) {
+        match self.lines.try_send(Message::Line(line.to_vec())) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 self.dropped.fetch_add(1, Ordering::Relaxed);
@@ -60,14 +97,19 @@
 }
 
 fn write_lines(
-    waiting: &Receiver<Vec<u8>>,
+    waiting: &Receiver<Message>,
     dropped: &AtomicU64,
     mut output: impl Write,
 ) {
     while let Ok(first) = waiting.recv() {
-        let mut batch = first;
-        for line in waiting.try_iter().take(BATCH_LINES) {
-            batch.extend_from_slice(&line);
+        let mut batch = Vec::new();
+        let mut flushed = Vec::new();
+        let more = waiting.try_iter().take(BATCH_LINES);
+        for message in std::iter::once(first).chain(more) {
+            match message {
+                Message::Line(line) => batch.extend_from_slice(&line),
+                Message::Flush(written) => flushed.push(written),
+            }
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
@@ -78,16 +120,22 @@
         if output.write_all(&batch).and_then(|()| output.flush()).is_err() {
             return;
         }
+        for written in flushed {
+            // Who asked may not wait any more.
+            let _ = written.send(());
+        }
     }
 }
 
-/// Sets up logging to standard output. `BRIARLADDER_LOG` sets the level.
+/// Sets up logging to standard output, and returns what waits for the last
+/// lines. `BRIARLADDER_LOG` sets the level.
 ///
 /// # Errors
 ///
 /// If the writer can't be started or logging was set up before.
-pub fn init() -> anyhow::Result<()> {
+pub fn init() -> anyhow::Result<Flusher> {
     let sender = start(io::stdout())?;
+    let flusher = sender.flusher();
     let env = env_logger::Env::new().filter_or("BRIARLADDER_LOG", "info");
     env_logger::Builder::from_env(env)
         .format(|out, record| {
@@ -96,7 +144,7 @@
         })
         .target(env_logger::Target::Pipe(Box::new(sender)))
         .try_init()?;
-    Ok(())
+    Ok(flusher)
 }
 
 #[cfg(test)]
@@ -122,6 +170,21 @@
         }
     }
 
+    /// Guards against a stop whose last lines are lost.
+    #[test]
+    fn flush_waits_for_lines() {
+        let (release_sender, release) = channel();
+        let (written, lines) = channel();
+        let mut sender = start(Blocked { release, written }).unwrap();
+        sender.write_all(b"last\n").unwrap();
+        for _ in 0..3 {
+            release_sender.send(()).unwrap();
+        }
+        sender.flusher().flush();
+        let text: Vec<u8> = lines.try_iter().flatten().collect();
+        assert_eq!(text, b"last\n");
+    }
+
     /// Guards against a request that waits for the reader of the logs, and
     /// against lines that are lost without a trace.
     #[test]
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -19,6 +19,7 @@
     context::Gateway,
     dialect::Dialect,
     listener,
+    logs::Flusher,
     metrics::Metrics,
     net,
     peers::{client::Peers, membership, watchdog::Watchdog},
@@ -34,7 +35,7 @@
 /// Reads the settings again.
 pub type Reload = Box<dyn Fn() -> anyhow::Result<GatewaySettings>>;
 
-/// Runs a gateway until a planned stop has ended.
+/// Runs a gateway until a planned stop has ended, and ends the process then.
 ///
 /// # Errors
 ///
@@ -43,6 +44,7 @@
     settings: GatewaySettings,
     dialect: Rc<dyn Dialect>,
     reload: Reload,
+    logs: &Flusher,
 ) -> anyhow::Result<()> {
     // One thread: the VMs have a fraction of a core.
     let runtime = Builder::new_current_thread()
@@ -50,7 +52,11 @@
         .build()
         .context("the runtime could not be started")?;
     let local = LocalSet::new();
-    local.block_on(&runtime, serve(settings, dialect, reload))
+    local.block_on(&runtime, serve(settings, dialect, reload))?;
+    logs.flush();
+    // Dropping all open connections one by one may take longer than the time
+    // that is left on a small VM.
+    std::process::exit(0)
 }
 
 async fn serve(
