Stop requests that crash the servers that run them

Change: core::fleet::crashers recognises a request by a hash of its path, caller and body and counts the runs of servers that ended with it. Daemons tell each other with their exchanges, so that crashes seen at several of them add up; after three the request is refused, and one complete answer clears it. A stalled stream counts as a time-out now, not as a broken connection.

--- /dev/null
+++ b/crates/briarladder-core/src/fleet/crashers.rs
@@ -0,0 +1,293 @@
+//! Requests that crash the servers that run them.
+//!
+//! Such a request comes again, under another id and at any daemon. It is
+//! recognised by its content, and a crash by the run of the server that ended
+//! with it, so that what several daemons have seen adds up. A request that
+//! has ended three servers is refused; one complete answer clears it.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Instant;
+//!
+//! use briarladder_core::fleet::crashers::{Content, Crashers, ServerRun};
+//!
+//! let now = Instant::now();
+//! let content = Content::of("/plans/7", Some("w1"), b"order");
+//! let mut crashers = Crashers::default();
+//! for server in ["s-1", "s-2", "s-3"] {
+//!     assert_eq!(crashers.refused_for(now, content), None);
+//!     crashers.crashed(now, content, ServerRun::of(server, 0));
+//! }
+//! assert!(crashers.refused_for(now, content).is_some());
+//! ```
+
+use std::{
+    cmp::Reverse,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::sorted::{SortedMap, SortedSet};
+
+/// A request that has ended this many servers is refused. Two may go down
+/// together, for example with their rack.
+const REFUSED_AFTER: usize = 3;
+
+/// How long a request is refused, and how long a crash counts. Afterwards one
+/// more crash is enough.
+const REFUSED_FOR: Duration = Duration::from_mins(2);
+
+/// The contents that are remembered: about 200 KB.
+const MAX_CONTENTS: usize = 2048;
+
+/// Crashes are told to other daemons for this long.
+const TOLD_FOR: Duration = Duration::from_secs(5);
+
+/// The contents in one message.
+pub const MAX_TOLD: usize = 8;
+
+/// What a request is, whatever its id: a hash of its path, its caller and its
+/// body. The hash is cryptographic, so that no caller can craft a body that
+/// gets a request of another one refused.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Content([u8; 16]);
+
+impl Content {
+    /// Hashes a request.
+    #[must_use]
+    pub fn of(target: &str, caller: Option<&str>, body: &[u8]) -> Content {
+        let mut hasher = blake3::Hasher::new();
+        // The lengths keep the parts apart.
+        for part in [target, caller.unwrap_or_default()] {
+            hasher.update(&part.len().to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(body);
+        let mut bytes = [0; 16];
+        hasher.finalize_xof().fill(&mut bytes);
+        Content(bytes)
+    }
+}
+
+/// One run of a server.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct ServerRun(u64);
+
+impl ServerRun {
+    /// Identifies a run by the name of the server and its start.
+    #[must_use]
+    pub fn of(name: &str, born_ms: u64) -> ServerRun {
+        let name = rapidhash::v3::rapidhash_v3(name.as_bytes());
+        ServerRun(name.rotate_left(1) ^ born_ms)
+    }
+}
+
+/// What a daemon tells others of one request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashNotice {
+    /// The request.
+    pub content: Content,
+    /// The runs of servers that ended with it.
+    pub runs: Vec<ServerRun>,
+}
+
+#[derive(Clone, Debug)]
+struct Crashes {
+    runs: SortedSet<ServerRun>,
+    updated_at: Instant,
+}
+
+/// The requests of which a daemon knows crashes.
+#[derive(Clone, Debug, Default)]
+pub struct Crashers {
+    by_content: SortedMap<Content, Crashes>,
+}
+
+impl Crashers {
+    /// Returns whether nothing is known, so that no content needs a hash.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_content.is_empty()
+    }
+
+    /// Records that the run of a server ended while it worked on a request.
+    /// Returns whether the request is refused from now on.
+    pub fn crashed(
+        &mut self,
+        now: Instant,
+        content: Content,
+        run: ServerRun,
+    ) -> bool {
+        self.add(now, content, &[run]);
+        self.refused_for(now, content).is_some()
+    }
+
+    fn add(&mut self, now: Instant, content: Content, runs: &[ServerRun]) {
+        self.expire(now);
+        let known = self.by_content.entry_or_insert_with(content, || {
+            Crashes { runs: SortedSet::new(), updated_at: now }
+        });
+        for run in runs {
+            let full = known.runs.len() >= REFUSED_AFTER;
+            if !full && known.runs.insert(*run) {
+                known.updated_at = now;
+            }
+        }
+        if self.by_content.len() > MAX_CONTENTS {
+            let weakest = self.by_content.iter().min_by_key(|(_, crashes)| {
+                (crashes.runs.len(), crashes.updated_at)
+            });
+            if let Some(weakest) = weakest.map(|(content, _)| *content) {
+                self.by_content.remove(&weakest);
+            }
+        }
+    }
+
+    /// Lets what has become old count for one crash less.
+    fn expire(&mut self, now: Instant) {
+        self.by_content.retain(|_, crashes| {
+            if now.duration_since(crashes.updated_at) < REFUSED_FOR {
+                return true;
+            }
+            let last = crashes.runs.iter().next_back().copied();
+            if let Some(last) = last {
+                crashes.runs.remove(&last);
+            }
+            crashes.updated_at = now;
+            crashes.runs.len() + 1 == REFUSED_AFTER
+        });
+    }
+
+    /// Records a complete answer: the request does not crash servers, it was
+    /// only there when they ended.
+    pub fn succeeded(&mut self, content: Content) {
+        self.by_content.remove(&content);
+    }
+
+    /// Returns for how long a request is refused.
+    #[must_use]
+    pub fn refused_for(
+        &self,
+        now: Instant,
+        content: Content,
+    ) -> Option<Duration> {
+        let crashes = self.by_content.get(&content)?;
+        let age = now.duration_since(crashes.updated_at);
+        let refused = crashes.runs.len() >= REFUSED_AFTER;
+        REFUSED_FOR.checked_sub(age).filter(|_| refused)
+    }
+
+    /// Returns what others should know, the newest first.
+    #[must_use]
+    pub fn notices(&self, now: Instant) -> Vec<CrashNotice> {
+        let mut recent: Vec<(&Content, &Crashes)> = self
+            .by_content
+            .iter()
+            .filter(|(_, c)| now.duration_since(c.updated_at) < TOLD_FOR)
+            .collect();
+        recent.sort_by_key(|(_, crashes)| {
+            Reverse((crashes.runs.len(), crashes.updated_at))
+        });
+        recent
+            .into_iter()
+            .take(MAX_TOLD)
+            .map(|(content, crashes)| CrashNotice {
+                content: *content,
+                runs: crashes.runs.as_slice().to_vec(),
+            })
+            .collect()
+    }
+
+    /// Takes what another daemon knows. The same notice may come any number
+    /// of times.
+    pub fn take(&mut self, now: Instant, notices: &[CrashNotice]) {
+        for notice in notices.iter().take(MAX_TOLD) {
+            self.add(now, notice.content, &notice.runs);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn run(number: u64) -> ServerRun {
+        ServerRun::of("s", number)
+    }
+
+    fn content(body: &[u8]) -> Content {
+        Content::of("/a/1", Some("w"), body)
+    }
+
+    /// Guards against a request that crashes one server at each daemon and is
+    /// stopped by none, and against one crash that is counted twice.
+    #[test]
+    fn crashes_add_up_over_daemons() {
+        let now = Instant::now();
+        let bad = content(b"bad");
+        let mut daemons = [1, 2, 3].map(|number| {
+            let mut crashers = Crashers::default();
+            crashers.crashed(now, bad, run(number));
+            crashers.crashed(now, bad, run(number));
+            crashers
+        });
+        assert!(daemons.iter().all(|d| d.refused_for(now, bad).is_none()));
+        for at in [0, 1, 1] {
+            let notices = daemons[at].notices(now);
+            daemons[at + 1].take(now, &notices);
+        }
+        assert!(daemons[2].refused_for(now, bad).is_some());
+        assert!(daemons[2].refused_for(now, content(b"good")).is_none());
+        let later = now + REFUSED_FOR + Duration::from_millis(1);
+        assert!(daemons[2].refused_for(later, bad).is_none());
+        assert!(daemons[2].crashed(later, bad, run(9)), "one more is enough");
+    }
+
+    /// Guards against a request that is refused because it was at servers
+    /// that crashed for another one.
+    #[test]
+    fn succeeded_clears() {
+        let now = Instant::now();
+        let mut crashers = Crashers::default();
+        crashers.crashed(now, content(b"a"), run(1));
+        crashers.crashed(now, content(b"a"), run(2));
+        crashers.succeeded(content(b"a"));
+        assert!(crashers.is_empty());
+        assert!(!crashers.crashed(now, content(b"a"), run(3)));
+    }
+
+    /// Guards against memory and messages that grow with the crashes of many
+    /// requests, and against a flood that evicts one that is refused.
+    #[test]
+    fn crashers_bounded() {
+        let now = Instant::now();
+        let mut crashers = Crashers::default();
+        for number in 0..3 {
+            crashers.crashed(now, content(b"bad"), run(number));
+        }
+        for number in 0..3000_u64 {
+            let other = content(&number.to_le_bytes());
+            crashers.crashed(now, other, run(number));
+        }
+        assert!(crashers.by_content.len() <= MAX_CONTENTS);
+        assert!(crashers.refused_for(now, content(b"bad")).is_some());
+        let notices = crashers.notices(now);
+        assert_eq!(notices.len(), MAX_TOLD);
+        assert_eq!(notices[0].content, content(b"bad"));
+    }
+
+    /// Guards against requests of two callers that are taken for one.
+    #[test]
+    fn content_tells_parts_apart() {
+        let whole = Content::of("/a", Some("b"), b"c");
+        assert_ne!(whole, Content::of("/a", Some("bc"), b""));
+        assert_ne!(whole, Content::of("/ab", None, b"c"));
+        assert_ne!(ServerRun::of("a", 1), ServerRun::of("a", 2));
+    }
+}
--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 pub mod cells;
 pub mod collect;
 pub mod config;
+pub mod crashers;
 pub mod entry;
 pub mod events;
 pub mod fetching;
--- a/crates/briarladder-gateway/src/board.rs
+++ b/crates/briarladder-gateway/src/board.rs
@@ -19,6 +19,7 @@
         budget::{BudgetTerms, RetryBudget},
         cells::Cells,
         config::{FleetConfig, ServiceWork},
+        crashers::Crashers,
         fetching::FetchTimes,
         mirror::Mirror,
         peers::{Member, PeerTable},
@@ -94,6 +95,8 @@
     config: RefCell<Option<Rc<FleetConfig>>>,
     /// Listed servers; owner: the store controller.
     pub servers: RefCell<Servers>,
+    /// Requests that crash servers; owner: the request path.
+    pub crashers: RefCell<Crashers>,
     /// Servers that have asked for no work; owner: the request path.
     pub bars: RefCell<Bars>,
     /// Live daemons; owner: the membership controller.
@@ -148,6 +151,7 @@
             config: RefCell::new(None),
             servers: RefCell::default(),
             bars: RefCell::default(),
+            crashers: RefCell::default(),
             peers: RefCell::new(PeerTable::new(me)),
             joined_at: Cell::new(None),
             started_at,
--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -6,19 +6,32 @@
 //! complete.
 
 use std::{
+    fmt,
     future::Future,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
 
+use briarladder_core::fleet::server::ListedServer;
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use tokio::{sync::mpsc, time::Sleep};
+use tokio::{
+    sync::mpsc,
+    time::{Sleep, sleep_until},
+};
 
-use crate::{board::RunningGuard, pool::Lease, request::record::Record};
+use crate::{
+    board::RunningGuard,
+    pool::Lease,
+    request::{
+        outgoing::{Answer, Outgoing},
+        record::Record,
+    },
+};
 
 /// Why a relayed body broke off.
 #[derive(Debug, Display, Error)]
@@ -67,7 +80,6 @@
 }
 
 /// A body that passes on what a server sends.
-#[derive(Debug)]
 pub struct Relay {
     /// What was read before, in reverse order.
     begun: Vec<Bytes>,
@@ -76,30 +88,40 @@
     lease: Option<Lease>,
     idle_timeout: Option<Duration>,
     record: Record,
+    outgoing: Outgoing,
+    server: Arc<ListedServer>,
     _running: RunningGuard,
 }
 
+impl fmt::Debug for Relay {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Relay").finish_non_exhaustive()
+    }
+}
+
 impl Relay {
-    /// Creates a body that must end before `give_up`. It begins with bytes
-    /// that were read already.
+    /// Creates the body of an answer to a request, which must end before the
+    /// request is given up.
     #[must_use]
     pub fn new(
-        mut begun: Vec<Bytes>,
-        incoming: Incoming,
-        give_up: Sleep,
-        lease: Lease,
-        idle_timeout: Option<Duration>,
+        outgoing: Outgoing,
+        server: Arc<ListedServer>,
+        answer: Answer,
         record: Record,
         running: RunningGuard,
     ) -> Relay {
+        let Answer { facts, mut begun, body, lease, .. } = answer;
         begun.reverse();
+        let give_up = sleep_until(outgoing.accepted.give_up.into());
         Relay {
             begun,
-            incoming,
+            incoming: body,
             give_up: Box::pin(give_up),
             lease: Some(lease),
-            idle_timeout,
+            idle_timeout: facts.idle_timeout,
             record,
+            outgoing,
+            server,
             _running: running,
         }
     }
@@ -125,6 +147,7 @@
             }
             Poll::Ready(Some(Err(error))) => {
                 self.lease = None;
+                self.outgoing.crashed(&self.server);
                 self.record.end("broken_off");
                 let error = RelayError::Server(error.to_string());
                 Poll::Ready(Some(Err(error)))
@@ -148,6 +171,7 @@
         if let Some(lease) = self.lease.take() {
             lease.give_back(self.idle_timeout);
         }
+        self.outgoing.succeeded();
         self.record.end("answered");
     }
 }
--- a/crates/briarladder-gateway/src/peers/membership.rs
+++ b/crates/briarladder-gateway/src/peers/membership.rs
@@ -6,17 +6,15 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use briarladder_core::fleet::peers::{
-    Change, Difference, Exchange, Member, Target,
-};
+use briarladder_core::fleet::peers::{Change, Difference, Member, Target};
 use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
 
 use crate::{context::Gateway, settings::GatewaySettings, stages::cells};
 
 use super::messages::{
-    Accepted, CHECK_PATH, COMPARE_PATH, Check, Checked, EXCHANGE_PATH,
-    MEMBERS_PATH, Members,
+    Accepted, CHECK_PATH, COMPARE_PATH, Check, Checked, Contact,
+    EXCHANGE_PATH, MEMBERS_PATH, Members,
 };
 
 /// The longest time for an answer: round trips between regions fit.
@@ -117,16 +115,11 @@
     member: Option<&Member>,
 ) -> Result<(), super::client::PeerError> {
     let board = &gateway.board;
-    let message = board.peers.borrow().exchange(board.now(), member);
-    let answer: Exchange =
+    let message = message(gateway, member);
+    let answer: Contact =
         gateway.peers.call(address, EXCHANGE_PATH, &message, TIMEOUT).await?;
-    let zones = {
-        let mut peers = board.peers.borrow_mut();
-        let changes = peers.take(board.now(), &answer);
-        log_changes(&changes, "answer");
-        peers.differing(&answer)
-    };
-    board.join(board.now());
+    take(gateway, &answer, "answer");
+    let zones = board.peers.borrow().differing(&answer.exchange);
     if zones.is_empty() {
         return Ok(());
     }
@@ -151,6 +144,26 @@
     Ok(())
 }
 
+/// Returns the message to a member, or the answer for one.
+pub fn message(gateway: &Gateway, to: Option<&Member>) -> Contact {
+    let board = &gateway.board;
+    let now = board.now();
+    Contact {
+        exchange: board.peers.borrow().exchange(now, to),
+        crashes: board.crashers.borrow().notices(now),
+    }
+}
+
+/// Takes a message of a member.
+pub fn take(gateway: &Gateway, message: &Contact, source: &str) {
+    let board = &gateway.board;
+    let now = board.now();
+    let changes = board.peers.borrow_mut().take(now, &message.exchange);
+    log_changes(&changes, source);
+    board.crashers.borrow_mut().take(now, &message.crashes);
+    board.join(now);
+}
+
 /// Asks others whether they reach a daemon that did not answer.
 async fn check(gateway: &Gateway, silent: &Member) {
     let board = &gateway.board;
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -6,7 +6,12 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use briarladder_core::fleet::{cells::Cell, config::StageSpec, peers::Member};
+use briarladder_core::fleet::{
+    cells::Cell,
+    config::StageSpec,
+    crashers::CrashNotice,
+    peers::{Exchange, Member},
+};
 use serde::{Deserialize, Serialize};
 
 /// The path of an exchange of what two daemons know of the fleet.
@@ -33,6 +38,15 @@
 /// The path of a question for published items.
 pub const CHANGES_PATH: &str = "/peers/changes";
 
+/// What two daemons tell each other, in both directions.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Contact {
+    /// Who is alive.
+    pub exchange: Exchange,
+    /// The newest crashes of servers by the requests that they worked on.
+    pub crashes: Vec<CrashNotice>,
+}
+
 /// Members that the receiver lacks.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct Members {
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
-use briarladder_core::fleet::peers::{Exchange, Summary};
+use briarladder_core::fleet::peers::Summary;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,9 +15,9 @@
     changes::{CHANGES_PATH, ChangesReply, ChangesRequest},
     membership,
     messages::{
-        Accepted, CHECK_PATH, COMPARE_PATH, Check, Checked, EXCHANGE_PATH,
-        MEMBERS_PATH, Members, PING_PATH, Ping, RELEASE_PATH, Release,
-        STAGES_PATH, StagesRequest,
+        Accepted, CHECK_PATH, COMPARE_PATH, Check, Checked, Contact,
+        EXCHANGE_PATH, MEMBERS_PATH, Members, PING_PATH, Ping, RELEASE_PATH,
+        Release, STAGES_PATH, StagesRequest,
     },
 };
 
@@ -48,7 +48,7 @@
     let body = body.to_bytes();
     Ok(match path.as_str() {
         EXCHANGE_PATH => {
-            answer(&body, |message: Exchange| exchange(&gateway, &message))
+            answer(&body, |message: Contact| contact(&gateway, &message))
         }
         COMPARE_PATH => answer(&body, |summary: Summary| {
             gateway.board.peers.borrow().compare(&summary)
@@ -84,16 +84,9 @@
     })
 }
 
-fn exchange(gateway: &Gateway, message: &Exchange) -> Exchange {
-    let now = gateway.board.now();
-    let answer = {
-        let mut peers = gateway.board.peers.borrow_mut();
-        let changes = peers.take(now, message);
-        membership::log_changes(&changes, "message");
-        peers.exchange(now, Some(&message.from))
-    };
-    gateway.board.join(now);
-    answer
+fn contact(gateway: &Gateway, message: &Contact) -> Contact {
+    membership::take(gateway, message, "message");
+    membership::message(gateway, Some(&message.exchange.from))
 }
 
 fn members(gateway: &Gateway, message: &Members) -> Accepted {
--- a/crates/briarladder-gateway/src/refusal.rs
+++ b/crates/briarladder-gateway/src/refusal.rs
@@ -36,6 +36,9 @@
     /// The daemon stops and may not finish the request.
     #[display("the daemon stops; try again")]
     Stopping,
+    /// Servers crash that run the request.
+    #[display("servers crash that run this request; change it")]
+    CrashesServers,
     /// No server of the service can be reached.
     #[display("no server of the service takes the request; try again later")]
     NoServer,
@@ -69,6 +72,7 @@
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NotConfigured
             | Refusal::Stopping
+            | Refusal::CrashesServers
             | Refusal::NoServer
             | Refusal::StagesLate
             | Refusal::StageFailed
@@ -89,6 +93,7 @@
             Refusal::NoRoute => "no_route",
             Refusal::NotConfigured => "not_configured",
             Refusal::Stopping => "stopping",
+            Refusal::CrashesServers => "crashes_servers",
             Refusal::NoServer => "no_server",
             Refusal::StagesLate => "stages_late",
             Refusal::StageFailed => "stage_failed",
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -2,9 +2,12 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use briarladder_core::fleet::attempt::{NextStep, Sends};
+use briarladder_core::fleet::{
+    attempt::{NextStep, Sends},
+    server::ListedServer,
+};
 use http::Response;
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::timeout_at;
 
 use crate::{
     board::RunningGuard,
@@ -18,8 +21,7 @@
     accept::Accepted,
     headers::copy_head,
     outgoing::{
-        Answer, Outgoing, Usable, WholeAnswer, choose_server, count,
-        note_failure,
+        Outgoing, Usable, WholeAnswer, choose_server, count, note_failure,
     },
     record::{Phase, Record},
     resume,
@@ -46,6 +48,15 @@
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut last_failure = None;
     let refusal = loop {
+        if let Some(wait) = outgoing.refused_for() {
+            record.cause = Some("servers crash that run it".to_owned());
+            if sends.may_have_run() > 0 {
+                break Refusal::Unknown;
+            }
+            let refusal = Refusal::CrashesServers;
+            let ended = Ended { refusal, retry_after: Some(wait) };
+            return Err((Box::new(record), ended));
+        }
         if outgoing.prepared.is_released()
             && let Err(ended) = outgoing.prepare_again(&mut record).await
         {
@@ -79,7 +90,9 @@
             Ok(Ok(answer)) => {
                 count(&gateway, &accepted, "answered");
                 board.placement.borrow_mut().succeeded(&server.name);
-                return Ok(pass_on(&outgoing, answer, record, running, sends));
+                return Ok(pass_on(
+                    &outgoing, &server, answer, record, running, sends,
+                ));
             }
             Ok(Err(failed)) => failed,
             Err(_) => {
@@ -125,6 +138,7 @@
 
 fn pass_on(
     outgoing: &Outgoing,
+    server: &Arc<ListedServer>,
     answer: Usable,
     mut record: Record,
     running: RunningGuard,
@@ -139,6 +153,7 @@
             record.status = answer.head.status.as_u16();
             record.relayed(answer.body.len());
             record.end("answered");
+            outgoing.succeeded();
             whole_response(*answer)
         }
         Usable::Flowing(answer) if resumable => {
@@ -156,15 +171,12 @@
             response
         }
         Usable::Flowing(answer) => {
-            let Answer { head, facts, begun, body, lease } = *answer;
-            record.status = head.status.as_u16();
-            let give_up = sleep_until(outgoing.accepted.give_up.into());
+            record.status = answer.head.status.as_u16();
+            let head = answer.head.clone();
             let relay = Relay::new(
-                begun,
-                body,
-                give_up,
-                lease,
-                facts.idle_timeout,
+                outgoing.clone(),
+                Arc::clone(server),
+                *answer,
                 record,
                 running,
             );
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -4,6 +4,7 @@
 
 use briarladder_core::{
     fleet::{
+        crashers::{Content, ServerRun},
         placement::{Wish, reading_time},
         server::ListedServer,
     },
@@ -173,6 +174,9 @@
         server.name,
         failed.cause
     );
+    if failed.failure == AttemptFailure::Broken {
+        outgoing.crashed(server);
+    }
     // A server's own error answers say little about its other requests, and
     // it is not its fault if inputs are gone.
     let blamed =
@@ -189,6 +193,53 @@
 }
 
 impl Outgoing {
+    /// Returns what the request is, whatever its id.
+    fn content(&self) -> Content {
+        let target =
+            self.head.uri.path_and_query().map_or("/", |p| p.as_str());
+        let workspace = self.accepted.workspace.as_ref();
+        Content::of(target, workspace.map(|w| &*w.name), &self.body)
+    }
+
+    /// Returns for how long the request is refused because servers crash
+    /// that run it.
+    #[must_use]
+    pub fn refused_for(&self) -> Option<Duration> {
+        let board = &self.gateway.board;
+        let crashers = board.crashers.borrow();
+        if crashers.is_empty() {
+            return None;
+        }
+        crashers.refused_for(board.now(), self.content())
+    }
+
+    /// Records that a server ended, or broke its connection, while it worked
+    /// on the request.
+    pub fn crashed(&self, server: &ListedServer) {
+        let board = &self.gateway.board;
+        let run = ServerRun::of(&server.name, server.born_ms);
+        let refused = board.crashers.borrow_mut().crashed(
+            board.now(),
+            self.content(),
+            run,
+        );
+        if refused {
+            log::warn!(
+                "crashers: id={} server={} outcome=refused_from_now",
+                self.accepted.caller.attempt,
+                server.name
+            );
+        }
+    }
+
+    /// Records a complete answer.
+    pub fn succeeded(&self) {
+        let mut crashers = self.gateway.board.crashers.borrow_mut();
+        if !crashers.is_empty() {
+            crashers.succeeded(self.content());
+        }
+    }
+
     /// Does the stages again, since the results of the first time are
     /// released or gone.
     ///
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -117,6 +117,7 @@
                     part.answer
                         .lease
                         .give_back(part.answer.facts.idle_timeout);
+                    self.outgoing.succeeded();
                     return self.record.end("answered");
                 }
                 PartEnd::CallerLeft => return,
@@ -128,7 +129,8 @@
                 }
                 PartEnd::Stopped(failed) => failed,
                 PartEnd::Stalled => {
-                    let failed = stopped_by("no event in time");
+                    let failure = AttemptFailure::TimedOut;
+                    let failed = Failed::new(failure, "no event in time");
                     let Some(next) = self.next_server(&failed).await else {
                         patient = true;
                         continue;
