Notice that the process did not run, and drop its connections

Cause: a process that was suspended or stopped sent its next requests on connections that its servers may have closed, and trusted a list of servers that may have changed (listed as open in docs/platform.md).

Change: core::fleet::suspension compares the boot clock with the steady one and looks for long gaps between checks; the gateway then closes its idle connections, counts itself as without contact to the store and reads it or its source again at once. Retry budgets stay as they are.

--- a/crates/briarladder-core/src/clock.rs
+++ b/crates/briarladder-core/src/clock.rs
@@ -31,6 +31,12 @@
 
     /// Returns the wall-clock time since the Unix epoch.
     fn unix(&self) -> Duration;
+
+    /// Returns the time for which the VM was suspended since its start; zero
+    /// if the clock can't tell.
+    fn suspended(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// A clock shared by the parts of a process.
--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -32,3 +32,4 @@
 pub mod server;
 pub mod stages;
 pub mod stopping;
+pub mod suspension;
--- a/crates/briarladder-gateway/src/board.rs
+++ b/crates/briarladder-gateway/src/board.rs
@@ -27,6 +27,7 @@
         readers::{self, Feeds, Role},
         server::{ListedServer, ServerState, Servers},
         stopping::Stop,
+        suspension::SuspensionDetector,
     },
     sorted::SortedMap,
 };
@@ -123,6 +124,9 @@
     pub seeds: RefCell<Vec<SocketAddr>>,
     /// Whether the process stops; owner: the process.
     pub lifecycle: Cell<Lifecycle>,
+    /// Told when the VM was suspended; owner: the board.
+    pub woken: Notify,
+    suspension: Cell<SuspensionDetector>,
     /// Told when a planned stop begins; owner: the process.
     pub stop_begun: Notify,
     /// Requests of callers in progress; owner: the listener.
@@ -164,6 +168,8 @@
             cells: RefCell::default(),
             seeds: RefCell::new(settings.seeds.clone()),
             lifecycle: Cell::new(Lifecycle::Serving),
+            woken: Notify::new(),
+            suspension: Cell::default(),
             stop_begun: Notify::new(),
             open_requests: Cell::new(0),
             open_stages: Cell::new(0),
@@ -324,6 +330,25 @@
         }))
     }
 
+    /// Notices that the process did not run since the last check, and forgets
+    /// that changes arrive: servers may have left meanwhile. Retry budgets
+    /// stay, since what they count as spent may lie in the same window.
+    /// Returns whether connections must be dropped.
+    pub fn check_suspension(&self) -> bool {
+        let mut detector = self.suspension.get();
+        let suspended = detector.check(self.now(), self.clock.suspended());
+        self.suspension.set(detector);
+        let Some(suspended) = suspended else { return false };
+        log::warn!(
+            "process: event=woken did_not_run_ms={}",
+            suspended.as_millis()
+        );
+        *self.feeds.borrow_mut() = Feeds::default();
+        self.store_contact.set(StoreContact::LostAt(self.now()));
+        self.woken.notify_waiters();
+        true
+    }
+
     /// Records that another daemon has answered.
     pub fn join(&self, now: Instant) {
         if self.joined_at.get().is_none() {
--- a/crates/briarladder-gateway/src/lib.rs
+++ b/crates/briarladder-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod board;
 pub mod body;
+pub mod clock;
 pub mod context;
 pub mod dialect;
 pub mod listener;
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context as _;
 use briarladder_core::{
-    clock::{SharedClock, SystemClock},
+    clock::SharedClock,
     fleet::{peers::Member, stopping::Stop},
 };
 use tokio::{
@@ -16,6 +16,7 @@
 
 use crate::{
     board::{Board, Lifecycle},
+    clock::VmClock,
     context::Gateway,
     dialect::Dialect,
     listener,
@@ -64,7 +65,7 @@
     dialect: Rc<dyn Dialect>,
     reload: Reload,
 ) -> anyhow::Result<()> {
-    let clock: SharedClock = Arc::new(SystemClock);
+    let clock: SharedClock = Arc::new(VmClock);
     let mut signals = Signals::new()?;
     let settings = Rc::new(settings);
     let gateway = build(&clock, &settings, dialect);
--- a/crates/briarladder-gateway/src/store/feed.rs
+++ b/crates/briarladder-gateway/src/store/feed.rs
@@ -47,7 +47,13 @@
         let known = last.as_ref() == Some(&source);
         let wait = if known { feed_wait } else { Duration::ZERO };
         let asked_at = gateway.board.now();
-        let answer = ask(&gateway, address, wait).await;
+        let answer = tokio::select! {
+            answer = ask(&gateway, address, wait) => answer,
+            () = gateway.board.woken.notified() => {
+                last = None;
+                continue;
+            }
+        };
         let now = gateway.board.now();
         let failure = match answer {
             Ok(true) => None,
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -88,8 +88,14 @@
             tokio::time::sleep(FED_CHECK).await;
             continue;
         }
-        let result =
-            if listed { reader.watch().await } else { reader.list().await };
+        let read = async {
+            if listed { reader.watch().await } else { reader.list().await }
+        };
+        // What a suspended VM waited for may never come.
+        let result = tokio::select! {
+            result = read => result,
+            () = reader.gateway.board.woken.notified() => continue,
+        };
         match result {
             Ok(changed) => {
                 listed = true;
