Carry the configuration compressed between daemons

Change: the daemon that reads the store compresses it once (lz4_flex, pure Rust, safe variants); it is decompressed only where it comes into force.

--- a/crates/briarladder-core/src/fleet/mirror.rs
+++ b/crates/briarladder-core/src/fleet/mirror.rs
@@ -42,7 +42,7 @@
 /// What an item says.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Published {
-    /// The configuration, in the format of the platform.
+    /// The configuration, in the format of the platform and compressed.
     Config(Arc<[u8]>),
     /// A backend server.
     Server(ListedServer),
--- a/crates/briarladder-gateway/src/store/apply.rs
+++ b/crates/briarladder-gateway/src/store/apply.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use briarladder_core::fleet::mirror::{Item, Key, Published};
+use lz4_flex::{compress_prepend_size, decompress_size_prepended};
 
 use crate::{
     context::Gateway,
@@ -15,7 +16,9 @@
     let StoreItem { key, revision, value } = item;
     let (key, value) = match gateway.dialect.item_kind(key) {
         ItemKind::Config => {
-            let value = value.as_ref().map(Arc::clone).map(Published::Config);
+            let value = value.as_ref().map(|bytes| {
+                Published::Config(compress_prepend_size(bytes).into())
+            });
             (Key::Config, value)
         }
         ItemKind::Server(name) => {
@@ -101,8 +104,20 @@
     }
 }
 
-fn config_changed(gateway: &Gateway, revision: u64, bytes: &[u8]) {
-    match gateway.dialect.decode_config(bytes) {
+/// Puts a configuration into force. It is kept compressed: one with thousands
+/// of routes would take seconds to reach the daemons that one feeds over a
+/// link of 10 Mbit/s.
+fn config_changed(gateway: &Gateway, revision: u64, compressed: &[u8]) {
+    let bytes = match decompress_size_prepended(compressed) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!(
+                "config: revision={revision} outcome=rejected cause={error}"
+            );
+            return;
+        }
+    };
+    match gateway.dialect.decode_config(&bytes) {
         Ok(config) => {
             let version = config.version;
             let routes = config.routes.len();
