--- a/crates/briarladder-gateway/src/store/apply.rs
+++ b/crates/briarladder-gateway/src/store/apply.rs
@@ -3,22 +3,22 @@
 use std::sync::Arc;
 
 use briarladder_core::fleet::mirror::{Item, Key, Published};
-use lz4_flex::{compress_prepend_size, decompress_size_prepended};
 
 use crate::{
     context::Gateway,
     dialect::{ItemKind, StoreItem},
 };
 
+use super::compression::{compress, restore};
+
 /// Decodes an item of the store; none if it is of no use here. A server whose
 /// entry can't be read is as good as removed.
 pub fn decode(gateway: &Gateway, item: &StoreItem) -> Option<Item> {
     let StoreItem { key, revision, value } = item;
     let (key, value) = match gateway.dialect.item_kind(key) {
         ItemKind::Config => {
-            let value = value.as_ref().map(|bytes| {
-                Published::Config(compress_prepend_size(bytes).into())
-            });
+            let value = value.as_ref();
+            let value = value.map(|bytes| Published::Config(compress(bytes)));
             (Key::Config, value)
         }
         ItemKind::Server(name) => {
@@ -104,11 +104,8 @@
     }
 }
 
-/// Puts a configuration into force. It is kept compressed: one with thousands
-/// of routes would take seconds to reach the daemons that one feeds over a
-/// link of 10 Mbit/s.
 fn config_changed(gateway: &Gateway, revision: u64, compressed: &[u8]) {
-    let bytes = match decompress_size_prepended(compressed) {
+    let bytes = match restore(compressed) {
         Ok(bytes) => bytes,
         Err(error) => {
             log::error!(
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -7,6 +7,7 @@
 //! asked of a peer, whose copy answers the same questions.
 
 mod apply;
+mod compression;
 mod feed;
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
