Tell in the log of a request why a call for its pieces failed

A piece said call_failed without the cause, which stood in a line without the id of the request, and not_tried_again did not tell the limit of tries from an empty retry budget. A request that a planned stop ended was logged as caller_left; it is cut_by_stop now.

--- a/crates/briarladder-gateway/src/request/record.rs
+++ b/crates/briarladder-gateway/src/request/record.rs
@@ -123,6 +123,17 @@
         self.outcome = Some(outcome);
     }
 
+    /// Returns what ended a request whose work was dropped: its caller, or the
+    /// end of a planned stop.
+    fn end_without_word(&self) -> &'static str {
+        let now = self.board.now();
+        let stopped = self
+            .board
+            .stop()
+            .is_some_and(|stop| stop.last_answers_at() <= now);
+        if stopped { "cut_by_stop" } else { "caller_left" }
+    }
+
     fn elapsed(&self) -> Duration {
         self.board.now().duration_since(self.started)
     }
@@ -132,7 +143,7 @@
     fn drop(&mut self) {
         self.board.open_requests.set(self.board.open_requests.get() - 1);
         self.metrics.open_requests.dec();
-        let outcome = self.outcome.unwrap_or("caller_left");
+        let outcome = self.outcome.unwrap_or_else(|| self.end_without_word());
         let route = self.route.as_deref().unwrap_or("-");
         self.metrics.request_ended(route, outcome, self.first_byte);
         log::info!(
--- a/crates/briarladder-gateway/src/stages/collector/mod.rs
+++ b/crates/briarladder-gateway/src/stages/collector/mod.rs
@@ -374,7 +374,7 @@
                     "call_failed",
                 );
                 for (id, job) in jobs {
-                    log_failed(key, &call.server, &job, "call_failed");
+                    log_call_failed(key, &call.server, &job, &cause);
                     self.try_again(key, &call.server, id, job);
                 }
             }
@@ -453,8 +453,11 @@
             return;
         }
         job.tries += 1;
-        if job.tries >= MAX_TRIES || !self.board.try_repeat(&key.service) {
-            log_failed(key, server, &job, "not_tried_again");
+        let allowed = job.tries < MAX_TRIES;
+        if !allowed || !self.board.try_repeat(&key.service) {
+            let outcome =
+                if allowed { "no_retry_budget" } else { "tried_too_often" };
+            log_failed(key, server, &job, outcome);
             self.forget(key, id);
             return self.fail(&job, StageFailure::Failed);
         }
@@ -465,6 +468,22 @@
     }
 }
 
+/// Logs why the call failed that one piece was in, under the id of its
+/// request.
+fn log_call_failed(key: &QueueKey, server: &Arc<str>, job: &Job, cause: &str) {
+    if !job.has_ended() {
+        log::info!(
+            "pieces: id={} stage={} piece={} service={} server={server} \
+             outcome=call_failed tries={} cause={cause:?}",
+            job.stage().attempt,
+            job.stage().stage,
+            job.piece(),
+            key.service,
+            job.tries
+        );
+    }
+}
+
 /// Logs what became of one piece under the id of its request.
 fn log_failed(
     key: &QueueKey,
