Use one type for the state of a member

core::fleet::peers had a copy of core::membership::MemberState. A method of the event splitter that only tests used is gone; its test compares the rest itself.

--- a/crates/briarladder-core/src/fleet/events.rs
+++ b/crates/briarladder-core/src/fleet/events.rs
@@ -59,12 +59,6 @@
         self.last_id.as_deref()
     }
 
-    /// Returns whether no part of an event is left over.
-    #[must_use]
-    pub fn is_whole(&self) -> bool {
-        self.rest.is_empty() && !self.torn
-    }
-
     /// Returns whether another server may go on after the last event: no
     /// part of a further one was passed on.
     #[must_use]
@@ -119,7 +113,7 @@
             whole.extend(splitter.push(&stream[cut..]));
             assert_eq!(whole, &stream[..30], "cut at {cut}");
             assert_eq!(splitter.last_id(), Some("2"));
-            assert!(!splitter.is_whole());
+            assert_eq!(splitter.take_rest(), b"id: 3\n");
         }
     }
 
--- a/crates/briarladder-core/src/fleet/peers/digests.rs
+++ b/crates/briarladder-core/src/fleet/peers/digests.rs
@@ -9,9 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::sorted::SortedMap;
+use crate::{membership::MemberState, sorted::SortedMap};
 
-use super::member::{Member, MemberState};
+use super::member::Member;
 
 /// The digest of one zone.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/briarladder-core/src/fleet/peers/member.rs
+++ b/crates/briarladder-core/src/fleet/peers/member.rs
@@ -2,47 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use derive_more::Display;
 use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
 
-/// The state of a member. Of two statements with equal incarnation and
-/// sequence, the one with the greater state holds.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Deserialize,
-    Display,
-    Eq,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-pub enum MemberState {
-    /// It takes requests.
-    #[display("ready")]
-    Ready,
-    /// It is in a planned stop.
-    #[display("leaving")]
-    Leaving,
-    /// Two daemons of its zone did not reach it.
-    #[display("suspect")]
-    Suspect,
-    /// It did not refute that.
-    #[display("dead")]
-    Dead,
-}
-
-impl MemberState {
-    /// Returns whether duties may fall on the member. A suspect keeps its
-    /// own, so that a member that is only slow to answer loses nothing.
-    #[must_use]
-    pub fn is_assignable(self) -> bool {
-        matches!(self, MemberState::Ready | MemberState::Suspect)
-    }
-}
+use crate::membership::MemberState;
 
 /// One daemon.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -80,6 +43,13 @@
         }
     }
 
+    /// Returns whether duties may fall on the member. A suspect keeps its
+    /// own, so that a member that is only slow to answer loses nothing.
+    #[must_use]
+    pub fn is_assignable(&self) -> bool {
+        matches!(self.state, MemberState::Ready | MemberState::Suspect)
+    }
+
     /// Returns a hash of the statement, the same in all daemons.
     #[must_use]
     pub(super) fn hash(&self) -> u64 {
--- a/crates/briarladder-core/src/fleet/peers/mod.rs
+++ b/crates/briarladder-core/src/fleet/peers/mod.rs
@@ -48,13 +48,13 @@
     time::{Duration, Instant},
 };
 
-use crate::{rendezvous, sorted::SortedMap};
+use crate::{membership::MemberState, rendezvous, sorted::SortedMap};
 
 use self::{beats::Beats, digests::Digests};
 
 pub use self::{
     exchange::{Difference, Exchange, MAX_NEWS, Summary},
-    member::{Change, Member, MemberState},
+    member::{Change, Member},
     probes::Target,
 };
 
@@ -91,7 +91,7 @@
 
 impl Peer {
     fn is_usable(&self, now: Instant) -> bool {
-        self.member.state.is_assignable()
+        self.member.is_assignable()
             && self.avoid_until.is_none_or(|until| until <= now)
     }
 }
@@ -336,7 +336,7 @@
 
     /// Iterates over the live daemons, this one included unless it stops.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &Member> {
-        let me = Some(&self.me).filter(|me| me.state.is_assignable());
+        let me = Some(&self.me).filter(|me| me.is_assignable());
         me.into_iter().chain(self.live_peers(now))
     }
 
--- a/crates/briarladder-core/src/fleet/peers/probes.rs
+++ b/crates/briarladder-core/src/fleet/peers/probes.rs
@@ -10,7 +10,9 @@
     seq::{IndexedRandom, IteratorRandom},
 };
 
-use super::{Change, Member, MemberState, Peer, PeerTable};
+use crate::membership::MemberState;
+
+use super::{Change, Member, Peer, PeerTable};
 
 /// The time between two messages while nothing happens.
 const INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/briarladder-core/src/fleet/peers/simulation.rs
+++ b/crates/briarladder-core/src/fleet/peers/simulation.rs
@@ -11,9 +11,9 @@
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
-use crate::{rendezvous, sorted::SortedMap};
+use crate::{membership::MemberState, rendezvous, sorted::SortedMap};
 
-use super::{Member, MemberState, PeerTable, Target};
+use super::{Member, PeerTable, Target};
 
 /// The time between two looks at all daemons.
 const STEP: Duration = Duration::from_millis(125);
