--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use briarladder_core::fleet::{
-    cells::Cell,
+    cells::{Cell, CellName},
     collect::Home,
     config::ServiceWork,
     placement::{Affinity, reading_time},
@@ -120,6 +120,12 @@
         if holder.name == gateway.vm {
             break;
         }
+        // Tells what a caller waited for that leaves meanwhile.
+        record.cause = Some(format!(
+            "waits for stages of cell {} at {}",
+            CellName(&cell),
+            holder.name
+        ));
         let request = stages_request(gateway, accepted, cell, home);
         let left = accepted.time_to_head(board.now()) + COORDINATOR_SLACK;
         let answer =
@@ -149,12 +155,16 @@
         }
         let wait_ms = u32::try_from(reply.wait_ms).unwrap_or(u32::MAX);
         peers.heard_stage_wait(board.now(), &holder.name, wait_ms);
+        record.cause = None;
         let job = job(&reply, Some(holder.address));
         return Ok((job, reply));
     }
     let cell = cell(gateway, accepted, plan, home, record)?;
+    record.cause =
+        Some(format!("waits for stages of cell {} here", CellName(&cell)));
     let request = stages_request(gateway, accepted, cell, home);
     let reply = gateway.coordinator.run_stages(request).await;
+    record.cause = None;
     Ok((job(&reply, None), reply))
 }
 
