Leave the smaller of two bounds to the gateway, and a check to its context

The check for a process that did not run is used by requests and by the membership controller, so it belongs to neither.

--- a/crates/briarladder-gateway/src/board.rs
+++ b/crates/briarladder-gateway/src/board.rs
@@ -159,7 +159,7 @@
             peers: RefCell::new(PeerTable::new(me)),
             joined_at: Cell::new(None),
             started_at,
-            change_bound: settings.change_bound,
+            change_bound: settings.change_bound(),
             placement: RefCell::new(Placement::new(settings.region_map())),
             running: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/briarladder-gateway/src/context.rs
+++ b/crates/briarladder-gateway/src/context.rs
@@ -32,3 +32,13 @@
     /// The name of the VM, for logs.
     pub vm: Arc<str>,
 }
+
+impl Gateway {
+    /// Drops the connections of a process that did not run for a while. Call
+    /// it before anything is sent.
+    pub fn check_suspension(&self) {
+        if self.board.check_suspension() {
+            self.pool.clear();
+        }
+    }
+}
--- a/crates/briarladder-gateway/src/peers/membership.rs
+++ b/crates/briarladder-gateway/src/peers/membership.rs
@@ -1,4 +1,4 @@
-//! Keeping in touch with the other daemons.
+//! Finding out which other daemons are alive.
 //!
 //! One message after the other goes to a daemon that the table of members
 //! chooses. A daemon of the zone that does not answer is checked on through
@@ -10,9 +10,7 @@
 use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
 
-use crate::{
-    context::Gateway, request, settings::GatewaySettings, stages::cells,
-};
+use crate::{context::Gateway, settings::GatewaySettings, stages::cells};
 
 use super::messages::{
     Accepted, CHECK_PATH, COMPARE_PATH, Check, Checked, Contact,
@@ -38,7 +36,7 @@
 pub async fn run(gateway: Rc<Gateway>, settings: Rc<GatewaySettings>) {
     loop {
         let board = &gateway.board;
-        request::check_suspension(&gateway);
+        gateway.check_suspension();
         let now = board.now();
         let changes = board.peers.borrow_mut().tick(now);
         log_changes(&changes, "time");
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -72,7 +72,7 @@
 ) -> Response<ReplyBody> {
     let mut record = Record::new(&gateway.board, &gateway.metrics);
     let (head, body) = request.into_parts();
-    check_suspension(gateway);
+    gateway.check_suspension();
     wait_for_config(gateway).await;
     let accepted = match accept(gateway, &head, &mut record) {
         Ok(accepted) => accepted,
@@ -135,14 +135,6 @@
     }
 }
 
-/// Drops the connections of a process that did not run for a while, before
-/// anything is sent.
-pub fn check_suspension(gateway: &Gateway) {
-    if gateway.board.check_suspension() {
-        gateway.pool.clear();
-    }
-}
-
 /// Waits for the first configuration of a process that has just started. It
 /// is on its way, and a refusal would cost the caller one of its attempts.
 async fn wait_for_config(gateway: &Gateway) {
