--- a/crates/briarladder-gateway/src/store/compression.rs
+++ b/crates/briarladder-gateway/src/store/compression.rs
@@ -76,11 +76,11 @@
         for at in 0..routes {
             write!(
                 text,
-                r#"{{"name":"r-{at}","host":"h{at}.example","prefix":"/p{at}/",
-                "kind":"non_idempotent","timeoutMs":8000,"priority":2,
-                "targetLatencyMs":1200,"service":"s-{}","maxAttempts":1,
-                "stages":[],"allowAnonymous":false,"streamResume":false,
-                "targetGapMs":300,"stickySessions":true}},"#,
+                r#"{{"name":"r-{at}","host":"h{at}.example","path":"/p{at}/",
+                "repeats":"never","timeout_ms":8000,"rank":2,"tries":1,
+                "target_ms":1200,"service":"s-{}","pause_ms":300,
+                "stages":[],"without_key":false,"may_be_resumed":false,
+                "keeps_to_one_server":true,"weights":[1,2,3,4,5]}},"#,
                 at % 5
             )
             .unwrap();
