--- a/crates/briarladder-core/src/fleet/events.rs
+++ b/crates/briarladder-core/src/fleet/events.rs
@@ -14,7 +14,8 @@
 //! assert_eq!(whole, b"id: 4\ndata: a\n\n");
 //! assert_eq!(splitter.last_id(), Some("4"));
 //! splitter.discard_rest();
-//! assert!(splitter.is_whole());
+//! assert!(splitter.may_go_on());
+//! assert!(splitter.take_rest().is_empty());
 //! ```
 
 /// The longest event that is waited for. A longer one is passed on as it
