Keep a cell with its coordinator while others come and go

Cause: the coordinator of a cell was the first daemon in rendezvous order near the zone with the most servers. One that had started again took its cell back at once, and a server that ended moved the cell of a small fleet to another region.

Change: a coordinator takes its duty in its own statement and keeps it until it stops, is found dead or is far from the servers. A request that reaches another daemon is sent on, with the statement of the daemon that it came from, since the next one may not have heard that this one stops. Requests that wait at the asking daemon itself are sent on too instead of being refused.

--- a/crates/briarladder-core/src/fleet/cells.rs
+++ b/crates/briarladder-core/src/fleet/cells.rs
@@ -40,6 +40,10 @@
 /// as many servers of three services makes about 200 calls a second.
 const MAX_CELL_SERVERS: usize = 16;
 
+/// A cell of the fleet stays with a coordinator whose zone has at least one in
+/// this many of the servers of the largest zone.
+const STAY_SHARE: usize = 2;
+
 /// Servers that one daemon coordinates.
 #[derive(
     Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
@@ -83,6 +87,8 @@
     by_zone: SortedMap<Arc<str>, usize>,
     /// The zone with the most servers.
     largest_zone: Option<Arc<str>>,
+    /// The servers of each zone.
+    servers: SortedMap<Arc<str>, usize>,
 }
 
 impl Cells {
@@ -122,7 +128,7 @@
                 by_zone.insert(Arc::clone(zone), cells);
             }
         }
-        Cells { by_zone, largest_zone }
+        Cells { by_zone, largest_zone, servers: all }
     }
 
     /// Returns the cell that a server belongs to.
@@ -158,6 +164,19 @@
     pub fn near<'a>(&'a self, cell: &'a Cell) -> Option<&'a Arc<str>> {
         cell.zone.as_ref().or(self.largest_zone.as_ref())
     }
+
+    /// Returns whether a daemon of a zone may go on to coordinate a cell,
+    /// though another zone would be chosen now. The zone with the most
+    /// servers changes when a server ends; its coordinator should not.
+    #[must_use]
+    pub fn may_stay(&self, cell: &Cell, zone: &str) -> bool {
+        if let Some(of_cell) = &cell.zone {
+            return **of_cell == *zone;
+        }
+        let servers = |zone: &str| self.servers.get(zone).copied();
+        let largest = self.largest_zone.as_deref().and_then(servers);
+        servers(zone).unwrap_or(0) * STAY_SHARE >= largest.unwrap_or(0)
+    }
 }
 
 #[cfg(test)]
@@ -192,6 +211,23 @@
         assert_eq!(&**near, "b", "the zone with the most servers");
     }
 
+    /// Guards against a coordinator that changes with each server that ends:
+    /// its requests meet those of the next one at servers with one slot.
+    #[test]
+    fn may_stay_if_servers_end() {
+        let few = servers(&[("a", 2), ("b", 3), ("c", 1)]);
+        let cells = Cells::of([&few]);
+        let fleet = Cell::fleet();
+        assert!(cells.may_stay(&fleet, "a"));
+        assert!(!cells.may_stay(&fleet, "c"), "most servers are far away");
+        assert!(!cells.may_stay(&fleet, "d"));
+        let many = servers(&[("a", 5), ("b", 6)]);
+        let cells = Cells::of([&many]);
+        let a = Cell::in_zone(&Arc::from("a"), 0);
+        assert!(cells.may_stay(&a, "a"));
+        assert!(!cells.may_stay(&a, "b"));
+    }
+
     /// Guards against one daemon that coordinates a whole large fleet.
     #[test]
     fn of_many_is_by_zone() {
--- a/crates/briarladder-core/src/fleet/peers/member.rs
+++ b/crates/briarladder-core/src/fleet/peers/member.rs
@@ -22,6 +22,23 @@
     pub sequence: u64,
     /// The state.
     pub state: MemberState,
+    /// The duties that it has taken, in order.
+    pub duties: Vec<DutyId>,
+}
+
+/// A duty in short: the hash of its name.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct DutyId(u32);
+
+impl DutyId {
+    /// Returns the hash of a name.
+    #[must_use]
+    pub fn of(name: &str) -> DutyId {
+        let hash = rapidhash_v3(name.as_bytes()) & u64::from(u32::MAX);
+        DutyId(u32::try_from(hash).unwrap_or_default())
+    }
 }
 
 impl Member {
@@ -40,9 +57,16 @@
             incarnation,
             sequence: 0,
             state: MemberState::Ready,
+            duties: Vec::new(),
         }
     }
 
+    /// Returns whether the member has taken a duty.
+    #[must_use]
+    pub fn has_taken(&self, duty: DutyId) -> bool {
+        self.duties.binary_search(&duty).is_ok()
+    }
+
     /// Returns whether duties may fall on the member. A suspect keeps its
     /// own, so that a member that is only slow to answer loses nothing.
     #[must_use]
--- a/crates/briarladder-core/src/fleet/peers/mod.rs
+++ b/crates/briarladder-core/src/fleet/peers/mod.rs
@@ -54,7 +54,7 @@
 
 pub use self::{
     exchange::{Difference, Exchange, MAX_NEWS, Summary},
-    member::{Change, Member},
+    member::{Change, DutyId, Member},
     probes::Target,
 };
 
@@ -207,7 +207,13 @@
                 me.sequence = 0;
             });
         } else if statement.is_newer_than(me) {
-            self.change_me(|me| me.sequence = statement.sequence + 1);
+            self.change_me(|me| {
+                me.sequence = statement.sequence + 1;
+                // Others have taken its duties.
+                if statement.state == MemberState::Dead {
+                    me.duties.clear();
+                }
+            });
         }
     }
 
@@ -374,24 +380,54 @@
         self.largest
     }
 
-    /// Returns the daemon that does a duty near a zone: the first in
-    /// rendezvous order among the live daemons of the zone, else of all.
-    /// Two daemons may disagree for a moment, so a duty must allow that.
+    /// Takes a duty, so that it stays with this daemon while others come
+    /// and go. One that is cut off takes none: others do its duties too.
+    pub fn take_duty(&mut self, now: Instant, duty: &str) {
+        let duty = DutyId::of(duty);
+        let Err(at) = self.me.duties.binary_search(&duty) else { return };
+        if self.is_isolated(now) {
+            return;
+        }
+        self.change_me(|me| {
+            me.duties.insert(at, duty);
+            me.sequence += 1;
+        });
+    }
+
+    /// Gives up a duty that another daemon does.
+    pub fn give_up_duty(&mut self, duty: &str) {
+        let duty = DutyId::of(duty);
+        let Ok(at) = self.me.duties.binary_search(&duty) else { return };
+        self.change_me(|me| {
+            me.duties.remove(at);
+            me.sequence += 1;
+        });
+    }
+
+    /// Returns the daemon that does a duty near a zone: a live one that has
+    /// taken it and whose zone may keep it, else the first in rendezvous order
+    /// among the live daemons of the zone, else of all. Two daemons may
+    /// disagree for a moment, so a duty must allow that.
     #[must_use]
     pub fn duty_holder(
         &self,
         now: Instant,
         duty: &str,
         zone: &str,
+        may_keep: &dyn Fn(&str) -> bool,
     ) -> Option<&Member> {
-        let in_zone =
-            self.live(now).filter(|member| &*member.zone == zone).map(Named);
-        let holder = rendezvous::order(duty, in_zone).into_iter().next();
-        holder
-            .or_else(|| {
-                let all = self.live(now).map(Named);
-                rendezvous::order(duty, all).into_iter().next()
-            })
+        let id = DutyId::of(duty);
+        let first = |is_candidate: &dyn Fn(&Member) -> bool| {
+            let members = self.live(now).filter(|member| is_candidate(member));
+            rendezvous::order(duty, members.map(Named)).into_iter().next()
+        };
+        let near = |member: &Member| &*member.zone == zone;
+        let taken =
+            |member: &Member| member.has_taken(id) && may_keep(&member.zone);
+        first(&|member| taken(member) && near(member))
+            .or_else(|| first(&taken))
+            .or_else(|| first(&near))
+            .or_else(|| first(&|_| true))
             .map(|Named(member)| member)
     }
 }
--- a/crates/briarladder-core/src/fleet/peers/simulation.rs
+++ b/crates/briarladder-core/src/fleet/peers/simulation.rs
@@ -201,8 +201,12 @@
             let running: Vec<usize> = self.running(zone).collect();
             for &at in &running {
                 let table = self.table(at);
-                let holder =
-                    table.duty_holder(now, &duty(zone), &zone_name(zone));
+                let holder = table.duty_holder(
+                    now,
+                    &duty(zone),
+                    &zone_name(zone),
+                    &|_| true,
+                );
                 agreement.looks += 1;
                 agreement.wrong +=
                     usize::from(holder.is_none_or(|h| h.name != *rightful));
--- a/crates/briarladder-core/src/fleet/peers/tests.rs
+++ b/crates/briarladder-core/src/fleet/peers/tests.rs
@@ -100,6 +100,105 @@
     }
 }
 
+/// Returns who does the duty "d" near zone "z" in the view of a daemon.
+fn holder_of(table: &PeerTable, now: Instant) -> &str {
+    &table.duty_holder(now, "d", "z", &|_| true).unwrap().name
+}
+
+/// Returns tables of three daemons of zone "z" that know each other. The
+/// first one is the first in rendezvous order for the duty "d".
+fn acquainted_three(now: Instant) -> [PeerTable; 3] {
+    let names = rendezvous::order("d", ["a", "b", "c"]);
+    let members = [0, 1, 2].map(|at| member(names[at], "z", 1));
+    members.clone().map(|me| {
+        let mut table = PeerTable::new(me);
+        table.merge(now, &members);
+        table
+    })
+}
+
+/// Guards against a duty that moves back to a daemon just because it has
+/// started again, in the middle of the work of the one that stood in: the
+/// requests of both meet at servers with one slot.
+#[test]
+fn taken_duty_stays_after_restart() {
+    let now = Instant::now();
+    let [first, mut second, mut third] = acquainted_three(now);
+    assert_eq!(holder_of(&third, now), &*first.me().name);
+    second.refused(now, first.me());
+    second.take_duty(now, "d");
+    let back = member(&first.me().name, "z", 2);
+    second.heard(now, &back);
+    third.heard(now, &back);
+    third.heard(now, second.me());
+    let mut restarted = PeerTable::new(back);
+    restarted.merge(now, &[second.me().clone(), third.me().clone()]);
+    for table in [&second, &third, &restarted] {
+        assert_eq!(holder_of(table, now), &*second.me().name);
+    }
+}
+
+/// Guards against a duty that stays where no daemon near it wants it, or
+/// with one that stops.
+#[test]
+fn taken_duty_moves_when_it_must() {
+    let now = Instant::now();
+    let [first, mut second, mut third] = acquainted_three(now);
+    second.take_duty(now, "d");
+    third.heard(now, second.me());
+    assert_eq!(holder_of(&third, now), &*second.me().name);
+    let moved = third.duty_holder(now, "d", "z", &|_| false);
+    assert_eq!(moved.unwrap().name, first.me().name);
+    second.leave();
+    third.heard(now, second.me());
+    assert_eq!(holder_of(&third, now), &*first.me().name);
+    assert_eq!(holder_of(&second, now), &*first.me().name);
+}
+
+/// Guards against two daemons that have both taken a duty and keep it.
+#[test]
+fn taken_duty_settles_on_one() {
+    let now = Instant::now();
+    let [mut first, mut second, mut third] = acquainted_three(now);
+    first.take_duty(now, "d");
+    second.take_duty(now, "d");
+    first.heard(now, second.me());
+    second.heard(now, first.me());
+    third.merge(now, &[first.me().clone(), second.me().clone()]);
+    for table in [&first, &second, &third] {
+        assert_eq!(holder_of(table, now), &*first.me().name);
+    }
+    second.give_up_duty("d");
+    assert!(second.me().duties.is_empty());
+    third.heard(now, second.me());
+    assert!(second.me().is_newer_than(&member(&second.me().name, "z", 1)));
+}
+
+/// Guards against a machine that was cut off and takes its duties back from
+/// the one that did them meanwhile.
+#[test]
+fn taken_duty_lost_when_cut_off() {
+    let mut now = Instant::now();
+    let [mut first, mut second, third] = acquainted_three(now);
+    first.tick(now);
+    first.take_duty(now, "d");
+    second.heard(now, first.me());
+    now += ISOLATED_AFTER;
+    first.take_duty(now, "e");
+    assert_eq!(first.me().duties, [DutyId::of("d")], "it is cut off");
+    let mut dead = first.me().clone();
+    dead.state = MemberState::Dead;
+    second.merge(now, std::slice::from_ref(&dead));
+    second.heard(now, third.me());
+    second.take_duty(now, "d");
+    first.heard(now, second.me());
+    first.merge(now, &[dead]);
+    second.heard(now, first.me());
+    for table in [&first, &second] {
+        assert_eq!(holder_of(table, now), &*second.me().name);
+    }
+}
+
 /// Guards against a cut between zones that moves duties inside a zone, and
 /// against a coordinator beyond the cut that counts as live.
 #[test]
@@ -281,16 +380,20 @@
     let now = Instant::now();
     let mut table = PeerTable::new(member("me", "a", 1));
     table.merge(now, &[member("b1", "b", 1), member("b2", "b", 1)]);
-    let first = table.duty_holder(now, "d", "b").unwrap().name.clone();
+    let first =
+        table.duty_holder(now, "d", "b", &|_| true).unwrap().name.clone();
     assert_ne!(&*first, "me");
     table.unreachable(now, &first);
-    let second = table.duty_holder(now, "d", "b").unwrap().clone();
+    let second = table.duty_holder(now, "d", "b", &|_| true).unwrap().clone();
     assert_ne!(first, second.name);
     assert_ne!(&*second.name, "me");
-    assert!(table.duty_holder(now, "d", "c").is_some());
+    assert!(table.duty_holder(now, "d", "c", &|_| true).is_some());
     let vouched = member(&first, "b", 1);
     table.vouched_for(now, &vouched);
-    assert_eq!(table.duty_holder(now, "d", "b").unwrap().name, first);
+    assert_eq!(
+        table.duty_holder(now, "d", "b", &|_| true).unwrap().name,
+        first
+    );
 }
 
 /// Guards against requests that all go to one busy cell because its wait is
--- a/crates/briarladder-gateway/src/peers/membership.rs
+++ b/crates/briarladder-gateway/src/peers/membership.rs
@@ -40,7 +40,7 @@
         let now = board.now();
         let changes = board.peers.borrow_mut().tick(now);
         log_changes(&changes, "time");
-        if cells::coordinates_some(&gateway) {
+        if cells::settle_all(board) {
             let wait = gateway.coordinator.expected_wait().as_millis();
             let wait_ms = u32::try_from(wait).unwrap_or(u32::MAX);
             board.peers.borrow_mut().beat(now, wait_ms);
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -73,6 +73,9 @@
 pub struct StagesRequest {
     /// The servers that work on them.
     pub cell: Cell,
+    /// The daemon that has handed the request over, which may be one that
+    /// stops and whose duties the receiver has not heard of yet.
+    pub moved_by: Option<Member>,
     /// The attempt of the caller.
     pub attempt: Arc<str>,
     /// The stages.
@@ -121,6 +124,8 @@
     Moved {
         /// That daemon.
         holder: Member,
+        /// The one that coordinated it before.
+        by: Member,
     },
     /// A stage failed.
     Failed {
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
-use briarladder_core::fleet::peers::Summary;
+use briarladder_core::fleet::peers::{Member, Summary};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -53,9 +53,10 @@
         COMPARE_PATH => answer(&body, |summary: Summary| {
             gateway.board.peers.borrow().compare(&summary)
         }),
-        MEMBERS_PATH => {
-            answer(&body, |message: Members| members(&gateway, &message))
-        }
+        MEMBERS_PATH => answer(&body, |message: Members| {
+            learn(&gateway, &message.members);
+            Accepted {}
+        }),
         CHECK_PATH => match postcard::from_bytes(&body) {
             Ok(message) => encode(&check(&gateway, message).await),
             Err(error) => malformed(&error),
@@ -76,7 +77,8 @@
         STAGES_PATH => match postcard::from_bytes(&body) {
             Ok(message) => {
                 let message: StagesRequest = message;
-                encode(&gateway.coordinator.run_stages(message).await)
+                learn(&gateway, message.moved_by.as_slice());
+                encode(&gateway.coordinator.run_stages_of_peer(message).await)
             }
             Err(error) => malformed(&error),
         },
@@ -89,11 +91,10 @@
     membership::message(gateway, Some(&message.exchange.from))
 }
 
-fn members(gateway: &Gateway, message: &Members) -> Accepted {
+fn learn(gateway: &Gateway, members: &[Member]) {
     let mut peers = gateway.board.peers.borrow_mut();
-    let changes = peers.merge(gateway.board.now(), &message.members);
+    let changes = peers.merge(gateway.board.now(), members);
     membership::log_changes(&changes, "members");
-    Accepted {}
 }
 
 /// Asks a daemon for a sign of life on behalf of another one.
--- a/crates/briarladder-gateway/src/stages/cells.rs
+++ b/crates/briarladder-gateway/src/stages/cells.rs
@@ -8,7 +8,7 @@
 
 use briarladder_core::fleet::{
     cells::{Cell, Cells},
-    peers::Member,
+    peers::{DutyId, Member, PeerTable},
     server::Servers,
 };
 
@@ -67,30 +67,61 @@
 #[must_use]
 pub fn coordinator_of(board: &Board, cell: &Cell) -> Option<Member> {
     let cells = board.cells();
-    let near = cells.near(cell).unwrap_or(&board.zone);
     let peers = board.peers.borrow();
-    peers.duty_holder(board.now(), &cell.duty(), near).cloned()
+    duty_holder(board, &peers, &cells, cell).cloned()
 }
 
-/// Returns whether this daemon coordinates any cell.
+fn duty_holder<'a>(
+    board: &Board,
+    peers: &'a PeerTable,
+    cells: &Cells,
+    cell: &Cell,
+) -> Option<&'a Member> {
+    let near = cells.near(cell).unwrap_or(&board.zone);
+    let may_stay = |zone: &str| cells.may_stay(cell, zone);
+    peers.duty_holder(board.now(), &cell.duty(), near, &may_stay)
+}
+
+/// Takes the duty of a cell if it falls to this daemon, and gives it up if it
+/// does not. Returns whether this daemon coordinates the cell.
+pub fn settle(board: &Board, cell: &Cell) -> bool {
+    let duty = cell.duty();
+    let holder = coordinator_of(board, cell);
+    let mut peers = board.peers.borrow_mut();
+    let mine = holder.is_some_and(|holder| holder.name == peers.me().name);
+    if !mine {
+        peers.give_up_duty(&duty);
+    } else if board.cells().may_stay(cell, &board.zone) {
+        peers.take_duty(board.now(), &duty);
+    }
+    mine
+}
+
+/// Settles the duties of all cells that may fall to this daemon. Returns
+/// whether it coordinates any.
 #[must_use]
-pub fn coordinates_some(gateway: &Gateway) -> bool {
-    let board = &gateway.board;
+pub fn settle_all(board: &Board) -> bool {
     let cells = board.cells();
     let near_here =
         |cell: &Cell| cells.near(cell).is_some_and(|zone| *zone == board.zone);
-    cells.in_zones().chain([Cell::fleet()]).filter(near_here).any(|cell| {
-        coordinator_of(board, &cell)
-            .is_some_and(|holder| holder.name == gateway.vm)
-    })
+    let taken = |cell: &Cell| {
+        let duty = DutyId::of(&cell.duty());
+        board.peers.borrow().me().has_taken(duty)
+    };
+    let mine = cells
+        .in_zones()
+        .chain([Cell::fleet()])
+        .filter(|cell| near_here(cell) || taken(cell))
+        .filter(|cell| settle(board, cell))
+        .count();
+    mine > 0
 }
 
 fn expected_wait(gateway: &Gateway, cells: &Cells, cell: &Cell) -> Duration {
     let board = &gateway.board;
-    let near = cells.near(cell).unwrap_or(&board.zone);
     let peers = board.peers.borrow();
     let now = board.now();
-    match peers.duty_holder(now, &cell.duty(), near) {
+    match duty_holder(board, &peers, cells, cell) {
         Some(holder) if holder.name == gateway.vm => {
             gateway.coordinator.expected_wait_of(cell)
         }
--- a/crates/briarladder-gateway/src/stages/coordinator.rs
+++ b/crates/briarladder-gateway/src/stages/coordinator.rs
@@ -25,7 +25,7 @@
 
 use super::{
     batch::StageFailure,
-    cells::coordinator_of,
+    cells::{self, coordinator_of},
     collector::Collector,
     held::Held,
     plan_run::{Done, PlanRun, Times},
@@ -169,6 +169,22 @@
         }
     }
 
+    /// Does all stages of a request that another daemon has taken, unless the
+    /// cell has another coordinator: two that call the same servers delay
+    /// each other.
+    pub async fn run_stages_of_peer(
+        self: &Rc<Self>,
+        request: StagesRequest,
+    ) -> StagesReply {
+        if !cells::settle(&self.board, &request.cell)
+            && let Some(holder) = coordinator_of(&self.board, &request.cell)
+        {
+            let outcome = self.moved(&request, holder);
+            return StagesReply { outcome, wait_ms: 0 };
+        }
+        self.run_stages(request).await
+    }
+
     /// Does all stages of a request, and returns what became of them.
     pub async fn run_stages(
         self: &Rc<Self>,
@@ -197,13 +213,7 @@
         let begun = match self.begin(request, &run, &demand, now).await {
             Ok(begun) => begun,
             Err(NotBegun::Moved(holder)) => {
-                log::info!(
-                    "stages: id={} cell={} outcome=moved coordinator={}",
-                    request.attempt,
-                    CellName(&request.cell),
-                    holder.name,
-                );
-                return StagesOutcome::Moved { holder };
+                return self.moved(request, holder);
             }
             Err(NotBegun::Late(wait)) => {
                 log::info!(
@@ -265,6 +275,7 @@
     ) -> Result<Begun, NotBegun> {
         let id = self.next_id();
         let cell = &request.cell;
+        cells::settle(&self.board, cell);
         let entry = Entry {
             id,
             rank: request.rank,
@@ -342,6 +353,17 @@
         }
     }
 
+    fn moved(&self, request: &StagesRequest, holder: Member) -> StagesOutcome {
+        log::info!(
+            "stages: id={} cell={} outcome=moved coordinator={}",
+            request.attempt,
+            CellName(&request.cell),
+            holder.name,
+        );
+        let by = self.board.peers.borrow().me().clone();
+        StagesOutcome::Moved { holder, by }
+    }
+
     fn made(self: &Rc<Self>, cell: &Cell, made: &[Demand]) {
         self.with_entries(cell, |entries| {
             for demand in made {
--- a/crates/briarladder-gateway/src/stages/preparation.rs
+++ b/crates/briarladder-gateway/src/stages/preparation.rs
@@ -114,11 +114,17 @@
     record: &mut Record,
 ) -> Result<(Job, StagesReply), Ended> {
     let board = &gateway.board;
+    let mut moved_by = None;
     for _ in 0..MAX_COORDINATORS {
         let cell = cell(gateway, accepted, plan, home, record)?;
         let Some(holder) = cells::coordinator_of(board, &cell) else { break };
         if holder.name == gateway.vm {
-            break;
+            let here = run_here(gateway, accepted, cell, home, record).await;
+            if let StagesOutcome::Moved { by, .. } = here.1.outcome {
+                moved_by = Some(by);
+                continue;
+            }
+            return Ok(here);
         }
         // Tells what a caller waited for that leaves meanwhile.
         record.cause = Some(format!(
@@ -126,7 +132,8 @@
             CellName(&cell),
             holder.name
         ));
-        let request = stages_request(gateway, accepted, cell, home);
+        let mut request = stages_request(gateway, accepted, cell, home);
+        request.moved_by = moved_by.take();
         let left = accepted.time_to_head(board.now()) + COORDINATOR_SLACK;
         let answer =
             gateway.peers.call(holder.address, STAGES_PATH, &request, left);
@@ -149,8 +156,10 @@
                 continue;
             }
         };
-        if let StagesOutcome::Moved { holder } = reply.outcome {
+        if let StagesOutcome::Moved { holder, by } = reply.outcome {
+            peers.merge(board.now(), std::slice::from_ref(&by));
             peers.vouched_for(board.now(), &holder);
+            moved_by = Some(by);
             continue;
         }
         let wait_ms = u32::try_from(reply.wait_ms).unwrap_or(u32::MAX);
@@ -160,12 +169,23 @@
         return Ok((job, reply));
     }
     let cell = cell(gateway, accepted, plan, home, record)?;
+    Ok(run_here(gateway, accepted, cell, home, record).await)
+}
+
+/// Has the stages done by this daemon.
+async fn run_here(
+    gateway: &Rc<Gateway>,
+    accepted: &Accepted,
+    cell: Cell,
+    home: &Home,
+    record: &mut Record,
+) -> (Job, StagesReply) {
     record.cause =
         Some(format!("waits for stages of cell {} here", CellName(&cell)));
     let request = stages_request(gateway, accepted, cell, home);
     let reply = gateway.coordinator.run_stages(request).await;
     record.cause = None;
-    Ok((job(&reply, None), reply))
+    (job(&reply, None), reply)
 }
 
 fn job(reply: &StagesReply, coordinator: Option<SocketAddr>) -> Job {
@@ -231,6 +251,7 @@
     let left = accepted.time_to_head(now).saturating_sub(reading);
     StagesRequest {
         cell,
+        moved_by: None,
         attempt: Arc::clone(&accepted.caller.attempt),
         stages: accepted.route.stages.clone(),
         pieces: accepted.caller.pieces.clone(),
