--- a/crates/briarladder-gateway/src/stages/collector/calls.rs
+++ b/crates/briarladder-gateway/src/stages/collector/calls.rs
@@ -2,16 +2,18 @@
 
 use std::{pin::pin, sync::Arc, time::Duration};
 
-use briarladder_core::fleet::{
-    collect::Call, fetching::Fetch, server::ListedServer,
+use briarladder_core::{
+    fleet::{collect::Call, fetching::Fetch, server::ListedServer},
+    retry::AttemptFailure,
 };
 use bytes::Bytes;
+use derive_more::Display;
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, Full, Limited};
 
 use crate::{
     dialect::{PieceCall, PieceOutcome},
-    pool::Freshness,
+    pool::{Freshness, SendError},
 };
 
 use super::{super::batch::Job, Collector, QueueKey};
@@ -26,6 +28,25 @@
 /// few kilobytes.
 const MAX_ANSWER_BYTES: usize = 256 * 1024;
 
+/// Why a call brought no outcomes.
+#[derive(Clone, Debug, Display)]
+pub(super) enum CallFailure {
+    /// It did not reach the server.
+    Unsent(String),
+    /// The server may have begun to work on it.
+    Sent(String),
+}
+
+impl From<SendError> for CallFailure {
+    fn from(error: SendError) -> CallFailure {
+        let cause = error.to_string();
+        match error.failure {
+            AttemptFailure::ConnectFailed => CallFailure::Unsent(cause),
+            _ => CallFailure::Sent(cause),
+        }
+    }
+}
+
 impl Collector {
     pub(super) async fn call(
         &self,
@@ -33,15 +54,25 @@
         server: &ListedServer,
         call: &Call,
         jobs: &[(u64, Job)],
-    ) -> Result<Vec<PieceOutcome>, String> {
+    ) -> Result<Vec<PieceOutcome>, CallFailure> {
+        let called = self.call_once(server, call, jobs).await;
+        // A call that has not left is not counted: it is no repetition later.
+        if !matches!(called, Err(CallFailure::Unsent(_))) {
+            let first = jobs.iter().filter(|(_, job)| job.tries == 0);
+            first.for_each(|_| self.board.first_sent(&key.service));
+        }
+        called
+    }
+
+    async fn call_once(
+        &self,
+        server: &ListedServer,
+        call: &Call,
+        jobs: &[(u64, Job)],
+    ) -> Result<Vec<PieceOutcome>, CallFailure> {
         let now = self.board.now();
         let pieces: Vec<PieceCall<'_>> =
             jobs.iter().map(|(_, job)| job.piece_call(now)).collect();
-        for (_, job) in jobs {
-            if job.tries == 0 {
-                self.board.first_sent(&key.service);
-            }
-        }
         let body = self.dialect.encode_pieces(&pieces);
         let path = self.dialect.pieces_path();
         let patience = (call.expected * CALL_PATIENCE).max(MIN_CALL_PATIENCE);
@@ -54,18 +85,18 @@
             }
         };
         let answer = tokio::time::timeout(patience, exchange).await;
-        let answer =
-            answer.unwrap_or_else(|_| Err("no answer in time".to_owned()))?;
+        let late = CallFailure::Sent("no answer in time".to_owned());
+        let answer = answer.unwrap_or(Err(late))?;
         let outcomes = self
             .dialect
             .decode_pieces(&answer)
-            .map_err(|error| error.to_string())?;
+            .map_err(|error| CallFailure::Sent(error.to_string()))?;
         if outcomes.len() != jobs.len() {
-            return Err(format!(
+            return Err(CallFailure::Sent(format!(
                 "{} outcomes for {} pieces",
                 outcomes.len(),
                 jobs.len()
-            ));
+            )));
         }
         Ok(outcomes)
     }
@@ -76,8 +107,8 @@
         &self,
         server: &ListedServer,
         jobs: &[(u64, Job)],
-        exchange: impl Future<Output = Result<Bytes, String>>,
-    ) -> Result<Bytes, String> {
+        exchange: impl Future<Output = Result<Bytes, CallFailure>>,
+    ) -> Result<Bytes, CallFailure> {
         let mut exchange = pin!(exchange);
         let fetch_time = self.fetch_time(server, jobs);
         let early = tokio::time::timeout(fetch_time, &mut exchange).await;
@@ -118,18 +149,17 @@
         server: &ListedServer,
         path: &'static str,
         body: Bytes,
-    ) -> Result<Bytes, String> {
+    ) -> Result<Bytes, CallFailure> {
         let host = HeaderValue::from_str(&server.address.to_string())
-            .map_err(|error| error.to_string())?;
+            .map_err(|error| CallFailure::Unsent(error.to_string()))?;
         let mut request = Request::post(path)
             .header(header::HOST, host)
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
-            .map_err(|error| error.to_string())?;
+            .map_err(|error| CallFailure::Unsent(error.to_string()))?;
         self.dialect.expect_server(request.headers_mut(), &server.name);
-        let sent =
-            self.pool.send(server.address, request, Freshness::Any).await;
-        let (response, lease) = sent.map_err(|error| error.to_string())?;
+        let (response, lease) =
+            self.pool.send(server.address, request, Freshness::Any).await?;
         if let Some(took) = lease.connect_time() {
             let mut times = self.fetch_times.borrow_mut();
             times.connected(&server.zone, took);
@@ -138,10 +168,12 @@
         let facts = self.dialect.answer_head(&head, "");
         self.board.heed(server, &facts);
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|error| error.to_string())?;
+        let body =
+            body.map_err(|error| CallFailure::Sent(error.to_string()))?;
         lease.give_back(facts.idle_timeout);
         if !head.status.is_success() {
-            return Err(format!("refused with {}", head.status));
+            let cause = format!("refused with {}", head.status);
+            return Err(CallFailure::Sent(cause));
         }
         Ok(body.to_bytes())
     }
--- a/crates/briarladder-gateway/src/stages/collector/mod.rs
+++ b/crates/briarladder-gateway/src/stages/collector/mod.rs
@@ -31,6 +31,8 @@
 mod calls;
 mod releases;
 
+use self::calls::CallFailure;
+
 use super::batch::{Batch, Job, StageEvent, StageFailure, StageOrder};
 
 /// How often a piece is tried.
@@ -304,7 +306,10 @@
             Some(server) if self.board.takes_work(&server) => {
                 self.call(&key, &server, &call, &jobs).await
             }
-            _ => Err("the server takes no work".to_owned()),
+            _ => {
+                let cause = "the server takes no work".to_owned();
+                Err(CallFailure::Unsent(cause))
+            }
         };
         self.end_call(&key, &call, jobs, began, outcomes);
         self.pump(&key);
@@ -316,7 +321,7 @@
         call: &Call,
         jobs: Vec<(u64, Job)>,
         began: Instant,
-        outcomes: Result<Vec<PieceOutcome>, String>,
+        outcomes: Result<Vec<PieceOutcome>, CallFailure>,
     ) {
         let now = self.board.now();
         let made: Vec<Arc<str>> = outcomes
@@ -349,6 +354,7 @@
                 end,
                 took: now.duration_since(began),
                 expected: call.expected,
+                pieces: call.ids.len(),
                 result_bytes: call.result_bytes,
                 results: &made,
             };
@@ -361,7 +367,8 @@
                     self.end_piece(key, &call.server, id, job, outcome);
                 }
             }
-            Err(cause) => {
+            Err(failure) => {
+                let cause = failure.to_string();
                 log::info!(
                     "collector: service={} server={} pieces={} failed: {cause}",
                     key.service,
@@ -375,7 +382,14 @@
                 );
                 for (id, job) in jobs {
                     log_call_failed(key, &call.server, &job, &cause);
-                    self.try_again(key, &call.server, id, job);
+                    match failure {
+                        CallFailure::Unsent(_) => {
+                            self.put_back(key, &call.server, id, job);
+                        }
+                        CallFailure::Sent(_) => {
+                            self.try_again(key, &call.server, id, job);
+                        }
+                    }
                 }
             }
         }
@@ -461,6 +475,14 @@
             self.forget(key, id);
             return self.fail(&job, StageFailure::Failed);
         }
+        self.put_back(key, server, id, job);
+    }
+
+    /// Puts a piece back into its queue, to be made by another server.
+    fn put_back(&self, key: &QueueKey, server: &Arc<str>, id: u64, job: Job) {
+        if job.has_ended() {
+            return;
+        }
         if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
             queue.pieces.push(job.order(id, Some(Arc::clone(server))));
             queue.jobs.insert(id, job);
