--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -86,9 +86,6 @@
 /// The weight of the newest call in the usual size of calls under backlog.
 const BATCH_SMOOTHING: f64 = 0.1;
 
-/// The weight of the newest call in the share of pieces that are made.
-const MADE_SMOOTHING: f64 = 0.1;
-
 /// Pieces that move this much between zones are made in their home zone, if
 /// that does not make them late.
 const LARGE_CROSSING_BYTES: u64 = 250_000;
@@ -155,8 +152,6 @@
     pub took: Duration,
     /// The time that was expected.
     pub expected: Duration,
-    /// The pieces that were called for.
-    pub pieces: usize,
     /// The expected size of all results.
     pub result_bytes: u64,
     /// The results that were made.
@@ -199,9 +194,6 @@
     /// Pieces of a call while more wait: fewer than a full batch when the
     /// servers lack room for results.
     usual_batch: f64,
-    /// The share of the called pieces that are made. The others find no room
-    /// or fail, and are called for again.
-    made_share: f64,
 }
 
 impl PieceQueue {
@@ -214,7 +206,6 @@
             begun: SortedSet::new(),
             lanes: SortedMap::new(),
             usual_batch: f64::from(count(spec.batch.max(1))),
-            made_share: 1.0,
         }
     }
 
@@ -314,9 +305,6 @@
                     let held = Held { bytes: each, until: now + lifetime };
                     lane.results.insert(Arc::clone(result), held);
                 }
-                let made = f64::from(count(call.results.len()));
-                let share = made / f64::from(count(call.pieces.max(1)));
-                self.made_share += (share - self.made_share) * MADE_SMOOTHING;
             }
         }
     }
@@ -359,8 +347,7 @@
         if busy { queued + call / 2 } else { queued }
     }
 
-    /// Returns what the servers can do with full calls, of which as many
-    /// pieces are made as lately.
+    /// Returns what the servers can do with full calls.
     #[must_use]
     pub fn throughput(&self) -> Throughput {
         let pieces = count(self.spec.batch.max(1));
@@ -373,8 +360,7 @@
             .sum();
         let slots = f64::from(self.spec.slots.max(1));
         let calls_per_s = lanes * slots / call.as_secs_f64();
-        let made = (f64::from(pieces) * self.made_share).max(1.0);
-        Throughput { pieces_per_s: calls_per_s * made, call }
+        Throughput { pieces_per_s: calls_per_s * f64::from(pieces), call }
     }
 
     /// Returns the number of waiting pieces.
--- a/crates/briarladder-core/src/fleet/entry.rs
+++ b/crates/briarladder-core/src/fleet/entry.rs
@@ -79,7 +79,7 @@
 /// What a service can do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Throughput {
-    /// Pieces that all its servers make in a second while enough wait.
+    /// Pieces that all its servers make in a second with full calls.
     pub pieces_per_s: f64,
     /// The time of a full call.
     pub call: Duration,
--- a/crates/briarladder-gateway/src/stages/collector/mod.rs
+++ b/crates/briarladder-gateway/src/stages/collector/mod.rs
@@ -354,7 +354,6 @@
                 end,
                 took: now.duration_since(began),
                 expected: call.expected,
-                pieces: call.ids.len(),
                 result_bytes: call.result_bytes,
                 results: &made,
             };
