Keep the inputs of pieces whose call has failed

Cause: a call that failed at once, say at a maker whose process had ended, counted as having fetched its inputs. Pieces of calls that ended after their inputs were released were called for again in vain.

Change: inputs are released only when the time to fetch them has passed while the call goes on. Pieces whose inputs are released, or lay at a server that refuses connections, are made again from their inputs on instead of being called for; the results of such a server take no room.

--- a/crates/briarladder-core/src/fleet/collect.rs
+++ b/crates/briarladder-core/src/fleet/collect.rs
@@ -47,6 +47,7 @@
 //!         deadline: now + Duration::from_secs(5),
 //!         result_bytes: 1000,
 //!         crossing_bytes: 1000,
+//!         input_makers: [].into(),
 //!         avoid: None,
 //!     });
 //! }
@@ -137,6 +138,8 @@
     /// The bytes that cross zones if it is made away from home: its result,
     /// or the inputs that lie there.
     pub crossing_bytes: u64,
+    /// The servers that hold its inputs.
+    pub input_makers: Arc<[Arc<str>]>,
     /// A server that failed to make it.
     pub avoid: Option<Arc<str>>,
 }
@@ -247,6 +250,17 @@
         self.waiting.retain(|order| !ids.contains(&order.id));
     }
 
+    /// Takes the pieces that have an input at a server whose process has
+    /// ended. A call with them would work on nothing.
+    pub fn take_without_inputs(&mut self, maker: &str) -> Vec<u64> {
+        self.waiting
+            .extract_if(.., |order| {
+                order.input_makers.iter().any(|held_by| **held_by == *maker)
+            })
+            .map(|order| order.id)
+            .collect()
+    }
+
     /// Takes the pieces that can't be made before their deadline, with all
     /// that is ahead of them.
     pub fn take_late(&mut self, now: Instant) -> Vec<u64> {
@@ -316,6 +330,14 @@
         }
     }
 
+    /// Records that the process of a server has ended, and its results with
+    /// it.
+    pub fn process_ended(&mut self, server: &str) {
+        if let Some(lane) = self.lanes.get_mut(server) {
+            lane.results = SortedMap::new();
+        }
+    }
+
     /// Keeps calls from a server that wants none until a time.
     pub fn pause_until(&mut self, server: &str, until: Instant) {
         if let Some(lane) = self.lanes.get_mut(server) {
--- a/crates/briarladder-core/src/fleet/collect/tests.rs
+++ b/crates/briarladder-core/src/fleet/collect/tests.rs
@@ -26,6 +26,7 @@
         deadline: now + Duration::from_secs(8),
         result_bytes: 3_000_000,
         crossing_bytes: 3_000_000,
+        input_makers: [].into(),
         avoid: None,
     }
 }
@@ -465,3 +466,43 @@
     queue.push(order(50, now, 900));
     assert_eq!(queue.next_call(now).unwrap().ids, [8, 9, 50]);
 }
+
+/// Guards against calls that are filled with pieces whose inputs are lost:
+/// after the end of one maker 20 of 26 pieces of a call were not made.
+#[test]
+fn take_without_inputs_of_ended() {
+    let now = Instant::now();
+    let mut queue = queue(&["a"]);
+    for id in 0..40 {
+        let maker = if id < 20 { "gone" } else { "kept" };
+        let input_makers = [Arc::from(maker), Arc::from("other")].into();
+        queue.push(Order { input_makers, ..order(id, now, 2000) });
+    }
+    let lost = queue.take_without_inputs("gone");
+    assert_eq!(lost, (0..20).collect::<Vec<u64>>());
+    assert_eq!(queue.waiting(), 20);
+    let call = queue.next_call(now).unwrap();
+    assert!(call.ids.iter().all(|id| *id >= 20), "{:?}", call.ids);
+    assert!(queue.take_without_inputs("gone").is_empty());
+}
+
+/// Guards against room that stays taken by the results of a process that has
+/// ended, when its server is back.
+#[test]
+fn process_ended_frees_room() {
+    let now = Instant::now();
+    let mut queue = queue(&["a"]);
+    for id in 0..40 {
+        queue.push(order(id, now, 60_000));
+    }
+    for step in 0..2 {
+        let call = queue.next_call(now).unwrap();
+        let made = call.ids.iter().map(|id| format!("{step}-{id}").into());
+        let made: Vec<Arc<str>> = made.collect();
+        let bytes = call.result_bytes;
+        end_call(&mut queue, now, "a", CallEnd::Worked, bytes, &made);
+    }
+    assert_eq!(queue.next_call(now), None, "13 results of 3 MB fit");
+    queue.process_ended("a");
+    assert_eq!(queue.next_call(now).unwrap().ids.len(), 8);
+}
--- a/crates/briarladder-gateway/src/stages/batch.rs
+++ b/crates/briarladder-gateway/src/stages/batch.rs
@@ -29,7 +29,9 @@
     pub key: Option<Arc<str>>,
     /// The results that each piece is made from, for a later stage.
     pub inputs: Vec<Arc<str>>,
-    /// The zones of the servers that hold them.
+    /// The servers that hold them.
+    pub input_makers: Arc<[Arc<str>]>,
+    /// The zones of these servers.
     pub input_zones: Vec<Arc<str>>,
     /// The time that they take on the links.
     pub input_transfer: Duration,
@@ -151,6 +153,13 @@
         }
     }
 
+    /// Returns whether the requester was told that its inputs are of no
+    /// further use.
+    fn inputs_spent(&self) -> bool {
+        !self.order.inputs.is_empty()
+            && self.fetched.borrow().iter().all(|fetched| *fetched)
+    }
+
     fn tell(&self, event: StageEvent) {
         // A requester that has left cleans up by its guard.
         let _ = self.events.send(event);
@@ -211,6 +220,7 @@
             deadline: stage.deadline,
             result_bytes: stage.result_bytes,
             crossing_bytes: stage.crossing_bytes,
+            input_makers: Arc::clone(&stage.input_makers),
             avoid,
         }
     }
@@ -240,6 +250,13 @@
         self.batch.inputs_fetched(self.index());
     }
 
+    /// Returns whether the inputs of the piece are released, so that it can't
+    /// be called for again.
+    #[must_use]
+    pub fn inputs_spent(&self) -> bool {
+        self.batch.inputs_spent()
+    }
+
     /// Records the result of the piece.
     pub fn made(&self, result: Handle) {
         self.batch.made(self.index(), result);
--- a/crates/briarladder-gateway/src/stages/collector/calls.rs
+++ b/crates/briarladder-gateway/src/stages/collector/calls.rs
@@ -31,6 +31,8 @@
 /// Why a call brought no outcomes.
 #[derive(Clone, Debug, Display)]
 pub(super) enum CallFailure {
+    /// The process of the server has ended, and with it its results.
+    Ended(String),
     /// It did not reach the server.
     Unsent(String),
     /// The server may have begun to work on it.
@@ -41,6 +43,7 @@
     fn from(error: SendError) -> CallFailure {
         let cause = error.to_string();
         match error.failure {
+            _ if error.refused => CallFailure::Ended(cause),
             AttemptFailure::ConnectFailed => CallFailure::Unsent(cause),
             _ => CallFailure::Sent(cause),
         }
@@ -57,7 +60,10 @@
     ) -> Result<Vec<PieceOutcome>, CallFailure> {
         let called = self.call_once(server, call, jobs).await;
         // A call that has not left is not counted: it is no repetition later.
-        if !matches!(called, Err(CallFailure::Unsent(_))) {
+        if !matches!(
+            called,
+            Err(CallFailure::Ended(_) | CallFailure::Unsent(_))
+        ) {
             let first = jobs.iter().filter(|(_, job)| job.tries == 0);
             first.for_each(|_| self.board.first_sent(&key.service));
         }
@@ -112,13 +118,14 @@
         let mut exchange = pin!(exchange);
         let fetch_time = self.fetch_time(server, jobs);
         let early = tokio::time::timeout(fetch_time, &mut exchange).await;
+        // A call that failed before may not have fetched anything.
+        if let Ok(answer) = early {
+            return answer;
+        }
         for (_, job) in jobs {
             job.inputs_fetched();
         }
-        match early {
-            Ok(answer) => answer,
-            Err(_) => exchange.await,
-        }
+        exchange.await
     }
 
     /// Estimates how long a server takes to fetch the inputs of a call. Each
--- a/crates/briarladder-gateway/src/stages/collector/mod.rs
+++ b/crates/briarladder-gateway/src/stages/collector/mod.rs
@@ -35,6 +35,10 @@
 
 use super::batch::{Batch, Job, StageEvent, StageFailure, StageOrder};
 
+/// How long a server whose process has ended is remembered: longer than its
+/// results would last.
+const ENDED_FOR: Duration = Duration::from_secs(10);
+
 /// How often a piece is tried.
 const MAX_TRIES: u32 = 4;
 
@@ -61,6 +65,8 @@
     queues: RefCell<SortedMap<QueueKey, Queue>>,
     /// How long servers take to fetch the inputs of a call.
     fetch_times: RefCell<FetchTimes>,
+    /// The servers whose process has ended, and when that showed.
+    ended: RefCell<SortedMap<Arc<str>, Instant>>,
     next_id: StdCell<u64>,
     released: RefCell<Vec<Handle>>,
     released_some: Notify,
@@ -104,6 +110,7 @@
             metrics: Rc::clone(metrics),
             queues: RefCell::default(),
             fetch_times: RefCell::default(),
+            ended: RefCell::default(),
             next_id: StdCell::new(0),
             released: RefCell::default(),
             released_some: Notify::new(),
@@ -361,6 +368,7 @@
         }
         match outcomes {
             Ok(outcomes) => {
+                self.ended.borrow_mut().remove(&*call.server);
                 self.learn_fetching(&outcomes);
                 for ((id, job), outcome) in jobs.into_iter().zip(outcomes) {
                     self.end_piece(key, &call.server, id, job, outcome);
@@ -379,10 +387,13 @@
                     &key.service,
                     "call_failed",
                 );
+                if let CallFailure::Ended(_) = failure {
+                    self.process_ended(&call.server);
+                }
                 for (id, job) in jobs {
                     log_call_failed(key, &call.server, &job, &cause);
                     match failure {
-                        CallFailure::Unsent(_) => {
+                        CallFailure::Ended(_) | CallFailure::Unsent(_) => {
                             self.put_back(key, &call.server, id, job);
                         }
                         CallFailure::Sent(_) => {
@@ -454,6 +465,36 @@
         }
     }
 
+    /// Has pieces whose inputs lay at a server made again from their inputs
+    /// on: its process has ended.
+    fn process_ended(&self, server: &Arc<str>) {
+        let now = self.board.now();
+        {
+            let mut ended = self.ended.borrow_mut();
+            ended.retain(|_, at| now.duration_since(*at) < ENDED_FOR);
+            ended.insert(Arc::clone(server), now);
+        }
+        let mut lost = Vec::new();
+        for (key, queue) in self.queues.borrow_mut().iter_mut() {
+            queue.pieces.process_ended(server);
+            for id in queue.pieces.take_without_inputs(server) {
+                let job = queue.jobs.remove(&id);
+                lost.extend(job.map(|job| (key.clone(), job)));
+            }
+        }
+        for (key, job) in lost {
+            log_failed(&key, server, &job, "input_maker_ended");
+            self.fail(&job, StageFailure::InputsGone);
+        }
+    }
+
+    /// Returns whether the process of a server has ended, as its last call
+    /// has shown.
+    #[must_use]
+    pub fn has_ended(&self, server: &str) -> bool {
+        self.ended.borrow().contains_key(server)
+    }
+
     /// Puts a piece back into its queue, if the retry budget allows it.
     fn try_again(
         &self,
@@ -482,6 +523,11 @@
         if job.has_ended() {
             return;
         }
+        if job.inputs_spent() {
+            log_failed(key, server, &job, "inputs_released");
+            self.forget(key, id);
+            return self.fail(&job, StageFailure::InputsGone);
+        }
         if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
             queue.pieces.push(job.order(id, Some(Arc::clone(server))));
             queue.jobs.insert(id, job);
--- a/crates/briarladder-gateway/src/stages/plan_run.rs
+++ b/crates/briarladder-gateway/src/stages/plan_run.rs
@@ -212,6 +212,10 @@
                 continue;
             }
             self.plan.started(stage);
+            if self.lacks_input(stage) {
+                self.end(stage, StageFailure::InputsGone);
+                continue;
+            }
             let order = self.order(stage);
             let sender = self.sender.clone();
             let guard =
@@ -219,14 +223,23 @@
             if let Some(guard) = guard {
                 self.guards.push(guard);
             } else {
-                let results = Err(StageFailure::Failed);
-                let ended = StageEvent::Ended { stage, results };
-                // OK because `self` keeps the receiver.
-                self.sender.send(ended).unwrap();
+                self.end(stage, StageFailure::Failed);
             }
         }
     }
 
+    fn end(&self, stage: usize, failure: StageFailure) {
+        let results = Err(failure);
+        // OK because `self` keeps the receiver.
+        self.sender.send(StageEvent::Ended { stage, results }).unwrap();
+    }
+
+    /// Returns whether an input lies at a server whose process has ended.
+    fn lacks_input(&self, stage: usize) -> bool {
+        let inputs = self.plan.inputs(stage);
+        inputs.iter().any(|input| self.collector.has_ended(&input.maker))
+    }
+
     /// Decides whether a stage waits for others. Large results fill the room
     /// of their makers, so they are made while the last other stage is worked
     /// on; a request that misses its target makes them after all others.
@@ -266,6 +279,7 @@
             stage,
             pieces: self.plan.pieces(stage),
             key: self.request.key.clone().filter(|_| spec.after.is_empty()),
+            input_makers: makers_of(&inputs),
             input_zones: zones_of(self.collector.servers_listed(), &inputs),
             input_transfer: self.transfer(&spec.service, input_bytes),
             crossing_bytes: match home {
@@ -335,3 +349,12 @@
         StageEstimate { wait: Duration::ZERO, call, item: Duration::ZERO }
     }
 }
+
+/// Returns the servers that hold results, each once.
+fn makers_of(results: &[Handle]) -> Arc<[Arc<str>]> {
+    let mut makers: Vec<Arc<str>> =
+        results.iter().map(|result| Arc::clone(&result.maker)).collect();
+    makers.sort_unstable();
+    makers.dedup();
+    makers.into()
+}
