Log the prompt parts of requests at a server that crashes

The lines of a lost connection named the request and the server, which can't tell whether crashes have a prompt part in common, nor whether the server had begun the answer. Each now has its own line with both, and a daemon says when others tell it of crashes. A rejection by a server logs whether it names the attempt and whether its connection was new.

--- a/crates/briarladder-core/src/fleet/crash_tracker.rs
+++ b/crates/briarladder-core/src/fleet/crash_tracker.rs
@@ -135,12 +135,14 @@
         self.refused_for(now, content).is_some()
     }
 
+    /// Adds crashes of a request and returns whether one was not known.
     fn add(
         &mut self,
         now: Instant,
         content: ContentHash,
         incarnations: &[ServerIncarnation],
-    ) {
+    ) -> bool {
+        let mut new = false;
         self.expire(now);
         let known = self.by_content_hash.get_or_insert_with(content, || {
             RequestCrashes { incarnations: SortedSet::new(), updated_at: now }
@@ -149,6 +151,7 @@
             let full = known.incarnations.len() >= CRASH_LIMIT;
             if !full && known.incarnations.insert(*incarnation) {
                 known.updated_at = now;
+                new = true;
             }
         }
         if self.by_content_hash.len() > MAX_TRACKED_REQUESTS {
@@ -162,6 +165,7 @@
                 self.by_content_hash.remove(&least_crashes);
             }
         }
+        new
     }
 
     /// Removes one crash from each request whose last crash is too old to
@@ -224,11 +228,18 @@
             .collect()
     }
 
-    /// Merges notices of another daemon. Merging is idempotent.
-    pub fn merge(&mut self, now: Instant, notices: &[CrashNotice]) {
+    /// Merges notices of another daemon and returns how many of them had a
+    /// crash that was not known. Merging is idempotent.
+    pub fn merge(&mut self, now: Instant, notices: &[CrashNotice]) -> usize {
+        let mut new = 0;
         for notice in notices.iter().take(MAX_NOTICES) {
-            self.add(now, notice.content, &notice.incarnations);
+            new += usize::from(self.add(
+                now,
+                notice.content,
+                &notice.incarnations,
+            ));
         }
+        new
     }
 }
 
--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 //! assert!(config.routes.find("shop.example", "/plans/7").is_none());
 //! ```
 
+pub mod answer_progress;
 pub mod attempt;
 pub mod availability;
 pub mod batching;
--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -14,7 +14,9 @@
     time::Duration,
 };
 
-use briarladder_core::fleet::server::ListedServer;
+use briarladder_core::fleet::{
+    answer_progress::AnswerProgress, server::ListedServer,
+};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body::{Body, Frame, SizeHint};
@@ -91,6 +93,7 @@
     record: RequestRecord,
     outgoing: OutgoingRequest,
     server: Arc<ListedServer>,
+    progress: AnswerProgress,
     _in_flight: InFlightGuard,
 }
 
@@ -124,6 +127,7 @@
             record,
             outgoing,
             server,
+            progress: AnswerProgress::default(),
             _in_flight: in_flight,
         }
     }
@@ -133,14 +137,14 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
         if let Some(bytes) = self.buffered.pop() {
-            self.record.add_relayed_bytes(bytes.len());
+            self.record_bytes(bytes.len());
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
         let frame = Pin::new(&mut self.incoming).poll_frame(cx);
         match frame {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(data) = frame.data_ref() {
-                    self.record.add_relayed_bytes(data.len());
+                    self.record_bytes(data.len());
                 }
                 if self.incoming.is_end_stream() {
                     self.complete();
@@ -149,7 +153,8 @@
             }
             Poll::Ready(Some(Err(error))) => {
                 self.connection = None;
-                self.outgoing.record_crash(&self.server);
+                self.outgoing
+                    .record_crash(&self.server, self.progress.phase());
                 let cause = error.to_string();
                 self.record.record_truncated(&cause);
                 Poll::Ready(Some(Err(RelayError::Server(cause))))
@@ -169,6 +174,12 @@
         }
     }
 
+    fn record_bytes(&mut self, bytes: usize) {
+        self.record.add_relayed_bytes(bytes);
+        let now = self.outgoing.gateway.blackboard.now();
+        self.progress.record_bytes(now);
+    }
+
     fn complete(&mut self) {
         if let Some(connection) = self.connection.take() {
             connection.return_to_pool(self.idle_timeout);
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -74,6 +74,12 @@
         })
     }
 
+    /// Returns the parts that other requests may share: all except the last.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the number of tokens after the shared prefix, which are read
     /// even if the prefix is cached.
     #[must_use]
--- a/crates/briarladder-gateway/src/peers/membership.rs
+++ b/crates/briarladder-gateway/src/peers/membership.rs
@@ -179,7 +179,11 @@
     let changes =
         blackboard.peers.borrow_mut().apply_message(now, &message.exchange);
     log_changes(&changes, source);
-    blackboard.crash_tracker.borrow_mut().merge(now, &message.crashes);
+    let learned =
+        blackboard.crash_tracker.borrow_mut().merge(now, &message.crashes);
+    if learned > 0 {
+        log::info!("crashers: learned={learned} source={source}");
+    }
     blackboard.mark_joined(now);
 }
 
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -2,6 +2,7 @@
 //! forward the response.
 
 pub mod accept;
+mod crash_evidence;
 mod dispatch;
 mod headers;
 pub mod outgoing;
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -4,7 +4,7 @@
 
 use briarladder_core::{
     fleet::{
-        crash_tracker::{ContentHash, ServerIncarnation},
+        answer_progress::AnswerPhase,
         placement::{PlacementRequest, prefill_time},
         server::ListedServer,
     },
@@ -89,6 +89,8 @@
     pub error_response: Option<Box<BufferedResponse>>,
     /// The server did not find the inputs; the stages must run again.
     pub inputs_gone: bool,
+    /// How far the server had come with its answer.
+    pub answer: AnswerPhase,
 }
 
 /// A response that was read to its end.
@@ -106,6 +108,7 @@
             cause: error.cause,
             error_response: None,
             inputs_gone: false,
+            answer: AnswerPhase::NotBegun,
         }
     }
 }
@@ -122,6 +125,7 @@
             cause: cause.into(),
             error_response: None,
             inputs_gone: false,
+            answer: AnswerPhase::NotBegun,
         }
     }
 }
@@ -180,7 +184,7 @@
         error.cause
     );
     if error.failure == AttemptFailure::ConnectionLost {
-        outgoing.record_crash(server);
+        outgoing.record_crash(server, error.answer);
     }
     // An error response says little about the server's other requests, and
     // missing inputs are not the server's fault.
@@ -206,54 +210,6 @@
 }
 
 impl OutgoingRequest {
-    /// Returns a fingerprint of the request that does not depend on its id.
-    fn content_hash(&self) -> ContentHash {
-        let target =
-            self.head.uri.path_and_query().map_or("/", |p| p.as_str());
-        let workspace = self.accepted.workspace.as_ref();
-        ContentHash::of(target, workspace.map(|w| &*w.name), &self.body)
-    }
-
-    /// Returns for how long the request is still refused because servers
-    /// crashed while they ran it.
-    #[must_use]
-    pub fn refused_for(&self) -> Option<Duration> {
-        let blackboard = &self.gateway.blackboard;
-        let crash_tracker = blackboard.crash_tracker.borrow();
-        if crash_tracker.is_empty() {
-            return None;
-        }
-        crash_tracker.refused_for(blackboard.now(), self.content_hash())
-    }
-
-    /// Records that a server exited, or closed its connection, while it
-    /// processed the request.
-    pub fn record_crash(&self, server: &ListedServer) {
-        let blackboard = &self.gateway.blackboard;
-        let run = ServerIncarnation::of(&server.name, server.born_ms);
-        let refused = blackboard.crash_tracker.borrow_mut().record_crash(
-            blackboard.now(),
-            self.content_hash(),
-            run,
-        );
-        if refused {
-            log::warn!(
-                "crashers: id={} server={} outcome=refused_from_now",
-                self.accepted.caller.attempt,
-                server.name
-            );
-        }
-    }
-
-    /// Records a complete response.
-    pub fn record_success(&self) {
-        let mut crash_tracker =
-            self.gateway.blackboard.crash_tracker.borrow_mut();
-        if !crash_tracker.is_empty() {
-            crash_tracker.record_success(self.content_hash());
-        }
-    }
-
     /// Runs the stages again after their results were released or lost.
     ///
     /// # Errors
@@ -432,8 +388,13 @@
             ));
         }
         if info.not_run || info.wrong_server {
-            let cause =
-                format!("the server rejected the request with {status}");
+            let id = if info.echoes_attempt { "echoed" } else { "absent" };
+            let opened = response.connection.connect_time().is_some();
+            let connection = if opened { "new" } else { "reused" };
+            let cause = format!(
+                "the server rejected the request with {status}, \
+                 attempt id {id}, connection {connection}"
+            );
             if drain_body(response.body).await {
                 response.connection.return_to_pool(info.idle_timeout);
             }
@@ -498,6 +459,7 @@
             cause: format!("the server responded with {status}"),
             error_response,
             inputs_gone: false,
+            answer: AnswerPhase::Underway,
         })
     }
 
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -12,6 +12,7 @@
 
 use briarladder_core::{
     fleet::{
+        answer_progress::AnswerProgress,
         attempt::{AttemptTracker, RetryDecision},
         event_splitter::EventSplitter,
         server::ListedServer,
@@ -68,7 +69,7 @@
         tracker,
         tried: Vec::new(),
     };
-    let part = StreamPart { response, _in_flight: in_flight };
+    let part = StreamPart::new(response, in_flight);
     tokio::task::spawn_local(relay.run(part));
     ResumableBody::new(body)
 }
@@ -90,9 +91,17 @@
 /// The part of a stream that one server sends.
 struct StreamPart {
     response: ServerResponse,
+    progress: AnswerProgress,
     _in_flight: InFlightGuard,
 }
 
+impl StreamPart {
+    fn new(response: ServerResponse, in_flight: InFlightGuard) -> StreamPart {
+        let progress = AnswerProgress::default();
+        StreamPart { response, progress, _in_flight: in_flight }
+    }
+}
+
 /// The server that is to resume the stream, and the request to send to it.
 struct ResumeTarget {
     outgoing: OutgoingRequest,
@@ -115,7 +124,7 @@
         let mut wait_for_stalled = false;
         loop {
             let error = match self
-                .relay_part(&mut part.response, wait_for_stalled)
+                .relay_part(&mut part, wait_for_stalled)
                 .await
             {
                 PartEnd::Complete => {
@@ -168,7 +177,7 @@
     /// Forwards the events of one server.
     async fn relay_part(
         &mut self,
-        response: &mut ServerResponse,
+        part: &mut StreamPart,
         wait_for_stalled: bool,
     ) -> PartEnd {
         let gateway = Rc::clone(&self.outgoing.gateway);
@@ -183,7 +192,7 @@
                 last_event_at + stall_timeout
             };
             let until = stall_at.min(deadline);
-            let next = timeout_at(until.into(), response.body.frame());
+            let next = timeout_at(until.into(), part.response.body.frame());
             let next = tokio::select! {
                 next = next => next,
                 () = self.events.closed() => return PartEnd::Disconnected,
@@ -192,14 +201,15 @@
                 Err(_) if until == deadline => return PartEnd::Timeout,
                 Err(_) => return PartEnd::Stalled,
                 Ok(Some(Err(error))) => {
-                    return PartEnd::Failed(connection_lost(
-                        error.to_string(),
-                    ));
+                    let mut error = connection_lost(error.to_string());
+                    error.answer = part.progress.phase();
+                    return PartEnd::Failed(error);
                 }
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) => break,
             };
             let Some(data) = frame.data_ref() else { continue };
+            part.progress.record_bytes(gateway.blackboard.now());
             let complete_events = self.splitter.push(data);
             if complete_events.is_empty() {
                 continue;
@@ -313,7 +323,7 @@
         match sent? {
             UsableResponse::Streaming(response) => {
                 outgoing.prepared_inputs.release();
-                Ok(StreamPart { response: *response, _in_flight: in_flight })
+                Ok(StreamPart::new(*response, in_flight))
             }
             // A response that is not a stream cannot continue one.
             UsableResponse::Buffered(_) => {
