Recognise a prompt part that crashes servers

Cause: a request that crashes servers was identified by its path, caller and body only. Requests that differ in these had one crash each, so none ever reached the limit of three.

A crash now counts for all features of a request whose answer had not got underway: its whole content, and the parts of its prompt that others may share. A server that survives a request clears its features, so popular parts, of which some request is at each crashing server, don't add up. Of features with equally many crashes the most specific one is refused, and crashes that it explains count no more against the others: sound requests with the same caller or first part go on. Crashes within 250 ms don't count as several, since a network fault can reset connections to many servers at once. Requests are refused before their stages.

Daemons tell each other of crashes and clearances. A cleared crash stays cleared wherever it is merged, without a common clock. Features are told in turn, so that many victims don't crowd out the reason. The message has a new path; the earlier one is still served, and used for older daemons.

Evidence: crashing_prompt_part_stopped failed before (five of five servers crashed, now three).

Tests: record_success_clears demanded that a cleared request be forgotten; its clearance must now be told to others, so record_survival_clears_request demands instead that three more crashes are needed. The crashes of the tests are 0.5 s apart. A 4xx answer of a server no longer clears a request.

--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -177,7 +177,9 @@
     fn record_bytes(&mut self, bytes: usize) {
         self.record.add_relayed_bytes(bytes);
         let now = self.outgoing.gateway.blackboard.now();
-        self.progress.record_bytes(now);
+        if self.progress.record_bytes(now) {
+            self.outgoing.record_answer_underway();
+        }
     }
 
     fn complete(&mut self) {
--- a/crates/briarladder-gateway/src/metrics.rs
+++ b/crates/briarladder-gateway/src/metrics.rs
@@ -59,6 +59,8 @@
     pub config_version: Gauge,
     /// Daemons that this one considers live.
     pub live_daemons: Gauge,
+    /// Requests and prompt parts that are refused because servers crash.
+    pub refused_features: Gauge,
 }
 
 impl fmt::Debug for Metrics {
@@ -80,6 +82,7 @@
         let open_requests = Gauge::default();
         let config_version = Gauge::default();
         let live_daemons = Gauge::default();
+        let refused_features = Gauge::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register(
             "first_byte_seconds",
@@ -108,6 +111,11 @@
             "Live daemons",
             live_daemons.clone(),
         );
+        registry.register(
+            "refused_features",
+            "Requests and prompt parts refused because servers crash",
+            refused_features.clone(),
+        );
         Metrics {
             registry: RefCell::new(registry),
             requests,
@@ -118,6 +126,7 @@
             open_requests,
             config_version,
             live_daemons,
+            refused_features,
         }
     }
 }
--- a/crates/briarladder-gateway/src/peers/client.rs
+++ b/crates/briarladder-gateway/src/peers/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::{HeaderValue, Request, header};
+use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -20,6 +20,8 @@
     cause: String,
     /// Whether the connection was refused: no process listens at the address.
     connection_refused: bool,
+    /// Whether the peer does not know the path.
+    unknown_path: bool,
 }
 
 impl PeerError {
@@ -28,17 +30,26 @@
     pub fn is_connection_refused(&self) -> bool {
         self.connection_refused
     }
+
+    /// Returns whether the peer does not know the path, because it runs an
+    /// earlier version.
+    #[must_use]
+    pub fn is_unknown_path(&self) -> bool {
+        self.unknown_path
+    }
 }
 
 /// Why an HTTP exchange failed.
+#[derive(Default)]
 struct ExchangeError {
     cause: String,
     connection_refused: bool,
+    unknown_path: bool,
 }
 
 impl From<String> for ExchangeError {
     fn from(cause: String) -> ExchangeError {
-        ExchangeError { cause, connection_refused: false }
+        ExchangeError { cause, ..ExchangeError::default() }
     }
 }
 
@@ -68,33 +79,24 @@
         message: &Q,
         timeout: Duration,
     ) -> Result<A, PeerError> {
-        let fail = |cause: String| PeerError {
+        let fail = |error: ExchangeError| PeerError {
             address,
-            cause,
-            connection_refused: false,
+            cause: error.cause,
+            connection_refused: error.connection_refused,
+            unknown_path: error.unknown_path,
         };
         let body = postcard::to_stdvec(message)
-            .map_err(|error| fail(error.to_string()))?;
+            .map_err(|error| fail(error.to_string().into()))?;
         let response = tokio::time::timeout(
             timeout,
             self.exchange(address, path, Bytes::from(body)),
         )
         .await;
-        let response = response.unwrap_or_else(|_| {
-            Err(ExchangeError {
-                cause: "timed out".to_owned(),
-                connection_refused: false,
-            })
-        });
-        let response = response.map_err(
-            |ExchangeError { cause, connection_refused }| PeerError {
-                address,
-                cause,
-                connection_refused,
-            },
-        )?;
+        let timed_out = || ExchangeError::from("timed out".to_owned());
+        let response = response.unwrap_or_else(|_| Err(timed_out()));
+        let response = response.map_err(fail)?;
         postcard::from_bytes(&response)
-            .map_err(|error| fail(error.to_string()))
+            .map_err(|error| fail(error.to_string().into()))
     }
 
     async fn exchange(
@@ -114,13 +116,18 @@
         let (response, connection) = sent.map_err(|error| ExchangeError {
             connection_refused: error.connection_refused,
             cause: error.to_string(),
+            unknown_path: false,
         })?;
         let status = response.status();
         let body = response.into_body().collect().await;
         let body = body.map_err(|error| error.to_string())?.to_bytes();
         connection.return_to_pool(None);
         if !status.is_success() {
-            return Err(ExchangeError::from(format!("status {status}")));
+            return Err(ExchangeError {
+                cause: format!("status {status}"),
+                connection_refused: false,
+                unknown_path: status == StatusCode::NOT_FOUND,
+            });
         }
         Ok(body)
     }
--- a/crates/briarladder-gateway/src/peers/membership.rs
+++ b/crates/briarladder-gateway/src/peers/membership.rs
@@ -6,17 +6,22 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use briarladder_core::fleet::peers::{
-    GossipTarget, Member, MemberChange, ZoneDifference,
+use briarladder_core::fleet::{
+    crash_tracker::CrashNotice,
+    peers::{GossipTarget, Member, MemberChange, ZoneDifference},
 };
 use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
 
 use crate::{context::Gateway, settings::GatewaySettings, stages::cells};
 
-use super::messages::{
-    Ack, CHECK_PATH, COMPARE_PATH, EXCHANGE_PATH, GossipEnvelope,
-    MEMBERS_PATH, MemberList, ProbeRequest, ProbeResponse,
+use super::{
+    client::PeerError,
+    messages::{
+        Ack, CHECK_PATH, COMPARE_PATH, EXCHANGE_PATH, GossipEnvelope,
+        MEMBERS_PATH, MemberList, ProbeRequest, ProbeResponse,
+        REQUEST_CRASHES_EXCHANGE_PATH, RequestCrashesEnvelope,
+    },
 };
 
 /// Timeout of a gossip message, several round trips between regions.
@@ -57,6 +62,9 @@
             (peers.live(now).count(), peers.gossip_interval(now))
         };
         gateway.metrics.live_daemons.set(i64::try_from(live).unwrap_or(0));
+        let refused = blackboard.crash_tracker.borrow().refused_count(now);
+        let refused = i64::try_from(refused).unwrap_or(i64::MAX);
+        gateway.metrics.refused_features.set(refused);
         gateway.pool.evict_expired();
         let joined = blackboard.joined_at.get().is_some();
         let interval = if joined { interval } else { JOIN_INTERVAL };
@@ -122,13 +130,10 @@
     gateway: &Gateway,
     address: SocketAddr,
     member: Option<&Member>,
-) -> Result<(), super::client::PeerError> {
+) -> Result<(), PeerError> {
     let blackboard = &gateway.blackboard;
     let message = gossip_message(gateway, member);
-    let response: GossipEnvelope = gateway
-        .peers
-        .call(address, EXCHANGE_PATH, &message, GOSSIP_TIMEOUT)
-        .await?;
+    let response = send_gossip(gateway, address, message).await?;
     handle_gossip(gateway, &response, "answer");
     let zones = blackboard.peers.borrow().differing_zones(&response.exchange);
     if zones.is_empty() {
@@ -155,6 +160,28 @@
     Ok(())
 }
 
+/// Sends a gossip message and returns the response. A daemon of the earlier
+/// version is sent the message that it knows.
+async fn send_gossip(
+    gateway: &Gateway,
+    address: SocketAddr,
+    message: GossipEnvelope,
+) -> Result<GossipEnvelope, PeerError> {
+    let peers = &gateway.peers;
+    let sent =
+        peers.call(address, EXCHANGE_PATH, &message, GOSSIP_TIMEOUT).await;
+    match sent {
+        Err(error) if error.is_unknown_path() => {
+            let message = RequestCrashesEnvelope::from(message);
+            let path = REQUEST_CRASHES_EXCHANGE_PATH;
+            let response: RequestCrashesEnvelope =
+                peers.call(address, path, &message, GOSSIP_TIMEOUT).await?;
+            Ok(response.into())
+        }
+        sent => sent,
+    }
+}
+
 /// Returns the gossip message to a member, or the response to one.
 pub fn gossip_message(
     gateway: &Gateway,
@@ -164,7 +191,7 @@
     let now = blackboard.now();
     GossipEnvelope {
         exchange: blackboard.peers.borrow().message_to(now, to),
-        crashes: blackboard.crash_tracker.borrow().notices(now),
+        crashes: blackboard.crash_tracker.borrow_mut().notices(now),
     }
 }
 
@@ -179,12 +206,21 @@
     let changes =
         blackboard.peers.borrow_mut().apply_message(now, &message.exchange);
     log_changes(&changes, source);
-    let learned =
-        blackboard.crash_tracker.borrow_mut().merge(now, &message.crashes);
+    learn_crashes(gateway, &message.crashes, source);
+    blackboard.mark_joined(now);
+}
+
+fn learn_crashes(gateway: &Gateway, notices: &[CrashNotice], source: &str) {
+    let blackboard = &gateway.blackboard;
+    let now = blackboard.now();
+    let mut crash_tracker = blackboard.crash_tracker.borrow_mut();
+    let learned = crash_tracker.merge(now, notices);
     if learned > 0 {
-        log::info!("crashers: learned={learned} source={source}");
+        let refused = crash_tracker.refused_count(now);
+        log::info!(
+            "crashers: learned={learned} refused={refused} source={source}"
+        );
     }
-    blackboard.mark_joined(now);
 }
 
 /// Asks other daemons to probe a daemon that did not respond.
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -9,13 +9,18 @@
 use briarladder_core::fleet::{
     cells::Cell,
     config::StageSpec,
-    crash_tracker::CrashNotice,
+    crash_tracker::{
+        CrashNotice, CrashReport, Feature, Fingerprint, ServerIncarnation,
+    },
     peers::{GossipMessage, Member},
 };
 use serde::{Deserialize, Serialize};
 
 /// The path of a gossip exchange.
-pub const EXCHANGE_PATH: &str = "/peers/exchange";
+pub const EXCHANGE_PATH: &str = "/peers/exchange-2";
+
+/// The path of a gossip exchange of daemons that track only whole requests.
+pub const REQUEST_CRASHES_EXCHANGE_PATH: &str = "/peers/exchange";
 
 /// The path of a comparison of the members of some zones.
 pub const COMPARE_PATH: &str = "/peers/compare";
@@ -43,11 +48,66 @@
 pub struct GossipEnvelope {
     /// Membership and heartbeats.
     pub exchange: GossipMessage,
-    /// The newest crashes of servers, by the request that they were
-    /// processing.
+    /// The newest crashes of servers, by the features of the requests that
+    /// they were processing.
     pub crashes: Vec<CrashNotice>,
 }
 
+/// The gossip message of daemons that track only whole requests.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct RequestCrashesEnvelope {
+    /// Membership and heartbeats.
+    pub exchange: GossipMessage,
+    /// The newest crashes of servers.
+    pub crashes: Vec<RequestCrashes>,
+}
+
+/// The server processes that ended while they processed a request.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct RequestCrashes {
+    /// The request, independent of its id.
+    pub content: Fingerprint,
+    /// The processes.
+    pub incarnations: Vec<ServerIncarnation>,
+}
+
+impl From<GossipEnvelope> for RequestCrashesEnvelope {
+    /// Leaves out crashes that are cleared or are not those of whole requests.
+    fn from(envelope: GossipEnvelope) -> RequestCrashesEnvelope {
+        let GossipEnvelope { exchange, crashes } = envelope;
+        let whole = crashes.into_iter().filter(|n| n.feature.is_request());
+        let crashes = whole.map(|notice| RequestCrashes {
+            content: notice.feature.fingerprint,
+            incarnations: notice
+                .crashes
+                .iter()
+                .filter(|crash| !crash.cleared)
+                .map(|crash| crash.incarnation)
+                .collect(),
+        });
+        RequestCrashesEnvelope { exchange, crashes: crashes.collect() }
+    }
+}
+
+impl From<RequestCrashesEnvelope> for GossipEnvelope {
+    fn from(envelope: RequestCrashesEnvelope) -> GossipEnvelope {
+        let RequestCrashesEnvelope { exchange, crashes } = envelope;
+        let crashes = crashes.into_iter().map(|crashes| CrashNotice {
+            feature: Feature::from_request_fingerprint(crashes.content),
+            crashes: crashes
+                .incarnations
+                .into_iter()
+                .map(|incarnation| CrashReport {
+                    incarnation,
+                    age_ms: 0,
+                    cleared: false,
+                })
+                .collect(),
+        });
+        GossipEnvelope { exchange, crashes: crashes.collect() }
+    }
+}
+
 /// Members that the receiver lacks.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct MemberList {
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -17,8 +17,8 @@
     messages::{
         Ack, CHECK_PATH, COMPARE_PATH, EXCHANGE_PATH, GossipEnvelope,
         MEMBERS_PATH, MemberList, PING_PATH, Ping, ProbeRequest,
-        ProbeResponse, RELEASE_PATH, ReleaseRequest, STAGES_PATH,
-        StagesRequest,
+        ProbeResponse, RELEASE_PATH, REQUEST_CRASHES_EXCHANGE_PATH,
+        ReleaseRequest, RequestCrashesEnvelope, STAGES_PATH, StagesRequest,
     },
 };
 
@@ -51,6 +51,12 @@
         EXCHANGE_PATH => respond(&body, |message: GossipEnvelope| {
             exchange_gossip(&gateway, &message)
         }),
+        REQUEST_CRASHES_EXCHANGE_PATH => {
+            respond(&body, |message: RequestCrashesEnvelope| {
+                let response = exchange_gossip(&gateway, &message.into());
+                RequestCrashesEnvelope::from(response)
+            })
+        }
         COMPARE_PATH => respond(&body, |summary: ZoneSummary| {
             gateway.blackboard.peers.borrow().compare(&summary)
         }),
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -18,7 +18,7 @@
 };
 
 use super::{
-    RequestRefusal,
+    CRASHES_SERVERS_CAUSE, RequestRefusal,
     accept::AcceptedRequest,
     headers::copy_head,
     outgoing::{
@@ -50,7 +50,7 @@
     let mut last_error_response = None;
     let refusal = loop {
         if let Some(wait) = outgoing.refused_for() {
-            record.cause = Some("servers crash while they run it".to_owned());
+            record.cause = Some(CRASHES_SERVERS_CAUSE.to_owned());
             if tracker.may_have_run_count() > 0 {
                 break Refusal::OutcomeUnknown;
             }
@@ -165,7 +165,9 @@
             record.status = response.head.status.as_u16();
             record.add_relayed_bytes(response.body.len());
             record.set_outcome("answered");
-            outgoing.record_success();
+            if response.head.status.is_success() {
+                outgoing.record_success();
+            }
             buffered_response(*response)
         }
         UsableResponse::Streaming(response) if resumable => {
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -22,6 +22,7 @@
 
 use self::{
     accept::{AcceptedRequest, accept, read_body},
+    crash_evidence::refused_for,
     dispatch::dispatch,
     outgoing::OutgoingRequest,
     record::RequestRecord,
@@ -34,6 +35,9 @@
 /// this, so that the caller's next attempt still has time to be served.
 const RETRY_AFTER_DIVISOR: u32 = 2;
 
+/// The cause in the log of a request that is refused because of crashes.
+const CRASHES_SERVERS_CAUSE: &str = "servers crash while they run it";
+
 /// How long requests wait for the first configuration after the process has
 /// started.
 const FIRST_CONFIG_TIMEOUT: Duration = Duration::from_secs(1);
@@ -99,6 +103,12 @@
             return refuse(record, refusal.into(), Some(&accepted));
         }
     };
+    if let Some(wait) = refused_for(blackboard, &accepted, &head, &body) {
+        record.cause = Some(CRASHES_SERVERS_CAUSE.to_owned());
+        let refusal = Refusal::PoisonRequest;
+        let refused = RequestRefusal { refusal, retry_after: Some(wait) };
+        return refuse(record, refused, Some(&accepted));
+    }
     let stages = preparation::run(gateway, &accepted, &mut record);
     let prepared = tokio::select! {
         prepared = timeout_at(head_deadline, stages) => prepared
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -209,7 +209,9 @@
                 Ok(None) => break,
             };
             let Some(data) = frame.data_ref() else { continue };
-            part.progress.record_bytes(gateway.blackboard.now());
+            if part.progress.record_bytes(gateway.blackboard.now()) {
+                self.outgoing.record_answer_underway();
+            }
             let complete_events = self.splitter.push(data);
             if complete_events.is_empty() {
                 continue;
@@ -253,7 +255,7 @@
     }
 
     /// Selects another server to resume, and runs the stages again if their
-    /// results no longer exist.
+    /// results no longer exist. `None` if the stream must not be resumed.
     async fn select_server(
         &mut self,
         error: &AttemptError,
