Don't resume a stream that crashes servers

Callers of other requests saw their streams end at one more server: the path that resumes a broken stream chose another server without asking whether the request is refused because of crashes. The other two places that send a request ask.

crashing_stream_not_resumed failed before: a stream whose prompt part crashed the third server was resumed at a fourth one. Now it ends broken.

--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -276,6 +276,9 @@
                 record_failure(&outgoing, &listed, error);
             }
         }
+        if outgoing.refused_for().is_some() {
+            return None;
+        }
         let time_left = accepted.time_left(blackboard.now());
         let has_time = time_left > MIN_RESUME_TIME;
         let spend_retry = || blackboard.try_spend_retry(&accepted.service);
