Break off streams that end within an event

Callers got a stream as complete that had ended within an event, or before the first one: a server's answer may have neither a length nor chunks, and then ends with its connection, also when the server has crashed. A stream that may be resumed was not.

Cause: the end of the body was taken as the end of the stream, whatever came last, and the part of an event that was left was passed on.

A stream is now complete only between two events. One that only the end of the connection ends must also have had an event. Others are resumed or break off, and get no length, so that the caller can tell.

In push_every_cut the rest of a stream is now checked by completing its event, since it is no longer taken out.

--- a/crates/briarladder-core/src/fleet/event_splitter.rs
+++ b/crates/briarladder-core/src/fleet/event_splitter.rs
@@ -1,4 +1,5 @@
-//! Splits an event stream where another server may continue it.
+//! Splits an event stream where another server may continue it, and tells
+//! whether a stream ends within an event.
 //!
 //! A server may fail in the middle of an event. Only complete events are
 //! passed on, so that another server can continue after the last one without a
@@ -15,7 +16,7 @@
 //! assert_eq!(splitter.last_id(), Some("4"));
 //! splitter.discard_partial();
 //! assert!(splitter.is_resumable());
-//! assert!(splitter.take_partial().is_empty());
+//! assert!(!splitter.has_partial());
 //! ```
 
 /// Maximum size of an event that is buffered. A larger one is passed on as it
@@ -37,15 +38,15 @@
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.pending.extend_from_slice(bytes);
         let end = match last_event_end(&self.pending) {
-            Some(end) => {
+            end if end > 0 => {
                 self.truncated = false;
                 end
             }
-            None if self.pending.len() > MAX_EVENT_BYTES => {
+            _ if self.pending.len() > MAX_EVENT_BYTES => {
                 self.truncated = true;
                 self.pending.len()
             }
-            None => return Vec::new(),
+            _ => return Vec::new(),
         };
         let rest = self.pending.split_off(end);
         let complete = std::mem::replace(&mut self.pending, rest);
@@ -73,24 +74,69 @@
         self.pending.clear();
     }
 
-    /// Takes the bytes after the last complete event, for a stream that ends.
-    pub fn take_partial(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.pending)
+    /// Returns whether part of an event is buffered or was passed on. A stream
+    /// that ends there has broken off.
+    #[must_use]
+    pub fn has_partial(&self) -> bool {
+        self.truncated || !self.pending.is_empty()
+    }
+}
+
+/// Tells whether a stream that is passed on as it arrives is between two
+/// events.
+///
+/// # Example
+///
+/// ```
+/// use briarladder_core::fleet::event_splitter::EventBoundary;
+///
+/// let mut boundary = EventBoundary::default();
+/// boundary.push(b"id: 4\ndata: a\n\nid");
+/// assert!(!boundary.is_between_events());
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventBoundary {
+    /// The last bytes, as many as the longest end of an event has.
+    tail: [u8; 4],
+    has_bytes: bool,
+}
+
+impl EventBoundary {
+    /// Adds received bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.has_bytes |= !bytes.is_empty();
+        let start = bytes.len().saturating_sub(self.tail.len());
+        for byte in &bytes[start..] {
+            self.tail.rotate_left(1);
+            self.tail[3] = *byte;
+        }
+    }
+
+    /// Returns whether bytes were received.
+    #[must_use]
+    pub fn has_bytes(&self) -> bool {
+        self.has_bytes
+    }
+
+    /// Returns whether the last event is complete, or none has begun.
+    #[must_use]
+    pub fn is_between_events(&self) -> bool {
+        !self.has_bytes || last_event_end(&self.tail) == self.tail.len()
     }
 }
 
-/// Returns the position after the last blank line.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
+/// Returns the position after the last blank line, or 0 if there is none.
+fn last_event_end(bytes: &[u8]) -> usize {
     let after_lf = end_of_last(bytes, b"\n\n");
     let after_crlf = end_of_last(bytes, b"\r\n\r\n");
     after_lf.max(after_crlf)
 }
 
-fn end_of_last(bytes: &[u8], end: &[u8]) -> Option<usize> {
+fn end_of_last(bytes: &[u8], end: &[u8]) -> usize {
     bytes
         .windows(end.len())
         .rposition(|window| window == end)
-        .map(|at| at + end.len())
+        .map_or(0, |at| at + end.len())
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
@@ -116,7 +162,29 @@
             complete.extend(splitter.push(&stream[cut..]));
             assert_eq!(complete, &stream[..30], "cut at {cut}");
             assert_eq!(splitter.last_id(), Some("2"));
-            assert_eq!(splitter.take_partial(), b"id: 3\n");
+            assert!(splitter.has_partial());
+            assert_eq!(splitter.push(b"\n"), b"id: 3\n\n");
+            assert!(!splitter.has_partial());
+        }
+    }
+
+    /// Guards against a stream that ends within an event and counts as
+    /// complete, wherever the connection splits it.
+    #[test]
+    fn is_between_events_every_cut() {
+        for end in ["\n\n", "\r\n\r\n"] {
+            let event = format!("id: 1{}data: a{end}", &end[..end.len() / 2]);
+            let stream = event.repeat(2);
+            for cut in 0..=stream.len() {
+                for split in 0..=cut {
+                    let mut boundary = EventBoundary::default();
+                    boundary.push(&stream.as_bytes()[..split]);
+                    boundary.push(&stream.as_bytes()[split..cut]);
+                    let between = cut % event.len() == 0;
+                    assert_eq!(boundary.is_between_events(), between);
+                    assert_eq!(boundary.has_bytes(), cut > 0);
+                }
+            }
         }
     }
 
--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -15,7 +15,8 @@
 };
 
 use briarladder_core::fleet::{
-    answer_progress::AnswerProgress, server::ListedServer,
+    answer_progress::AnswerProgress, event_splitter::EventBoundary,
+    server::ListedServer,
 };
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -35,6 +36,9 @@
     },
 };
 
+/// The cause in the log of a stream that ends where it can't be complete.
+pub const STREAM_CUT_CAUSE: &str = "the stream ended within an event";
+
 /// Why a response body ended early.
 #[derive(Debug, Display, Error)]
 pub enum RelayError {
@@ -94,6 +98,9 @@
     outgoing: OutgoingRequest,
     server: Arc<ListedServer>,
     progress: AnswerProgress,
+    boundary: EventBoundary,
+    /// Whether only the end of the connection ends the body.
+    unframed: bool,
     _in_flight: InFlightGuard,
 }
 
@@ -114,6 +121,7 @@
         record: RequestRecord,
         in_flight: InFlightGuard,
     ) -> RelayedBody {
+        let unframed = response.is_unframed();
         let ServerResponse { info, mut buffered, body, connection, .. } =
             response;
         buffered.reverse();
@@ -128,6 +136,8 @@
             outgoing,
             server,
             progress: AnswerProgress::default(),
+            boundary: EventBoundary::default(),
+            unframed,
             _in_flight: in_flight,
         }
     }
@@ -137,27 +147,27 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
         if let Some(bytes) = self.buffered.pop() {
-            self.record_bytes(bytes.len());
+            self.record_bytes(&bytes);
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
         let frame = Pin::new(&mut self.incoming).poll_frame(cx);
         match frame {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(data) = frame.data_ref() {
-                    self.record_bytes(data.len());
+                    self.record_bytes(data);
                 }
-                if self.incoming.is_end_stream() {
+                if self.is_complete() {
                     self.complete();
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
-                self.connection = None;
-                self.outgoing
-                    .record_crash(&self.server, self.progress.phase());
-                let cause = error.to_string();
-                self.record.record_truncated(&cause);
-                Poll::Ready(Some(Err(RelayError::Server(cause))))
+                let error = self.break_off(error.to_string());
+                Poll::Ready(Some(Err(error)))
+            }
+            Poll::Ready(None) if self.is_cut() => {
+                let error = self.break_off(STREAM_CUT_CAUSE.to_owned());
+                Poll::Ready(Some(Err(error)))
             }
             Poll::Ready(None) => {
                 self.complete();
@@ -174,8 +184,41 @@
         }
     }
 
-    fn record_bytes(&mut self, bytes: usize) {
-        self.record.add_relayed_bytes(bytes);
+    /// Returns whether the body is a stream that is within an event, or that
+    /// may end because its server has crashed before the first one.
+    fn is_cut(&self) -> bool {
+        let no_events = self.unframed && !self.boundary.has_bytes();
+        self.outgoing.accepted.route.kind.is_stream()
+            && (no_events || !self.boundary.is_between_events())
+    }
+
+    /// Returns whether all of the body was received.
+    fn is_complete(&self) -> bool {
+        self.buffered.is_empty()
+            && self.incoming.is_end_stream()
+            && !self.is_cut()
+    }
+
+    /// Ends the body because the server's body broke off.
+    fn break_off(&mut self, cause: String) -> RelayError {
+        self.connection = None;
+        self.outgoing.record_crash(&self.server, self.progress.phase());
+        self.record.record_truncated(&cause);
+        RelayError::Server(cause)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        // The remaining length is known only if no chunk was read yet. A
+        // stream gets no length: it must be possible to break it off even
+        // after its last byte.
+        let known = self.buffered.is_empty()
+            && !self.outgoing.accepted.route.kind.is_stream();
+        if known { self.incoming.size_hint() } else { SizeHint::default() }
+    }
+
+    fn record_bytes(&mut self, bytes: &[u8]) {
+        self.record.add_relayed_bytes(bytes.len());
+        self.boundary.push(bytes);
         let now = self.outgoing.gateway.blackboard.now();
         if self.progress.record_bytes(now) {
             self.outgoing.record_answer_underway();
@@ -214,9 +257,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             ResponseBody::Full(bytes) => bytes.is_none(),
-            ResponseBody::Relayed(relay) => {
-                relay.buffered.is_empty() && relay.incoming.is_end_stream()
-            }
+            ResponseBody::Relayed(relay) => relay.is_complete(),
             ResponseBody::Resumable(_) => false,
         }
     }
@@ -228,13 +269,8 @@
                     u64::try_from(bytes.len()).unwrap_or(u64::MAX)
                 }))
             }
-            // The remaining length is known only if no chunk was read yet.
-            ResponseBody::Relayed(relay) if relay.buffered.is_empty() => {
-                relay.incoming.size_hint()
-            }
-            ResponseBody::Relayed(_) | ResponseBody::Resumable(_) => {
-                SizeHint::default()
-            }
+            ResponseBody::Relayed(relay) => relay.size_hint(),
+            ResponseBody::Resumable(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -71,6 +71,17 @@
     pub connection: PooledConnection,
 }
 
+impl ServerResponse {
+    /// Returns whether only the end of the connection ends the body. It then
+    /// looks the same whether the server has finished or crashed.
+    #[must_use]
+    pub fn is_unframed(&self) -> bool {
+        let headers = &self.head.headers;
+        !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING)
+    }
+}
+
 /// A response that can be forwarded.
 pub enum UsableResponse {
     /// It was read to its end.
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     blackboard::InFlightGuard,
-    body::{RelayError, ResumableBody},
+    body::{RelayError, ResumableBody, STREAM_CUT_CAUSE},
 };
 
 use super::{
@@ -223,12 +223,14 @@
                 return PartEnd::Disconnected;
             }
         }
-        let rest = self.splitter.take_partial();
-        if self.forward(rest).await {
-            PartEnd::Complete
-        } else {
-            PartEnd::Disconnected
+        let no_events =
+            part.response.is_unframed() && !self.record.has_relayed_bytes();
+        if !no_events && !self.splitter.has_partial() {
+            return PartEnd::Complete;
         }
+        let mut error = connection_lost(STREAM_CUT_CAUSE);
+        error.answer = part.progress.phase();
+        PartEnd::Failed(error)
     }
 
     /// Forwards bytes and returns whether the caller is still connected.
