Take a rejection as proof only if it belongs to the request

Callers were told "not run, try again" for requests that a server was running, or these ran at a second server: users reported REFUSED and TWICE from real processes, other operators a server that writes an earlier rejection again on a kept connection.

Cause: any rejection was taken as that of the current attempt, unless it named another one. One without an attempt id that a faulty server repeats on a kept connection was taken as that of the next request. One with the id was too, when the same attempt came to the same server again after its inputs were lost.

A rejection now proves that the request did not run only if it names the attempt, or is the first response on its connection. After a rejection for lost inputs the connection is closed, since the same attempt follows.

--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -399,20 +399,7 @@
             ));
         }
         if info.not_run || info.wrong_server {
-            let id = if info.echoes_attempt { "echoed" } else { "absent" };
-            let opened = response.connection.connect_time().is_some();
-            let connection = if opened { "new" } else { "reused" };
-            let cause = format!(
-                "the server rejected the request with {status}, \
-                 attempt id {id}, connection {connection}"
-            );
-            if drain_body(response.body).await {
-                response.connection.return_to_pool(info.idle_timeout);
-            }
-            let failure = AttemptFailure::RefusedNotRun;
-            let mut error = AttemptError::new(failure, cause);
-            error.inputs_gone = info.inputs_gone;
-            return Err(error);
+            return Err(judge_rejection(response).await);
         }
         if status.is_success() {
             if !info.signed || !info.echoes_attempt {
@@ -483,6 +470,31 @@
     }
 }
 
+/// Returns what the rejection of a request proves. It proves that the request
+/// did not run if it names the attempt, or is the first response on its
+/// connection. Otherwise it may be that of an earlier request, which a faulty
+/// server has sent again.
+async fn judge_rejection(response: ServerResponse) -> AttemptError {
+    let ServerResponse { head, info, body, connection, .. } = response;
+    let status = head.status;
+    let is_first = connection.connect_time().is_some();
+    if !info.echoes_attempt && !is_first {
+        let failure = AttemptFailure::ResponseMismatch;
+        let cause = format!("a rejection with {status} that names no attempt");
+        return AttemptError::new(failure, cause);
+    }
+    let cause = format!("the server rejected the request with {status}");
+    let drained = drain_body(body).await;
+    // After new inputs are made, the attempt is sent to the server again. It
+    // then uses another connection, where this rejection can't be repeated.
+    if drained && !info.inputs_gone {
+        connection.return_to_pool(info.idle_timeout);
+    }
+    let mut error = AttemptError::new(AttemptFailure::RefusedNotRun, cause);
+    error.inputs_gone = info.inputs_gone;
+    error
+}
+
 /// Returns whether a status states that the request has not run.
 fn states_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
