--- a/crates/briarladder-gateway/src/store/apply.rs
+++ b/crates/briarladder-gateway/src/store/apply.rs
@@ -28,6 +28,8 @@
                     .dialect
                     .decode_server(name, value)
                     .inspect_err(|error| {
+                        // Another writer may have chosen any name.
+                        let name = name.escape_default();
                         log::warn!(
                             "servers: server={name} outcome=ignored \
                              cause={error} revision={revision}"
@@ -98,8 +100,9 @@
             blackboard.servers.borrow_mut().insert(server.clone());
         }
         (ItemKey::Server(name), None) => {
+            let shown = name.escape_default();
             log::info!(
-                "servers: server={name} state=gone revision={revision}"
+                "servers: server={shown} state=gone revision={revision}"
             );
             gateway.blackboard.servers.borrow_mut().remove(name);
             gateway.blackboard.placement.borrow_mut().remove_server(name);
