Don't use a worker's repeated response to a call for pieces

Callers could get an answer made from the results of another request: a faulty worker that sends its response to a call for pieces once more, where the next one is expected, handed the results of earlier requests to later ones (MIXED).

Cause: the response to such a call names no request, and was taken for the current call whenever it had as many outcomes as the call has pieces.

References to results are unique, so a response with results that is the same as the previous one on its connection is a repetition. The call then fails, its connection is closed, and its pieces are made again.

--- a/crates/briarladder-gateway/src/stages/batcher/calls.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/calls.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     dialect::{PieceCall, PieceOutcome},
-    pool::{Freshness, SendError},
+    pool::{Freshness, PooledConnection, SendError},
 };
 
 use super::{super::piece_group::Piece, Batcher, QueueKey};
@@ -50,6 +50,20 @@
     }
 }
 
+/// The response to a call, which was read to its end.
+pub(super) struct CallResponse {
+    body: Bytes,
+    connection: PooledConnection,
+    idle_timeout: Option<Duration>,
+}
+
+impl CallResponse {
+    /// Keeps the connection for the next call. Without this it is closed.
+    pub(super) fn keep_connection(self) {
+        self.connection.return_to_pool(self.idle_timeout);
+    }
+}
+
 impl Batcher {
     pub(super) async fn call(
         &self,
@@ -95,10 +109,10 @@
         };
         let response = tokio::time::timeout(timeout, exchange).await;
         let late = CallFailure::Sent("timed out".to_owned());
-        let response = response.unwrap_or(Err(late))?;
+        let mut response = response.unwrap_or(Err(late))?;
         let outcomes = self
             .dialect
-            .decode_pieces(&response)
+            .decode_pieces(&response.body)
             .map_err(|error| CallFailure::Sent(error.to_string()))?;
         if outcomes.len() != pieces.len() {
             return Err(CallFailure::Sent(format!(
@@ -107,6 +121,15 @@
                 pieces.len()
             )));
         }
+        // The response names no call, but references to results are unique.
+        let has_results = outcomes
+            .iter()
+            .any(|outcome| matches!(outcome, PieceOutcome::Completed(_)));
+        if response.connection.repeats_body(&response.body) && has_results {
+            let cause = "the response is that of the previous call".to_owned();
+            return Err(CallFailure::Sent(cause));
+        }
+        response.keep_connection();
         Ok(outcomes)
     }
 
@@ -116,8 +139,8 @@
         &self,
         server: &ListedServer,
         pieces: &[(u64, Piece)],
-        exchange: impl Future<Output = Result<Bytes, CallFailure>>,
-    ) -> Result<Bytes, CallFailure> {
+        exchange: impl Future<Output = Result<CallResponse, CallFailure>>,
+    ) -> Result<CallResponse, CallFailure> {
         let mut exchange = pin!(exchange);
         let fetch_time = self.fetch_time(server, pieces);
         let early = tokio::time::timeout(fetch_time, &mut exchange).await;
@@ -159,7 +182,7 @@
         server: &ListedServer,
         path: &'static str,
         body: Bytes,
-    ) -> Result<Bytes, CallFailure> {
+    ) -> Result<CallResponse, CallFailure> {
         let host = HeaderValue::from_str(&server.address.to_string())
             .map_err(|error| CallFailure::NotSent(error.to_string()))?;
         let mut request = Request::post(path)
@@ -180,12 +203,13 @@
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
         let body =
             body.map_err(|error| CallFailure::Sent(error.to_string()))?;
-        connection.return_to_pool(info.idle_timeout);
+        let idle_timeout = info.idle_timeout;
         if !head.status.is_success() {
+            connection.return_to_pool(idle_timeout);
             let cause =
                 format!("the server rejected the call with {}", head.status);
             return Err(CallFailure::Sent(cause));
         }
-        Ok(body.to_bytes())
+        Ok(CallResponse { body: body.to_bytes(), connection, idle_timeout })
     }
 }
--- a/crates/briarladder-gateway/src/stages/batcher/releases.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/releases.rs
@@ -87,7 +87,7 @@
         )
         .await;
         match result {
-            Ok(Ok(_)) => {}
+            Ok(Ok(response)) => response.keep_connection(),
             // The server drops the results itself when they expire.
             Ok(Err(error)) => {
                 log::debug!(
