Test what daemons of the earlier version are told of crashes

They must not learn of prompt parts, which they would take for requests, nor of crashes that were cleared.

--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -220,3 +220,57 @@
 /// An acknowledgement without content.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Ack {}
+
+#[cfg(test)]
+mod tests {
+    use std::time::{Duration, Instant};
+
+    use briarladder_core::fleet::{
+        crash_tracker::CrashTracker, peers::PeerTable,
+    };
+
+    use super::*;
+
+    fn exchange(now: Instant) -> GossipMessage {
+        let address = "127.0.0.1:1".parse().unwrap();
+        let member = Member::new("vm-1", "zone-a", address, 1);
+        PeerTable::new(member).message_to(now, None)
+    }
+
+    /// Guards against daemons of the earlier version that refuse requests by
+    /// the hash of a prompt part, or because of a crash that was cleared, and
+    /// against crashes that get lost on the way to them and back.
+    #[test]
+    fn request_crashes_envelope_has_requests_only() {
+        let now = Instant::now();
+        let request = Feature::whole_request("/a", None, b"body");
+        let other = Feature::whole_request("/b", None, b"body");
+        let part = Feature::prompt_part("p", 0);
+        let server = |name| ServerIncarnation::of(name, 0);
+        let mut tracker = CrashTracker::default();
+        tracker.record_crash(now, &[request, part], server("s-1"));
+        tracker.record_crash(now, &[other], server("s-2"));
+        tracker.record_survival(now, &[other]);
+        let envelope = GossipEnvelope {
+            exchange: exchange(now),
+            crashes: tracker.notices(now),
+        };
+        let sent = RequestCrashesEnvelope::from(envelope);
+        let bytes = postcard::to_stdvec(&sent).unwrap();
+        let received: RequestCrashesEnvelope =
+            postcard::from_bytes(&bytes).unwrap();
+        let received = GossipEnvelope::from(received);
+        let mut receiver = CrashTracker::default();
+        let later = now + Duration::from_secs(1);
+        assert_eq!(receiver.merge(later, &received.crashes), 1);
+        for (number, name) in ["s-2", "s-3"].into_iter().enumerate() {
+            let features = [request, part, other];
+            let gap = Duration::from_secs(u64::try_from(number).unwrap());
+            receiver.record_crash(later + gap, &features, server(name));
+        }
+        let end = later + Duration::from_secs(1);
+        assert!(receiver.refused_for(end, &[request]).is_some());
+        assert!(receiver.refused_for(end, &[part]).is_none());
+        assert!(receiver.refused_for(end, &[other]).is_none());
+    }
+}
