--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -36,8 +36,9 @@
     },
 };
 
-/// The cause in the log of a stream that ends where it can't be complete.
-pub const STREAM_CUT_CAUSE: &str = "the stream ended within an event";
+/// The cause in the log of a stream that can't be complete although its body
+/// ended without an error.
+pub const STREAM_CUT_CAUSE: &str = "the stream ended before or in an event";
 
 /// Why a response body ended early.
 #[derive(Debug, Display, Error)]
--- a/crates/briarladder-gateway/src/request/crash_evidence.rs
+++ b/crates/briarladder-gateway/src/request/crash_evidence.rs
@@ -18,8 +18,8 @@
 /// Maximum number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
 
-/// Maximum number of prompt parts that are tracked for one request. Longer
-/// prompts are hashed up to there.
+/// Maximum number of prompt parts that are tracked for one request, the first
+/// ones.
 const MAX_TRACKED_PARTS: usize = 32;
 
 /// Returns for how long a request is still refused because servers crashed
@@ -40,7 +40,7 @@
     crash_tracker.refused_for(blackboard.now(), &features)
 }
 
-/// Returns the features that a request shares with others by its prompt.
+/// Returns the features that a request may share with others by its prompt.
 fn part_features(accepted: &AcceptedRequest) -> Vec<Feature> {
     let prompt = accepted.caller.prompt.as_ref();
     let parts = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
