--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -257,12 +257,12 @@
         };
         let sent = RequestCrashesEnvelope::from(envelope);
         let bytes = postcard::to_stdvec(&sent).unwrap();
-        let received: RequestCrashesEnvelope =
+        let decoded: RequestCrashesEnvelope =
             postcard::from_bytes(&bytes).unwrap();
-        let received = GossipEnvelope::from(received);
+        let envelope = GossipEnvelope::from(decoded);
         let mut receiver = CrashTracker::default();
         let later = now + Duration::from_secs(1);
-        assert_eq!(receiver.merge(later, &received.crashes), 1);
+        assert_eq!(receiver.merge(later, &envelope.crashes), 1);
         for (number, name) in ["s-2", "s-3"].into_iter().enumerate() {
             let features = [request, part, other];
             let gap = Duration::from_secs(u64::try_from(number).unwrap());
