--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -31,6 +31,7 @@
     blackboard::InFlightGuard,
     pool::PooledConnection,
     request::{
+        framing::Framing,
         outgoing::{OutgoingRequest, ServerResponse},
         record::RequestRecord,
     },
@@ -122,7 +123,7 @@
         record: RequestRecord,
         in_flight: InFlightGuard,
     ) -> RelayedBody {
-        let unframed = response.is_unframed();
+        let unframed = response.framing() == Framing::ConnectionClose;
         let ServerResponse { info, mut buffered, body, connection, .. } =
             response;
         buffered.reverse();
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -160,6 +160,7 @@
     outgoing.prepared_inputs.release();
     // A plain response has no events after which another server could resume.
     let resumable = outgoing.accepted.route.kind.is_resumable();
+    record.framing = Some(response.framing());
     match response {
         UsableResponse::Buffered(response) => {
             record.status = response.head.status.as_u16();
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -4,6 +4,7 @@
 pub mod accept;
 mod crash_evidence;
 mod dispatch;
+pub mod framing;
 mod headers;
 pub mod outgoing;
 pub mod record;
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -27,8 +27,8 @@
 };
 
 use super::{
-    RequestRefusal, accept::AcceptedRequest, headers::is_hop_by_hop,
-    record::RequestRecord,
+    RequestRefusal, accept::AcceptedRequest, framing::Framing,
+    headers::is_hop_by_hop, record::RequestRecord,
 };
 
 /// A request that must not run twice only reuses a connection that was active
@@ -72,13 +72,10 @@
 }
 
 impl ServerResponse {
-    /// Returns whether only the end of the connection ends the body. It then
-    /// looks the same whether the server has finished or crashed.
+    /// Returns how the end of the body is marked.
     #[must_use]
-    pub fn is_unframed(&self) -> bool {
-        let headers = &self.head.headers;
-        !headers.contains_key(header::CONTENT_LENGTH)
-            && !headers.contains_key(header::TRANSFER_ENCODING)
+    pub fn framing(&self) -> Framing {
+        Framing::of(&self.head.headers)
     }
 }
 
@@ -90,6 +87,19 @@
     Streaming(Box<ServerResponse>),
 }
 
+impl UsableResponse {
+    /// Returns how the end of the body is marked.
+    #[must_use]
+    pub fn framing(&self) -> Framing {
+        match self {
+            UsableResponse::Buffered(response) => {
+                Framing::of(&response.head.headers)
+            }
+            UsableResponse::Streaming(response) => response.framing(),
+        }
+    }
+}
+
 /// An attempt without a usable response.
 pub struct AttemptError {
     /// The kind of failure, which tells whether the request may have run.
--- a/crates/briarladder-gateway/src/request/record.rs
+++ b/crates/briarladder-gateway/src/request/record.rs
@@ -13,6 +13,8 @@
 
 use crate::{blackboard::Blackboard, metrics::Metrics};
 
+use super::framing::Framing;
+
 /// The phase that a request has reached.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Phase {
@@ -68,6 +70,8 @@
     pub retry_after: Option<Duration>,
     /// The cause of the outcome, or what the request is waiting for.
     pub cause: Option<String>,
+    /// How the end of the server's response is marked.
+    pub framing: Option<Framing>,
     relayed_bytes: usize,
     outcome: Option<&'static str>,
 }
@@ -99,6 +103,7 @@
             status: 0,
             retry_after: None,
             cause: None,
+            framing: None,
             relayed_bytes: 0,
             outcome: None,
         }
@@ -167,7 +172,7 @@
         log::info!(
             "request: id={} route={route} workspace={} outcome={outcome} \
              status={} at={} ms={} limit_ms={} first_ms={} stages_ms={} \
-             prompt={}+{} server={} sends={} bytes={} config={} retry_after_ms={} cause={:?}",
+             prompt={}+{} server={} sends={} framing={} bytes={} config={} retry_after_ms={} cause={:?}",
             self.attempt,
             self.workspace.as_deref().unwrap_or("-"),
             self.status,
@@ -180,6 +185,7 @@
             self.prompt.map_or(0, |(_, own)| own),
             self.server.as_deref().unwrap_or("-"),
             self.attempts,
+            self.framing.map_or_else(|| "-".to_owned(), |f| f.to_string()),
             self.relayed_bytes,
             self.config_version,
             millis(self.retry_after),
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -29,6 +29,7 @@
 };
 
 use super::{
+    framing::Framing,
     outgoing::{
         AttemptError, OutgoingRequest, ServerResponse, UsableResponse,
         choose_server, record_failure,
@@ -223,8 +224,8 @@
                 return PartEnd::Disconnected;
             }
         }
-        let no_events =
-            part.response.is_unframed() && !self.record.has_relayed_bytes();
+        let no_events = part.response.framing() == Framing::ConnectionClose
+            && !self.record.has_relayed_bytes();
         if !no_events && !self.splitter.has_partial() {
             return PartEnd::Complete;
         }
@@ -330,6 +331,7 @@
         match sent? {
             UsableResponse::Streaming(response) => {
                 outgoing.prepared_inputs.release();
+                self.record.framing = Some(response.framing());
                 Ok(StreamPart::new(*response, in_flight))
             }
             // A response that is not a stream cannot continue one.
