Resume a stream only with a response of the same kind

Callers saw the text of an error in the middle of their stream, which then ended as complete (ORDER, MIXED; reported by other operators). Cause: any signed success counted as the continuation of a stream. Now its status, media type and content coding must be those of the first response, which the caller was told; another response is a failed attempt, and the next server is asked or the stream breaks off.

--- a/crates/briarladder-gateway/src/request/framing.rs
+++ b/crates/briarladder-gateway/src/request/framing.rs
@@ -1,7 +1,7 @@
-//! How the end of a response body is marked.
+//! What the head of a response says of its body.
 
 use derive_more::Display;
-use http::{HeaderMap, HeaderValue, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header, response};
 
 /// The transfer coding that marks the end of a body.
 const CHUNKED: &str = "chunked";
@@ -38,6 +38,30 @@
     }
 }
 
+/// What a caller was told about a stream by the head of its first response.
+/// The response of another server can continue it only if it says the same.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StreamFormat {
+    status: StatusCode,
+    /// The media type in lowercase, without parameters.
+    media_type: Option<String>,
+    encoding: Option<HeaderValue>,
+}
+
+impl StreamFormat {
+    /// Returns the format of the stream with this head.
+    #[must_use]
+    pub fn of(head: &response::Parts) -> StreamFormat {
+        let media_type = head
+            .headers
+            .get(header::CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok()?.split(';').next())
+            .map(|media_type| media_type.trim().to_ascii_lowercase());
+        let encoding = head.headers.get(header::CONTENT_ENCODING).cloned();
+        StreamFormat { status: head.status, media_type, encoding }
+    }
+}
+
 fn ends_with_chunked(codings: &HeaderValue) -> bool {
     codings
         .to_str()
@@ -57,6 +81,23 @@
         Framing::of(&headers.collect())
     }
 
+    fn format(status: u16, media_type: &'static str) -> StreamFormat {
+        let response = http::Response::builder().status(status);
+        let response = response.header("content-type", media_type);
+        StreamFormat::of(&response.body(()).unwrap().into_parts().0)
+    }
+
+    /// Guards against a sound continuation that is refused because its media
+    /// type is written in another way.
+    #[test]
+    fn stream_format_of_parameters() {
+        let first = format(200, "text/event-stream");
+        let same = "Text/Event-Stream ; charset=utf-8";
+        assert_eq!(first, format(200, same));
+        assert_ne!(first, format(202, same));
+        assert_ne!(first, format(200, "text/plain"));
+    }
+
     /// Guards against a body that ends with its connection and counts as one
     /// whose end is marked.
     #[test]
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -29,7 +29,7 @@
 };
 
 use super::{
-    framing::Framing,
+    framing::{Framing, StreamFormat},
     outgoing::{
         AttemptError, OutgoingRequest, ServerResponse, UsableResponse,
         choose_server, record_failure,
@@ -64,6 +64,7 @@
     let (events, body) = mpsc::channel(EVENT_BUFFER_LEN);
     let relay = StreamRelay {
         outgoing,
+        format: StreamFormat::of(&response.head),
         splitter: EventSplitter::default(),
         events,
         record,
@@ -111,6 +112,7 @@
 
 struct StreamRelay {
     outgoing: OutgoingRequest,
+    format: StreamFormat,
     splitter: EventSplitter,
     events: mpsc::Sender<Result<Bytes, RelayError>>,
     record: RequestRecord,
@@ -329,14 +331,18 @@
             Err(AttemptError::new(failure, "no response in time"))
         });
         match sent? {
-            UsableResponse::Streaming(response) => {
+            UsableResponse::Streaming(response)
+                if StreamFormat::of(&response.head) == self.format =>
+            {
                 outgoing.prepared_inputs.release();
                 self.record.framing = Some(response.framing());
                 Ok(StreamPart::new(*response, in_flight))
             }
-            // A response that is not a stream cannot continue one.
-            UsableResponse::Buffered(_) => {
-                Err(connection_lost("the response is not a stream"))
+            UsableResponse::Streaming(_) | UsableResponse::Buffered(_) => {
+                Err(AttemptError::new(
+                    AttemptFailure::ResponseMismatch,
+                    "the response does not continue the stream",
+                ))
             }
         }
     }
