Check that a resumed stream goes on after its last event

Cause: its events were passed on unseen.

The first event of the server that resumes must now have a higher id than the last one that was passed on, and the next one if no id was left out so far (core::fleet::event_sequence). If not, the attempt has failed: the next server is asked, or the stream breaks off.

--- a/crates/briarladder-core/src/fleet/event_splitter.rs
+++ b/crates/briarladder-core/src/fleet/event_splitter.rs
@@ -11,23 +11,36 @@
 //! use briarladder_core::fleet::event_splitter::EventSplitter;
 //!
 //! let mut splitter = EventSplitter::default();
-//! let whole = splitter.push(b"id: 4\ndata: a\n\nid: 5\nda");
+//! let whole = splitter.push(b"id: 4\ndata: a\n\nid: 5\nda")?;
 //! assert_eq!(whole, b"id: 4\ndata: a\n\n");
 //! assert_eq!(splitter.last_id(), Some("4"));
-//! splitter.discard_partial();
-//! assert!(splitter.is_resumable());
+//! splitter.begin_resume();
 //! assert!(!splitter.has_partial());
+//! assert!(splitter.push(b"id: 0\ndata: z\n\n").is_err());
+//! # Ok::<(), briarladder_core::fleet::event_splitter::WrongEvent>(())
 //! ```
 
+use derive_more::{Display, Error};
+
+use super::event_sequence::EventSequence;
+
 /// Maximum size of an event that is buffered. A larger one is passed on as it
 /// arrives, and its stream can't be resumed in the middle of it.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// The first event of a server that resumes a stream does not follow the last
+/// one before.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+#[display("the stream was not resumed after its last event")]
+pub struct WrongEvent;
+
 /// Splits a byte stream into complete events.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
-    last_id: Option<String>,
+    sequence: EventSequence,
+    /// The next event is the first one of a server that resumes the stream.
+    resuming: bool,
     /// Part of an event was passed on and its end was not.
     truncated: bool,
 }
@@ -35,8 +48,13 @@
 impl EventSplitter {
     /// Adds received bytes and returns all bytes up to the end of the last
     /// complete event.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    ///
+    /// # Errors
+    ///
+    /// If they begin with an event that does not continue the stream.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, WrongEvent> {
         self.pending.extend_from_slice(bytes);
+        let within_event = self.truncated;
         let end = match last_event_end(&self.pending) {
             end if end > 0 => {
                 self.truncated = false;
@@ -46,20 +64,34 @@
                 self.truncated = true;
                 self.pending.len()
             }
-            _ => return Vec::new(),
+            _ => return Ok(Vec::new()),
         };
         let rest = self.pending.split_off(end);
         let complete = std::mem::replace(&mut self.pending, rest);
-        if let Some(id) = last_id(&complete) {
-            self.last_id = Some(id);
+        let text = String::from_utf8_lossy(&complete);
+        // The rest of an oversized event has no id of its own.
+        let blocks = blocks(&text).skip(usize::from(within_event));
+        for event in blocks.filter(|block| block.has_fields) {
+            self.record_event(&event)?;
         }
-        complete
+        Ok(complete)
+    }
+
+    fn record_event(&mut self, event: &Block<'_>) -> Result<(), WrongEvent> {
+        if self.resuming && !self.sequence.goes_on_with(event.id) {
+            return Err(WrongEvent);
+        }
+        self.resuming = false;
+        if let Some(id) = event.id {
+            self.sequence.record(id);
+        }
+        Ok(())
     }
 
     /// Returns the id of the last complete event that has one.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
+        self.sequence.last_id()
     }
 
     /// Returns whether another server may continue after the last event, which
@@ -69,9 +101,11 @@
         !self.truncated
     }
 
-    /// Drops the incomplete event of a server that has failed.
-    pub fn discard_partial(&mut self) {
+    /// Prepares for the events of another server: drops the incomplete event
+    /// of the one that has failed. The next event must follow the last one.
+    pub fn begin_resume(&mut self) {
         self.pending.clear();
+        self.resuming = true;
     }
 
     /// Returns whether part of an event is buffered or was passed on. A stream
@@ -139,12 +173,26 @@
         .map_or(0, |at| at + end.len())
 }
 
-fn last_id(events: &[u8]) -> Option<String> {
-    let text = String::from_utf8_lossy(events);
-    text.lines()
-        .filter_map(|line| line.strip_prefix("id:"))
-        .next_back()
-        .map(|id| id.trim().to_owned())
+/// The lines up to a blank line: an event, or only comments.
+#[derive(Clone, Copy, Debug, Default)]
+struct Block<'a> {
+    id: Option<&'a str>,
+    has_fields: bool,
+}
+
+fn blocks(text: &str) -> impl Iterator<Item = Block<'_>> {
+    let mut block = Block::default();
+    let lines = text.lines().chain(std::iter::once(""));
+    lines.filter_map(move |line| {
+        if line.is_empty() {
+            return Some(std::mem::take(&mut block));
+        }
+        if let Some(id) = line.strip_prefix("id:") {
+            block.id = Some(id.trim());
+        }
+        block.has_fields |= !line.starts_with(':');
+        None
+    })
 }
 
 #[cfg(test)]
@@ -158,12 +206,12 @@
         let stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n";
         for cut in 0..stream.len() {
             let mut splitter = EventSplitter::default();
-            let mut complete = splitter.push(&stream[..cut]);
-            complete.extend(splitter.push(&stream[cut..]));
+            let mut complete = splitter.push(&stream[..cut]).unwrap();
+            complete.extend(splitter.push(&stream[cut..]).unwrap());
             assert_eq!(complete, &stream[..30], "cut at {cut}");
             assert_eq!(splitter.last_id(), Some("2"));
             assert!(splitter.has_partial());
-            assert_eq!(splitter.push(b"\n"), b"id: 3\n\n");
+            assert_eq!(splitter.push(b"\n").unwrap(), b"id: 3\n\n");
             assert!(!splitter.has_partial());
         }
     }
@@ -192,7 +240,8 @@
     #[test]
     fn push_crlf() {
         let mut splitter = EventSplitter::default();
-        let complete = splitter.push(b"id: 7\r\ndata: a\r\n\r\nid");
+        let stream = b"id: 7\r\ndata: a\r\n\r\nid";
+        let complete = splitter.push(stream).unwrap();
         assert_eq!(complete, b"id: 7\r\ndata: a\r\n\r\n");
         assert_eq!(splitter.last_id(), Some("7"));
     }
@@ -204,14 +253,48 @@
         let mut splitter = EventSplitter::default();
         let mut passed = 0;
         for _ in 0..400 {
-            passed += splitter.push(&[b'x'; 1000]).len();
+            passed += splitter.push(&[b'x'; 1000]).unwrap().len();
         }
         assert!(passed > 0);
         assert!(
             !splitter.is_resumable(),
             "a truncated event can't be resumed"
         );
-        splitter.push(b"\n\n");
+        splitter.push(b"\n\n").unwrap();
         assert!(splitter.is_resumable());
     }
+
+    /// Guards against a resume that is refused because a comment comes before
+    /// its first event, and against one with a text that is no event.
+    #[test]
+    fn push_resumed() {
+        let resumed = |bytes: &[u8]| {
+            let mut splitter = EventSplitter::default();
+            splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
+            splitter.begin_resume();
+            splitter.push(bytes)
+        };
+        let sound = b": hello\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+        assert_eq!(resumed(sound).unwrap(), sound);
+        assert_eq!(resumed(b"server failed\n\n"), Err(WrongEvent));
+        assert_eq!(resumed(b"data: b\n\n"), Err(WrongEvent));
+        assert_eq!(resumed(b"id: 1\ndata: a\n\n"), Err(WrongEvent));
+    }
+
+    /// Guards against the rest of an oversized event that is taken for an
+    /// event without an id, and against the next one that is overlooked.
+    #[test]
+    fn push_resumed_oversized() {
+        for rest in ["y\n\n", "\n\n"] {
+            let mut splitter = EventSplitter::default();
+            splitter.push(b"id: 1\n\n").unwrap();
+            splitter.begin_resume();
+            let event =
+                format!("id: 2\ndata: {}", "x".repeat(MAX_EVENT_BYTES));
+            assert!(!splitter.push(event.as_bytes()).unwrap().is_empty());
+            let end = format!("{rest}id: 3\n\n");
+            splitter.push(end.as_bytes()).unwrap();
+            assert_eq!(splitter.last_id(), Some("3"));
+        }
+    }
 }
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -165,7 +165,6 @@
                 }
             };
             wait_for_stalled = false;
-            self.splitter.discard_partial();
             let cause = error.cause.clone();
             let Some(next) = self.resume_anywhere(error).await else {
                 self.record.record_truncated(&cause);
@@ -215,7 +214,14 @@
             if part.progress.record_bytes(gateway.blackboard.now()) {
                 self.outgoing.record_answer_underway();
             }
-            let complete_events = self.splitter.push(data);
+            let complete_events = match self.splitter.push(data) {
+                Ok(events) => events,
+                Err(error) => {
+                    let failure = AttemptFailure::ResponseMismatch;
+                    let error = AttemptError::new(failure, error.to_string());
+                    return PartEnd::Failed(error);
+                }
+            };
             if complete_events.is_empty() {
                 continue;
             }
@@ -309,7 +315,7 @@
         next: ResumeTarget,
     ) -> Result<StreamPart, AttemptError> {
         let ResumeTarget { outgoing, server } = next;
-        self.splitter.discard_partial();
+        self.splitter.begin_resume();
         let blackboard = &outgoing.gateway.blackboard;
         let accepted = &outgoing.accepted;
         log::info!(
