Don't take an answer without an event for the rest of a stream

Callers got half of a stream as complete (ORDER): the server that was to resume it closed the connection after its head, which had neither a length nor chunks. Cause: the check for a stream without events looked at the bytes of all servers together, so that it held only for the first one. It now looks at those of the server whose answer ends.

stream_resumed_by_nothing_breaks_off failed before (five events, then an end) and passes.

--- a/crates/briarladder-gateway/src/request/record.rs
+++ b/crates/briarladder-gateway/src/request/record.rs
@@ -126,12 +126,6 @@
         self.relayed_bytes += bytes;
     }
 
-    /// Returns whether bytes of the response were forwarded.
-    #[must_use]
-    pub fn has_relayed_bytes(&self) -> bool {
-        self.relayed_bytes > 0
-    }
-
     /// Sets the outcome label.
     pub fn set_outcome(&mut self, outcome: &'static str) {
         self.outcome = Some(outcome);
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -12,7 +12,7 @@
 
 use briarladder_core::{
     fleet::{
-        answer_progress::AnswerProgress,
+        answer_progress::{AnswerPhase, AnswerProgress},
         attempt::{AttemptTracker, RetryDecision},
         event_splitter::EventSplitter,
         server::ListedServer,
@@ -233,7 +233,7 @@
             }
         }
         let no_events = part.response.framing() == Framing::ConnectionClose
-            && !self.record.has_relayed_bytes();
+            && part.progress.phase() == AnswerPhase::NotBegun;
         if !no_events && !self.splitter.has_partial() {
             return PartEnd::Complete;
         }
