Don't resume a stream whose last event has no id

Callers got events twice (ORDER): a stream without ids that broke off was run again from its start, since there was nothing to resume after, and its events were joined to those already sent. A stream can now be resumed only if the last event that was passed on has an id. Otherwise it breaks off.

The stream of push_without_events now has an id, as only such a stream can be resumed after its oversized event; it checks the same as before.

--- a/crates/briarladder-core/src/fleet/event_splitter.rs
+++ b/crates/briarladder-core/src/fleet/event_splitter.rs
@@ -43,6 +43,8 @@
     resuming: bool,
     /// Part of an event was passed on and its end was not.
     truncated: bool,
+    /// The last event that was passed on has no id.
+    unnumbered: bool,
 }
 
 impl EventSplitter {
@@ -82,6 +84,7 @@
             return Err(WrongEvent);
         }
         self.resuming = false;
+        self.unnumbered = event.id.is_none();
         if let Some(id) = event.id {
             self.sequence.record(id);
         }
@@ -94,11 +97,19 @@
         self.sequence.last_id()
     }
 
-    /// Returns whether another server may continue after the last event, which
-    /// is the case unless part of an oversized event was passed on.
+    /// Returns whether part of an oversized event was passed on and its end was
+    /// not.
+    #[must_use]
+    pub fn is_truncated(&self) -> bool {
+        self.truncated
+    }
+
+    /// Returns whether another server can continue after the last event, which
+    /// is the case unless that event has no id, or only part of it was passed
+    /// on.
     #[must_use]
     pub fn is_resumable(&self) -> bool {
-        !self.truncated
+        !self.truncated && !self.unnumbered
     }
 
     /// Prepares for the events of another server: drops the incomplete event
@@ -251,6 +262,7 @@
     #[test]
     fn push_without_events() {
         let mut splitter = EventSplitter::default();
+        splitter.push(b"id: 1\ndata: ").unwrap();
         let mut passed = 0;
         for _ in 0..400 {
             passed += splitter.push(&[b'x'; 1000]).unwrap().len();
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -225,7 +225,7 @@
             if complete_events.is_empty() {
                 continue;
             }
-            if self.splitter.is_resumable() {
+            if !self.splitter.is_truncated() {
                 last_event_at = gateway.blackboard.now();
             }
             if !self.forward(complete_events).await {
