Break off an answer whose server exits at its end

The end of the connection was taken for the end of the answer unless a stream was within an event.

When such an answer ends, the daemon now opens a connection to the server. If it is refused although the server is listed as ready, the process has exited: the stream is resumed or breaks off, and a plain answer is tried again or fails. Otherwise the new connection takes the place of the closed one in the pool. A server that drains or is no longer listed may have closed its listening socket before its last answers, so these count as complete.

--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -10,7 +10,7 @@
     future::Future,
     pin::Pin,
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -31,6 +31,7 @@
     blackboard::InFlightGuard,
     pool::PooledConnection,
     request::{
+        connection_end::SERVER_EXITED_CAUSE,
         framing::Framing,
         outgoing::{OutgoingRequest, ServerResponse},
         record::RequestRecord,
@@ -103,6 +104,8 @@
     boundary: EventBoundary,
     /// Whether only the end of the connection ends the body.
     unframed: bool,
+    /// Tells whether the server has exited, once such a body has ended.
+    exit_check: Option<Pin<Box<dyn Future<Output = bool>>>>,
     _in_flight: InFlightGuard,
 }
 
@@ -140,6 +143,7 @@
             progress: AnswerProgress::default(),
             boundary: EventBoundary::default(),
             unframed,
+            exit_check: None,
             _in_flight: in_flight,
         }
     }
@@ -152,6 +156,9 @@
             self.record_bytes(&bytes);
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
+        if self.exit_check.is_some() {
+            return self.poll_exit_check(cx);
+        }
         let frame = Pin::new(&mut self.incoming).poll_frame(cx);
         match frame {
             Poll::Ready(Some(Ok(frame))) => {
@@ -171,6 +178,14 @@
                 let error = self.break_off(STREAM_CUT_CAUSE.to_owned());
                 Poll::Ready(Some(Err(error)))
             }
+            Poll::Ready(None) if self.unframed => {
+                let outgoing = self.outgoing.clone();
+                let server = Arc::clone(&self.server);
+                let check =
+                    async move { outgoing.server_has_exited(&server).await };
+                self.exit_check = Some(Box::pin(check));
+                self.poll_exit_check(cx)
+            }
             Poll::Ready(None) => {
                 self.complete();
                 Poll::Ready(None)
@@ -186,6 +201,23 @@
         }
     }
 
+    /// Ends the body as complete, unless its server has exited.
+    fn poll_exit_check(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        let has_exited = match &mut self.exit_check {
+            Some(check) => ready!(check.as_mut().poll(cx)),
+            None => false,
+        };
+        if has_exited {
+            let error = self.break_off(SERVER_EXITED_CAUSE.to_owned());
+            return Poll::Ready(Some(Err(error)));
+        }
+        self.complete();
+        Poll::Ready(None)
+    }
+
     /// Returns whether the body is a stream that is within an event, or that
     /// may end because its server has crashed before the first one.
     fn is_cut(&self) -> bool {
--- a/crates/briarladder-gateway/src/pool.rs
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -215,6 +215,18 @@
         }
     }
 
+    /// Returns whether connections to an address are refused, because no
+    /// process listens there. A connection that is accepted becomes idle.
+    pub async fn is_refused(self: &Rc<Self>, address: SocketAddr) -> bool {
+        match self.open(address).await {
+            Ok(connection) => {
+                connection.return_to_pool(None);
+                false
+            }
+            Err(error) => error.connection_refused,
+        }
+    }
+
     async fn checkout(
         self: &Rc<Self>,
         address: SocketAddr,
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -176,6 +176,7 @@
             let head = response.head.clone();
             let body = resume::spawn_relay(
                 outgoing.clone(),
+                Arc::clone(server),
                 *response,
                 record,
                 in_flight,
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -27,7 +27,8 @@
 };
 
 use super::{
-    RequestRefusal, accept::AcceptedRequest, framing::Framing,
+    RequestRefusal, accept::AcceptedRequest,
+    connection_end::SERVER_EXITED_CAUSE, framing::Framing,
     headers::is_hop_by_hop, record::RequestRecord,
 };
 
@@ -344,14 +345,14 @@
         let attempt = &self.accepted.caller.attempt;
         let info = self.gateway.dialect.decode_response_head(&head, attempt);
         self.gateway.blackboard.record_availability(server, &info);
-        self.classify(ServerResponse {
+        let response = ServerResponse {
             head,
             info,
             buffered: Vec::new(),
             body,
             connection,
-        })
-        .await
+        };
+        self.classify(server, response).await
     }
 
     fn build_request(
@@ -397,6 +398,7 @@
     /// Decides whether a response can be forwarded.
     async fn classify(
         &self,
+        server: &ListedServer,
         response: ServerResponse,
     ) -> Result<UsableResponse, AttemptError> {
         let info = response.info;
@@ -423,14 +425,16 @@
                 return Ok(UsableResponse::Streaming(Box::new(response)));
             }
         }
-        self.buffer_and_classify(response).await
+        self.buffer_and_classify(server, response).await
     }
 
     /// Buffers a response and decides whether it can be forwarded.
     async fn buffer_and_classify(
         &self,
+        server: &ListedServer,
         response: ServerResponse,
     ) -> Result<UsableResponse, AttemptError> {
+        let framing = response.framing();
         let ServerResponse { head, info, mut body, connection, .. } = response;
         let status = head.status;
         let broken =
@@ -449,6 +453,11 @@
                 ));
             }
         };
+        if framing == Framing::ConnectionClose
+            && self.server_has_exited(server).await
+        {
+            return Err(broken(SERVER_EXITED_CAUSE.to_owned()));
+        }
         connection.return_to_pool(info.idle_timeout);
         let is_failure = status.is_server_error()
             || states_not_run(status)
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -29,6 +29,7 @@
 };
 
 use super::{
+    connection_end::SERVER_EXITED_CAUSE,
     framing::{Framing, StreamFormat},
     outgoing::{
         AttemptError, OutgoingRequest, ServerResponse, UsableResponse,
@@ -56,6 +57,7 @@
 #[must_use]
 pub fn spawn_relay(
     outgoing: OutgoingRequest,
+    server: Arc<ListedServer>,
     response: ServerResponse,
     record: RequestRecord,
     in_flight: InFlightGuard,
@@ -71,7 +73,7 @@
         tracker,
         tried: Vec::new(),
     };
-    let part = StreamPart::new(response, in_flight);
+    let part = StreamPart::new(server, response, in_flight);
     tokio::task::spawn_local(relay.run(part));
     ResumableBody::new(body)
 }
@@ -92,15 +94,20 @@
 
 /// The part of a stream that one server sends.
 struct StreamPart {
+    server: Arc<ListedServer>,
     response: ServerResponse,
     progress: AnswerProgress,
     _in_flight: InFlightGuard,
 }
 
 impl StreamPart {
-    fn new(response: ServerResponse, in_flight: InFlightGuard) -> StreamPart {
+    fn new(
+        server: Arc<ListedServer>,
+        response: ServerResponse,
+        in_flight: InFlightGuard,
+    ) -> StreamPart {
         let progress = AnswerProgress::default();
-        StreamPart { response, progress, _in_flight: in_flight }
+        StreamPart { server, response, progress, _in_flight: in_flight }
     }
 }
 
@@ -234,14 +241,25 @@
         }
         let no_events = part.response.framing() == Framing::ConnectionClose
             && part.progress.phase() == AnswerPhase::NotBegun;
-        if !no_events && !self.splitter.has_partial() {
+        let cause = if no_events || self.splitter.has_partial() {
+            STREAM_CUT_CAUSE
+        } else if self.has_exited(part).await {
+            SERVER_EXITED_CAUSE
+        } else {
             return PartEnd::Complete;
-        }
-        let mut error = connection_lost(STREAM_CUT_CAUSE);
+        };
+        let mut error = connection_lost(cause);
         error.answer = part.progress.phase();
         PartEnd::Failed(error)
     }
 
+    /// Returns whether the end of a part of the stream may be that of its
+    /// server.
+    async fn has_exited(&self, part: &StreamPart) -> bool {
+        part.response.framing() == Framing::ConnectionClose
+            && self.outgoing.server_has_exited(&part.server).await
+    }
+
     /// Forwards bytes and returns whether the caller is still connected.
     async fn forward(&mut self, bytes: Vec<u8>) -> bool {
         if bytes.is_empty() {
@@ -342,7 +360,7 @@
             {
                 outgoing.prepared_inputs.release();
                 self.record.framing = Some(response.framing());
-                Ok(StreamPart::new(*response, in_flight))
+                Ok(StreamPart::new(server, *response, in_flight))
             }
             UsableResponse::Streaming(_) | UsableResponse::Buffered(_) => {
                 Err(AttemptError::new(
