Don't pass requests on that are read late in a planned stop

Callers whose body came late in a planned stop got 502 or no answer, also for requests that may not be repeated (LOST; reported by other operators). Cause: whether a request can still be finished was decided when its head arrived, and not looked at again once its body was there; and near the end, chance decided whether a request was sent first or got its final answer first.

It is now decided again before anything is passed on, never for a time after final answers are due, and a request whose stages end then is not sent. Where an answer is ready at that moment it goes out.

request_read_late_not_passed_on failed before (requests reached the worker; some got 502) and passes; accepts_short_grace failed before.

--- a/crates/briarladder-core/src/fleet/shutdown.rs
+++ b/crates/briarladder-core/src/fleet/shutdown.rs
@@ -65,8 +65,9 @@
     /// Returns whether a request with this deadline is accepted.
     #[must_use]
     pub fn accepts(&self, now: Instant, deadline: Instant) -> bool {
-        now < self.started_at + ACCEPT_ALL_DURATION
-            || deadline <= self.final_responses_at()
+        let accepts_all = now < self.started_at + ACCEPT_ALL_DURATION;
+        now < self.final_responses_at()
+            && (accepts_all || deadline <= self.final_responses_at())
     }
 
     /// Returns when requests without a response head get a final response.
@@ -93,6 +94,18 @@
         assert!(shutdown.may_exit(at(7000), 1));
     }
 
+    /// Guards against requests that are accepted after the time of the final
+    /// responses because the grace period is short.
+    #[test]
+    fn accepts_short_grace() {
+        let started_at = Instant::now();
+        let shutdown = Shutdown::new(started_at, Duration::from_secs(2));
+        let at = |ms| started_at + Duration::from_millis(ms);
+        assert!(shutdown.accepts(at(1000), at(21_000)));
+        assert!(!shutdown.accepts(at(1200), at(1200)));
+        assert!(!shutdown.accepts(at(1200), at(21_000)));
+    }
+
     /// Guards against requests that are accepted late in a shutdown and then
     /// cut off without a response.
     #[test]
--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -293,6 +293,15 @@
         }
     }
 
+    /// Returns whether requests without a response head get a final response
+    /// now, because the process is about to exit.
+    #[must_use]
+    pub fn final_responses_due(&self) -> bool {
+        self.shutdown().is_some_and(|shutdown| {
+            self.now() >= shutdown.final_responses_at()
+        })
+    }
+
     /// Waits until a graceful shutdown no longer leaves time for responses:
     /// requests without a response head must then get a final response.
     pub async fn wait_for_final_responses(&self) {
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -18,8 +18,8 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    body::ResponseBody, context::Gateway, refusal::Refusal,
-    stages::preparation,
+    blackboard::Blackboard, body::ResponseBody, context::Gateway,
+    refusal::Refusal, stages::preparation,
 };
 
 use self::{
@@ -89,10 +89,7 @@
         Err(refusal) => return refuse(record, refusal.into(), None),
     };
     let blackboard = &gateway.blackboard;
-    let accepts_request = blackboard.shutdown().is_none_or(|shutdown| {
-        shutdown.accepts(blackboard.now(), accepted.deadline)
-    });
-    if !accepts_request {
+    if is_too_late(blackboard, &accepted) {
         return refuse(record, Refusal::Stopping.into(), Some(&accepted));
     }
     let limits = accepted.config.limits;
@@ -105,6 +102,9 @@
             return refuse(record, refusal.into(), Some(&accepted));
         }
     };
+    if is_too_late(blackboard, &accepted) {
+        return refuse(record, Refusal::Stopping.into(), Some(&accepted));
+    }
     if let Some(wait) = refused_for(blackboard, &accepted, &head, &body) {
         record.cause = Some(CRASHES_SERVERS_CAUSE.to_owned());
         let refusal = Refusal::PoisonRequest;
@@ -120,6 +120,9 @@
         }
     };
     let inputs = match prepared {
+        Ok(_) if blackboard.final_responses_due() => {
+            return refuse(record, Refusal::Stopping.into(), Some(&accepted));
+        }
         Ok(inputs) => inputs,
         Err(refused) => return refuse(record, refused, Some(&accepted)),
     };
@@ -133,7 +136,9 @@
     };
     let accepted = Rc::clone(&outgoing.accepted);
     let sent = Rc::clone(&outgoing.sent);
+    // A response that is ready goes out even if final responses are due.
     tokio::select! {
+        biased;
         result = dispatch(outgoing, record) => match result {
             Ok(response) => response,
             Err((record, refused)) => {
@@ -156,6 +161,14 @@
     }
 }
 
+/// Returns whether a request is refused because the process stops and may not
+/// finish it.
+fn is_too_late(blackboard: &Blackboard, accepted: &AcceptedRequest) -> bool {
+    blackboard.shutdown().is_some_and(|shutdown| {
+        !shutdown.accepts(blackboard.now(), accepted.deadline)
+    })
+}
+
 /// Waits for the first configuration of a process that has just started. It
 /// will arrive shortly, while a refusal would cost the caller one of its
 /// attempts.
