Break off an answer whose server has restarted meanwhile

An answer without a length or chunks counted as whole when its server had crashed and was back at its address at the end: a new connection is then accepted. If the server's entry shows another start time than the one that the answer came from, the process has exited, and no connection is opened. An answer whose status has no body (204, 304) needs none either.

--- a/crates/briarladder-gateway/src/request/connection_end.rs
+++ b/crates/briarladder-gateway/src/request/connection_end.rs
@@ -14,22 +14,35 @@
 pub const SERVER_EXITED_CAUSE: &str =
     "the connection ended with the server's process";
 
+/// What the list of servers says of the process that has sent an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Listing {
+    /// It takes new work.
+    Ready,
+    /// Another process has started under its name.
+    Restarted,
+    /// It drains or is no longer listed. It may finish its last answers after
+    /// it has closed its listening socket.
+    Leaving,
+}
+
 impl OutgoingRequest {
     /// Returns whether a server that has just ended an answer by closing the
     /// connection has exited. A connection that is opened to find out stays in
     /// the pool in place of the closed one.
-    ///
-    /// A server that drains or is no longer listed may finish its last answers
-    /// after it has closed its listening socket, so nothing can be concluded.
     pub async fn server_has_exited(&self, server: &ListedServer) -> bool {
         let deadline = self.accepted.deadline.into();
-        if !self.is_listed(server) {
-            return false;
-        }
-        let probe = self.gateway.pool.is_refused(server.address);
-        let is_refused = timeout_at(deadline, probe).await.unwrap_or(false);
-        // Its entry may have changed meanwhile.
-        let has_exited = is_refused && self.is_listed(server);
+        let has_exited = match self.listing(server) {
+            Listing::Leaving => false,
+            Listing::Restarted => true,
+            Listing::Ready => {
+                let probe = self.gateway.pool.is_refused(server.address);
+                let is_refused = timeout_at(deadline, probe).await;
+                // Its entry may have changed meanwhile.
+                is_refused.unwrap_or(false)
+                    && self.listing(server) != Listing::Leaving
+            }
+        };
         if has_exited {
             log::info!(
                 "dispatch: id={} server={} outcome=exited_at_end_of_answer",
@@ -40,12 +53,22 @@
         has_exited
     }
 
-    /// Returns whether a server is still listed as ready.
-    fn is_listed(&self, server: &ListedServer) -> bool {
+    fn listing(&self, server: &ListedServer) -> Listing {
         let servers = self.gateway.blackboard.servers.borrow();
-        servers.get(&server.name).is_some_and(|listed| {
-            listed.state == ServerState::Ready
-                && listed.address == server.address
-        })
+        match servers.get(&server.name) {
+            Some(listed) if listed.state == ServerState::Draining => {
+                Listing::Leaving
+            }
+            Some(listed) => {
+                // Zero means that the start time is not known.
+                let is_known = listed.born_ms > 0 && server.born_ms > 0;
+                if is_known && listed.born_ms != server.born_ms {
+                    Listing::Restarted
+                } else {
+                    Listing::Ready
+                }
+            }
+            None => Listing::Leaving,
+        }
     }
 }
--- a/crates/briarladder-gateway/src/request/framing.rs
+++ b/crates/briarladder-gateway/src/request/framing.rs
@@ -1,7 +1,7 @@
 //! What the head of a response says of its body.
 
 use derive_more::Display;
-use http::{HeaderMap, HeaderValue, StatusCode, header, response};
+use http::{HeaderValue, StatusCode, header, response};
 
 /// The transfer coding that marks the end of a body.
 const CHUNKED: &str = "chunked";
@@ -9,7 +9,7 @@
 /// How the end of a response body is marked.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Framing {
-    /// By a length in the head.
+    /// By the head: a length, or a status without a body.
     #[display("length")]
     Length,
     /// By the last chunk.
@@ -22,15 +22,19 @@
 }
 
 impl Framing {
-    /// Returns the framing of a response with these headers.
+    /// Returns the framing of the response with this head.
     #[must_use]
-    pub fn of(headers: &HeaderMap) -> Framing {
+    pub fn of(head: &response::Parts) -> Framing {
+        let without_body = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+        if without_body.contains(&head.status) {
+            return Framing::Length;
+        }
         // A transfer coding overrides a length, and delimits the body only if
         // the last one is `chunked` (RFC 9112, section 6.3).
-        let codings = headers.get_all(header::TRANSFER_ENCODING);
+        let codings = head.headers.get_all(header::TRANSFER_ENCODING);
         match codings.iter().next_back() {
             Some(codings) if ends_with_chunked(codings) => Framing::Chunked,
-            None if headers.contains_key(header::CONTENT_LENGTH) => {
+            None if head.headers.contains_key(header::CONTENT_LENGTH) => {
                 Framing::Length
             }
             Some(_) | None => Framing::ConnectionClose,
@@ -74,17 +78,23 @@
 mod tests {
     use super::*;
 
+    fn head(
+        status: u16,
+        headers: &[(&'static str, &'static str)],
+    ) -> response::Parts {
+        let mut response = http::Response::builder().status(status);
+        for (name, value) in headers {
+            response = response.header(*name, *value);
+        }
+        response.body(()).unwrap().into_parts().0
+    }
+
     fn framing(headers: &[(&'static str, &'static str)]) -> Framing {
-        let headers = headers.iter().map(|(name, value)| {
-            (name.parse().unwrap(), HeaderValue::from_static(value))
-        });
-        Framing::of(&headers.collect())
+        Framing::of(&head(200, headers))
     }
 
     fn format(status: u16, media_type: &'static str) -> StreamFormat {
-        let response = http::Response::builder().status(status);
-        let response = response.header("content-type", media_type);
-        StreamFormat::of(&response.body(()).unwrap().into_parts().0)
+        StreamFormat::of(&head(status, &[("content-type", media_type)]))
     }
 
     /// Guards against a sound continuation that is refused because its media
@@ -113,5 +123,6 @@
         assert_eq!(framing(&[gzip, length]), Framing::ConnectionClose);
         assert_eq!(framing(&[gzip]), Framing::ConnectionClose);
         assert_eq!(framing(&[]), Framing::ConnectionClose);
+        assert_eq!(Framing::of(&head(204, &[])), Framing::Length);
     }
 }
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -76,7 +76,7 @@
     /// Returns how the end of the body is marked.
     #[must_use]
     pub fn framing(&self) -> Framing {
-        Framing::of(&self.head.headers)
+        Framing::of(&self.head)
     }
 }
 
@@ -93,9 +93,7 @@
     #[must_use]
     pub fn framing(&self) -> Framing {
         match self {
-            UsableResponse::Buffered(response) => {
-                Framing::of(&response.head.headers)
-            }
+            UsableResponse::Buffered(response) => Framing::of(&response.head),
             UsableResponse::Streaming(response) => response.framing(),
         }
     }
