Record the lost connection of a stream that can't be resumed

A stream without event ids, or within an oversized event, broke off without a line for the lost connection, and the attempt did not count for requests that crash servers: the check whether it may be resumed came first. It now comes after the record. stream_without_ids_not_resumed failed before (no crashers: line) and passes.

--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -289,9 +289,6 @@
         &mut self,
         error: &AttemptError,
     ) -> Option<ResumeTarget> {
-        if !self.splitter.is_resumable() {
-            return None;
-        }
         let mut outgoing = self.outgoing.clone();
         let gateway = Rc::clone(&outgoing.gateway);
         let blackboard = &gateway.blackboard;
@@ -305,7 +302,8 @@
                 record_failure(&outgoing, &listed, error);
             }
         }
-        if outgoing.refused_for().is_some() {
+        let refused = outgoing.refused_for().is_some();
+        if refused || !self.splitter.is_resumable() {
             return None;
         }
         let time_left = accepted.time_left(blackboard.now());
