Decide in one place whether an answer ended by the exit of its server

The framing and the question whether the server is there were put together at three places; OutgoingRequest::ended_by_exit does it now.

--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -102,9 +102,9 @@
     server: Arc<ListedServer>,
     progress: AnswerProgress,
     boundary: EventBoundary,
-    /// Whether only the end of the connection ends the body.
-    unframed: bool,
-    /// Tells whether the server has exited, once such a body has ended.
+    framing: Framing,
+    /// Tells whether the server has exited, once a body has ended with its
+    /// connection.
     exit_check: Option<Pin<Box<dyn Future<Output = bool>>>>,
     _in_flight: InFlightGuard,
 }
@@ -126,7 +126,7 @@
         record: RequestRecord,
         in_flight: InFlightGuard,
     ) -> RelayedBody {
-        let unframed = response.framing() == Framing::ConnectionClose;
+        let framing = response.framing();
         let ServerResponse { info, mut buffered, body, connection, .. } =
             response;
         buffered.reverse();
@@ -142,7 +142,7 @@
             server,
             progress: AnswerProgress::default(),
             boundary: EventBoundary::default(),
-            unframed,
+            framing,
             exit_check: None,
             _in_flight: in_flight,
         }
@@ -178,11 +178,13 @@
                 let error = self.break_off(STREAM_CUT_CAUSE.to_owned());
                 Poll::Ready(Some(Err(error)))
             }
-            Poll::Ready(None) if self.unframed => {
+            Poll::Ready(None) if self.framing == Framing::ConnectionClose => {
                 let outgoing = self.outgoing.clone();
                 let server = Arc::clone(&self.server);
-                let check =
-                    async move { outgoing.server_has_exited(&server).await };
+                let framing = self.framing;
+                let check = async move {
+                    outgoing.ended_by_exit(&server, framing).await
+                };
                 self.exit_check = Some(Box::pin(check));
                 self.poll_exit_check(cx)
             }
@@ -221,7 +223,8 @@
     /// Returns whether the body is a stream that is within an event, or that
     /// may end because its server has crashed before the first one.
     fn is_cut(&self) -> bool {
-        let no_events = self.unframed && !self.boundary.has_bytes();
+        let no_events = self.framing == Framing::ConnectionClose
+            && !self.boundary.has_bytes();
         self.outgoing.accepted.route.kind.is_stream()
             && (no_events || !self.boundary.is_between_events())
     }
--- a/crates/briarladder-gateway/src/request/connection_end.rs
+++ b/crates/briarladder-gateway/src/request/connection_end.rs
@@ -8,7 +8,7 @@
 use briarladder_core::fleet::server::{ListedServer, ServerState};
 use tokio::time::timeout_at;
 
-use super::outgoing::OutgoingRequest;
+use super::{framing::Framing, outgoing::OutgoingRequest};
 
 /// The cause in the log of an answer whose server has exited.
 pub const SERVER_EXITED_CAUSE: &str =
@@ -27,10 +27,18 @@
 }
 
 impl OutgoingRequest {
-    /// Returns whether a server that has just ended an answer by closing the
-    /// connection has exited. A connection that is opened to find out stays in
-    /// the pool in place of the closed one.
-    pub async fn server_has_exited(&self, server: &ListedServer) -> bool {
+    /// Returns whether an answer that has just ended may be cut off because its
+    /// server has exited. A connection that is opened to find out stays in the
+    /// pool in place of the closed one.
+    pub async fn ended_by_exit(
+        &self,
+        server: &ListedServer,
+        framing: Framing,
+    ) -> bool {
+        framing == Framing::ConnectionClose && self.has_exited(server).await
+    }
+
+    async fn has_exited(&self, server: &ListedServer) -> bool {
         let deadline = self.accepted.deadline.into();
         let has_exited = match self.listing(server) {
             Listing::Leaving => false,
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -451,9 +451,7 @@
                 ));
             }
         };
-        if framing == Framing::ConnectionClose
-            && self.server_has_exited(server).await
-        {
+        if self.ended_by_exit(server, framing).await {
             return Err(broken(SERVER_EXITED_CAUSE.to_owned()));
         }
         connection.return_to_pool(info.idle_timeout);
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -239,11 +239,12 @@
                 return PartEnd::Disconnected;
             }
         }
-        let no_events = part.response.framing() == Framing::ConnectionClose
+        let framing = part.response.framing();
+        let no_events = framing == Framing::ConnectionClose
             && part.progress.phase() == AnswerPhase::NotBegun;
         let cause = if no_events || self.splitter.has_partial() {
             STREAM_CUT_CAUSE
-        } else if self.has_exited(part).await {
+        } else if self.outgoing.ended_by_exit(&part.server, framing).await {
             SERVER_EXITED_CAUSE
         } else {
             return PartEnd::Complete;
@@ -253,13 +254,6 @@
         PartEnd::Failed(error)
     }
 
-    /// Returns whether the end of a part of the stream may be that of its
-    /// server.
-    async fn has_exited(&self, part: &StreamPart) -> bool {
-        part.response.framing() == Framing::ConnectionClose
-            && self.outgoing.server_has_exited(&part.server).await
-    }
-
     /// Forwards bytes and returns whether the caller is still connected.
     async fn forward(&mut self, bytes: Vec<u8>) -> bool {
         if bytes.is_empty() {
