--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -4,7 +4,10 @@
     io::{self, BufRead},
     net::{SocketAddr, TcpListener},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -36,9 +39,13 @@
     format!("id: {id}\ndata: t{id}\n\n")
 }
 
-/// What an engine does with its streams.
+/// Of so many answers, a faulty engine sends one without a length: a share of
+/// 0.05, the largest in the site file.
+const UNFRAMED_ONE_IN: usize = 20;
+
+/// How the end of a stream is marked.
 #[derive(Clone, Copy)]
-pub enum Framing {
+enum Framing {
     /// Chunks mark the end of a stream.
     Chunked,
     /// The end of the connection is the end of a stream.
@@ -128,13 +135,19 @@
 pub fn run_process(
     ip: &str,
     events: usize,
-    framing: Framing,
+    is_faulty: bool,
 ) -> io::Result<()> {
     let listener = TcpListener::bind((ip, 0))?;
     println!("{}", listener.local_addr()?);
+    let answers = AtomicUsize::new(0);
     http::serve(listener, move |connection| {
         while let Some(request) = http::read_request(&mut connection.reader)? {
             println!("{}", line_of(&request));
+            let number = answers.fetch_add(1, Ordering::SeqCst);
+            let unframed =
+                is_faulty && number % UNFRAMED_ONE_IN == UNFRAMED_ONE_IN / 2;
+            let framing =
+                if unframed { Framing::Unframed } else { Framing::Chunked };
             answer(connection, &request, events, framing)?;
         }
         Ok(())
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -16,7 +16,6 @@
 use std::{env, io, path::Path, process::ExitCode};
 
 use deployment::Record;
-use engine::Framing;
 
 /// Whether a rule was broken.
 pub enum Verdict {
@@ -30,11 +29,12 @@
     if let [engine, mode, ip] = arguments.as_slice()
         && engine == "engine"
     {
-        let (events, framing) = match mode.as_str() {
-            "chunked" => (left_clients::EVENTS, Framing::Chunked),
-            _ => (cut_stream::EVENTS, Framing::Unframed),
+        let is_faulty = mode == "unframed";
+        let events = match mode.as_str() {
+            "long" | "unframed" => cut_stream::EVENTS,
+            _ => left_clients::EVENTS,
         };
-        engine::run_process(ip, events, framing)?;
+        engine::run_process(ip, events, is_faulty)?;
     }
     let [case, folder, record] = arguments.as_slice() else {
         return Ok(Verdict::CouldNotRun);
