--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec bash "$(dirname "$0")/../run-case.sh" left-clients 4
+exec bash "$(dirname "$0")/../run-case.sh" left-clients 5
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -112,6 +112,13 @@
         Ok(())
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
     /// Starts the process again.
     pub fn start_again(&mut self) -> io::Result<()> {
         self.child = spawn(&self.folder, &self.name)?;
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 mod cut_stream;
 mod deployment;
 mod engine;
+mod foreign_entries;
 mod http;
 mod left_clients;
 mod missed_change;
@@ -46,6 +47,7 @@
     match case.as_str() {
         "missed-change" => missed_change::run(folder, record, trouble),
         "cut-stream" => cut_stream::run(folder, record, trouble),
+        "foreign-entries" => foreign_entries::run(folder, record, trouble),
         "left-clients" => left_clients::run(folder, record, trouble),
         "mixed-results" => mixed_results::run(folder, record, trouble),
         _ => Ok(Verdict::CouldNotRun),
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -101,7 +101,8 @@
         while let Some(request) = http::read_request(&mut connection.reader)? {
             let body = if request.path() == name("list") {
                 // A page is read when its call arrives; its answer takes time.
-                let page = self.page(request.query("after").unwrap_or(""));
+                let after = request.query("after").unwrap_or("");
+                let page = self.page(&percent_decoded(after));
                 self.shared.pages.fetch_add(1, Ordering::SeqCst);
                 self.delay();
                 page
@@ -210,3 +211,17 @@
     }
     text
 }
+
+fn percent_decoded(text: &str) -> String {
+    let mut parts = text.split('%');
+    let mut bytes = parts.next().unwrap_or("").as_bytes().to_vec();
+    for part in parts {
+        let (code, rest) = part.split_at_checked(2).unwrap_or((part, ""));
+        match u8::from_str_radix(code, 16) {
+            Ok(byte) => bytes.push(byte),
+            Err(_) => bytes.extend(code.bytes()),
+        }
+        bytes.extend(rest.bytes());
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
