--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -6,7 +6,7 @@
 [ -x "$program" ] && [ -x target/release/briarladderd ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout 110 "$program" "$1" "$folder" "review/$2/record.txt"
+timeout -k 9 110 "$program" "$1" "$folder" "review/$2/record.txt"
 status=$?
 [ -n "${KEEP_LOGS:-}" ] && cp "$folder"/*.log "$KEEP_LOGS"
 [ "$status" -le 1 ] || status=2
--- a/review/standins/src/cut_stream.rs
+++ b/review/standins/src/cut_stream.rs
@@ -51,6 +51,7 @@
             let record = Arc::clone(&record);
             thread::spawn(move || {
                 let attempt = format!("c{number:06x}");
+                record.add(&format!("client: {attempt} is sent"));
                 let headers = format!(
                     "{}: 1460,170\r\n{}: 5c1e07a2:350,{number:08x}:1110\r\n\
                      {}: m\r\n",
--- a/review/standins/src/foreign_entries.rs
+++ b/review/standins/src/foreign_entries.rs
@@ -27,11 +27,21 @@
 /// The requests before the fault and after the recovery, of each daemon.
 const REQUESTS: usize = 20;
 
-fn start_worker(id: &str, service: &str, store: &Store) -> io::Result<()> {
+fn start_worker(
+    id: &str,
+    service: &str,
+    store: &Store,
+    record: &Arc<Record>,
+) -> io::Result<()> {
     let listener = worker_listener()?;
     let address = listener.local_addr()?;
+    let (worker, record) = (id.to_owned(), Arc::clone(record));
     http::serve(listener, move |connection| {
         while let Some(request) = http::read_request(&mut connection.reader)? {
+            record.add(&format!(
+                "worker {worker} runs {}",
+                request.header(name("attempt"))
+            ));
             connection.send(&format!(
                 "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: seal\r\n\
                  Keep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nfeit",
@@ -52,6 +62,7 @@
     for round in 0..REQUESTS {
         for (number, daemon) in daemons.iter().enumerate() {
             let attempt = format!("{part}{number}{round:06x}");
+            record.add(&format!("client: {attempt} is sent"));
             let answer = ClientRequest {
                 method: "GET",
                 path: "/consulta/7",
@@ -89,7 +100,7 @@
     store.put(name("config_key"), &config);
     for number in 0..WORKERS {
         let service = if number < 3 { "balcao" } else { "briar-modelo" };
-        start_worker(&format!("i-{number:04x}"), service, &store)?;
+        start_worker(&format!("i-{number:04x}"), service, &store, &record)?;
     }
     let mut daemons = Vec::new();
     for machine in 1..=3 {
--- a/review/standins/src/left_clients.rs
+++ b/review/standins/src/left_clients.rs
@@ -145,6 +145,7 @@
             deadline_ms: 8000,
             headers: &headers,
         };
+        record.add(&format!("client: {attempt} is sent"));
         let mut stream = TcpStream::connect(daemon.callers)?;
         stream.write_all(request.text().as_bytes())?;
         clients.push((attempt, stream));
--- a/review/standins/src/missed_change.rs
+++ b/review/standins/src/missed_change.rs
@@ -149,6 +149,7 @@
     for round in 0..20 {
         for (number, daemon) in daemons.iter().enumerate() {
             let attempt = format!("c{number}{round:06x}");
+            record.add(&format!("client: {attempt} is sent"));
             let answer = ClientRequest {
                 method: "GET",
                 path: "/consulta/7",
--- a/review/standins/src/mixed_results.rs
+++ b/review/standins/src/mixed_results.rs
@@ -178,6 +178,7 @@
             let record = Arc::clone(&record);
             thread::spawn(move || {
                 let attempt = format!("c{number:06x}");
+                record.add(&format!("client: {attempt} is sent"));
                 let headers = format!(
                     "{}: 1\r\n{}: key{number}\r\n{}: 1460,80\r\n\
                      {}: 5c1e07a2:800,{number:08x}:660\r\n{}: m\r\n",
