--- a/review/standins/src/left_clients.rs
+++ b/review/standins/src/left_clients.rs
@@ -2,8 +2,8 @@
 //! streams.
 
 use std::{
-    io::{self, BufRead, Write},
-    net::{Shutdown, TcpStream},
+    io::{self, Write},
+    net::TcpStream,
     path::Path,
     sync::{Arc, Mutex},
     thread,
@@ -166,16 +166,19 @@
     }
     thread::sleep(PATIENCE);
     let mut left = Vec::new();
-    for (attempt, stream) in clients.iter().step_by(LEAVING_ONE_IN) {
-        // What the client has read so far doesn't matter to the check.
-        let mut reader = io::BufReader::new(stream);
-        stream.set_nonblocking(true)?;
-        let _ = reader.fill_buf();
-        stream.shutdown(Shutdown::Both)?;
-        left.push((attempt.clone(), record.now_ms()));
-        record.add(&format!("client: {attempt} leaves"));
+    let mut staying = Vec::new();
+    for (number, (attempt, stream)) in clients.into_iter().enumerate() {
+        if number % LEAVING_ONE_IN == 0 {
+            // Closes the connection.
+            drop(stream);
+            record.add(&format!("client: {attempt} leaves"));
+            left.push((attempt, record.now_ms()));
+        } else {
+            staying.push(stream);
+        }
     }
     thread::sleep(Duration::from_secs(6));
+    drop(staying);
     let mut late = 0;
     for run in runs.lock().unwrap().iter() {
         let gone = left.iter().find(|(attempt, _)| *attempt == run.attempt);
