Advance the revision of a copy of the store on proof only

What callers saw: a daemon that listed the store while the configuration changed went on with the older version until the next change. Requests were run by the old service, and routes that had just been added got 404.

Cause: the revision of a copy means "all changes up to here are known", and Mirror::apply moved it forward on the sight of one item. An item of a later page may be newer than a change on the first page, which the next watch then never asked for.

Change: only a whole answer of a source moves the revision. A listing also marks the removals before it as unknown, so that a peer that asks for changes since an earlier revision gets all items, and an unknown item that is older than the revision counts as removed. Followers are woken for proven changes.

Test that is replaced: apply_snapshot_missing_item asserted that a change at revision 9 is announced while only revision 6 is known to be complete, which is the fault. It now makes the same assertions once 9 is known.

--- a/crates/briarladder-core/src/fleet/mirror.rs
+++ b/crates/briarladder-core/src/fleet/mirror.rs
@@ -4,6 +4,10 @@
 //! receive the decoded items. The copy serves two queries of other daemons:
 //! all items, and the changes since a revision.
 //!
+//! The revision of the copy is a claim: all changes up to it are known. An
+//! item proves nothing about other items, however new it is, so the revision
+//! only advances when a source has sent all changes up to another one.
+//!
 //! # Example
 //!
 //! ```
@@ -20,6 +24,8 @@
 //! assert!(mirror.apply(item(7, config(b"{}"))));
 //! assert!(mirror.apply(item(9, None)));
 //! assert!(!mirror.apply(item(8, config(b"{}"))));
+//! assert_eq!(mirror.revision(), 0, "other items may have changed before");
+//! mirror.advance(9);
 //! assert_eq!(mirror.revision(), 9);
 //! ```
 
@@ -67,18 +73,20 @@
 pub struct Mirror {
     items: SortedMap<ItemKey, Item>,
     removals: VecDeque<Item>,
-    /// Removals up to this revision may be forgotten.
+    /// Removals up to this revision may be forgotten, or were never known.
     removals_complete_from: u64,
+    /// All changes up to this revision are known.
     revision: u64,
-    /// Revision of the last change of an item.
+    /// Revision of the last change of an item, which may be greater.
     changed_revision: u64,
 }
 
 impl Mirror {
     /// Applies a change and returns whether it differs from what was known.
     pub fn apply(&mut self, item: Item) -> bool {
-        self.revision = self.revision.max(item.revision);
-        let known = self.known_revision(&item.key);
+        // The changes up to the revision are known, so an older item was
+        // replaced or removed.
+        let known = self.known_revision(&item.key).max(self.revision);
         if item.revision <= known {
             return false;
         }
@@ -94,9 +102,9 @@
         is_new
     }
 
-    /// Applies a full listing that started at `revision` and returns the
-    /// removals that it implies. Items that changed after that revision are
-    /// kept.
+    /// Completes a full listing that started at `revision`, whose items were
+    /// applied, and returns the removals that it implies. Items that changed
+    /// after that revision are kept.
     pub fn apply_snapshot(
         &mut self,
         listed: &[Item],
@@ -117,11 +125,15 @@
             self.record_removal(item.clone());
             self.changed_revision = self.changed_revision.max(revision);
         }
+        // An item that was created and removed between the last known revision
+        // and the listing leaves no trace, but a peer may have seen it.
+        self.forget_removals(revision);
         self.advance(revision);
         removed
     }
 
-    /// Records that all changes up to a revision are known.
+    /// Records that all changes up to a revision are known. Call it after all
+    /// of them were applied.
     pub fn advance(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
     }
@@ -132,14 +144,15 @@
         self.revision
     }
 
-    /// Returns whether any item changed after a revision.
+    /// Returns whether an item changed after a revision, as far as all changes
+    /// are known. A copy at that revision can advance in this case.
     #[must_use]
     pub fn has_changes_after(&self, revision: u64) -> bool {
-        self.changed_revision > revision
+        self.changed_revision.min(self.revision) > revision
     }
 
     /// Returns the changes after a revision, oldest first, or `None` if
-    /// removals in that range may be forgotten.
+    /// removals in that range may be unknown.
     #[must_use]
     pub fn changes_since(&self, revision: u64) -> Option<Vec<Item>> {
         if revision < self.removals_complete_from {
@@ -178,75 +191,18 @@
         self.removals.push_back(item);
         while self.removals.len() > MAX_REMOVALS {
             if let Some(oldest) = self.removals.pop_front() {
-                self.removals_complete_from = oldest.revision;
+                self.forget_removals(oldest.revision);
             }
         }
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn server(name: &str) -> PublishedValue {
-        let address = "10.0.0.1:80".parse().unwrap();
-        PublishedValue::Server(ListedServer::new(name, "s", address))
-    }
-
-    fn present(name: &str, revision: u64) -> Item {
-        let key = ItemKey::Server(Arc::from(name));
-        Item { key, revision, value: Some(server(name)) }
-    }
-
-    fn absent(name: &str, revision: u64) -> Item {
-        Item { value: None, ..present(name, revision) }
-    }
 
-    /// Guards against a removed server that an older list brings back, for
-    /// example one from a peer that lags behind.
-    #[test]
-    fn apply_older_list() {
-        let mut mirror = Mirror::default();
-        mirror.apply(present("a", 3));
-        mirror.apply(absent("a", 5));
-        assert!(!mirror.apply(present("a", 3)));
-        assert!(mirror.items().next().is_none());
-    }
-
-    /// Guards against a removal that is missed when the change history is
-    /// lost.
-    #[test]
-    fn apply_snapshot_missing_item() {
-        let mut mirror = Mirror::default();
-        mirror.apply(present("a", 3));
-        mirror.apply(present("b", 9));
-        let removed = mirror.apply_snapshot(&[], 6);
-        assert_eq!(removed, vec![absent("a", 6)]);
-        assert_eq!(mirror.items().count(), 1, "b changed after the listing");
-        assert!(mirror.has_changes_after(8));
-        assert!(!mirror.has_changes_after(9));
-    }
-
-    /// Guards against a peer that misses the removals since its last update.
-    #[test]
-    fn changes_since_includes_removals() {
-        let mut mirror = Mirror::default();
-        mirror.apply(present("a", 3));
-        mirror.apply(absent("a", 5));
-        mirror.apply(present("b", 6));
-        let changes = mirror.changes_since(4).unwrap();
-        assert_eq!(changes.len(), 2);
-        assert_eq!(changes[0], absent("a", 5));
-    }
-
-    /// Guards against followers that are woken by revisions of the store that
-    /// change none of their items.
-    #[test]
-    fn advance_is_no_change() {
-        let mut mirror = Mirror::default();
-        mirror.apply(present("a", 3));
-        mirror.advance(40);
-        assert!(!mirror.has_changes_after(3));
-        assert_eq!(mirror.revision(), 40);
+    fn forget_removals(&mut self, revision: u64) {
+        self.removals_complete_from =
+            self.removals_complete_from.max(revision);
     }
 }
+
+#[cfg(test)]
+mod simulation;
+#[cfg(test)]
+mod tests;
--- a/crates/briarladder-gateway/src/store/peer_source.rs
+++ b/crates/briarladder-gateway/src/store/peer_source.rs
@@ -154,7 +154,8 @@
     response: ChangesResponse,
 ) {
     let revision = response.revision;
-    if revision <= after {
+    // A peer may know single items that are newer than its revision.
+    if revision <= after && response.item_count() == 0 {
         return;
     }
     if response.item_count() > 0 {
