End the relay of a stream when its caller leaves

What callers saw: nothing, they had left; but workers went on for them. After the crash of an engine the streams of callers that had left 0.2 s later were sent to another engine up to 1.8 s after that, and their stages ran again.

Cause: the relay of a stream that may be resumed is a task of its own. It looked for its caller only between two frames of an answer, and not while it ran stages again, waited for a server that resumes, or asked whether a server had exited.

Change: the task that owns the relay waits for the caller's departure too and drops the relay, which cancels whatever it waits for. The watch between two frames is removed.

Why it works: one place covers each wait of the relay, also later ones.

--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -7,6 +7,10 @@
 //! are run again before a resume: their results were released once the first
 //! server had used them, because the memory for results limits how many stages
 //! can run.
+//!
+//! The relay is the only part of a request that does not run within the future
+//! of its caller's connection. The task that owns it waits for the caller's
+//! departure as well, and drops the relay with all that it waits for.
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
@@ -64,6 +68,7 @@
     tracker: AttemptTracker,
 ) -> ResumableBody {
     let (events, body) = mpsc::channel(EVENT_BUFFER_LEN);
+    let caller = events.clone();
     let relay = StreamRelay {
         outgoing,
         format: StreamFormat::of(&response.head),
@@ -74,7 +79,14 @@
         tried: Vec::new(),
     };
     let part = StreamPart::new(server, response, in_flight);
-    tokio::task::spawn_local(relay.run(part));
+    tokio::task::spawn_local(async move {
+        tokio::select! {
+            () = relay.run(part) => {}
+            // Dropping the relay cancels what it waits for, such as stages or
+            // the response of a server, and writes the request's log line.
+            () = caller.closed() => {}
+        }
+    });
     ResumableBody::new(body)
 }
 
@@ -82,8 +94,6 @@
 enum PartEnd {
     /// The stream is complete.
     Complete,
-    /// The caller has disconnected.
-    Disconnected,
     /// The request's deadline has passed.
     Timeout,
     /// The response ended early.
@@ -144,11 +154,9 @@
                     self.outgoing.record_success();
                     return self.record.set_outcome("answered");
                 }
-                PartEnd::Disconnected => return,
                 PartEnd::Timeout => {
                     self.record.set_outcome("time_out_midway");
-                    // Sending fails if the caller has disconnected meanwhile.
-                    let _ = self.events.send(Err(RelayError::Timeout)).await;
+                    self.send(Err(RelayError::Timeout)).await;
                     return;
                 }
                 PartEnd::Failed(error) => error,
@@ -175,8 +183,7 @@
             let cause = error.cause.clone();
             let Some(next) = self.resume_anywhere(error).await else {
                 self.record.record_truncated(&cause);
-                let error = RelayError::Server(cause);
-                let _ = self.events.send(Err(error)).await;
+                self.send(Err(RelayError::Server(cause))).await;
                 return;
             };
             part = next;
@@ -202,11 +209,7 @@
             };
             let until = stall_at.min(deadline);
             let next = timeout_at(until.into(), part.response.body.frame());
-            let next = tokio::select! {
-                next = next => next,
-                () = self.events.closed() => return PartEnd::Disconnected,
-            };
-            let frame = match next {
+            let frame = match next.await {
                 Err(_) if until == deadline => return PartEnd::Timeout,
                 Err(_) => return PartEnd::Stalled,
                 Ok(Some(Err(error))) => {
@@ -235,9 +238,7 @@
             if !self.splitter.is_truncated() {
                 last_event_at = gateway.blackboard.now();
             }
-            if !self.forward(complete_events).await {
-                return PartEnd::Disconnected;
-            }
+            self.forward(complete_events).await;
         }
         let framing = part.response.framing();
         let no_events = framing == Framing::ConnectionClose
@@ -254,13 +255,14 @@
         PartEnd::Failed(error)
     }
 
-    /// Forwards bytes and returns whether the caller is still connected.
-    async fn forward(&mut self, bytes: Vec<u8>) -> bool {
-        if bytes.is_empty() {
-            return true;
-        }
+    async fn forward(&mut self, bytes: Vec<u8>) {
         self.record.add_relayed_bytes(bytes.len());
-        self.events.send(Ok(Bytes::from(bytes))).await.is_ok()
+        self.send(Ok(Bytes::from(bytes))).await;
+    }
+
+    async fn send(&self, event: Result<Bytes, RelayError>) {
+        // Fails if the caller has disconnected, which ends the relay.
+        let _ = self.events.send(event).await;
     }
 
     /// Asks other servers to resume until one does.
