Cut answers of leaving servers that exit at their end

The answer had neither a length nor chunks, its worker drained or was no longer listed, and its process ended between two events.

Cause: the end of such a connection says nothing. The check that tells a whole answer from an exit answered "not exited" wherever it did not know: the server drains or isn't listed, the probe got no answer, another process accepted it.

Change: such an answer is whole only if its server takes a connection after the end of the answer, and no later server is listed under its name or at its address. A server that does not respond is asked three times. In doubt a stream is resumed elsewhere if that is allowed, and breaks off otherwise; plain answers are asked for again or fail. The exit of a leaving server no longer counts as a crash that the request has caused.

Why it works: a server takes connections until it exits, so one that accepts a connection after the end was running at the end.

--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -31,7 +31,7 @@
     blackboard::InFlightGuard,
     pool::PooledConnection,
     request::{
-        connection_end::SERVER_EXITED_CAUSE,
+        connection_end::DoubtfulEnd,
         framing::Framing,
         outgoing::{OutgoingRequest, ServerResponse},
         record::RequestRecord,
@@ -103,9 +103,9 @@
     progress: AnswerProgress,
     boundary: EventBoundary,
     framing: Framing,
-    /// Tells whether the server has exited, once a body has ended with its
+    /// Tells whether the body may be cut off, once it has ended with its
     /// connection.
-    exit_check: Option<Pin<Box<dyn Future<Output = bool>>>>,
+    end_check: Option<Pin<Box<dyn Future<Output = Option<DoubtfulEnd>>>>>,
     _in_flight: InFlightGuard,
 }
 
@@ -143,7 +143,7 @@
             progress: AnswerProgress::default(),
             boundary: EventBoundary::default(),
             framing,
-            exit_check: None,
+            end_check: None,
             _in_flight: in_flight,
         }
     }
@@ -156,8 +156,8 @@
             self.record_bytes(&bytes);
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
-        if self.exit_check.is_some() {
-            return self.poll_exit_check(cx);
+        if self.end_check.is_some() {
+            return self.poll_end_check(cx);
         }
         let frame = Pin::new(&mut self.incoming).poll_frame(cx);
         match frame {
@@ -183,10 +183,10 @@
                 let server = Arc::clone(&self.server);
                 let framing = self.framing;
                 let check = async move {
-                    outgoing.ended_by_exit(&server, framing).await
+                    outgoing.doubtful_end(&server, framing).await
                 };
-                self.exit_check = Some(Box::pin(check));
-                self.poll_exit_check(cx)
+                self.end_check = Some(Box::pin(check));
+                self.poll_end_check(cx)
             }
             Poll::Ready(None) => {
                 self.complete();
@@ -203,17 +203,17 @@
         }
     }
 
-    /// Ends the body as complete, unless its server has exited.
-    fn poll_exit_check(
+    /// Ends the body as complete, unless it may be cut off.
+    fn poll_end_check(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
-        let has_exited = match &mut self.exit_check {
+        let doubt = match &mut self.end_check {
             Some(check) => ready!(check.as_mut().poll(cx)),
-            None => false,
+            None => None,
         };
-        if has_exited {
-            let error = self.break_off(SERVER_EXITED_CAUSE.to_owned());
+        if let Some(doubt) = doubt {
+            let error = self.break_off(doubt.to_string());
             return Poll::Ready(Some(Err(error)));
         }
         self.complete();
--- a/crates/briarladder-gateway/src/pool.rs
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -52,6 +52,17 @@
     UsedWithin(Duration),
 }
 
+/// The result of [`ConnectionPool::probe`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProbeResult {
+    /// A connection was opened.
+    Accepted,
+    /// No process listens at the address.
+    Refused,
+    /// There was no answer in time, or another error.
+    NoResponse,
+}
+
 /// A request that got no response.
 #[derive(Debug, Display, Error)]
 #[display("{failure}: {cause}")]
@@ -215,15 +226,16 @@
         }
     }
 
-    /// Returns whether connections to an address are refused, because no
-    /// process listens there. A connection that is accepted becomes idle.
-    pub async fn is_refused(self: &Rc<Self>, address: SocketAddr) -> bool {
+    /// Asks whether a process listens at an address. A connection that is
+    /// accepted becomes idle.
+    pub async fn probe(self: &Rc<Self>, address: SocketAddr) -> ProbeResult {
         match self.open(address).await {
             Ok(connection) => {
                 connection.return_to_pool(None);
-                false
+                ProbeResult::Accepted
             }
-            Err(error) => error.connection_refused,
+            Err(error) if error.connection_refused => ProbeResult::Refused,
+            Err(_) => ProbeResult::NoResponse,
         }
     }
 
--- a/crates/briarladder-gateway/src/request/connection_end.rs
+++ b/crates/briarladder-gateway/src/request/connection_end.rs
@@ -2,81 +2,98 @@
 //!
 //! An answer without a length or chunks ends with its connection. When the
 //! process of its server exits, the kernel closes the connection in the same
-//! way. The listening socket is closed with it, so a new connection to the
-//! same address is refused.
+//! way, so the end of the connection alone proves nothing. A server takes
+//! connections until it exits, also while it drains. One that accepts another
+//! connection after the end of its answer was still running at that end;
+//! otherwise the answer may be cut off.
 
 use briarladder_core::fleet::server::{ListedServer, ServerState};
+use derive_more::Display;
 use tokio::time::timeout_at;
 
+use crate::pool::ProbeResult;
+
 use super::{framing::Framing, outgoing::OutgoingRequest};
 
-/// The cause in the log of an answer whose server has exited.
-pub const SERVER_EXITED_CAUSE: &str =
-    "the connection ended with the server's process";
+/// How often a server that does not respond is asked for a connection. A lost
+/// packet must not make its answer look cut off.
+const MAX_PROBES: u32 = 3;
 
-/// What the list of servers says of the process that has sent an answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Listing {
-    /// It takes new work.
-    Ready,
-    /// Another process has started under its name.
-    Restarted,
-    /// It drains or is no longer listed. It may finish its last answers after
-    /// it has closed its listening socket.
-    Leaving,
+/// Why an answer that has ended with its connection may be cut off.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum DoubtfulEnd {
+    /// No process listens at the address of the server any more, or another
+    /// one does.
+    #[display("the connection ended with the server's process")]
+    ServerExited,
+    /// The server does not respond.
+    #[display("the server does not respond after the end of the connection")]
+    NoResponse,
 }
 
 impl OutgoingRequest {
-    /// Returns whether an answer that has just ended may be cut off because its
-    /// server has exited. A connection that is opened to find out stays in the
-    /// pool in place of the closed one.
-    pub async fn ended_by_exit(
+    /// Returns why an answer that has just ended may be cut off, or `None` if
+    /// it is whole. A connection that is opened to find out stays in the pool
+    /// in place of the closed one.
+    pub async fn doubtful_end(
         &self,
         server: &ListedServer,
         framing: Framing,
-    ) -> bool {
-        framing == Framing::ConnectionClose && self.has_exited(server).await
-    }
-
-    async fn has_exited(&self, server: &ListedServer) -> bool {
+    ) -> Option<DoubtfulEnd> {
+        if framing != Framing::ConnectionClose {
+            return None;
+        }
         let deadline = self.accepted.deadline.into();
-        let has_exited = match self.listing(server) {
-            Listing::Leaving => false,
-            Listing::Restarted => true,
-            Listing::Ready => {
-                let probe = self.gateway.pool.is_refused(server.address);
-                let is_refused = timeout_at(deadline, probe).await;
-                // Its entry may have changed meanwhile.
-                is_refused.unwrap_or(false)
-                    && self.listing(server) != Listing::Leaving
-            }
-        };
-        if has_exited {
+        let doubt = timeout_at(deadline, self.find_doubt(server)).await;
+        let doubt = doubt.unwrap_or(Some(DoubtfulEnd::NoResponse));
+        if let Some(doubt) = doubt {
             log::info!(
-                "dispatch: id={} server={} outcome=exited_at_end_of_answer",
+                "dispatch: id={} server={} outcome=doubtful_end cause={doubt:?}",
                 self.accepted.caller.attempt,
                 server.name
             );
         }
-        has_exited
+        doubt
     }
 
-    fn listing(&self, server: &ListedServer) -> Listing {
-        let servers = self.gateway.blackboard.servers.borrow();
-        match servers.get(&server.name) {
-            Some(listed) if listed.state == ServerState::Draining => {
-                Listing::Leaving
-            }
-            Some(listed) => {
-                // Zero means that the start time is not known.
-                let is_known = listed.born_ms > 0 && server.born_ms > 0;
-                if is_known && listed.born_ms != server.born_ms {
-                    Listing::Restarted
-                } else {
-                    Listing::Ready
+    async fn find_doubt(&self, server: &ListedServer) -> Option<DoubtfulEnd> {
+        for _ in 0..MAX_PROBES {
+            match self.gateway.pool.probe(server.address).await {
+                ProbeResult::Accepted if self.was_replaced(server) => {
+                    return Some(DoubtfulEnd::ServerExited);
+                }
+                ProbeResult::Accepted => return None,
+                ProbeResult::Refused => {
+                    return Some(DoubtfulEnd::ServerExited);
                 }
+                ProbeResult::NoResponse => {}
             }
-            None => Listing::Leaving,
         }
+        Some(DoubtfulEnd::NoResponse)
+    }
+
+    /// Returns whether another process is listed under the name of a server,
+    /// or a later one at its address. Start times of zero are not known.
+    fn was_replaced(&self, server: &ListedServer) -> bool {
+        let servers = self.gateway.blackboard.servers.borrow();
+        server.born_ms > 0
+            && servers.iter().any(|listed| {
+                if listed.name == server.name {
+                    listed.born_ms > 0 && listed.born_ms != server.born_ms
+                } else {
+                    listed.address == server.address
+                        && listed.born_ms > server.born_ms
+                }
+            })
+    }
+
+    /// Returns whether a server drains or is no longer listed. It then exits
+    /// whatever it runs.
+    #[must_use]
+    pub fn is_leaving(&self, server: &ListedServer) -> bool {
+        let servers = self.gateway.blackboard.servers.borrow();
+        servers
+            .get(&server.name)
+            .is_none_or(|listed| listed.state == ServerState::Draining)
     }
 }
--- a/crates/briarladder-gateway/src/request/crash_evidence.rs
+++ b/crates/briarladder-gateway/src/request/crash_evidence.rs
@@ -76,8 +76,12 @@
 
     /// Records that a server exited, or closed its connection, while it
     /// processed the request. `answer` tells how far its answer had come: once
-    /// it is underway, the prompt is not the reason.
+    /// it is underway, the prompt is not the reason. The exit of a server that
+    /// is leaving is planned, so it counts against no request.
     pub fn record_crash(&self, server: &ListedServer, answer: AnswerPhase) {
+        if self.is_leaving(server) {
+            return;
+        }
         let blackboard = &self.gateway.blackboard;
         let incarnation = ServerIncarnation::of(&server.name, server.born_ms);
         let mut features = match answer {
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -27,8 +27,7 @@
 };
 
 use super::{
-    RequestRefusal, accept::AcceptedRequest,
-    connection_end::SERVER_EXITED_CAUSE, framing::Framing,
+    RequestRefusal, accept::AcceptedRequest, framing::Framing,
     headers::is_hop_by_hop, record::RequestRecord,
 };
 
@@ -451,8 +450,8 @@
                 ));
             }
         };
-        if self.ended_by_exit(server, framing).await {
-            return Err(broken(SERVER_EXITED_CAUSE.to_owned()));
+        if let Some(doubt) = self.doubtful_end(server, framing).await {
+            return Err(broken(doubt.to_string()));
         }
         connection.return_to_pool(info.idle_timeout);
         let is_failure = status.is_server_error()
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -33,7 +33,6 @@
 };
 
 use super::{
-    connection_end::SERVER_EXITED_CAUSE,
     framing::{Framing, StreamFormat},
     outgoing::{
         AttemptError, OutgoingRequest, ServerResponse, UsableResponse,
@@ -244,11 +243,12 @@
         let no_events = framing == Framing::ConnectionClose
             && part.progress.phase() == AnswerPhase::NotBegun;
         let cause = if no_events || self.splitter.has_partial() {
-            STREAM_CUT_CAUSE
-        } else if self.outgoing.ended_by_exit(&part.server, framing).await {
-            SERVER_EXITED_CAUSE
+            STREAM_CUT_CAUSE.to_owned()
         } else {
-            return PartEnd::Complete;
+            let doubt = self.outgoing.doubtful_end(&part.server, framing);
+            // The server that is asked to resume says whether events follow.
+            let Some(doubt) = doubt.await else { return PartEnd::Complete };
+            doubt.to_string()
         };
         let mut error = connection_lost(cause);
         error.answer = part.progress.phase();
