Bound bodies of the platform on the own interface

What operators would see: a daemon that runs out of memory when the platform, or another process at its address, sends a body without a length or an end.

Cause: the limit was compared with the announced length only, and a body without one counted as empty.

Change: the bytes are counted while they are read.

Evidence: manifest_endless_body failed before: the body was read for the two seconds of the call's timeout, and the error was that of the connection.

--- a/crates/briarladder-daemon/src/controllers/platform.rs
+++ b/crates/briarladder-daemon/src/controllers/platform.rs
@@ -13,7 +13,7 @@
 
 /// The maximum size of a value, in bytes, with a margin above the platform's
 /// own limit of 1 MB.
-const MAX_VALUE_BYTES: u64 = 2 << 20;
+const MAX_VALUE_BYTES: usize = 2 << 20;
 
 /// An HTTP client to the platform.
 #[derive(Clone, Debug)]
@@ -105,11 +105,19 @@
     }
 }
 
-async fn read_body(response: Response) -> anyhow::Result<Vec<u8>> {
-    let length = response.content_length().unwrap_or_default();
-    anyhow::ensure!(
-        length <= MAX_VALUE_BYTES,
-        "the response of {length} bytes exceeds {MAX_VALUE_BYTES} bytes"
-    );
-    Ok(response.bytes().await?.to_vec())
+/// Reads a body of at most [`MAX_VALUE_BYTES`]. A body without a length may
+/// be endless, so the limit is checked while it is read.
+async fn read_body(mut response: Response) -> anyhow::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await? {
+        body.extend_from_slice(&chunk);
+        anyhow::ensure!(
+            body.len() <= MAX_VALUE_BYTES,
+            "the response exceeds {MAX_VALUE_BYTES} bytes"
+        );
+    }
+    Ok(body)
 }
+
+#[cfg(test)]
+mod tests;
