Search each byte of a stream for the end of an event once

What callers saw: slow answers of a daemon at which an engine sends one event without end in small chunks. In a debug build, other requests took over a second while one such stream was read.

Cause: for each chunk the splitter searched all bytes of the unfinished event again, up to 256 KiB.

Change: it searches the new bytes only, and the last three before them. The tests move to a file of their own.

--- a/crates/briarladder-core/src/fleet/event_splitter.rs
+++ b/crates/briarladder-core/src/fleet/event_splitter.rs
@@ -28,6 +28,9 @@
 /// arrives, and its stream can't be resumed in the middle of it.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// The length of the longest end of an event, two line ends.
+const MAX_END_LEN: usize = 4;
+
 /// The first event of a server that resumes a stream does not follow the last
 /// one before.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
@@ -38,6 +41,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
+    /// The first bytes of `pending` that have no end of an event. They are not
+    /// searched again: a server may send an event in chunks of one byte.
+    searched_len: usize,
     sequence: EventSequence,
     /// The next event is the first one of a server that resumes the stream.
     resuming: bool,
@@ -57,18 +63,24 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, WrongEvent> {
         self.pending.extend_from_slice(bytes);
         let within_event = self.truncated;
-        let end = match last_event_end(&self.pending) {
+        // An end may begin in the bytes that were searched.
+        let start = self.searched_len.saturating_sub(MAX_END_LEN - 1);
+        let end = match last_event_end(&self.pending[start..]) {
             end if end > 0 => {
                 self.truncated = false;
-                end
+                start + end
             }
             _ if self.pending.len() > MAX_EVENT_BYTES => {
                 self.truncated = true;
                 self.pending.len()
             }
-            _ => return Ok(Vec::new()),
+            _ => {
+                self.searched_len = self.pending.len();
+                return Ok(Vec::new());
+            }
         };
         let rest = self.pending.split_off(end);
+        self.searched_len = rest.len();
         let complete = std::mem::replace(&mut self.pending, rest);
         let text = String::from_utf8_lossy(&complete);
         // The rest of an oversized event has no id of its own.
@@ -116,6 +128,7 @@
     /// of the one that has failed. The next event must follow the last one.
     pub fn begin_resume(&mut self) {
         self.pending.clear();
+        self.searched_len = 0;
         self.resuming = true;
     }
 
@@ -142,7 +155,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EventBoundary {
     /// The last bytes, as many as the longest end of an event has.
-    tail: [u8; 4],
+    tail: [u8; MAX_END_LEN],
     has_bytes: bool,
 }
 
@@ -153,7 +166,7 @@
         let start = bytes.len().saturating_sub(self.tail.len());
         for byte in &bytes[start..] {
             self.tail.rotate_left(1);
-            self.tail[3] = *byte;
+            self.tail[MAX_END_LEN - 1] = *byte;
         }
     }
 
@@ -207,106 +220,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against truncated events, wherever the connection splits the
-    /// stream.
-    #[test]
-    fn push_every_cut() {
-        let stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n";
-        for cut in 0..stream.len() {
-            let mut splitter = EventSplitter::default();
-            let mut complete = splitter.push(&stream[..cut]).unwrap();
-            complete.extend(splitter.push(&stream[cut..]).unwrap());
-            assert_eq!(complete, &stream[..30], "cut at {cut}");
-            assert_eq!(splitter.last_id(), Some("2"));
-            assert!(splitter.has_partial());
-            assert_eq!(splitter.push(b"\n").unwrap(), b"id: 3\n\n");
-            assert!(!splitter.has_partial());
-        }
-    }
-
-    /// Guards against a stream that ends within an event and counts as
-    /// complete, wherever the connection splits it.
-    #[test]
-    fn is_between_events_every_cut() {
-        for end in ["\n\n", "\r\n\r\n"] {
-            let event = format!("id: 1{}data: a{end}", &end[..end.len() / 2]);
-            let stream = event.repeat(2);
-            for cut in 0..=stream.len() {
-                for split in 0..=cut {
-                    let mut boundary = EventBoundary::default();
-                    boundary.push(&stream.as_bytes()[..split]);
-                    boundary.push(&stream.as_bytes()[split..cut]);
-                    let between = cut % event.len() == 0;
-                    assert_eq!(boundary.is_between_events(), between);
-                    assert_eq!(boundary.has_bytes(), cut > 0);
-                }
-            }
-        }
-    }
-
-    /// Guards against events that are held back because of CRLF line endings.
-    #[test]
-    fn push_crlf() {
-        let mut splitter = EventSplitter::default();
-        let stream = b"id: 7\r\ndata: a\r\n\r\nid";
-        let complete = splitter.push(stream).unwrap();
-        assert_eq!(complete, b"id: 7\r\ndata: a\r\n\r\n");
-        assert_eq!(splitter.last_id(), Some("7"));
-    }
-
-    /// Guards against memory use that grows with a stream without event
-    /// boundaries.
-    #[test]
-    fn push_without_events() {
-        let mut splitter = EventSplitter::default();
-        splitter.push(b"id: 1\ndata: ").unwrap();
-        let mut passed = 0;
-        for _ in 0..400 {
-            passed += splitter.push(&[b'x'; 1000]).unwrap().len();
-        }
-        assert!(passed > 0);
-        assert!(
-            !splitter.is_resumable(),
-            "a truncated event can't be resumed"
-        );
-        splitter.push(b"\n\n").unwrap();
-        assert!(splitter.is_resumable());
-    }
-
-    /// Guards against a resume that is refused because a comment comes before
-    /// its first event, and against one with a text that is no event.
-    #[test]
-    fn push_resumed() {
-        let resumed = |bytes: &[u8]| {
-            let mut splitter = EventSplitter::default();
-            splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
-            splitter.begin_resume();
-            splitter.push(bytes)
-        };
-        let sound = b": hello\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
-        assert_eq!(resumed(sound).unwrap(), sound);
-        assert_eq!(resumed(b"server failed\n\n"), Err(WrongEvent));
-        assert_eq!(resumed(b"data: b\n\n"), Err(WrongEvent));
-        assert_eq!(resumed(b"id: 1\ndata: a\n\n"), Err(WrongEvent));
-    }
-
-    /// Guards against the rest of an oversized event that is taken for an
-    /// event without an id, and against the next one that is overlooked.
-    #[test]
-    fn push_resumed_oversized() {
-        for rest in ["y\n\n", "\n\n"] {
-            let mut splitter = EventSplitter::default();
-            splitter.push(b"id: 1\n\n").unwrap();
-            splitter.begin_resume();
-            let event =
-                format!("id: 2\ndata: {}", "x".repeat(MAX_EVENT_BYTES));
-            assert!(!splitter.push(event.as_bytes()).unwrap().is_empty());
-            let end = format!("{rest}id: 3\n\n");
-            splitter.push(end.as_bytes()).unwrap();
-            assert_eq!(splitter.last_id(), Some("3"));
-        }
-    }
-}
+mod tests;
