Bound the answers of other daemons, and copy bodies into one buffer

What callers saw: a daemon that runs out of memory, and with it their requests, when a process at the address of another daemon sends a body without end. Addresses are used again, so it need not be a daemon.

Cause: answers of daemons were read without a limit. Other bodies had one, but were kept as lists of chunks, which take many times the memory of their bytes if these are sent one by one.

Change: an answer with changes of the store may have 4 MiB, others 1 MiB.

--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -91,8 +91,8 @@
 
 /// A body that forwards a server's body.
 pub struct RelayedBody {
-    /// Chunks that were read already, in reverse order.
-    buffered: Vec<Bytes>,
+    /// The part that was read already and is forwarded first.
+    buffered: Bytes,
     incoming: Incoming,
     deadline: Pin<Box<Sleep>>,
     connection: Option<PooledConnection>,
@@ -127,9 +127,7 @@
         in_flight: InFlightGuard,
     ) -> RelayedBody {
         let framing = response.framing();
-        let ServerResponse { info, mut buffered, body, connection, .. } =
-            response;
-        buffered.reverse();
+        let ServerResponse { info, buffered, body, connection, .. } = response;
         let deadline = sleep_until(outgoing.accepted.deadline.into());
         RelayedBody {
             buffered,
@@ -152,7 +150,8 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
-        if let Some(bytes) = self.buffered.pop() {
+        if !self.buffered.is_empty() {
+            let bytes = std::mem::take(&mut self.buffered);
             self.record_bytes(&bytes);
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
--- a/crates/briarladder-gateway/src/lib.rs
+++ b/crates/briarladder-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod blackboard;
 pub mod body;
+pub mod bounded_body;
 pub mod clock;
 pub mod context;
 pub mod dialect;
--- a/crates/briarladder-gateway/src/peers/client.rs
+++ b/crates/briarladder-gateway/src/peers/client.rs
@@ -5,10 +5,15 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{HeaderValue, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::pool::{ConnectionPool, Freshness};
+use crate::{
+    bounded_body::read_body,
+    pool::{ConnectionPool, Freshness},
+};
+
+use super::changes::CHANGES_PATH;
 
 /// A call to a peer that failed.
 #[derive(Debug, Display, Error)]
@@ -53,6 +58,20 @@
     }
 }
 
+/// The longest response that holds items of the store: a configuration of
+/// 1 MB, and 10,000 servers in half a megabyte.
+const MAX_CHANGES_BYTES: usize = 4 * 1024 * 1024;
+
+/// The longest other response. It fits the references of the largest allowed
+/// stages.
+const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
+
+/// Returns the longest response to a call. Whatever listens at the address of
+/// another daemon may send more.
+fn max_response_bytes(path: &str) -> usize {
+    if path == CHANGES_PATH { MAX_CHANGES_BYTES } else { MAX_RESPONSE_BYTES }
+}
+
 /// Calls other daemons on pooled connections.
 #[derive(Clone, Debug)]
 pub struct PeerClient {
@@ -119,8 +138,9 @@
             unknown_path: false,
         })?;
         let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        let limit = max_response_bytes(path);
+        let body = read_body(response.into_body(), limit).await;
+        let body = body.map_err(|error| error.to_string())?;
         connection.return_to_pool(None);
         if !status.is_success() {
             return Err(ExchangeError {
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -5,11 +5,11 @@
 use briarladder_core::fleet::peers::{Member, ZoneSummary};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::context::Gateway;
+use crate::{bounded_body::read_body, context::Gateway};
 
 use super::{
     changes::{CHANGES_PATH, ChangesRequest, ChangesResponse},
@@ -42,11 +42,10 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let path = request.uri().path().to_owned();
-    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
-    let Ok(body) = body.collect().await else {
+    let body = request.into_body();
+    let Ok(body) = read_body(body, MAX_MESSAGE_BYTES).await else {
         return Ok(status(StatusCode::BAD_REQUEST));
     };
-    let body = body.to_bytes();
     Ok(match path.as_str() {
         EXCHANGE_PATH => respond(&body, |message: GossipEnvelope| {
             exchange_gossip(&gateway, &message)
--- a/crates/briarladder-gateway/src/request/accept.rs
+++ b/crates/briarladder-gateway/src/request/accept.rs
@@ -11,10 +11,10 @@
 };
 use bytes::Bytes;
 use http::request;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use crate::{
+    bounded_body::{self, ReadError},
     context::Gateway,
     dialect::{CallerRequest, FormatError},
     refusal::Refusal,
@@ -172,11 +172,9 @@
     body: Incoming,
     limits: &CallerLimits,
 ) -> Result<Bytes, Refusal> {
-    match Limited::new(body, limits.max_body_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(Refusal::BodyTooLong)
-        }
-        Err(_) => Err(Refusal::BodyIncomplete),
-    }
+    let read = bounded_body::read_body(body, limits.max_body_bytes).await;
+    read.map_err(|error| match error {
+        ReadError::TooLong { .. } => Refusal::BodyTooLong,
+        ReadError::Incomplete(_) => Refusal::BodyIncomplete,
+    })
 }
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -12,12 +12,13 @@
 };
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header, request, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{timeout, timeout_at};
 
 use crate::{
     blackboard::PrefillGuard,
+    bounded_body::{self, BodyPrefix, read_prefix},
     context::Gateway,
     dialect::{Dispatch, Prompt, ResponseHead},
     metrics::Metrics,
@@ -63,8 +64,8 @@
     pub head: response::Parts,
     /// The decoded head.
     pub info: ResponseHead,
-    /// Chunks of the body that were read already.
-    pub buffered: Vec<Bytes>,
+    /// The part of the body that was read already.
+    pub buffered: Bytes,
     /// The rest of the body.
     pub body: Incoming,
     /// The connection.
@@ -345,7 +346,7 @@
         let response = ServerResponse {
             head,
             info,
-            buffered: Vec::new(),
+            buffered: Bytes::new(),
             body,
             connection,
         };
@@ -436,15 +437,18 @@
         let status = head.status;
         let broken =
             |cause| AttemptError::new(AttemptFailure::ConnectionLost, cause);
-        let read = read_up_to(&mut body, MAX_BUFFERED_BYTES).await;
-        let body = match read.map_err(broken)? {
-            BodyRead::Whole(body) => body,
-            BodyRead::Part(buffered) if status.is_success() => {
+        let read = read_prefix(&mut body, MAX_BUFFERED_BYTES).await;
+        let read = read.map_err(|error| {
+            broken(format!("the response ended early: {error}"))
+        });
+        let body = match read? {
+            BodyPrefix::Whole(body) => body,
+            BodyPrefix::Exceeding(buffered) if status.is_success() => {
                 let response =
                     ServerResponse { head, info, buffered, body, connection };
                 return Ok(UsableResponse::Streaming(Box::new(response)));
             }
-            BodyRead::Part(_) => {
+            BodyPrefix::Exceeding(_) => {
                 return Err(broken(
                     "the error response exceeds the buffer limit".to_owned(),
                 ));
@@ -514,37 +518,8 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
-/// The result of reading a body up to a limit.
-enum BodyRead {
-    /// The whole body.
-    Whole(Bytes),
-    /// The chunks read so far; more follow.
-    Part(Vec<Bytes>),
-}
-
-/// Reads a body until it ends or exceeds a limit.
-async fn read_up_to(
-    body: &mut Incoming,
-    limit: usize,
-) -> Result<BodyRead, String> {
-    let mut buffered = Vec::new();
-    let mut len = 0;
-    while let Some(frame) = body.frame().await {
-        let frame = frame
-            .map_err(|error| format!("the response ended early: {error}"))?;
-        if let Ok(data) = frame.into_data() {
-            len += data.len();
-            buffered.push(data);
-        }
-        if len > limit {
-            return Ok(BodyRead::Part(buffered));
-        }
-    }
-    Ok(BodyRead::Whole(Bytes::from(buffered.concat())))
-}
-
 /// Reads the body of a rejection to its end, so that the connection can be
 /// reused.
 async fn drain_body(body: Incoming) -> bool {
-    Limited::new(body, MAX_BUFFERED_BYTES).collect().await.is_ok()
+    bounded_body::read_body(body, MAX_BUFFERED_BYTES).await.is_ok()
 }
--- a/crates/briarladder-gateway/src/stages/batcher/calls.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/calls.rs
@@ -9,9 +9,10 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http::{HeaderValue, Request, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 
 use crate::{
+    bounded_body,
     dialect::{PieceCall, PieceOutcome},
     pool::{Freshness, PooledConnection, SendError},
 };
@@ -200,7 +201,7 @@
         let (head, body) = response.into_parts();
         let info = self.dialect.decode_response_head(&head, "");
         self.blackboard.record_availability(server, &info);
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let body = bounded_body::read_body(body, MAX_RESPONSE_BYTES).await;
         let body =
             body.map_err(|error| CallFailure::Sent(error.to_string()))?;
         let idle_timeout = info.idle_timeout;
@@ -210,6 +211,6 @@
                 format!("the server rejected the call with {}", head.status);
             return Err(CallFailure::Sent(cause));
         }
-        Ok(CallResponse { body: body.to_bytes(), connection, idle_timeout })
+        Ok(CallResponse { body, connection, idle_timeout })
     }
 }
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -16,12 +16,12 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{HeaderValue, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use rand::RngExt;
 
 use crate::{
-    blackboard::StoreStatus, context::Gateway, dialect::FormatError,
-    metrics::Metrics, pool::Freshness,
+    blackboard::StoreStatus, bounded_body::read_body, context::Gateway,
+    dialect::FormatError, metrics::Metrics, pool::Freshness,
 };
 
 use self::apply::{
@@ -236,14 +236,9 @@
         let (response, connection) =
             sent.map_err(|error| unavailable(error.to_string()))?;
         let status = response.status();
-        let body = http_body_util::Limited::new(
-            response.into_body(),
-            MAX_RESPONSE_BYTES,
-        )
-        .collect()
-        .await
-        .map_err(|error| unavailable(error.to_string()))?
-        .to_bytes();
+        let body = read_body(response.into_body(), MAX_RESPONSE_BYTES)
+            .await
+            .map_err(|error| unavailable(error.to_string()))?;
         connection.return_to_pool(None);
         match status {
             StatusCode::OK => Ok(body),
