End a listing of the store whose pages do not end

What operators would see: a daemon whose memory grows, and that calls the store without pause, when a page of a listing names the same last key as the page before, or when pages never end.

Cause: the pages of a listing had a bound each, and their number had none. An empty page with more to come also counted as the end of the listing, and all servers that were not listed yet as removed.

Change: a page that makes no progress, or the 100,000th item, fails the listing, which begins anew after the usual pause.

--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -55,6 +55,10 @@
 /// The largest response of the store: a page with its encoding overhead.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// The most items of a listing, ten times those of the target size. A faulty
+/// store may send pages without end.
+const MAX_LISTED_ITEMS: usize = 100_000;
+
 /// A failed call to the store.
 #[derive(Debug, Display, Error)]
 enum StoreError {
@@ -65,6 +69,14 @@
     /// The store did not respond, or with an error status.
     #[display("the store is unavailable: {_0}")]
     Unavailable(#[error(not(source))] String),
+    /// The pages of a listing do not follow each other, or do not end.
+    #[display("the listing does not end: {items} items up to {last_key:?}")]
+    EndlessListing {
+        /// The number of items so far.
+        items: usize,
+        /// The last key of the last page.
+        last_key: Arc<str>,
+    },
     /// The response is malformed.
     #[display("malformed response of the store: {_0}")]
     Malformed(FormatError),
@@ -183,15 +195,22 @@
             // The pages are not a consistent snapshot: only the items as of
             // the first page's revision are known to be complete.
             let revision = *first_revision.get_or_insert(page.revision);
-            after = page.items.last().map(|item| Arc::clone(&item.key));
             let decoded = page.items.iter();
             let decoded =
                 decoded.filter_map(|i| decode_item(&self.gateway, i));
             items.extend(decoded);
-            if !page.more || after.is_none() {
+            if !page.more {
                 apply_snapshot(&self.gateway, &items, revision);
                 return Ok(true);
             }
+            let last_key = page.items.last().map(|item| Arc::clone(&item.key));
+            if last_key == after || items.len() > MAX_LISTED_ITEMS {
+                return Err(StoreError::EndlessListing {
+                    items: items.len(),
+                    last_key: last_key.unwrap_or_default(),
+                });
+            }
+            after = last_key;
         }
     }
 
