Close connections whose next answer may be a copy of an earlier one

What callers saw: an answer that was made from the stage result of another request (MIXED), after a worker had sent a second copy of an answer late.

Cause: answers to calls for pieces name no call. A late copy of an answer without results (late, gone, room, error, or an error status) passed for the answer to the next call, and the connection was kept while the real answer to that call was still to come; the call after it got that one. A copy of an answer with results was only compared with the one before it on the same connection.

Change: a connection is kept only after an answer with results.

--- a/crates/briarladder-gateway/src/pool.rs
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -104,8 +104,6 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     _task: ConnectionTask,
-    /// A hash of the last body that [`PooledConnection::repeats_body`] saw.
-    last_body_hash: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -139,14 +137,6 @@
         self.connect_time
     }
 
-    /// Returns whether a response body is the same as the previous one that
-    /// was passed to this method. A faulty server may send a response once
-    /// more where the next one is expected.
-    pub fn repeats_body(&mut self, body: &[u8]) -> bool {
-        let hash = rapidhash::v3::rapidhash_v3(body);
-        self.connection.last_body_hash.replace(hash) == Some(hash)
-    }
-
     /// Returns the connection to the pool. Call it only after the response
     /// body was read to its end. `idle_timeout` is the peer's announced
     /// timeout.
@@ -307,11 +297,7 @@
         Ok(PooledConnection {
             pool: Rc::clone(self),
             address,
-            connection: Connection {
-                sender,
-                _task: task,
-                last_body_hash: None,
-            },
+            connection: Connection { sender, _task: task },
             connect_time: Some(connect_time),
         })
     }
--- a/crates/briarladder-gateway/src/stages/batcher/calls.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/calls.rs
@@ -110,7 +110,7 @@
         };
         let response = tokio::time::timeout(timeout, exchange).await;
         let late = CallFailure::Sent("timed out".to_owned());
-        let mut response = response.unwrap_or(Err(late))?;
+        let response = response.unwrap_or(Err(late))?;
         let outcomes = self
             .dialect
             .decode_pieces(&response.body)
@@ -126,10 +126,17 @@
         let has_results = outcomes
             .iter()
             .any(|outcome| matches!(outcome, PieceOutcome::Completed(_)));
-        if response.connection.repeats_body(&response.body) && has_results {
-            let cause = "the response is that of the previous call".to_owned();
+        if !has_results {
+            // It may be a late copy of an earlier response. The one to this
+            // call would then be taken for that to the next one.
+            return Ok(outcomes);
+        }
+        let mut recent = self.recent_responses.borrow_mut();
+        if !recent.record(server, &response.body) {
+            let cause = "the response is that of an earlier call".to_owned();
             return Err(CallFailure::Sent(cause));
         }
+        drop(recent);
         response.keep_connection();
         Ok(outcomes)
     }
@@ -206,7 +213,7 @@
             body.map_err(|error| CallFailure::Sent(error.to_string()))?;
         let idle_timeout = info.idle_timeout;
         if !head.status.is_success() {
-            connection.return_to_pool(idle_timeout);
+            // The connection is closed, as after a response without results.
             let cause =
                 format!("the server rejected the call with {}", head.status);
             return Err(CallFailure::Sent(cause));
--- a/crates/briarladder-gateway/src/stages/batcher/mod.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/mod.rs
@@ -29,9 +29,10 @@
 };
 
 mod calls;
+mod recent_responses;
 mod releases;
 
-use self::calls::CallFailure;
+use self::{calls::CallFailure, recent_responses::RecentResponses};
 
 use super::piece_group::{
     Piece, PieceGroup, StageEvent, StageFailure, StageTask,
@@ -69,6 +70,8 @@
     fetch_estimator: RefCell<FetchTimeEstimator>,
     /// The servers whose process has exited, and when that was detected.
     exited: RefCell<SortedMap<Arc<str>, Instant>>,
+    /// The last responses, to detect one that is sent again.
+    recent_responses: RefCell<RecentResponses>,
     next_id: StdCell<u64>,
     release_queue: RefCell<Vec<ResultHandle>>,
     release_queued: Notify,
@@ -114,6 +117,7 @@
             queues: RefCell::default(),
             fetch_estimator: RefCell::default(),
             exited: RefCell::default(),
+            recent_responses: RefCell::default(),
             next_id: StdCell::new(0),
             release_queue: RefCell::default(),
             release_queued: Notify::new(),
