--- a/crates/briarladder-gateway/src/stages/batcher/mod.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/mod.rs
@@ -29,10 +29,15 @@
 };
 
 mod calls;
+mod log_lines;
 mod recent_responses;
 mod releases;
 
-use self::{calls::CallFailure, recent_responses::RecentResponses};
+use self::{
+    calls::CallFailure,
+    log_lines::{log_call_failed, log_piece_failed},
+    recent_responses::RecentResponses,
+};
 
 use super::piece_group::{
     Piece, PieceGroup, StageEvent, StageFailure, StageTask,
@@ -561,44 +566,3 @@
         }
     }
 }
-
-/// Logs the failure of a call for one of its pieces, under the id of the
-/// piece's request.
-fn log_call_failed(
-    key: &QueueKey,
-    server: &Arc<str>,
-    piece: &Piece,
-    cause: &str,
-) {
-    if !piece.is_finished() {
-        log::info!(
-            "pieces: id={} stage={} piece={} service={} server={server} \
-             outcome=call_failed tries={} cause={cause:?}",
-            piece.task().attempt,
-            piece.task().stage,
-            piece.number(),
-            key.service,
-            piece.attempts
-        );
-    }
-}
-
-/// Logs the failure of a piece under the id of its request.
-fn log_piece_failed(
-    key: &QueueKey,
-    server: &Arc<str>,
-    piece: &Piece,
-    outcome: &'static str,
-) {
-    if !piece.is_finished() {
-        log::info!(
-            "pieces: id={} stage={} piece={} service={} server={server} \
-             outcome={outcome} tries={}",
-            piece.task().attempt,
-            piece.task().stage,
-            piece.number(),
-            key.service,
-            piece.attempts
-        );
-    }
-}
