Log the connection on which a server rejects an attempt

The line of a rejected attempt named the server only. The cause now has the number of the connection and whether it was reused.

--- a/crates/briarladder-gateway/src/pool.rs
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -6,7 +6,7 @@
 //! connection, which cancels the request.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     io,
     net::SocketAddr,
     rc::Rc,
@@ -102,10 +102,20 @@
 
 #[derive(Debug)]
 struct Connection {
+    /// Its position in the order in which the process opened connections.
+    number: u64,
     sender: SendRequest<Full<Bytes>>,
     _task: ConnectionTask,
 }
 
+/// Identifies a connection in logs.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display("{} connection {number}", if *reused { "reused" } else { "new" })]
+pub struct ConnectionLabel {
+    number: u64,
+    reused: bool,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -118,6 +128,7 @@
 pub struct ConnectionPool {
     clock: SharedClock,
     idle: RefCell<SortedMap<SocketAddr, Vec<IdleConnection>>>,
+    opened_count: Cell<u64>,
 }
 
 /// A connection in use. Dropping it closes the connection.
@@ -137,6 +148,15 @@
         self.connect_time
     }
 
+    /// Returns how logs name the connection.
+    #[must_use]
+    pub fn label(&self) -> ConnectionLabel {
+        ConnectionLabel {
+            number: self.connection.number,
+            reused: self.connect_time.is_none(),
+        }
+    }
+
     /// Returns the connection to the pool. Call it only after the response
     /// body was read to its end. `idle_timeout` is the peer's announced
     /// timeout.
@@ -161,7 +181,11 @@
     /// Creates an empty pool.
     #[must_use]
     pub fn new(clock: SharedClock) -> Rc<ConnectionPool> {
-        Rc::new(ConnectionPool { clock, idle: RefCell::new(SortedMap::new()) })
+        Rc::new(ConnectionPool {
+            clock,
+            idle: RefCell::new(SortedMap::new()),
+            opened_count: Cell::new(0),
+        })
     }
 
     /// Closes all idle connections, for example after a suspension during
@@ -294,10 +318,12 @@
             }
         });
         let task = ConnectionTask(task.abort_handle());
+        let number = self.opened_count.get() + 1;
+        self.opened_count.set(number);
         Ok(PooledConnection {
             pool: Rc::clone(self),
             address,
-            connection: Connection { sender, _task: task },
+            connection: Connection { number, sender, _task: task },
             connect_time: Some(connect_time),
         })
     }
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -496,12 +496,16 @@
     let ServerResponse { head, info, body, connection, .. } = response;
     let status = head.status;
     let is_first = connection.connect_time().is_some();
+    let label = connection.label();
     if !info.echoes_attempt && !is_first {
         let failure = AttemptFailure::ResponseMismatch;
-        let cause = format!("a rejection with {status} that names no attempt");
+        let cause = format!(
+            "a rejection with {status} that names no attempt, on {label}"
+        );
         return AttemptError::new(failure, cause);
     }
-    let cause = format!("the server rejected the request with {status}");
+    let cause =
+        format!("the server rejected the request with {status} on {label}");
     let drained = drain_body(body).await;
     // After new inputs are made, the attempt is sent to the server again. It
     // then uses another connection, where this rejection can't be repeated.
