Don't let an attempt return to a connection on which it was refused

What callers saw: a request got 503, which promises that it has not run and never will, and had run (REFUSED); with another server at hand it ran twice (TWICE).

Cause: a rejection that names the attempt counted as proof, although the id only shows that the answer is to this attempt, not to this send. The connection of a rejection was kept, and the same attempt could come onto it again: through a second entry at the same address, since the servers that were tried are told apart by name and connections by address, or through a caller that sends the attempt again. A copy of the rejection then counted as the answer to the second send.

Change: a connection remembers the hashes of the attempts that have failed on it, and is not used for these again. Failures with another status are remembered too, since their copies would be taken for the answer of the next server. The special case for attempts whose inputs were gone, whose connection was closed, is covered and removed.

Why it works: on the connection of a send no earlier send of the same attempt was refused, so a rejection there that names the attempt can only be the answer to this send. A copy is awaited by nobody: it arrives while another attempt is under way, whose id differs, or closes the idle connection.

--- a/crates/briarladder-gateway/src/peers/client.rs
+++ b/crates/briarladder-gateway/src/peers/client.rs
@@ -8,10 +8,7 @@
 use http_body_util::Full;
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{
-    bounded_body::read_body,
-    pool::{ConnectionPool, Freshness},
-};
+use crate::{bounded_body::read_body, pool::ConnectionPool};
 
 use super::changes::CHANGES_PATH;
 
@@ -131,7 +128,7 @@
             .header(header::CONTENT_TYPE, "application/octet-stream")
             .body(Full::new(body))
             .map_err(|error| error.to_string())?;
-        let sent = self.pool.send(address, request, Freshness::Any).await;
+        let sent = self.pool.send(address, request).await;
         let (response, connection) = sent.map_err(|error| ExchangeError {
             connection_refused: error.connection_refused,
             cause: error.to_string(),
--- a/crates/briarladder-gateway/src/pool.rs
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -4,6 +4,12 @@
 //! used before, whether a byte was sent, and whether the response ended. A
 //! [`PooledConnection`] is one connection in use; dropping it closes the
 //! connection, which cancels the request.
+//!
+//! An attempt doesn't return to a connection on which it has failed, since
+//! the next answer there may be a copy of the one before
+//! ([`excluded_attempts`]).
+
+mod excluded_attempts;
 
 use std::{
     cell::{Cell, RefCell},
@@ -29,6 +35,8 @@
 
 use crate::net;
 
+use self::excluded_attempts::{AttemptHash, ExcludedAttempts};
+
 /// Idle timeout of a connection whose peer announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -52,6 +60,15 @@
     UsedWithin(Duration),
 }
 
+impl Freshness {
+    fn allows(self, idle_time: Duration) -> bool {
+        match self {
+            Freshness::Any => true,
+            Freshness::UsedWithin(limit) => idle_time <= limit,
+        }
+    }
+}
+
 /// The result of [`ConnectionPool::probe`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProbeResult {
@@ -105,6 +122,7 @@
     /// Its position in the order in which the process opened connections.
     number: u64,
     sender: SendRequest<Full<Bytes>>,
+    excluded_attempts: ExcludedAttempts,
     _task: ConnectionTask,
 }
 
@@ -157,12 +175,19 @@
         }
     }
 
+    /// Excludes an attempt from using the connection again. Call it when the
+    /// attempt has failed on this connection and may be sent again.
+    pub fn exclude_attempt(&mut self, attempt: &str) {
+        self.connection.excluded_attempts.insert(AttemptHash::of(attempt));
+    }
+
     /// Returns the connection to the pool. Call it only after the response
     /// body was read to its end. `idle_timeout` is the peer's announced
     /// timeout.
     pub fn return_to_pool(self, idle_timeout: Option<Duration>) {
         let PooledConnection { pool, address, connection, .. } = self;
-        if connection.sender.is_closed() {
+        let is_full = connection.excluded_attempts.is_full();
+        if is_full || connection.sender.is_closed() {
             return;
         }
         let since = pool.clock.now();
@@ -203,7 +228,23 @@
         });
     }
 
-    /// Sends a request and returns the response head.
+    /// Sends a call that is no attempt of a caller, as [`Self::send_attempt`]
+    /// does, on any idle connection or a new one.
+    ///
+    /// # Errors
+    ///
+    /// If no response arrived. The error tells whether the call may have run.
+    pub async fn send(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
+        let pooled = self.checkout(address, Freshness::Any, None).await?;
+        self.send_on(pooled, request).await
+    }
+
+    /// Sends the request of an attempt and returns the response head. Idle
+    /// connections on which the attempt has failed are not used.
     ///
     /// If a reused connection turns out to be closed before a byte was sent,
     /// the request is sent once more on a new connection.
@@ -212,13 +253,23 @@
     ///
     /// If no response arrived. The error tells whether the request may have
     /// run.
-    pub async fn send(
+    pub async fn send_attempt(
         self: &Rc<Self>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         freshness: Freshness,
+        attempt: &str,
+    ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
+        let attempt = Some(AttemptHash::of(attempt));
+        let pooled = self.checkout(address, freshness, attempt).await?;
+        self.send_on(pooled, request).await
+    }
+
+    async fn send_on(
+        self: &Rc<Self>,
+        mut pooled: PooledConnection,
+        request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
-        let mut pooled = self.checkout(address, freshness).await?;
         let mut request = request;
         loop {
             match pooled.connection.sender.try_send_request(request).await {
@@ -234,7 +285,7 @@
                         return Err(SendError::new(failure, cause));
                     }
                     request = unsent;
-                    pooled = self.open(address).await?;
+                    pooled = self.open(pooled.address).await?;
                 }
             }
         }
@@ -257,8 +308,9 @@
         self: &Rc<Self>,
         address: SocketAddr,
         freshness: Freshness,
+        attempt: Option<AttemptHash>,
     ) -> Result<PooledConnection, SendError> {
-        if let Some(connection) = self.take_idle(address, freshness) {
+        if let Some(connection) = self.take_idle(address, freshness, attempt) {
             return Ok(PooledConnection {
                 pool: Rc::clone(self),
                 address,
@@ -269,30 +321,24 @@
         self.open(address).await
     }
 
+    /// Takes the idle connection to an address that was used last, of those
+    /// that are fresh and that the attempt is not excluded from.
     fn take_idle(
         &self,
         address: SocketAddr,
         freshness: Freshness,
+        attempt: Option<AttemptHash>,
     ) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
-        while let Some(last) = list.pop() {
-            let fresh = match freshness {
-                Freshness::Any => true,
-                Freshness::UsedWithin(limit) => {
-                    now.duration_since(last.since) <= limit
-                }
-            };
-            if !fresh {
-                list.push(last);
-                return None;
-            }
-            if is_usable(&last, now) {
-                return Some(last.connection);
-            }
-        }
-        None
+        list.retain(|idle| is_usable(idle, now));
+        let position = list.iter().rposition(|idle| {
+            let excluded = &idle.connection.excluded_attempts;
+            freshness.allows(now.duration_since(idle.since))
+                && attempt.is_none_or(|attempt| !excluded.contains(attempt))
+        })?;
+        Some(list.remove(position).connection)
     }
 
     async fn open(
@@ -323,7 +369,12 @@
         Ok(PooledConnection {
             pool: Rc::clone(self),
             address,
-            connection: Connection { number, sender, _task: task },
+            connection: Connection {
+                number,
+                sender,
+                excluded_attempts: ExcludedAttempts::default(),
+                _task: task,
+            },
             connect_time: Some(connect_time),
         })
     }
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -332,15 +332,16 @@
         };
         let pool = &self.gateway.pool;
         self.sent.set(true);
-        let (response, connection) =
-            pool.send(server.address, request, freshness).await?;
+        let attempt = &self.accepted.caller.attempt;
+        let (response, connection) = pool
+            .send_attempt(server.address, request, freshness, attempt)
+            .await?;
         if let Some(elapsed) = connection.connect_time() {
             let mut fetch_estimator =
                 self.gateway.blackboard.fetch_estimator.borrow_mut();
             fetch_estimator.record_connect_time(&server.zone, elapsed);
         }
         let (head, body) = response.into_parts();
-        let attempt = &self.accepted.caller.attempt;
         let info = self.gateway.dialect.decode_response_head(&head, attempt);
         self.gateway.blackboard.record_availability(server, &info);
         let response = ServerResponse {
@@ -409,7 +410,7 @@
             ));
         }
         if info.not_run || info.wrong_server {
-            return Err(judge_rejection(response).await);
+            return Err(self.judge_rejection(response).await);
         }
         if status.is_success() {
             if !info.signed || !info.echoes_attempt {
@@ -433,7 +434,8 @@
         response: ServerResponse,
     ) -> Result<UsableResponse, AttemptError> {
         let framing = response.framing();
-        let ServerResponse { head, info, mut body, connection, .. } = response;
+        let ServerResponse { head, info, mut body, mut connection, .. } =
+            response;
         let status = head.status;
         let broken =
             |cause| AttemptError::new(AttemptFailure::ConnectionLost, cause);
@@ -457,10 +459,13 @@
         if let Some(doubt) = self.doubtful_end(server, framing).await {
             return Err(broken(doubt.to_string()));
         }
-        connection.return_to_pool(info.idle_timeout);
         let is_failure = status.is_server_error()
             || states_not_run(status)
             || (status.is_success() && !info.signed);
+        if is_failure {
+            connection.exclude_attempt(&self.accepted.caller.attempt);
+        }
+        connection.return_to_pool(info.idle_timeout);
         if !is_failure {
             return Ok(UsableResponse::Buffered(Box::new(BufferedResponse {
                 head,
@@ -486,35 +491,36 @@
         self.accepted.route.kind.is_stream()
             || response.body.size_hint().lower() > max_buffered
     }
-}
 
-/// Returns what the rejection of a request proves. It proves that the request
-/// did not run if it names the attempt, or is the first response on its
-/// connection. Otherwise it may be that of an earlier request, which a faulty
-/// server has sent again.
-async fn judge_rejection(response: ServerResponse) -> AttemptError {
-    let ServerResponse { head, info, body, connection, .. } = response;
-    let status = head.status;
-    let is_first = connection.connect_time().is_some();
-    let label = connection.label();
-    if !info.echoes_attempt && !is_first {
-        let failure = AttemptFailure::ResponseMismatch;
+    /// Returns what the rejection of a request proves. It proves that the
+    /// request did not run if it is the first response on its connection, or
+    /// if it names the attempt: the attempt has not been rejected on this
+    /// connection before. Otherwise it may be that of an earlier request,
+    /// which a faulty server has sent again.
+    async fn judge_rejection(&self, response: ServerResponse) -> AttemptError {
+        let ServerResponse { head, info, body, mut connection, .. } = response;
+        let status = head.status;
+        let is_first = connection.connect_time().is_some();
+        let label = connection.label();
+        if !info.echoes_attempt && !is_first {
+            let failure = AttemptFailure::ResponseMismatch;
+            let cause = format!(
+                "a rejection with {status} that names no attempt, on {label}"
+            );
+            return AttemptError::new(failure, cause);
+        }
+        if drain_body(body).await {
+            connection.exclude_attempt(&self.accepted.caller.attempt);
+            connection.return_to_pool(info.idle_timeout);
+        }
         let cause = format!(
-            "a rejection with {status} that names no attempt, on {label}"
+            "the server rejected the request with {status} on {label}"
         );
-        return AttemptError::new(failure, cause);
-    }
-    let cause =
-        format!("the server rejected the request with {status} on {label}");
-    let drained = drain_body(body).await;
-    // After new inputs are made, the attempt is sent to the server again. It
-    // then uses another connection, where this rejection can't be repeated.
-    if drained && !info.inputs_gone {
-        connection.return_to_pool(info.idle_timeout);
+        let failure = AttemptFailure::RefusedNotRun;
+        let mut error = AttemptError::new(failure, cause);
+        error.inputs_gone = info.inputs_gone;
+        error
     }
-    let mut error = AttemptError::new(AttemptFailure::RefusedNotRun, cause);
-    error.inputs_gone = info.inputs_gone;
-    error
 }
 
 /// Returns whether a status states that the request has not run.
--- a/crates/briarladder-gateway/src/stages/batcher/calls.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/calls.rs
@@ -14,7 +14,7 @@
 use crate::{
     bounded_body,
     dialect::{PieceCall, PieceOutcome},
-    pool::{Freshness, PooledConnection, SendError},
+    pool::{PooledConnection, SendError},
 };
 
 use super::{super::piece_group::Piece, Batcher, QueueKey};
@@ -200,7 +200,7 @@
             .map_err(|error| CallFailure::NotSent(error.to_string()))?;
         self.dialect.add_expected_server(request.headers_mut(), &server.name);
         let (response, connection) =
-            self.pool.send(server.address, request, Freshness::Any).await?;
+            self.pool.send(server.address, request).await?;
         if let Some(elapsed) = connection.connect_time() {
             let mut fetch_estimator = self.fetch_estimator.borrow_mut();
             fetch_estimator.record_connect_time(&server.zone, elapsed);
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     blackboard::StoreStatus, bounded_body::read_body, context::Gateway,
-    dialect::FormatError, metrics::Metrics, pool::Freshness,
+    dialect::FormatError, metrics::Metrics,
 };
 
 use self::apply::{
@@ -251,7 +251,7 @@
             .body(Full::default())
             .map_err(|error| unavailable(error.to_string()))?;
         let pool = &self.gateway.pool;
-        let sent = pool.send(self.store, request, Freshness::Any).await;
+        let sent = pool.send(self.store, request).await;
         let (response, connection) =
             sent.map_err(|error| unavailable(error.to_string()))?;
         let status = response.status();
