Share the request rates that backend servers name

A server in need names how many requests a second it takes from all daemons together. Daemons knew nothing of it, so that each sent as many as it had.

The new module keeps what responses and other daemons say about limits, and decides without I/O whether a request may be sent: in each turn of four seconds, only a few daemons in rendezvous order for the server and the turn send to it, each from a token bucket. The derivation of the bound is in the documentation of the module. Nothing calls it yet.

Four points go beyond plain turns. A clock that jumps gives a daemon no new token within four seconds. A copy of an earlier response can't raise a limit. A notice of a limit that is known refreshes it only if its evidence is newer by ten seconds, since the unknown transit times would make it ever newer while it goes around. The last thirty seconds of an entry aren't told, so that daemons don't remind each other forever.

The table of peers returns the members that share the limits: those that are ready or suspect, whether or not this daemon reaches them.

--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 pub mod peers;
 pub mod placement;
 pub mod server;
+pub mod server_limits;
 pub mod shutdown;
 pub mod stage_admission;
 pub mod stages;
--- a/crates/briarladder-core/src/fleet/peers/mod.rs
+++ b/crates/briarladder-core/src/fleet/peers/mod.rs
@@ -39,6 +39,7 @@
 mod gossip_targets;
 pub mod heartbeats;
 mod member;
+mod present;
 #[cfg(test)]
 mod simulation;
 #[cfg(test)]
@@ -114,6 +115,8 @@
     /// Until when there is news that others need soon.
     urgent_until: Option<Instant>,
     peak_live_count: usize,
+    /// Number of changes to the names of the present members.
+    present_version: u64,
 }
 
 impl PeerTable {
@@ -132,6 +135,7 @@
             next_cross_zone_at: None,
             urgent_until: None,
             peak_live_count: 1,
+            present_version: 0,
         }
     }
 
@@ -152,6 +156,9 @@
     fn update_local(&mut self, change: impl FnOnce(&mut Member)) {
         let previous = self.local.clone();
         change(&mut self.local);
+        if previous.is_assignable() != self.local.is_assignable() {
+            self.present_version += 1;
+        }
         self.digests.replace(Some(&previous), Some(&self.local));
     }
 
@@ -228,6 +235,10 @@
     fn insert_peer(&mut self, peer: Peer) {
         let name = Arc::clone(&peer.member.name);
         let previous = self.peers.get(&*name).map(|previous| &previous.member);
+        let was_present = previous.is_some_and(Member::is_assignable);
+        if was_present != peer.member.is_assignable() {
+            self.present_version += 1;
+        }
         self.digests.replace(previous, Some(&peer.member));
         self.peers.insert(name, peer);
     }
--- /dev/null
+++ b/crates/briarladder-core/src/fleet/server_limits/mod.rs
@@ -0,0 +1,284 @@
+//! Keeps the request rates that backend servers name in their responses.
+//!
+//! A server that is short of capacity names how many requests a second it
+//! accepts from all daemons together. The limit may be 0 or a fraction, and it
+//! lasts for as long as the responses of that process name it. Daemons learn
+//! it from responses and from each other ([`LimitNotice`]), and share it
+//! without exchanging messages per request.
+//!
+//! # Sharing by turns
+//!
+//! Time is divided into turns of four seconds by the wall clock. In each turn,
+//! only the first `K` daemons in rendezvous order for the server and the turn
+//! send to it. With a limit of `L` a second, `K` is `floor(L) + 2`, or 1 if
+//! `L` is less than 0.5, and at most the number of daemons. Each holder of a
+//! turn has a token bucket with the rate `r = 0.8 * L / K` and the capacity
+//! `c = max(1, 0.25 * r)`, which has one token when the turn begins.
+//!
+//! A window of four seconds covers at most two turns, and therefore at most
+//! `2 * K` holders. Their buckets hold at most `2 * K * c` tokens in advance
+//! and gain `0.8 * 4 * L` together, since the holders of one turn stop when
+//! those of the next begin. If `c` is 1, the sum is at most
+//! `2 * (L + 2) + 3.2 * L = 5.2 * L + 4`; otherwise `K * c` is `0.2 * L`, and
+//! the sum is `3.6 * L`. If `K` is 1, it is `2 + 3.2 * L`. Each is below
+//! `6 * L + 5`, which is one and a half times the limit over four seconds and
+//! five more requests. The rest covers clocks and member lists that differ.
+//!
+//! A limit below 0.2 counts as 0.2, since the end of a limit is only learned
+//! from a response. With a limit of 0 the sum is 2.64 of 5 requests.
+//!
+//! # Servers with a single caller
+//!
+//! If only the coordinator of a cell calls a server, it uses `0.7 * L` alone.
+//! Two coordinators, as may exist for a moment, stay below
+//! `2 * c + 5.6 * L`, which is below the same bound.
+//!
+//! # Example
+//!
+//! ```
+//! use std::{
+//!     sync::Arc,
+//!     time::{Duration, Instant},
+//! };
+//!
+//! use briarladder_core::fleet::{
+//!     server::ListedServer,
+//!     server_limits::{
+//!         LimitMembers, LimitTime, NamedLimit, Observation, ServerLimits,
+//!         Sharing,
+//!     },
+//! };
+//!
+//! let start = Instant::now();
+//! let server = ListedServer::new("s-1", "plans", "10.0.0.1:80".parse()?);
+//! let name: Arc<str> = Arc::from("vm-1");
+//! let members = LimitMembers::new(Arc::clone(&name), vec![name], 1);
+//!
+//! let mut limits = ServerLimits::new(start);
+//! let answer = Observation {
+//!     sent_at: start,
+//!     named: NamedLimit::PerS(1.0),
+//!     is_own: true,
+//! };
+//! limits.observe(start, &server, answer);
+//!
+//! let now = LimitTime {
+//!     now: start + Duration::from_secs(5),
+//!     unix_time: Duration::from_secs(1_700_000_005),
+//! };
+//! assert!(limits.take_place(now, &server, Sharing::Turns, &members));
+//! assert!(!limits.take_place(now, &server, Sharing::Turns, &members));
+//! let at = limits.next_place_at(now, &server, Sharing::Turns, &members);
+//! assert!(at.is_some_and(|at| at > now.now));
+//! # Ok::<(), std::net::AddrParseError>(())
+//! ```
+
+mod knowledge;
+mod notices;
+#[cfg(test)]
+mod tests;
+mod turns;
+mod urgent_demand;
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::server::ListedServer;
+
+use self::{
+    knowledge::{Knowledge, ServerKey},
+    turns::Turns,
+};
+
+pub use self::{
+    knowledge::{
+        LimitChange, LimitChangeKind, LimitSource, LimitedServer, NamedLimit,
+        Observation,
+    },
+    notices::{LimitNotice, MAX_LIMIT_NOTICES},
+    turns::TURN,
+    urgent_demand::UrgentDemand,
+};
+
+/// A daemon uses no limited server for this long after its start, because its
+/// list of members may be incomplete.
+const START_DELAY: Duration = TURN;
+
+/// The time of a decision by both clocks.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitTime {
+    /// The time by the monotonic clock.
+    pub now: Instant,
+    /// The time since the Unix epoch, by which daemons take turns.
+    pub unix_time: Duration,
+}
+
+impl LimitTime {
+    fn after(self, wait: Duration) -> LimitTime {
+        LimitTime {
+            now: self.now + wait,
+            unix_time: self.unix_time.saturating_add(wait),
+        }
+    }
+}
+
+/// Which daemons send to a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Sharing {
+    /// All daemons do, and take turns while there is a limit.
+    Turns,
+    /// Only the coordinator of its cell does.
+    Exclusive,
+}
+
+/// The daemons that share the limits.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LimitMembers {
+    local: Arc<str>,
+    names: Vec<Arc<str>>,
+    version: u64,
+}
+
+impl LimitMembers {
+    /// Creates the list of members. `version` differs whenever `names` does.
+    /// A daemon that isn't among the members, because it shuts down, gets no
+    /// turn.
+    #[must_use]
+    pub fn new(
+        local: Arc<str>,
+        mut names: Vec<Arc<str>>,
+        version: u64,
+    ) -> LimitMembers {
+        names.sort();
+        names.dedup();
+        LimitMembers { local, names, version }
+    }
+
+    /// Returns the version of the list.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+}
+
+/// The limits that servers have named, and this daemon's part of them.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
+    started_at: Instant,
+    knowledge: Knowledge,
+}
+
+impl ServerLimits {
+    /// Creates the limits of a daemon that knows none. `started_at` is the
+    /// start of its process.
+    #[must_use]
+    pub fn new(started_at: Instant) -> ServerLimits {
+        ServerLimits { started_at, knowledge: Knowledge::default() }
+    }
+
+    /// Records what a response says about the limit of its server.
+    pub fn observe(
+        &mut self,
+        now: Instant,
+        server: &ListedServer,
+        observation: Observation,
+    ) -> Option<LimitChange> {
+        self.knowledge.observe(now, server, observation)
+    }
+
+    /// Returns the notices for the next message to another daemon.
+    #[must_use]
+    pub fn notices(&mut self, now: Instant) -> Vec<LimitNotice> {
+        self.knowledge.notices(now)
+    }
+
+    /// Merges notices from another daemon and returns the changed limits.
+    pub fn merge(
+        &mut self,
+        now: Instant,
+        notices: &[LimitNotice],
+    ) -> Vec<LimitChange> {
+        self.knowledge.merge(now, notices)
+    }
+
+    /// Returns the limit of a server in requests a second, if it has one.
+    #[must_use]
+    pub fn limit_per_s(
+        &self,
+        now: Instant,
+        server: &ListedServer,
+    ) -> Option<f64> {
+        self.knowledge.limit_per_s(now, server)
+    }
+
+    /// Iterates over the servers that have a limit.
+    pub fn limited(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = LimitedServer<'_>> {
+        self.knowledge.limited(now)
+    }
+
+    /// Returns when this daemon may send the next request to a server: `None`
+    /// if the server has no limit, a time up to `now` if it may send now, and
+    /// otherwise the time at which it is likely to have a place.
+    pub fn next_place_at(
+        &mut self,
+        now: LimitTime,
+        server: &ListedServer,
+        sharing: Sharing,
+        members: &LimitMembers,
+    ) -> Option<Instant> {
+        let wait = self.start_wait(now.now);
+        let limit_per_s = self.limit_per_s(now.now, server)?;
+        let turns = self.turns_mut(server)?;
+        let at = now.after(wait);
+        Some(match sharing {
+            Sharing::Exclusive => turns.next_exclusive(at, limit_per_s),
+            Sharing::Turns => {
+                turns.next_in_turns(at, &server.name, limit_per_s, members)
+            }
+        })
+    }
+
+    /// Takes a place for one request and returns whether there was one. There
+    /// always is one at a server without a limit.
+    #[must_use = "a request may only be sent if it got a place"]
+    pub fn take_place(
+        &mut self,
+        now: LimitTime,
+        server: &ListedServer,
+        sharing: Sharing,
+        members: &LimitMembers,
+    ) -> bool {
+        let has_started = self.start_wait(now.now).is_zero();
+        let Some(limit_per_s) = self.limit_per_s(now.now, server) else {
+            return true;
+        };
+        let Some(turns) = self.turns_mut(server) else { return true };
+        let taken = has_started
+            && match sharing {
+                Sharing::Exclusive => turns.take_exclusive(now, limit_per_s),
+                Sharing::Turns => {
+                    turns.take_in_turn(now, &server.name, limit_per_s, members)
+                }
+            };
+        self.knowledge.count_request(server, taken);
+        taken
+    }
+
+    /// Counts a request that was turned away without asking for a place.
+    pub fn record_turned_away(&mut self, server: &ListedServer) {
+        self.knowledge.count_request(server, false);
+    }
+
+    fn start_wait(&self, now: Instant) -> Duration {
+        (self.started_at + START_DELAY).saturating_duration_since(now)
+    }
+
+    fn turns_mut(&mut self, server: &ListedServer) -> Option<&mut Turns> {
+        self.knowledge.turns_mut(&ServerKey::of(server))
+    }
+}
--- a/crates/briarladder-core/src/rendezvous.rs
+++ b/crates/briarladder-core/src/rendezvous.rs
@@ -64,6 +64,35 @@
     top.into_iter().map(|(_, candidate)| candidate).collect()
 }
 
+/// Returns whether a candidate is among the first `count` candidates in
+/// rendezvous order for a key.
+pub fn is_in_top<T: AsRef<str>>(
+    key: &str,
+    candidates: &[T],
+    count: usize,
+    candidate: &str,
+) -> bool {
+    let secrets = RapidSecrets::seed(rapidhash_v3(key.as_bytes()));
+    let score = |name: &str| rapidhash_v3_seeded(name.as_bytes(), &secrets);
+    let own_score = score(candidate);
+    let mut ahead = 0;
+    let mut is_candidate = false;
+    for other in candidates.iter().map(AsRef::as_ref) {
+        if other == candidate {
+            is_candidate = true;
+            continue;
+        }
+        let other_score = score(other);
+        let is_ahead = other_score > own_score
+            || (other_score == own_score && other < candidate);
+        ahead += usize::from(is_ahead);
+        if ahead >= count {
+            return false;
+        }
+    }
+    is_candidate && count > 0
+}
+
 /// Returns the first candidate in rendezvous order for a key.
 pub fn first<'a, T: AsRef<str>>(
     key: &str,
@@ -100,6 +129,21 @@
         }
     }
 
+    /// Guards against `is_in_top` and `top` disagreeing, and against a name
+    /// that isn't a candidate.
+    #[test]
+    fn is_in_top_as_top() {
+        let names: Vec<String> = (0..50).map(|i| format!("vm-{i}")).collect();
+        for count in [0, 1, 3, 60] {
+            let top = top("k", &names, count);
+            for name in &names {
+                let expected = top.contains(&name);
+                assert_eq!(is_in_top("k", &names, count, name), expected);
+            }
+            assert!(!is_in_top("k", &names, count, "other"));
+        }
+    }
+
     /// Guards against a hash that assigns most keys to one candidate.
     #[test]
     fn first_spreads_keys() {
