Read the limits that servers name, and log their changes

The hypotheses on the limit can't be told apart by the logs: whether an answer named a limit wasn't read. The head of each answer is now decoded (answers to requests, streams, calls for pieces and releases, refusals and errors) and the begin, change and end of a limit are logged, with the source. Several values count as the smallest; an unreadable one changes nothing. Nothing acts on it yet.

--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -25,6 +25,7 @@
         peers::{Member, PeerTable},
         placement::Placement,
         server::{ListedServer, ServerState, Servers},
+        server_limits::ServerLimits,
         shutdown::Shutdown,
         store_roles::{self, Role, SourceTracker},
         suspension::SuspensionDetector,
@@ -103,6 +104,8 @@
     /// Servers that are leaving or have asked for a pause; owner: the request
     /// path.
     pub availability: RefCell<ServerAvailability>,
+    /// Limits that servers have named; owner: the request path.
+    pub server_limits: RefCell<ServerLimits>,
     /// Live daemons; owner: the membership controller.
     pub peers: RefCell<PeerTable>,
     /// Notified when the next gossip message should be sent at once; owner:
@@ -164,6 +167,7 @@
             servers: RefCell::default(),
             availability: RefCell::default(),
             crash_tracker: RefCell::default(),
+            server_limits: RefCell::new(ServerLimits::new(started_at)),
             peers: RefCell::new(PeerTable::new(local_member)),
             urgent_news: Notify::new(),
             joined_at: Cell::new(None),
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 
 use briarladder_core::fleet::{
     config::FleetConfig, placement::Affinity, server::ListedServer,
-    stages::ResultHandle,
+    server_limits::NamedLimit, stages::ResultHandle,
 };
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -128,6 +128,9 @@
     pub retry_after: Option<Duration>,
     /// How long the server keeps an idle connection open, if it says so.
     pub idle_timeout: Option<Duration>,
+    /// The requests a second that the server takes from all daemons together,
+    /// if it says so.
+    pub limit: NamedLimit,
 }
 
 /// One piece in a call to a server.
--- a/crates/briarladder-gateway/src/lib.rs
+++ b/crates/briarladder-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod process;
 pub mod refusal;
 pub mod request;
+pub mod server_limits;
 pub mod settings;
 pub mod stages;
 pub mod store;
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -333,6 +333,7 @@
         let pool = &self.gateway.pool;
         self.sent.set(true);
         let attempt = &self.accepted.caller.attempt;
+        let sent_at = self.gateway.blackboard.now();
         let (response, connection) = pool
             .send_attempt(server.address, request, freshness, attempt)
             .await?;
@@ -343,7 +344,12 @@
         }
         let (head, body) = response.into_parts();
         let info = self.gateway.dialect.decode_response_head(&head, attempt);
-        self.gateway.blackboard.record_availability(server, &info);
+        let blackboard = &self.gateway.blackboard;
+        blackboard.record_availability(server, &info);
+        let is_first = connection.connect_time().is_some();
+        let is_own =
+            info.echoes_attempt || (is_first && !info.echoes_other_attempt);
+        blackboard.record_limit(server, sent_at, info.limit, is_own);
         let response = ServerResponse {
             head,
             info,
--- a/crates/briarladder-gateway/src/stages/batcher/calls.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/calls.rs
@@ -1,9 +1,16 @@
 //! Calls to servers that produce pieces.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use briarladder_core::{
-    fleet::{batching::Call, fetch_time::InputFetch, server::ListedServer},
+    fleet::{
+        batching::Call, fetch_time::InputFetch, server::ListedServer,
+        server_limits::NamedLimit,
+    },
     retry::AttemptFailure,
 };
 use bytes::Bytes;
@@ -56,6 +63,8 @@
     body: Bytes,
     connection: PooledConnection,
     idle_timeout: Option<Duration>,
+    sent_at: Instant,
+    limit: NamedLimit,
 }
 
 impl CallResponse {
@@ -137,6 +146,9 @@
             return Err(CallFailure::Sent(cause));
         }
         drop(recent);
+        // The results show that the response belongs to this call.
+        let CallResponse { sent_at, limit, .. } = response;
+        self.blackboard.record_limit(server, sent_at, limit, true);
         response.keep_connection();
         Ok(outcomes)
     }
@@ -199,6 +211,7 @@
             .body(Full::new(body))
             .map_err(|error| CallFailure::NotSent(error.to_string()))?;
         self.dialect.add_expected_server(request.headers_mut(), &server.name);
+        let sent_at = self.blackboard.now();
         let (response, connection) =
             self.pool.send(server.address, request).await?;
         if let Some(elapsed) = connection.connect_time() {
@@ -208,6 +221,9 @@
         let (head, body) = response.into_parts();
         let info = self.dialect.decode_response_head(&head, "");
         self.blackboard.record_availability(server, &info);
+        let is_first = connection.connect_time().is_some();
+        let limit = info.limit;
+        self.blackboard.record_limit(server, sent_at, limit, is_first);
         let body = bounded_body::read_body(body, MAX_RESPONSE_BYTES).await;
         let body =
             body.map_err(|error| CallFailure::Sent(error.to_string()))?;
@@ -218,6 +234,6 @@
                 format!("the server rejected the call with {}", head.status);
             return Err(CallFailure::Sent(cause));
         }
-        Ok(CallResponse { body, connection, idle_timeout })
+        Ok(CallResponse { body, connection, idle_timeout, sent_at, limit })
     }
 }
