Keep the limits that servers name, over all daemons

Cause: nothing read the header `Server-Limit`, so a server in need got its usual share. The rule was kept by chance as long as that share was small.

Change: each daemon records what answers say about limits, and tells the others by gossip at once. A request takes a place at a limited server before it is sent: first attempts, retries and resumes where the server is chosen, calls for pieces where the call is formed. Places go round by turns, so that no daemon asks another one for a request (core::fleet::server_limits has the rule and the derivation of its bound). Queues of pieces count a limited server as the part of its calls that it takes.

The rest goes to servers with room. If there is none, it is refused at once (outcome server_limit, status 503), with the time of this daemon's next place as Retry-After. After a more urgent request was turned away, three of four places are kept for such requests for a second. Limits, their source, since when, and what this daemon used and turned away are logged every 10 s; the gauge limited_servers counts them.

The gossip message has a new path; the two earlier ones are still served, and sent to daemons that do not know it.

--- a/crates/briarladder-core/src/fleet/batching.rs
+++ b/crates/briarladder-core/src/fleet/batching.rs
@@ -81,6 +81,10 @@
 /// results fit. It still holds results of an earlier coordinator.
 const UNKNOWN_RESULTS_PAUSE: Duration = Duration::from_millis(350);
 
+/// The smallest part of a server that all servers together count as, so that
+/// a wait is finite although they take almost no calls.
+const MIN_SHARE: f64 = 0.01;
+
 /// Weight of the newest call in the moving average of batch sizes under
 /// backlog.
 const BATCH_SMOOTHING: f64 = 0.1;
@@ -346,6 +350,14 @@
         }
     }
 
+    /// Sets how many calls a second a server takes; `None` if it doesn't limit
+    /// them.
+    pub fn set_call_limit(&mut self, server: &str, per_s: Option<f64>) {
+        if let Some(tracked) = self.servers.get_mut(server) {
+            tracked.max_calls_per_s = per_s;
+        }
+    }
+
     /// Records that a server lacks memory for results.
     pub fn record_out_of_capacity(&mut self, now: Instant, server: &str) {
         if let Some(tracked) = self.servers.get_mut(server) {
@@ -361,11 +373,19 @@
 
     /// Estimates the wait of a piece with this many pieces ahead of it.
     fn wait_behind(&self, ahead: usize) -> Duration {
-        let slots = to_u32(self.servers.len().max(1)) * self.spec.slots.max(1);
         let batch = self.mean_batch.max(1.0);
         let call =
             self.spec.call_overhead + self.spec.time_per_piece.mul_f64(batch);
-        let calls = f64::from(to_u32(ahead)) / (batch * f64::from(slots));
+        let slots_each = f64::from(self.spec.slots.max(1));
+        let calls_per_s = slots_each / call.as_secs_f64().max(f64::EPSILON);
+        let servers: f64 = self
+            .servers
+            .values()
+            .map(|tracked| tracked.limited_share(calls_per_s))
+            .sum();
+        let servers =
+            if self.servers.is_empty() { 1.0 } else { servers.max(MIN_SHARE) };
+        let calls = f64::from(to_u32(ahead)) / (batch * servers * slots_each);
         let queued = call.mul_f64(calls);
         let busy = self
             .servers
@@ -380,13 +400,17 @@
         let pieces = to_u32(self.spec.max_batch.max(1));
         let call_time =
             self.spec.call_overhead + self.spec.time_per_piece * pieces;
+        let slots = f64::from(self.spec.slots.max(1));
+        let full_rate_per_s = slots / call_time.as_secs_f64();
         let effective_servers: f64 = self
             .servers
             .values()
             .filter(|tracked| !tracked.delisted)
-            .map(|tracked| 1.0 / tracked.slowdown.ratio())
+            .map(|tracked| {
+                let share = tracked.limited_share(full_rate_per_s);
+                share.min(1.0 / tracked.slowdown.ratio())
+            })
             .sum();
-        let slots = f64::from(self.spec.slots.max(1));
         let calls_per_s = effective_servers * slots / call_time.as_secs_f64();
         Throughput { pieces_per_s: calls_per_s * f64::from(pieces), call_time }
     }
--- a/crates/briarladder-core/src/fleet/batching/tracked_server.rs
+++ b/crates/briarladder-core/src/fleet/batching/tracked_server.rs
@@ -47,6 +47,8 @@
     pub refusals: u32,
     /// Time of its calls relative to the expected time.
     pub slowdown: Slowdown,
+    /// The calls a second that it takes, if it limits them.
+    pub max_calls_per_s: Option<f64>,
     /// The server is no longer listed: its calls run to their end, and it gets
     /// no new ones.
     pub delisted: bool,
@@ -96,6 +98,13 @@
         self.paused_until = Some(until);
     }
 
+    /// Returns the part of its calls that it takes if it limits them. Without
+    /// the limit it would take this many a second.
+    pub fn limited_share(&self, calls_per_s: f64) -> f64 {
+        self.max_calls_per_s
+            .map_or(1.0, |max| (max / calls_per_s.max(f64::EPSILON)).min(1.0))
+    }
+
     /// Returns the bytes of its results, including those of calls in progress.
     pub fn reserved_bytes(&self) -> u64 {
         let results: u64 =
--- a/crates/briarladder-core/src/fleet/server_limits/mod.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/mod.rs
@@ -213,6 +213,17 @@
         self.knowledge.limit_per_s(now, server)
     }
 
+    /// Returns the requests a second that this daemon may send to a server of
+    /// which it is the only caller, if the server has a limit.
+    #[must_use]
+    pub fn own_rate_per_s(
+        &self,
+        now: Instant,
+        server: &ListedServer,
+    ) -> Option<f64> {
+        self.limit_per_s(now, server).map(turns::exclusive_rate_per_s)
+    }
+
     /// Iterates over the servers that have a limit.
     pub fn limited(
         &self,
--- a/crates/briarladder-core/src/fleet/server_limits/turns.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/turns.rs
@@ -50,7 +50,7 @@
     }
 
     fn exclusive(limit_per_s: f64) -> Part {
-        Part::new(EXCLUSIVE_FRACTION * limit_per_s.max(MIN_LIMIT_PER_S))
+        Part::new(exclusive_rate_per_s(limit_per_s))
     }
 
     fn of_turn(limit_per_s: f64, holders: usize) -> Part {
@@ -65,6 +65,11 @@
     }
 }
 
+/// Returns the rate of a daemon that is the only caller of a server.
+pub(super) fn exclusive_rate_per_s(limit_per_s: f64) -> f64 {
+    EXCLUSIVE_FRACTION * limit_per_s.max(MIN_LIMIT_PER_S)
+}
+
 /// Returns the number of daemons that may send in a turn.
 fn holder_count(limit_per_s: f64, members: usize) -> usize {
     if limit_per_s < SINGLE_HOLDER_LIMIT_PER_S {
--- a/crates/briarladder-core/src/fleet/server_limits/urgent_demand.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/urgent_demand.rs
@@ -11,12 +11,22 @@
 /// was turned away.
 const RESERVATION: Duration = Duration::from_secs(1);
 
+/// One place in this many is open to all ranks, so that the least urgent one
+/// is not starved while the more urgent ones exceed the limit.
+const OPEN_PLACE_ONE_IN: u64 = 4;
+
 /// The requests that were turned away lately for lack of a place at a limited
 /// server. A lower rank is more urgent.
 #[derive(Clone, Debug, Default)]
 pub struct UrgentDemand {
-    /// By service, when a request of each rank was last turned away.
-    turned_away: SortedMap<Arc<str>, SortedMap<u32, Instant>>,
+    by_service: SortedMap<Arc<str>, ServiceDemand>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServiceDemand {
+    /// When a request of each rank was last turned away.
+    turned_away: SortedMap<u32, Instant>,
+    taken_places: u64,
 }
 
 impl UrgentDemand {
@@ -27,19 +37,36 @@
         service: &Arc<str>,
         rank: u32,
     ) {
-        self.turned_away
-            .get_or_insert_with(Arc::clone(service), SortedMap::new)
+        self.by_service
+            .get_or_insert_with(Arc::clone(service), ServiceDemand::default)
+            .turned_away
             .insert(rank, now);
     }
 
+    /// Records that a request took a place.
+    pub fn record_taken(&mut self, service: &str) {
+        if let Some(demand) = self.by_service.get_mut(service) {
+            demand.taken_places += 1;
+        }
+    }
+
     /// Returns whether a request may take a place at a limited server: no more
-    /// urgent request of its service was turned away in the last second.
+    /// urgent request of its service was turned away in the last second, or
+    /// the place is one that is open to all ranks.
     #[must_use]
     pub fn may_take(&self, now: Instant, service: &str, rank: u32) -> bool {
-        self.turned_away.get(service).is_none_or(|by_rank| {
-            by_rank.iter().take_while(|&(&other, _)| other < rank).all(
-                |(_, &at)| now.saturating_duration_since(at) >= RESERVATION,
-            )
+        self.by_service.get(service).is_none_or(|demand| {
+            let is_open = demand.taken_places % OPEN_PLACE_ONE_IN == 0;
+            is_open || !demand.is_reserved(now, rank)
         })
     }
 }
+
+impl ServiceDemand {
+    fn is_reserved(&self, now: Instant, rank: u32) -> bool {
+        self.turned_away
+            .iter()
+            .take_while(|&(&other, _)| other < rank)
+            .any(|(_, &at)| now.saturating_duration_since(at) < RESERVATION)
+    }
+}
--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -25,7 +25,6 @@
         peers::{Member, PeerTable},
         placement::Placement,
         server::{ListedServer, ServerState, Servers},
-        server_limits::ServerLimits,
         shutdown::Shutdown,
         store_roles::{self, Role, SourceTracker},
         suspension::SuspensionDetector,
@@ -35,7 +34,10 @@
 
 use tokio::sync::Notify;
 
-use crate::{dialect::ResponseHead, settings::GatewaySettings};
+use crate::{
+    dialect::ResponseHead, server_limits::LimitState,
+    settings::GatewaySettings,
+};
 
 /// The phase of a process between start and exit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -105,7 +107,7 @@
     /// path.
     pub availability: RefCell<ServerAvailability>,
     /// Limits that servers have named; owner: the request path.
-    pub server_limits: RefCell<ServerLimits>,
+    pub(crate) limits: LimitState,
     /// Live daemons; owner: the membership controller.
     pub peers: RefCell<PeerTable>,
     /// Notified when the next gossip message should be sent at once; owner:
@@ -167,7 +169,7 @@
             servers: RefCell::default(),
             availability: RefCell::default(),
             crash_tracker: RefCell::default(),
-            server_limits: RefCell::new(ServerLimits::new(started_at)),
+            limits: LimitState::new(started_at),
             peers: RefCell::new(PeerTable::new(local_member)),
             urgent_news: Notify::new(),
             joined_at: Cell::new(None),
--- a/crates/briarladder-gateway/src/metrics.rs
+++ b/crates/briarladder-gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     pub live_daemons: Gauge,
     /// Requests and prompt parts that are refused because servers crash.
     pub refused_features: Gauge,
+    /// Servers that limit their requests.
+    pub limited_servers: Gauge,
 }
 
 impl fmt::Debug for Metrics {
@@ -83,6 +85,7 @@
         let config_version = Gauge::default();
         let live_daemons = Gauge::default();
         let refused_features = Gauge::default();
+        let limited_servers = Gauge::default();
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register(
             "first_byte_seconds",
@@ -116,6 +119,11 @@
             "Requests and prompt parts refused because servers crash",
             refused_features.clone(),
         );
+        registry.register(
+            "limited_servers",
+            "Servers that limit their requests",
+            limited_servers.clone(),
+        );
         Metrics {
             registry: RefCell::new(registry),
             requests,
@@ -127,6 +135,7 @@
             config_version,
             live_daemons,
             refused_features,
+            limited_servers,
         }
     }
 }
--- a/crates/briarladder-gateway/src/peers/membership.rs
+++ b/crates/briarladder-gateway/src/peers/membership.rs
@@ -18,9 +18,9 @@
 use super::{
     client::PeerError,
     messages::{
-        Ack, CHECK_PATH, COMPARE_PATH, EXCHANGE_PATH, GossipEnvelope,
-        MEMBERS_PATH, MemberList, ProbeRequest, ProbeResponse,
-        REQUEST_CRASHES_EXCHANGE_PATH, RequestCrashesEnvelope,
+        Ack, CHECK_PATH, COMPARE_PATH, CRASHES_EXCHANGE_PATH, CrashesEnvelope,
+        EXCHANGE_PATH, GossipEnvelope, MEMBERS_PATH, MemberList, ProbeRequest,
+        ProbeResponse, REQUEST_CRASHES_EXCHANGE_PATH, RequestCrashesEnvelope,
     },
 };
 
@@ -68,6 +68,9 @@
         let refused = blackboard.crash_tracker.borrow().refused_count(now);
         let refused = i64::try_from(refused).unwrap_or(i64::MAX);
         gateway.metrics.refused_features.set(refused);
+        let limited = blackboard.summarize_limits();
+        let limited = i64::try_from(limited).unwrap_or(i64::MAX);
+        gateway.metrics.limited_servers.set(limited);
         gateway.pool.evict_expired();
         let joined = blackboard.joined_at.get().is_some();
         let interval = if joined { interval } else { JOIN_INTERVAL };
@@ -179,6 +182,26 @@
     let peers = &gateway.peers;
     let sent =
         peers.call(address, EXCHANGE_PATH, &message, GOSSIP_TIMEOUT).await;
+    match sent {
+        Err(error) if error.is_unknown_path() => {
+            let message = CrashesEnvelope::from(message);
+            let response = send_crashes(gateway, address, message).await?;
+            Ok(response.into())
+        }
+        sent => sent,
+    }
+}
+
+/// Sends the gossip message of the earlier version or, if its path is not
+/// known either, that of the version before.
+async fn send_crashes(
+    gateway: &Gateway,
+    address: SocketAddr,
+    message: CrashesEnvelope,
+) -> Result<CrashesEnvelope, PeerError> {
+    let peers = &gateway.peers;
+    let path = CRASHES_EXCHANGE_PATH;
+    let sent = peers.call(address, path, &message, GOSSIP_TIMEOUT).await;
     match sent {
         Err(error) if error.is_unknown_path() => {
             let message = RequestCrashesEnvelope::from(message);
@@ -201,6 +224,7 @@
     GossipEnvelope {
         exchange: blackboard.peers.borrow().message_to(now, to),
         crashes: blackboard.crash_tracker.borrow_mut().notices(now),
+        limits: blackboard.limit_notices(),
     }
 }
 
@@ -216,6 +240,7 @@
         blackboard.peers.borrow_mut().apply_message(now, &message.exchange);
     log_changes(&changes, source);
     learn_crashes(gateway, &message.crashes, source);
+    blackboard.merge_limits(&message.limits);
     blackboard.mark_joined(now);
 }
 
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -13,11 +13,15 @@
         CrashNotice, CrashReport, Feature, Fingerprint, ServerIncarnation,
     },
     peers::{GossipMessage, Member},
+    server_limits::LimitNotice,
 };
 use serde::{Deserialize, Serialize};
 
 /// The path of a gossip exchange.
-pub const EXCHANGE_PATH: &str = "/peers/exchange-2";
+pub const EXCHANGE_PATH: &str = "/peers/exchange-3";
+
+/// The path of a gossip exchange of daemons that know no limits of servers.
+pub const CRASHES_EXCHANGE_PATH: &str = "/peers/exchange-2";
 
 /// The path of a gossip exchange of daemons that track only whole requests.
 pub const REQUEST_CRASHES_EXCHANGE_PATH: &str = "/peers/exchange";
@@ -51,6 +55,32 @@
     /// The newest crashes of servers, by the features of the requests that
     /// they were processing.
     pub crashes: Vec<CrashNotice>,
+    /// The limits that servers have named, and those that have ended.
+    pub limits: Vec<LimitNotice>,
+}
+
+/// The gossip message of daemons that know no limits of servers.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct CrashesEnvelope {
+    /// Membership and heartbeats.
+    pub exchange: GossipMessage,
+    /// The newest crashes of servers, by the features of the requests that
+    /// they were processing.
+    pub crashes: Vec<CrashNotice>,
+}
+
+impl From<GossipEnvelope> for CrashesEnvelope {
+    fn from(envelope: GossipEnvelope) -> CrashesEnvelope {
+        let GossipEnvelope { exchange, crashes, limits: _ } = envelope;
+        CrashesEnvelope { exchange, crashes }
+    }
+}
+
+impl From<CrashesEnvelope> for GossipEnvelope {
+    fn from(envelope: CrashesEnvelope) -> GossipEnvelope {
+        let CrashesEnvelope { exchange, crashes } = envelope;
+        GossipEnvelope { exchange, crashes, limits: Vec::new() }
+    }
 }
 
 /// The gossip message of daemons that track only whole requests.
@@ -71,10 +101,10 @@
     pub incarnations: Vec<ServerIncarnation>,
 }
 
-impl From<GossipEnvelope> for RequestCrashesEnvelope {
+impl From<CrashesEnvelope> for RequestCrashesEnvelope {
     /// Leaves out crashes that are cleared or are not those of whole requests.
-    fn from(envelope: GossipEnvelope) -> RequestCrashesEnvelope {
-        let GossipEnvelope { exchange, crashes } = envelope;
+    fn from(envelope: CrashesEnvelope) -> RequestCrashesEnvelope {
+        let CrashesEnvelope { exchange, crashes } = envelope;
         let whole = crashes.into_iter().filter(|n| n.feature.is_request());
         let crashes = whole.map(|notice| RequestCrashes {
             content: notice.feature.fingerprint,
@@ -89,8 +119,8 @@
     }
 }
 
-impl From<RequestCrashesEnvelope> for GossipEnvelope {
-    fn from(envelope: RequestCrashesEnvelope) -> GossipEnvelope {
+impl From<RequestCrashesEnvelope> for CrashesEnvelope {
+    fn from(envelope: RequestCrashesEnvelope) -> CrashesEnvelope {
         let RequestCrashesEnvelope { exchange, crashes } = envelope;
         let crashes = crashes.into_iter().map(|crashes| CrashNotice {
             feature: Feature::from_request_fingerprint(crashes.content),
@@ -104,7 +134,7 @@
                 })
                 .collect(),
         });
-        GossipEnvelope { exchange, crashes: crashes.collect() }
+        CrashesEnvelope { exchange, crashes: crashes.collect() }
     }
 }
 
@@ -251,7 +281,7 @@
         tracker.record_crash(now, &[request, part], server("s-1"));
         tracker.record_crash(now, &[other], server("s-2"));
         tracker.record_survival(now, &[other]);
-        let envelope = GossipEnvelope {
+        let envelope = CrashesEnvelope {
             exchange: exchange(now),
             crashes: tracker.notices(now),
         };
@@ -259,7 +289,7 @@
         let bytes = postcard::to_stdvec(&sent).unwrap();
         let decoded: RequestCrashesEnvelope =
             postcard::from_bytes(&bytes).unwrap();
-        let envelope = GossipEnvelope::from(decoded);
+        let envelope = CrashesEnvelope::from(decoded);
         let mut receiver = CrashTracker::default();
         let later = now + Duration::from_secs(1);
         assert_eq!(receiver.merge(later, &envelope.crashes), 1);
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -15,10 +15,11 @@
     changes::{CHANGES_PATH, ChangesRequest, ChangesResponse},
     membership,
     messages::{
-        Ack, CHECK_PATH, COMPARE_PATH, EXCHANGE_PATH, GossipEnvelope,
-        MEMBERS_PATH, MemberList, PING_PATH, Ping, ProbeRequest,
-        ProbeResponse, RELEASE_PATH, REQUEST_CRASHES_EXCHANGE_PATH,
-        ReleaseRequest, RequestCrashesEnvelope, STAGES_PATH, StagesRequest,
+        Ack, CHECK_PATH, COMPARE_PATH, CRASHES_EXCHANGE_PATH, CrashesEnvelope,
+        EXCHANGE_PATH, GossipEnvelope, MEMBERS_PATH, MemberList, PING_PATH,
+        Ping, ProbeRequest, ProbeResponse, RELEASE_PATH,
+        REQUEST_CRASHES_EXCHANGE_PATH, ReleaseRequest, RequestCrashesEnvelope,
+        STAGES_PATH, StagesRequest,
     },
 };
 
@@ -50,10 +51,15 @@
         EXCHANGE_PATH => respond(&body, |message: GossipEnvelope| {
             exchange_gossip(&gateway, &message)
         }),
+        CRASHES_EXCHANGE_PATH => respond(&body, |message: CrashesEnvelope| {
+            let response = exchange_gossip(&gateway, &message.into());
+            CrashesEnvelope::from(response)
+        }),
         REQUEST_CRASHES_EXCHANGE_PATH => {
             respond(&body, |message: RequestCrashesEnvelope| {
+                let message = CrashesEnvelope::from(message);
                 let response = exchange_gossip(&gateway, &message.into());
-                RequestCrashesEnvelope::from(response)
+                RequestCrashesEnvelope::from(CrashesEnvelope::from(response))
             })
         }
         COMPARE_PATH => respond(&body, |summary: ZoneSummary| {
--- a/crates/briarladder-gateway/src/refusal.rs
+++ b/crates/briarladder-gateway/src/refusal.rs
@@ -43,6 +43,9 @@
     /// No server of the service is available.
     #[display("no server of the service takes the request; try again later")]
     NoServer,
+    /// The servers that could run the request limit how many they take.
+    #[display("the servers of the service limit their requests; try later")]
+    ServerLimit,
     /// The stages cannot be completed before the deadline.
     #[display("the stages before the request are overloaded; try later")]
     StagesLate,
@@ -75,6 +78,7 @@
             | Refusal::Stopping
             | Refusal::PoisonRequest
             | Refusal::NoServer
+            | Refusal::ServerLimit
             | Refusal::StagesLate
             | Refusal::StageFailed
             | Refusal::TimeoutBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
@@ -96,6 +100,7 @@
             Refusal::Stopping => "stopping",
             Refusal::PoisonRequest => "crashes_servers",
             Refusal::NoServer => "no_server",
+            Refusal::ServerLimit => "server_limit",
             Refusal::StagesLate => "stages_late",
             Refusal::StageFailed => "stage_failed",
             Refusal::TimeoutBeforeSend => "time_out_unsent",
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -73,9 +73,7 @@
                 .cause
                 .get_or_insert_with(|| "no server left to try".to_owned());
             if tracker.may_have_run_count() == 0 {
-                let retry_after = first_available_in(&gateway, &accepted);
-                let refusal = Refusal::NoServer;
-                let refused = RequestRefusal { refusal, retry_after };
+                let refused = refuse_without_server(&outgoing, &tried);
                 return Err((Box::new(record), refused));
             }
             break Refusal::OutcomeUnknown;
@@ -132,6 +130,27 @@
     Err((Box::new(record), refusal.into()))
 }
 
+/// Returns the refusal of a request that no server can be asked to run.
+fn refuse_without_server(
+    outgoing: &OutgoingRequest,
+    tried: &[Arc<str>],
+) -> RequestRefusal {
+    let OutgoingRequest { gateway, accepted, .. } = outgoing;
+    let AcceptedRequest { service, rank, .. } = &**accepted;
+    let place_in =
+        gateway.blackboard.record_turned_away(service, *rank, tried);
+    match place_in {
+        Some(_) => RequestRefusal {
+            refusal: Refusal::ServerLimit,
+            retry_after: place_in,
+        },
+        None => RequestRefusal {
+            refusal: Refusal::NoServer,
+            retry_after: first_available_in(gateway, accepted),
+        },
+    }
+}
+
 /// Returns the time until the first server accepts requests again, if all of
 /// them have asked for a pause.
 fn first_available_in(
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -150,9 +150,10 @@
     }
 }
 
-/// Chooses a server for a request, preferably near a zone. `None` if all
-/// suitable servers were tried or are unavailable.
-#[must_use]
+/// Chooses a server for a request, preferably near a zone, and takes a place
+/// there if it has a limit. `None` if all suitable servers were tried, are
+/// unavailable or have no place.
+#[must_use = "a place is taken"]
 pub fn choose_server(
     gateway: &Gateway,
     accepted: &AcceptedRequest,
@@ -168,17 +169,20 @@
         tried,
         random: rand::random(),
     };
+    let places = blackboard.places();
     let ready = servers
         .ready_in_service(&accepted.service)
         .map(|server| &**server)
-        .filter(|server| blackboard.accepts_work(server));
+        .filter(|server| blackboard.accepts_work(server))
+        .filter(|server| places.has_place(server, accepted.rank));
     let chosen = blackboard.placement.borrow().choose(
         blackboard.now(),
         &request,
         ready,
         |name| blackboard.in_flight(name),
     )?;
-    servers.get(&chosen.name).cloned()
+    let taken = places.take(chosen);
+    servers.get(&chosen.name).filter(|_| taken).cloned()
 }
 
 /// Logs and counts a failed attempt, and updates the state of the server.
--- a/crates/briarladder-gateway/src/server_limits.rs
+++ b/crates/briarladder-gateway/src/server_limits.rs
@@ -1,18 +1,162 @@
 //! Limits that backend servers name in their responses.
 //!
 //! The rules are in [`briarladder_core::fleet::server_limits`]. Every response
-//! of a server is recorded here.
+//! of a server is recorded here, and every request to one takes its place
+//! here: first attempts, retries, resumes and calls for pieces. Releases are
+//! not sent to a limited server, which drops the results itself.
 
-use std::time::Instant;
+use std::{
+    cell::{Cell, RefCell},
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use briarladder_core::fleet::{
+    config::ServiceWork,
     server::ListedServer,
-    server_limits::{LimitChange, LimitChangeKind, NamedLimit, Observation},
+    server_limits::{
+        LimitChange, LimitChangeKind, LimitMembers, LimitNotice, LimitTime,
+        NamedLimit, Observation, ServerLimits, Sharing, UrgentDemand,
+    },
 };
 
 use crate::blackboard::Blackboard;
 
+/// Time between two summaries of the limits in the log.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The limits of servers, and what this daemon uses of them.
+#[derive(Debug)]
+pub struct LimitState {
+    limits: RefCell<ServerLimits>,
+    urgent_demand: RefCell<UrgentDemand>,
+    /// The members that share the limits, copied when they have changed.
+    members: RefCell<Option<LimitMembers>>,
+    next_summary_at: Cell<Instant>,
+}
+
+impl LimitState {
+    /// Creates the state of a process that has just started.
+    #[must_use]
+    pub fn new(started_at: Instant) -> LimitState {
+        LimitState {
+            limits: RefCell::new(ServerLimits::new(started_at)),
+            urgent_demand: RefCell::default(),
+            members: RefCell::default(),
+            next_summary_at: Cell::new(started_at),
+        }
+    }
+}
+
+/// Chooses among servers, some of which may have a limit, at one moment.
+#[derive(Debug)]
+pub struct PlaceFinder<'a> {
+    blackboard: &'a Blackboard,
+    time: LimitTime,
+}
+
+impl PlaceFinder<'_> {
+    /// Returns when this daemon may next send to a server; `None` if the
+    /// server has no limit.
+    #[must_use]
+    pub fn next_place_at(&self, server: &ListedServer) -> Option<Instant> {
+        let PlaceFinder { blackboard, time } = *self;
+        let mut limits = blackboard.limits.limits.borrow_mut();
+        limits.limit_per_s(time.now, server)?;
+        let sharing = blackboard.sharing_of(server);
+        let members = blackboard.limit_members();
+        limits.next_place_at(time, server, sharing, &members)
+    }
+
+    /// Returns until when a server has no place; `None` if it has one now.
+    #[must_use]
+    pub fn paused_until(&self, server: &ListedServer) -> Option<Instant> {
+        self.next_place_at(server).filter(|&at| at > self.time.now)
+    }
+
+    /// Returns whether a request of a rank may be sent to a server now.
+    #[must_use]
+    pub fn has_place(&self, server: &ListedServer, rank: u8) -> bool {
+        self.next_place_at(server).is_none_or(|at| {
+            at <= self.time.now
+                && self.blackboard.limits.urgent_demand.borrow().may_take(
+                    self.time.now,
+                    &server.service,
+                    rank.into(),
+                )
+        })
+    }
+
+    /// Takes a place at a server, and returns whether there was one.
+    #[must_use = "a request may only be sent if it got a place"]
+    pub fn take(&self, server: &ListedServer) -> bool {
+        let PlaceFinder { blackboard, time } = *self;
+        let mut limits = blackboard.limits.limits.borrow_mut();
+        if limits.limit_per_s(time.now, server).is_none() {
+            return true;
+        }
+        let sharing = blackboard.sharing_of(server);
+        let members = blackboard.limit_members();
+        let taken = limits.take_place(time, server, sharing, &members);
+        if taken {
+            let mut demand = blackboard.limits.urgent_demand.borrow_mut();
+            demand.record_taken(&server.service);
+        }
+        taken
+    }
+}
+
 impl Blackboard {
+    /// Returns the places at limited servers as of now.
+    #[must_use]
+    pub fn places(&self) -> PlaceFinder<'_> {
+        let unix_time = self.clock.unix_time();
+        let time = LimitTime { now: self.now(), unix_time };
+        PlaceFinder { blackboard: self, time }
+    }
+
+    /// Returns whether a server has a limit.
+    #[must_use]
+    pub fn is_limited(&self, server: &ListedServer) -> bool {
+        let limits = self.limits.limits.borrow();
+        limits.limit_per_s(self.now(), server).is_some()
+    }
+
+    /// Returns the limit of a server in requests a second, as far as this
+    /// daemon uses it alone.
+    #[must_use]
+    pub fn own_rate_per_s(&self, server: &ListedServer) -> Option<f64> {
+        let limits = self.limits.limits.borrow();
+        limits.own_rate_per_s(self.now(), server)
+    }
+
+    /// Records that a request got no server because of limits. Returns the
+    /// time until this daemon has a place at one of the servers, or `None` if
+    /// the limits were not the reason.
+    pub fn record_turned_away(
+        &self,
+        service: &Arc<str>,
+        rank: u8,
+        tried: &[Arc<str>],
+    ) -> Option<Duration> {
+        let places = self.places();
+        let now = places.time.now;
+        let servers = self.servers.borrow();
+        let mut first_at: Option<Instant> = None;
+        for server in servers.ready_in_service(service) {
+            if !self.accepts_work(server) || tried.contains(&server.name) {
+                continue;
+            }
+            let Some(at) = places.next_place_at(server) else { continue };
+            first_at = Some(first_at.map_or(at, |first| first.min(at)));
+            self.limits.limits.borrow_mut().record_turned_away(server);
+        }
+        let first_at = first_at?;
+        let mut demand = self.limits.urgent_demand.borrow_mut();
+        demand.record_turned_away(now, service, rank.into());
+        Some(first_at.saturating_duration_since(now))
+    }
+
     /// Records what a response to a request that was sent at `sent_at` says
     /// about the limit of its server. `is_own` tells whether the response
     /// certainly belongs to that request.
@@ -27,14 +171,83 @@
             log::debug!("limits: server={} value=unreadable", server.name);
         }
         let observation = Observation { sent_at, named, is_own };
-        let change = self.server_limits.borrow_mut().observe(
+        let change = self.limits.limits.borrow_mut().observe(
             self.now(),
             server,
             observation,
         );
-        if let Some(change) = change {
-            log_change(&change);
+        self.announce(change.as_slice());
+    }
+
+    /// Returns what to tell another daemon about limits.
+    #[must_use]
+    pub fn limit_notices(&self) -> Vec<LimitNotice> {
+        self.limits.limits.borrow_mut().notices(self.now())
+    }
+
+    /// Merges what another daemon has told about limits.
+    pub fn merge_limits(&self, notices: &[LimitNotice]) {
+        let now = self.now();
+        let changes = self.limits.limits.borrow_mut().merge(now, notices);
+        self.announce(&changes);
+    }
+
+    /// Logs changes and tells them to other daemons soon.
+    fn announce(&self, changes: &[LimitChange]) {
+        changes.iter().for_each(log_change);
+        if !changes.is_empty() {
+            self.hasten_gossip();
+        }
+    }
+
+    /// Returns the number of servers that have a limit, and logs at intervals
+    /// what this daemon uses of each.
+    pub fn summarize_limits(&self) -> usize {
+        let now = self.now();
+        let limits = self.limits.limits.borrow();
+        let is_due = now >= self.limits.next_summary_at.get();
+        let mut count = 0;
+        for limited in limits.limited(now) {
+            count += 1;
+            if is_due {
+                log::info!(
+                    "limits: server={} limit_per_s={} since_ms={} source={:?} \
+                     used={} turned_away={}",
+                    limited.server,
+                    limited.limit_per_s,
+                    now.saturating_duration_since(limited.since).as_millis(),
+                    limited.source,
+                    limited.used_requests,
+                    limited.turned_away_requests,
+                );
+            }
+        }
+        if is_due {
+            self.limits.next_summary_at.set(now + SUMMARY_INTERVAL);
+        }
+        count
+    }
+
+    fn sharing_of(&self, server: &ListedServer) -> Sharing {
+        let Some(config) = self.config() else { return Sharing::Turns };
+        match config.services.get(&server.service).map(|s| &s.work) {
+            Some(ServiceWork::Pieces(_)) => Sharing::Exclusive,
+            _ => Sharing::Turns,
+        }
+    }
+
+    fn limit_members(&self) -> LimitMembers {
+        let peers = self.peers.borrow();
+        let version = peers.present_version();
+        let mut copied = self.limits.members.borrow_mut();
+        if let Some(members) = &*copied
+            && members.version() == version
+        {
+            return members.clone();
         }
+        let local = Arc::clone(&peers.local_member().name);
+        let members = LimitMembers::new(local, peers.present_names(), version);
+        copied.insert(members).clone()
     }
 }
 
--- a/crates/briarladder-gateway/src/stages/batcher/mod.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/mod.rs
@@ -29,6 +29,7 @@
 };
 
 mod calls;
+mod limits;
 mod log_lines;
 mod recent_responses;
 mod releases;
@@ -290,10 +291,12 @@
         let mut calls = Vec::new();
         if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
             self.refresh(key, queue);
+            self.apply_limits(key, queue);
             for id in queue.piece_queue.shed_infeasible(now) {
                 late.extend(queue.pieces.remove(&id));
             }
             while let Some(call) = queue.piece_queue.next_call(now) {
+                self.take_place(queue, &call.server);
                 let pieces: Vec<(u64, Piece)> = call
                     .ids
                     .iter()
--- a/crates/briarladder-gateway/src/stages/batcher/releases.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/releases.rs
@@ -48,6 +48,15 @@
             let server =
                 self.blackboard.servers.borrow().get(producer).cloned();
             let Some(server) = server else { continue };
+            // A release would take the place of a call.
+            if self.blackboard.is_limited(&server) {
+                log::debug!(
+                    "collector: server={producer} limits its requests; \
+                     results={} expire there",
+                    references.len()
+                );
+                continue;
+            }
             let body = self.dialect.encode_release(references);
             self.record_released(&server, references);
             services.insert(Arc::clone(&server.service));
