Don't take an error without an id for the answer on a reused connection

What callers saw: 500 or 404 for a request that succeeds. The worker had answered an earlier request on the connection with an error that bore no id, and sent a copy of it where the next answer was due.

An answer counted as that to the last send without evidence: the id was asked for in successes and rejections only.

Change: any answer that names no attempt is rejected unless it is the first on its connection. The connection is closed, and the outcome is unknown, as after an answer that names another attempt. Workers name the attempt in all their answers, so answers of sound ones are not affected.

The targets rejections, faults and platform pass.

--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -78,6 +78,15 @@
     pub fn framing(&self) -> Framing {
         Framing::of(&self.head)
     }
+
+    /// Returns whether the response is certainly not that of an earlier
+    /// request, which a faulty server has sent again: it names the attempt, or
+    /// it names none and is the first one on its connection.
+    fn belongs_to_send(&self) -> bool {
+        let is_first = self.connection.connect_time().is_some();
+        self.info.echoes_attempt
+            || (is_first && !self.info.echoes_other_attempt)
+    }
 }
 
 /// A response that can be forwarded.
@@ -350,10 +359,6 @@
         let info = self.gateway.dialect.decode_response_head(&head, attempt);
         let blackboard = &self.gateway.blackboard;
         blackboard.record_availability(server, &info);
-        let is_first = connection.connect_time().is_some();
-        let is_own =
-            info.echoes_attempt || (is_first && !info.echoes_other_attempt);
-        blackboard.record_limit(server, sent_at, info.limit, is_own);
         let response = ServerResponse {
             head,
             info,
@@ -361,6 +366,8 @@
             body,
             connection,
         };
+        let is_own = response.belongs_to_send();
+        blackboard.record_limit(server, sent_at, info.limit, is_own);
         self.classify(server, response).await
     }
 
@@ -419,6 +426,14 @@
                 "the response belongs to another attempt",
             ));
         }
+        if !response.belongs_to_send() {
+            let label = response.connection.label();
+            let failure = AttemptFailure::ResponseMismatch;
+            let cause = format!(
+                "a response with {status} names no attempt, on {label}"
+            );
+            return Err(AttemptError::new(failure, cause));
+        }
         if info.not_run || info.wrong_server {
             return Err(self.judge_rejection(response).await);
         }
@@ -502,23 +517,14 @@
             || response.body.size_hint().lower() > max_buffered
     }
 
-    /// Returns what the rejection of a request proves. It proves that the
-    /// request did not run if it is the first response on its connection, or
-    /// if it names the attempt: the attempt has not been rejected on this
-    /// connection before. Otherwise it may be that of an earlier request,
-    /// which a faulty server has sent again.
+    /// Returns the failure of an attempt that the server has rejected. It
+    /// proves that the request did not run: the response is the first on its
+    /// connection, or names the attempt, which has not been rejected on this
+    /// connection before.
     async fn judge_rejection(&self, response: ServerResponse) -> AttemptError {
         let ServerResponse { head, info, body, mut connection, .. } = response;
         let status = head.status;
-        let is_first = connection.connect_time().is_some();
         let label = connection.label();
-        if !info.echoes_attempt && !is_first {
-            let failure = AttemptFailure::ResponseMismatch;
-            let cause = format!(
-                "a rejection with {status} that names no attempt, on {label}"
-            );
-            return AttemptError::new(failure, cause);
-        }
         if drain_body(body).await {
             connection.exclude_attempt(&self.accepted.caller.attempt);
             connection.return_to_pool(info.idle_timeout);
