Simulate daemons that share the limit of a server

The rule of the limits holds for a sum over daemons, which unit tests of one daemon can't show. The simulation runs 9, 300 and 2,500 of them with clocks that differ and jump, processes that restart, a zone that is cut off and lists of members that differ, and counts the requests in each window of 4 s against one and a half times the limit and 5 more. The example `server_limits` prints the table, also for two rejected designs.

The design is weak in one respect: a daemon that doesn't hold a turn turns its requests away, even if the server is idle. Requests would have to reach the holders of the turn.

--- /dev/null
+++ b/crates/briarladder-core/examples/server_limits.rs
@@ -0,0 +1,119 @@
+//! Compares ways in which daemons can share the limit of a server.
+//!
+//! Prints, for each number of daemons, limit, demand and design, the most
+//! requests that the server got in 4 s, the most that are allowed, and which
+//! share of the limit was used. Of a limit of 0, the share is that of 0.2
+//! requests a second. Clocks jump, processes restart, a zone is cut off, and
+//! lists of members differ. With `chosen`, the rejected designs are left out.
+//! The exit status is 1 if a design of the crate exceeds a limit.
+//!
+//! ```text
+//! cargo run --release -p briarladder-core \
+//!     --example server_limits -- [seeds] [chosen]
+//! ```
+
+#[path = "../src/fleet/server_limits/simulation/mod.rs"]
+#[allow(missing_docs)]
+mod simulation;
+
+use std::{process::ExitCode, time::Duration};
+
+use simulation::{Demand, Design, Outcome, Scenario, run};
+
+/// Numbers of daemons and zones.
+const SIZES: [(usize, usize); 3] = [(9, 3), (300, 6), (2500, 12)];
+const LIMITS_PER_S: [f64; 6] = [0.0, 0.3, 1.0, 2.5, 8.0, 40.0];
+
+/// The designs of the crate, and then the rejected ones.
+const DESIGNS: [Design; 4] =
+    [Design::Turns, Design::Coordinator, Design::EqualParts, Design::OneHome];
+
+const DURATION: Duration = Duration::from_mins(1);
+const DEFAULT_SEEDS: u64 = 5;
+
+/// The runs of one scenario with different seeds.
+#[derive(Default)]
+struct Summary {
+    most_requests: usize,
+    allowed_requests: f64,
+    rate_per_s: f64,
+    exceeded: u64,
+}
+
+impl Summary {
+    fn add(&mut self, outcome: &Outcome, weight: f64) {
+        self.most_requests = self.most_requests.max(outcome.most_requests);
+        self.allowed_requests = outcome.allowed_requests;
+        self.rate_per_s += outcome.rate_per_s * weight;
+        self.exceeded += u64::from(!outcome.is_kept());
+    }
+}
+
+#[allow(clippy::cast_precision_loss)] // There are few seeds.
+fn run_seeds(scenario: Scenario, seeds: u64) -> Summary {
+    let mut summary = Summary::default();
+    for seed in 0..seeds {
+        let outcome = run(Scenario { seed, ..scenario });
+        summary.add(&outcome, 1.0 / seeds as f64);
+    }
+    summary
+}
+
+fn main() -> ExitCode {
+    let mut args = std::env::args().skip(1);
+    let seeds = args
+        .next()
+        .and_then(|seeds| seeds.parse().ok())
+        .unwrap_or(DEFAULT_SEEDS);
+    let chosen_only = args.next().is_some_and(|arg| arg == "chosen");
+    let designs = if chosen_only { &DESIGNS[..2] } else { &DESIGNS[..] };
+    println!(
+        "daemons limit/s demand     design      most allowed share \
+         runs over"
+    );
+    let mut is_kept = true;
+    for scenario in scenarios(designs) {
+        let summary = run_seeds(scenario, seeds);
+        print_row(&scenario, &summary, seeds);
+        let is_chosen = DESIGNS[..2].contains(&scenario.design);
+        is_kept &= !is_chosen || summary.exceeded == 0;
+    }
+    if is_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Returns all scenarios of some designs.
+fn scenarios(designs: &[Design]) -> Vec<Scenario> {
+    let mut scenarios = Vec::new();
+    for (daemons, zones) in SIZES {
+        for limit_per_s in LIMITS_PER_S {
+            for demand in [Demand::Saturating, Demand::Sparse] {
+                scenarios.extend(designs.iter().map(|&design| Scenario {
+                    daemons,
+                    zones,
+                    limit_per_s,
+                    demand,
+                    design,
+                    faults: true,
+                    duration: DURATION,
+                    seed: 0,
+                }));
+            }
+        }
+    }
+    scenarios
+}
+
+fn print_row(scenario: &Scenario, summary: &Summary, seeds: u64) {
+    let share = summary.rate_per_s / scenario.limit_per_s.max(0.2);
+    println!(
+        "{:7} {:7} {:10} {:11} {:4} {:7} {:4.0}% {:>4}/{seeds}",
+        scenario.daemons,
+        scenario.limit_per_s,
+        format!("{:?}", scenario.demand),
+        format!("{:?}", scenario.design),
+        summary.most_requests,
+        summary.allowed_requests,
+        share * 100.0,
+        summary.exceeded,
+    );
+}
--- a/crates/briarladder-core/src/fleet/server_limits/mod.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/mod.rs
@@ -76,6 +76,10 @@
 mod knowledge;
 mod notices;
 #[cfg(test)]
+mod simulation;
+#[cfg(test)]
+mod simulation_tests;
+#[cfg(test)]
 mod tests;
 mod turns;
 mod urgent_demand;
@@ -137,23 +141,21 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LimitMembers {
     local: Arc<str>,
-    names: Vec<Arc<str>>,
+    names: Arc<[Arc<str>]>,
     version: u64,
 }
 
 impl LimitMembers {
-    /// Creates the list of members. `version` differs whenever `names` does.
-    /// A daemon that isn't among the members, because it shuts down, gets no
-    /// turn.
+    /// Creates the list of members, each of which is in `names` once.
+    /// `version` differs whenever `names` does. A daemon that isn't among the
+    /// members, because it shuts down, gets no turn.
     #[must_use]
     pub fn new(
         local: Arc<str>,
-        mut names: Vec<Arc<str>>,
+        names: impl Into<Arc<[Arc<str>]>>,
         version: u64,
     ) -> LimitMembers {
-        names.sort();
-        names.dedup();
-        LimitMembers { local, names, version }
+        LimitMembers { local, names: names.into(), version }
     }
 
     /// Returns the version of the list.
--- /dev/null
+++ b/crates/briarladder-core/src/fleet/server_limits/simulation_tests.rs
@@ -0,0 +1,106 @@
+use std::time::Duration;
+
+use super::simulation::{Demand, Design, Outcome, Scenario, run};
+
+const LIMITS_PER_S: [f64; 6] = [0.0, 0.3, 1.0, 2.5, 8.0, 40.0];
+
+/// Daemons, zones, and seeds. The example `server_limits` runs more of both.
+const SIZES: [(usize, usize, u64); 2] = [(9, 3, 8), (300, 6, 2)];
+
+fn run_checked(scenario: Scenario) -> Outcome {
+    let outcome = run(scenario);
+    assert!(outcome.is_kept(), "{scenario:?}: {outcome:?}");
+    outcome
+}
+
+fn check_sizes(demand: Demand, design: Design) {
+    for (daemons, zones, seeds) in SIZES {
+        for limit_per_s in LIMITS_PER_S {
+            for seed in 0..seeds {
+                let scenario = Scenario {
+                    daemons,
+                    zones,
+                    limit_per_s,
+                    demand,
+                    design,
+                    faults: true,
+                    duration: Duration::from_mins(1),
+                    seed,
+                };
+                let outcome = run_checked(scenario);
+                let saturated = demand == Demand::Saturating;
+                let share = outcome.rate_per_s / limit_per_s.max(0.2);
+                assert!(
+                    !saturated || share >= 0.5,
+                    "{scenario:?}: {outcome:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against daemons that exceed the limit of a server together while
+/// each has more requests than it may send, and against a limit of which they
+/// use too little.
+#[test]
+fn take_place_saturating_demand() {
+    check_sizes(Demand::Saturating, Design::Turns);
+}
+
+/// Guards against unused tokens of many daemons that are used at once.
+#[test]
+fn take_place_sparse_demand() {
+    check_sizes(Demand::Sparse, Design::Turns);
+}
+
+/// Guards against coordinators that follow each other and exceed the limit
+/// while two of them call the same server.
+#[test]
+fn take_place_two_coordinators() {
+    check_sizes(Demand::Saturating, Design::Coordinator);
+}
+
+/// Guards against a bound that holds in small fleets only.
+#[test]
+fn take_place_large_fleet() {
+    run_checked(Scenario {
+        daemons: 2500,
+        zones: 12,
+        limit_per_s: 1.0,
+        demand: Demand::Saturating,
+        design: Design::Turns,
+        faults: true,
+        duration: Duration::from_secs(40),
+        seed: 0,
+    });
+}
+
+fn sparse(daemons: usize, design: Design) -> Outcome {
+    run(Scenario {
+        daemons,
+        zones: 3,
+        limit_per_s: 1.0,
+        demand: Demand::Sparse,
+        design,
+        faults: true,
+        duration: Duration::from_mins(1),
+        seed: 0,
+    })
+}
+
+/// Guards against a simulation that doesn't find an excess: many daemons, each
+/// with an equal part, have as many first requests.
+#[test]
+fn run_finds_excess() {
+    let outcome = sparse(300, Design::EqualParts);
+    assert!(!outcome.is_kept(), "{outcome:?}");
+}
+
+/// Guards against turns that serve no more of a sparse demand than a single
+/// daemon would.
+#[test]
+fn run_sparse_share() {
+    let turns = sparse(9, Design::Turns).rate_per_s;
+    let one_home = sparse(9, Design::OneHome).rate_per_s;
+    assert!(turns > one_home, "{turns} and {one_home} a second");
+}
--- a/crates/briarladder-core/src/fleet/server_limits/tests.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/tests.rs
@@ -14,7 +14,8 @@
 }
 
 fn members(local: &str, count: usize) -> LimitMembers {
-    let names = (0..count).map(|at| Arc::from(format!("vm-{at}"))).collect();
+    let names: Vec<Arc<str>> =
+        (0..count).map(|at| Arc::from(format!("vm-{at}"))).collect();
     LimitMembers::new(Arc::from(local), names, 1)
 }
 
--- a/crates/briarladder-core/src/lib.rs
+++ b/crates/briarladder-core/src/lib.rs
@@ -17,6 +17,10 @@
 //! assert!(servers.contains(first));
 //! ```
 
+// A simulation is shared with an example, which names this crate.
+#[cfg(test)]
+extern crate self as briarladder_core;
+
 pub mod admission;
 pub mod clock;
 pub mod config;
