Ask the holder of a turn for a place before a request is refused

What callers saw, once servers with a limit were kept to it: a request was refused because its daemon had no turn, although the server was idle.

The holder takes it from its own bucket, so the limit is kept as before. After a place that was not given, a daemon asks again after 10 ms for each daemon of the fleet, so that all together ask at most 100 times a second for one server.

--- a/crates/briarladder-core/src/fleet/server_limits/mod.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/mod.rs
@@ -27,6 +27,10 @@
 //! A limit below 0.2 counts as 0.2, since the end of a limit is only learned
 //! from a response. With a limit of 0 the sum is 2.64 of 5 requests.
 //!
+//! A daemon that has no place may ask a holder of the turn for one
+//! ([`ServerLimits::holders`]). The place is taken from the bucket of the
+//! holder, so the bound stays the same but for the transit time.
+//!
 //! # Servers with a single caller
 //!
 //! If only the coordinator of a cell calls a server, it uses `0.7 * L` alone.
@@ -163,6 +167,18 @@
     pub fn version(&self) -> u64 {
         self.version
     }
+
+    /// Returns the number of members.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Returns whether there are no members.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
 }
 
 /// The limits that servers have named, and this daemon's part of them.
@@ -282,6 +298,23 @@
         taken
     }
 
+    /// Returns the daemons that hold the present turn at a server; none if the
+    /// server has no limit.
+    #[must_use]
+    pub fn holders<'a>(
+        &self,
+        now: LimitTime,
+        server: &ListedServer,
+        members: &'a LimitMembers,
+    ) -> Vec<&'a Arc<str>> {
+        self.limit_per_s(now.now, server).map_or_else(
+            Vec::new,
+            |limit_per_s| {
+                turns::holders(now, &server.name, limit_per_s, members)
+            },
+        )
+    }
+
     /// Counts a request that was turned away without asking for a place.
     pub fn record_turned_away(&mut self, server: &ListedServer) {
         self.knowledge.count_request(server, false);
--- a/crates/briarladder-core/src/fleet/server_limits/turns.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/turns.rs
@@ -302,6 +302,23 @@
     }
 }
 
+/// Returns the daemons that hold the present turn at a server.
+pub(super) fn holders<'a>(
+    at: LimitTime,
+    server: &str,
+    limit_per_s: f64,
+    members: &'a LimitMembers,
+) -> Vec<&'a Arc<str>> {
+    let names: &[Arc<str>] = &members.names;
+    let holders = holder_count(limit_per_s, names.len());
+    let key = turn_key(server, epoch_of(at.unix_time));
+    rendezvous::top(&key, names, holders)
+}
+
+fn turn_key(server: &str, epoch: u64) -> String {
+    format!("{server}/{epoch}")
+}
+
 fn time_into_turn(unix_time: Duration) -> Duration {
     unix_time.saturating_sub(TURN * turn_index(unix_time))
 }
@@ -311,7 +328,7 @@
 }
 
 fn holds_turn(basis: Basis, server: &str, members: &LimitMembers) -> bool {
-    let key = format!("{server}/{}", basis.epoch);
+    let key = turn_key(server, basis.epoch);
     let names: &[Arc<str>] = &members.names;
     rendezvous::is_in_top(&key, names, basis.holders, &members.local)
 }
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -29,6 +29,9 @@
 /// The path of a comparison of the members of some zones.
 pub const COMPARE_PATH: &str = "/peers/compare";
 
+/// The path of a request for a place at a server that limits its requests.
+pub const PLACE_PATH: &str = "/peers/place";
+
 /// The path for sending members that the receiver lacks.
 pub const MEMBERS_PATH: &str = "/peers/members";
 
@@ -138,6 +141,24 @@
     }
 }
 
+/// A request for a place at a server that limits its requests.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PlaceRequest {
+    /// The name of the server.
+    pub server: Arc<str>,
+    /// Start time of its process.
+    pub born_ms: u64,
+    /// The rank of the request; 0 is the most urgent.
+    pub rank: u8,
+}
+
+/// The response to a request for a place.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct PlaceResponse {
+    /// Whether the receiver of the response may send one request.
+    pub granted: bool,
+}
+
 /// Members that the receiver lacks.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct MemberList {
--- a/crates/briarladder-gateway/src/peers/mod.rs
+++ b/crates/briarladder-gateway/src/peers/mod.rs
@@ -10,5 +10,6 @@
 pub mod client;
 pub mod membership;
 pub mod messages;
+pub mod places;
 pub mod server;
 pub mod watchdog;
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -17,10 +17,11 @@
     messages::{
         Ack, CHECK_PATH, COMPARE_PATH, CRASHES_EXCHANGE_PATH, CrashesEnvelope,
         EXCHANGE_PATH, GossipEnvelope, MEMBERS_PATH, MemberList, PING_PATH,
-        Ping, ProbeRequest, ProbeResponse, RELEASE_PATH,
-        REQUEST_CRASHES_EXCHANGE_PATH, ReleaseRequest, RequestCrashesEnvelope,
-        STAGES_PATH, StagesRequest,
+        PLACE_PATH, Ping, PlaceRequest, ProbeRequest, ProbeResponse,
+        RELEASE_PATH, REQUEST_CRASHES_EXCHANGE_PATH, ReleaseRequest,
+        RequestCrashesEnvelope, STAGES_PATH, StagesRequest,
     },
+    places,
 };
 
 /// The longest message of a peer. It fits the references of the largest
@@ -81,6 +82,9 @@
             }
             Err(error) => malformed(&error),
         },
+        PLACE_PATH => respond(&body, |message: PlaceRequest| {
+            places::grant_place(&gateway, &message)
+        }),
         PING_PATH => respond(&body, |Ping {}| Ack {}),
         RELEASE_PATH => respond(&body, |message: ReleaseRequest| {
             gateway.coordinator.release_jobs(&message.jobs);
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -14,6 +14,7 @@
     blackboard::InFlightGuard,
     body::{RelayedBody, ResponseBody},
     context::Gateway,
+    peers::places::borrow_place,
     refusal::Refusal,
 };
 
@@ -67,8 +68,11 @@
             return Err((Box::new(record), refused));
         }
         let zone = outgoing.prepared_inputs.zone();
-        let Some(server) = choose_server(&gateway, &accepted, zone, &tried)
-        else {
+        let server = match choose_server(&gateway, &accepted, zone, &tried) {
+            Some(server) => Some(server),
+            None => borrow_place(&gateway, &accepted, &tried).await,
+        };
+        let Some(server) = server else {
             record
                 .cause
                 .get_or_insert_with(|| "no server left to try".to_owned());
--- a/crates/briarladder-gateway/src/server_limits.rs
+++ b/crates/briarladder-gateway/src/server_limits.rs
@@ -7,20 +7,35 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use briarladder_core::fleet::{
-    config::ServiceWork,
-    server::ListedServer,
-    server_limits::{
-        LimitChange, LimitChangeKind, LimitMembers, LimitNotice, LimitTime,
-        NamedLimit, Observation, ServerLimits, Sharing, UrgentDemand,
+use briarladder_core::{
+    fleet::{
+        config::ServiceWork,
+        server::ListedServer,
+        server_limits::{
+            LimitChange, LimitChangeKind, LimitMembers, LimitNotice,
+            LimitTime, NamedLimit, Observation, ServerLimits, Sharing,
+            UrgentDemand,
+        },
     },
+    sorted::SortedMap,
 };
 
-use crate::blackboard::Blackboard;
+use rand::seq::{IndexedRandom, IteratorRandom};
+
+use crate::{blackboard::Blackboard, peers::places::PlaceOwner};
+
+/// The time between two requests for a place at one server that were not
+/// granted, for each daemon of the fleet. So all daemons together ask at most
+/// 100 times a second.
+const ASK_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(10);
+
+/// The shortest such time, in a small fleet.
+const MIN_ASK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between two summaries of the limits in the log.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
@@ -32,6 +47,8 @@
     urgent_demand: RefCell<UrgentDemand>,
     /// The members that share the limits, copied when they have changed.
     members: RefCell<Option<LimitMembers>>,
+    /// When another daemon may next be asked for a place, by server.
+    next_ask_at: RefCell<SortedMap<Arc<str>, Instant>>,
     next_summary_at: Cell<Instant>,
 }
 
@@ -43,6 +60,7 @@
             limits: RefCell::new(ServerLimits::new(started_at)),
             urgent_demand: RefCell::default(),
             members: RefCell::default(),
+            next_ask_at: RefCell::default(),
             next_summary_at: Cell::new(started_at),
         }
     }
@@ -179,6 +197,53 @@
         self.announce(change.as_slice());
     }
 
+    /// Returns a daemon to ask for a place at a server that could run a
+    /// request, if one may be asked now.
+    #[must_use]
+    pub fn place_owner(
+        &self,
+        service: &Arc<str>,
+        tried: &[Arc<str>],
+    ) -> Option<PlaceOwner> {
+        let PlaceFinder { time, .. } = self.places();
+        let servers = self.servers.borrow();
+        let limits = self.limits.limits.borrow();
+        let mut next_ask_at = self.limits.next_ask_at.borrow_mut();
+        let server = servers
+            .ready_in_service(service)
+            .filter(|server| limits.limit_per_s(time.now, server).is_some())
+            .filter(|server| self.sharing_of(server) == Sharing::Turns)
+            .filter(|server| {
+                self.accepts_work(server) && !tried.contains(&server.name)
+            })
+            .filter(|server| {
+                next_ask_at.get(&server.name).is_none_or(|&at| at <= time.now)
+            })
+            .choose(&mut rand::rng())?;
+        let members = self.limit_members();
+        let peers = self.peers.borrow();
+        let addresses: Vec<SocketAddr> = limits
+            .holders(time, server, &members)
+            .into_iter()
+            .filter_map(|name| peers.address_of(time.now, name))
+            .collect();
+        let address = *addresses.choose(&mut rand::rng())?;
+        let daemons = u32::try_from(members.len()).unwrap_or(u32::MAX);
+        let interval =
+            (ASK_INTERVAL_PER_DAEMON * daemons).max(MIN_ASK_INTERVAL);
+        next_ask_at.retain(|_, at| *at > time.now);
+        next_ask_at.insert(Arc::clone(&server.name), time.now + interval);
+        Some(PlaceOwner { server: Arc::clone(server), address })
+    }
+
+    /// Records whether another daemon gave a place. The next one may be asked
+    /// for at once if it did.
+    pub fn record_place_response(&self, server: &ListedServer, granted: bool) {
+        if granted {
+            self.limits.next_ask_at.borrow_mut().remove(&server.name);
+        }
+    }
+
     /// Returns what to tell another daemon about limits.
     #[must_use]
     pub fn limit_notices(&self) -> Vec<LimitNotice> {
