Open the last of four places to all ranks, not the first

The first place after a more urgent request was turned away went to any rank, so that a single urgent request was not preferred; may_take_after_more_urgent failed since. Three places are now kept, and the fourth is open, as may_take_open_place checks.

--- a/crates/briarladder-core/src/fleet/server_limits/tests.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/tests.rs
@@ -476,3 +476,22 @@
     assert!(demand.may_take(soon, &orders, 3));
     assert!(demand.may_take(now + MS * 1000, &plans, 3));
 }
+
+/// Guards against the least urgent requests that get no place while more
+/// urgent ones exceed the limit.
+#[test]
+fn may_take_open_place() {
+    let now = Instant::now();
+    let plans: Arc<str> = "plans".into();
+    let mut demand = UrgentDemand::default();
+    let open: Vec<bool> = (0..8)
+        .map(|_| {
+            demand.record_turned_away(now, &plans, 0);
+            let may_take = demand.may_take(now, &plans, 3);
+            demand.record_taken(&plans);
+            may_take
+        })
+        .collect();
+    let one_round = [false, false, false, true];
+    assert_eq!(open, [one_round, one_round].concat());
+}
--- a/crates/briarladder-core/src/fleet/server_limits/urgent_demand.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/urgent_demand.rs
@@ -56,7 +56,8 @@
     #[must_use]
     pub fn may_take(&self, now: Instant, service: &str, rank: u32) -> bool {
         self.by_service.get(service).is_none_or(|demand| {
-            let is_open = demand.taken_places % OPEN_PLACE_ONE_IN == 0;
+            let next_place = demand.taken_places + 1;
+            let is_open = next_place.is_multiple_of(OPEN_PLACE_ONE_IN);
             is_open || !demand.is_reserved(now, rank)
         })
     }
