Use less of a named limit in each turn

Each of the three holders of a turn sent the request that it may send at once, and just reached a second one in the turn.

The holders now use 0.7 of the limit together instead of 0.8, in addition to these tokens.

The two tests of a holder's part now use a limit of 2.5 and state the new rate; they are as strict as before.

--- a/crates/briarladder-core/src/fleet/server_limits/mod.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/mod.rs
@@ -12,20 +12,20 @@
 //! only the first `K` daemons in rendezvous order for the server and the turn
 //! send to it. With a limit of `L` a second, `K` is `floor(L) + 2`, or 1 if
 //! `L` is less than 0.5, and at most the number of daemons. Each holder of a
-//! turn has a token bucket with the rate `r = 0.8 * L / K` and the capacity
+//! turn has a token bucket with the rate `r = 0.7 * L / K` and the capacity
 //! `c = max(1, 0.25 * r)`, which has one token when the turn begins.
 //!
 //! A window of four seconds covers at most two turns, and therefore at most
 //! `2 * K` holders. Their buckets hold at most `2 * K * c` tokens in advance
-//! and gain `0.8 * 4 * L` together, since the holders of one turn stop when
+//! and gain `0.7 * 4 * L` together, since the holders of one turn stop when
 //! those of the next begin. If `c` is 1, the sum is at most
-//! `2 * (L + 2) + 3.2 * L = 5.2 * L + 4`; otherwise `K * c` is `0.2 * L`, and
-//! the sum is `3.6 * L`. If `K` is 1, it is `2 + 3.2 * L`. Each is below
+//! `2 * (L + 2) + 2.8 * L = 4.8 * L + 4`; otherwise `K * c` is `0.175 * L`,
+//! and the sum is `3.15 * L`. If `K` is 1, it is `2 + 2.8 * L`. Each is below
 //! `6 * L + 5`, which is one and a half times the limit over four seconds and
 //! five more requests. The rest covers clocks and member lists that differ.
 //!
 //! A limit below 0.2 counts as 0.2, since the end of a limit is only learned
-//! from a response. With a limit of 0 the sum is 2.64 of 5 requests.
+//! from a response. With a limit of 0 the sum is 2.56 of 5 requests.
 //!
 //! A daemon that has no place may ask a holder of the turn for one
 //! ([`ServerLimits::holders`]). The place is taken from the bucket of the
--- a/crates/briarladder-core/src/fleet/server_limits/tests.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/tests.rs
@@ -333,11 +333,11 @@
 /// Guards against a holder that exceeds its part.
 #[test]
 fn take_place_part_of_a_turn() {
-    let turn = turn_of("vm-0", 9, 1.0, false) * 4000;
-    let (mut limits, now) = limited_daemon(1.0);
+    let turn = turn_of("vm-0", 9, 2.5, false) * 4000;
+    let (mut limits, now) = limited_daemon(2.5);
     let members = members("vm-0", 9);
     let turns = Sharing::Turns;
-    // One token, and 0.8 / 3 a second.
+    // One token, and 0.7 * 2.5 / 4 a second.
     let times = turn..turn + 4000;
     assert_eq!(take_all(&mut limits, now, times, turns, &members), 2);
     let times = turn + 4000..turn + 8000;
@@ -348,12 +348,12 @@
 /// token.
 #[test]
 fn take_place_consecutive_turns() {
-    let turn = turn_of("vm-0", 9, 1.0, true) * 4000;
-    let (mut limits, now) = limited_daemon(1.0);
+    let turn = turn_of("vm-0", 9, 2.5, true) * 4000;
+    let (mut limits, now) = limited_daemon(2.5);
     let members = members("vm-0", 9);
     let times = turn..turn + 8000;
     let taken = take_all(&mut limits, now, times, Sharing::Turns, &members);
-    assert_eq!(taken, 3);
+    assert_eq!(taken, 4);
 }
 
 /// Guards against a clock that jumps through many turns and gives a daemon a
--- a/crates/briarladder-core/src/fleet/server_limits/turns.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/turns.rs
@@ -15,8 +15,9 @@
 /// Turns that are searched for the next one of this daemon.
 const MAX_SCANNED_TURNS: u64 = 8;
 
-/// The part of a limit that the holders of a turn use together.
-const USED_FRACTION: f64 = 0.8;
+/// The part of a limit that the holders of a turn use together, in addition to
+/// the token that each has when it begins.
+const USED_FRACTION: f64 = 0.7;
 
 /// The part of a limit that a single caller uses. Two of them, for a moment,
 /// stay below one and a half times the limit.
