Simulate the end of a limit

Daemons tell each other of limits with unknown transit times, so older notices might bring a limit back after its end.

The example also prints how many daemons knew the limit at the end.

--- a/crates/briarladder-core/examples/server_limits.rs
+++ b/crates/briarladder-core/examples/server_limits.rs
@@ -1,8 +1,9 @@
 //! Compares ways in which daemons can share the limit of a server.
 //!
 //! Prints, for each number of daemons, limit, demand and design, the most
-//! requests that the server got in 4 s, the most that are allowed, and which
-//! share of the limit was used. Of a limit of 0, the share is that of 0.2
+//! requests that the server got in 4 s, the most that are allowed, which share
+//! of the limit was used, in how many runs the limit was exceeded, and how
+//! many daemons knew it at the end. Of a limit of 0, the share is that of 0.2
 //! requests a second. Clocks jump, processes restart, a zone is cut off, and
 //! lists of members differ. With `chosen`, the rejected designs are left out.
 //! The exit status is 1 if a design of the crate exceeds a limit.
@@ -38,6 +39,8 @@
     allowed_requests: f64,
     rate_per_s: f64,
     exceeded: u64,
+    /// The fewest daemons that knew the limit at the end of a run.
+    least_aware: Option<usize>,
 }
 
 impl Summary {
@@ -46,6 +49,9 @@
         self.allowed_requests = outcome.allowed_requests;
         self.rate_per_s += outcome.rate_per_s * weight;
         self.exceeded += u64::from(!outcome.is_kept());
+        let aware = outcome.limited_daemons;
+        let least = self.least_aware.map_or(aware, |least| least.min(aware));
+        self.least_aware = Some(least);
     }
 }
 
@@ -69,7 +75,7 @@
     let designs = if chosen_only { &DESIGNS[..2] } else { &DESIGNS[..] };
     println!(
         "daemons limit/s demand     design      most allowed share \
-         runs over"
+         runs over aware"
     );
     let mut is_kept = true;
     for scenario in scenarios(designs) {
@@ -94,6 +100,7 @@
                     demand,
                     design,
                     faults: true,
+                    ends_at: None,
                     duration: DURATION,
                     seed: 0,
                 }));
@@ -106,7 +113,7 @@
 fn print_row(scenario: &Scenario, summary: &Summary, seeds: u64) {
     let share = summary.rate_per_s / scenario.limit_per_s.max(0.2);
     println!(
-        "{:7} {:7} {:10} {:11} {:4} {:7} {:4.0}% {:>4}/{seeds}",
+        "{:7} {:7} {:10} {:11} {:4} {:7} {:4.0}% {:>4}/{seeds} {:8}",
         scenario.daemons,
         scenario.limit_per_s,
         format!("{:?}", scenario.demand),
@@ -115,5 +122,6 @@
         summary.allowed_requests,
         share * 100.0,
         summary.exceeded,
+        summary.least_aware.unwrap_or(0),
     );
 }
--- a/crates/briarladder-core/src/fleet/server_limits/simulation/mod.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/simulation/mod.rs
@@ -86,6 +86,8 @@
     /// Whether clocks jump, processes restart, a zone is cut off, and lists of
     /// members differ.
     pub faults: bool,
+    /// When the server no longer names its limit.
+    pub ends_at: Option<Duration>,
     pub duration: Duration,
     pub seed: u64,
 }
@@ -99,6 +101,8 @@
     pub allowed_requests: f64,
     /// Requests a second.
     pub rate_per_s: f64,
+    /// Daemons that keep a limit at the end.
+    pub limited_daemons: usize,
 }
 
 impl Outcome {
@@ -326,7 +330,8 @@
         if is_aware {
             self.arrivals.push(self.now);
         }
-        let is_limited = self.now >= NAMED_AT;
+        let is_limited = self.now >= NAMED_AT
+            && self.scenario.ends_at.is_none_or(|at| self.now < at);
         let transit = self.up_to(ms(60));
         let event = Event::Response { daemon, sent_at, is_limited };
         self.schedule(transit, event);
@@ -412,7 +417,14 @@
             .unwrap_or(0);
         let counted_s =
             self.scenario.duration.saturating_sub(from).as_secs_f64();
+        let now = self.instant();
+        let limited_daemons = self
+            .daemons
+            .iter()
+            .filter(|daemon| daemon.limits.limited(now).next().is_some())
+            .count();
         Outcome {
+            limited_daemons,
             most_requests,
             allowed_requests: 1.5 * limit_per_s * window_s + 5.0,
             rate_per_s: to_f64(counted.len()) / counted_s,
--- a/crates/briarladder-core/src/fleet/server_limits/simulation_tests.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/simulation_tests.rs
@@ -24,6 +24,7 @@
                     demand,
                     design,
                     faults: true,
+                    ends_at: None,
                     duration: Duration::from_mins(1),
                     seed,
                 };
@@ -70,11 +71,35 @@
         demand: Demand::Saturating,
         design: Design::Turns,
         faults: true,
+        ends_at: None,
         duration: Duration::from_secs(40),
         seed: 0,
     });
 }
 
+/// Guards against a limit that daemons keep after it has ended, because they
+/// bring it back to each other.
+#[test]
+fn observe_end_reaches_all() {
+    for (daemons, zones, seeds) in SIZES {
+        for seed in 0..seeds {
+            let scenario = Scenario {
+                daemons,
+                zones,
+                limit_per_s: 1.0,
+                demand: Demand::Saturating,
+                design: Design::Turns,
+                faults: true,
+                ends_at: Some(Duration::from_secs(40)),
+                duration: Duration::from_secs(50),
+                seed,
+            };
+            let outcome = run(scenario);
+            assert_eq!(outcome.limited_daemons, 0, "{scenario:?}");
+        }
+    }
+}
+
 fn sparse(daemons: usize, design: Design) -> Outcome {
     run(Scenario {
         daemons,
@@ -83,6 +108,7 @@
         demand: Demand::Sparse,
         design,
         faults: true,
+        ends_at: None,
         duration: Duration::from_mins(1),
         seed: 0,
     })
