Look up the holders of a turn by the corrected clock

A daemon whose wall clock has jumped would ask the holders of another turn for a place. The look-up uses the same time as the daemon's own turns.

--- a/crates/briarladder-core/src/fleet/server_limits/mod.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/mod.rs
@@ -314,17 +314,16 @@
     /// server has no limit.
     #[must_use]
     pub fn holders<'a>(
-        &self,
+        &mut self,
         now: LimitTime,
         server: &ListedServer,
         members: &'a LimitMembers,
     ) -> Vec<&'a Arc<str>> {
-        self.limit_per_s(now.now, server).map_or_else(
-            Vec::new,
-            |limit_per_s| {
-                turns::holders(now, &server.name, limit_per_s, members)
-            },
-        )
+        let Some(limit_per_s) = self.limit_per_s(now.now, server) else {
+            return Vec::new();
+        };
+        let now = self.clock.corrected(now);
+        turns::holders(now, &server.name, limit_per_s, members)
     }
 
     /// Counts a request that was turned away without asking for a place.
--- a/crates/briarladder-gateway/src/server_limits.rs
+++ b/crates/briarladder-gateway/src/server_limits.rs
@@ -207,7 +207,7 @@
     ) -> Option<PlaceOwner> {
         let PlaceFinder { time, .. } = self.places();
         let servers = self.servers.borrow();
-        let limits = self.limits.limits.borrow();
+        let mut limits = self.limits.limits.borrow_mut();
         let mut next_ask_at = self.limits.next_ask_at.borrow_mut();
         let server = servers
             .ready_in_service(service)
