Remember answers to calls for pieces by address

What callers got: 200, made from the results of another request (MIXED), where two entries stand at one address, as after a restart.

The last answers were remembered by the name and start of a server, but connections belong to addresses, so a copy that came at the call for the other entry counted as new.

Change: they are remembered by address. A process that starts anew at an address and gives the same references as one of the last 16 answers there costs one retry.

--- a/crates/briarladder-gateway/src/stages/batcher/calls.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/calls.rs
@@ -141,7 +141,7 @@
             return Ok(outcomes);
         }
         let mut recent = self.recent_responses.borrow_mut();
-        if !recent.record(server, &response.body) {
+        if !recent.record(server.address, &response.body) {
             let cause = "the response is that of an earlier call".to_owned();
             return Err(CallFailure::Sent(cause));
         }
