Exclude an attempt from a connection after each answer without success

What a caller sees that sends an attempt again: the copy of its 404, while the attempt runs; and at the third send 503 for an attempt that ran, since the connection was kept with an answer still due.

Cause: an attempt was excluded from a connection after errors and refusals of the server only.

Change: any other answer without success excludes it too. A success does not: its copy is the answer that the caller had, and a connection would otherwise have to be closed every 32 requests.

--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -487,7 +487,7 @@
         let is_failure = status.is_server_error()
             || states_not_run(status)
             || (status.is_success() && !info.signed);
-        if is_failure {
+        if !status.is_success() || is_failure {
             connection.exclude_attempt(&self.accepted.caller.attempt);
         }
         connection.return_to_pool(info.idle_timeout);
