Take a pause or a leave only from the answer to the send

What callers saw: 503 for as long as the pause that a worker had asked for once, again, although it had room.

The copy of a refusal with Retry-After, which named another attempt, was taken for what the worker says now: availability was recorded before it was known whether the answer belongs to the send.

Change: it is recorded only if the answer does.

--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -357,8 +357,6 @@
         }
         let (head, body) = response.into_parts();
         let info = self.gateway.dialect.decode_response_head(&head, attempt);
-        let blackboard = &self.gateway.blackboard;
-        blackboard.record_availability(server, &info);
         let response = ServerResponse {
             head,
             info,
@@ -366,7 +364,11 @@
             body,
             connection,
         };
+        let blackboard = &self.gateway.blackboard;
         let is_own = response.belongs_to_send();
+        if is_own {
+            blackboard.record_availability(server, &info);
+        }
         blackboard.record_limit(server, sent_at, info.limit, is_own);
         self.classify(server, response).await
     }
