Replace the connection of a refusal when its attempt needs a new one

What callers saw since: 503 or 502 where they were served before. The attempt went to a second entry at the address; it may not use the connection on which it was refused, which stayed open in the pool, and the worker, which had all the connections that it accepts, reset the new one.

Change: if an attempt is excluded from the idle connections to an address, one of them is closed before another one is opened.

--- a/crates/briarladder-gateway/src/pool.rs
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -141,6 +141,13 @@
     timeout: Duration,
 }
 
+impl IdleConnection {
+    fn excludes(&self, attempt: Option<AttemptHash>) -> bool {
+        let excluded = &self.connection.excluded_attempts;
+        attempt.is_some_and(|attempt| excluded.contains(attempt))
+    }
+}
+
 /// The idle connections of the process by address.
 #[derive(Debug)]
 pub struct ConnectionPool {
@@ -318,6 +325,12 @@
                 connect_time: None,
             });
         }
+        // The new connection replaces an excluded one, since a server resets
+        // connections beyond its limit.
+        if self.close_excluded(address, attempt) {
+            // Lets the task of the connection close it first.
+            tokio::task::yield_now().await;
+        }
         self.open(address).await
     }
 
@@ -334,13 +347,25 @@
         let list = idle.get_mut(&address)?;
         list.retain(|idle| is_usable(idle, now));
         let position = list.iter().rposition(|idle| {
-            let excluded = &idle.connection.excluded_attempts;
             freshness.allows(now.duration_since(idle.since))
-                && attempt.is_none_or(|attempt| !excluded.contains(attempt))
+                && !idle.excludes(attempt)
         })?;
         Some(list.remove(position).connection)
     }
 
+    /// Closes an idle connection to an address that the attempt is excluded
+    /// from, and returns whether there was one.
+    fn close_excluded(
+        &self,
+        address: SocketAddr,
+        attempt: Option<AttemptHash>,
+    ) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let Some(list) = idle.get_mut(&address) else { return false };
+        let position = list.iter().position(|idle| idle.excludes(attempt));
+        position.map(|position| list.remove(position)).is_some()
+    }
+
     async fn open(
         self: &Rc<Self>,
         address: SocketAddr,
