Query the record of a call on a connection of its own

What a caller on the own interface gets: the state of another call, with its output, for a ticket whose outcome is unknown.

A record names no call, and it was queried on pooled connections, so one that a plain service sends once more passed for the answer to the next query.

Change: each query uses a connection of its own, as calls that run at most once do.

--- a/crates/briarladder-daemon/src/backend/mod.rs
+++ b/crates/briarladder-daemon/src/backend/mod.rs
@@ -304,7 +304,7 @@
         &self,
         address: SocketAddr,
     ) -> Result<LoadReport, AttemptFailure> {
-        self.get(format!("http://{address}/v1/load")).await
+        Self::get(&self.pooled, format!("http://{address}/v1/load")).await
     }
 
     /// Queries a plain service for its record of a call, by the call's
@@ -318,7 +318,10 @@
         address: SocketAddr,
         key: &str,
     ) -> Result<CallRecord, AttemptFailure> {
-        self.get(format!("http://{address}/v1/calls/{key}")).await
+        // The record names no call, so that on a connection in use before it
+        // could be a copy of the record of another one.
+        let url = format!("http://{address}/v1/calls/{key}");
+        Self::get(&self.single, url).await
     }
 
     /// Sends an order to load model versions to an engine.
@@ -343,10 +346,10 @@
     }
 
     async fn get<T: DeserializeOwned>(
-        &self,
+        client: &Client,
         url: String,
     ) -> Result<T, AttemptFailure> {
-        let request = self.pooled.get(url).timeout(CONTROL_TIMEOUT);
+        let request = client.get(url).timeout(CONTROL_TIMEOUT);
         let response =
             request.send().await.map_err(|error| failure_of(&error))?;
         read_json(response).await
