Let other tasks run while a server sends without pause

Callers saw: while a worker sent informational heads (1xx) without end, other requests took longer. `endless_resumable_stream_bounded` once saw 3.007 s where 1 s is allowed, beside other builds at a load of about 13.

Cause: hyper skips informational heads and reads on in one poll for as long as bytes are there. All tasks of the daemon share one thread. Only tokio's budget ends the poll, after 128 reads, whatever their size; by reading, that may be 4 MiB of heads. That this made the 3 s isn't shown: the failure was not reproduced, in 24 plays.

Change: connections to servers are read through `FairStream`, which lets other tasks run after 32 KiB and one read. It yields by way of tokio's `yield_now`, which polls the sockets first; a task that wakes itself may run up to 61 times before that.

Evidence: `handshake_endless_informational` reads from memory, without tokio's budget. Without the yield 8,426,793 bytes were read in one poll and the test fails; with it, it passes at 128 KiB.

--- a/crates/briarladder-gateway/src/pool.rs
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -10,6 +10,7 @@
 //! ([`excluded_attempts`]).
 
 mod excluded_attempts;
+mod fair_stream;
 
 use std::{
     cell::{Cell, RefCell},
@@ -31,11 +32,17 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use tokio::task::AbortHandle;
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    task::AbortHandle,
+};
 
 use crate::net;
 
-use self::excluded_attempts::{AttemptHash, ExcludedAttempts};
+use self::{
+    excluded_attempts::{AttemptHash, ExcludedAttempts},
+    fair_stream::FairStream,
+};
 
 /// Idle timeout of a connection whose peer announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -375,10 +382,7 @@
             .await
             .map_err(|error| SendError::connect_failed(&error))?;
         let connect_time = self.clock.now().duration_since(started_at);
-        let handshake = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
-            .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
-            .await;
+        let handshake = handshake(stream).await;
         let (sender, connection) = handshake.map_err(|error| {
             let failure = AttemptFailure::ConnectFailed;
             SendError::new(failure, error.to_string())
@@ -405,9 +409,27 @@
     }
 }
 
+/// The future that drives a connection over a stream.
+type Http1Connection<S> =
+    http1::Connection<TokioIo<FairStream<S>>, Full<Bytes>>;
+
+/// Starts HTTP on a stream.
+async fn handshake<S>(
+    stream: S,
+) -> hyper::Result<(SendRequest<Full<Bytes>>, Http1Connection<S>)>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let stream = TokioIo::new(FairStream::new(stream));
+    http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await
+}
+
 fn is_usable(idle: &IdleConnection, now: Instant) -> bool {
     let sender = &idle.connection.sender;
     sender.is_ready()
         && !sender.is_closed()
         && now.duration_since(idle.since) < idle.timeout
 }
+
+#[cfg(test)]
+mod tests;
