Test gossip envelopes with limits and without

Daemons of two earlier versions read other envelopes, and no test covered the limits in the present one.

Three tests encode envelopes with a crash, two limits and the end of a limit. One decodes the present envelope and merges its limits into another daemon. The others decode the fields as each earlier version lists them, and convert what it would send back. They fix the fields of the envelopes only: a change within `GossipMessage` or `CrashNotice` changes both sides and isn't found.

--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -277,7 +277,10 @@
     use std::time::{Duration, Instant};
 
     use briarladder_core::fleet::{
-        crash_tracker::CrashTracker, peers::PeerTable,
+        crash_tracker::CrashTracker,
+        peers::PeerTable,
+        server::ListedServer,
+        server_limits::{NamedLimit, Observation, ServerLimits},
     };
 
     use super::*;
@@ -324,4 +327,119 @@
         assert!(receiver.refused_for(end, &[part]).is_none());
         assert!(receiver.refused_for(end, &[other]).is_none());
     }
+
+    fn listed_server(name: &str) -> ListedServer {
+        ListedServer::new(name, "plans", "127.0.0.1:2".parse().unwrap())
+    }
+
+    /// Returns the limits of a daemon: 0 at `s-1`, 2.5 a second at `s-2`, and
+    /// one at `s-3` that has ended.
+    fn server_limits(now: Instant) -> ServerLimits {
+        let mut limits = ServerLimits::new(now);
+        let named = NamedLimit::PerS;
+        let responses = [
+            ("s-1", named(0.0)),
+            ("s-2", named(2.5)),
+            ("s-3", named(1.0)),
+            ("s-3", NamedLimit::Absent),
+        ];
+        for (name, named) in responses {
+            let response = Observation { sent_at: now, named, is_own: true };
+            let change = limits.observe(now, &listed_server(name), response);
+            assert!(change.is_some());
+        }
+        limits
+    }
+
+    /// Returns an envelope with the crash of a server during a whole request
+    /// and with three limits.
+    fn gossip_envelope(now: Instant) -> GossipEnvelope {
+        let request = Feature::whole_request("/a", None, b"body");
+        let mut tracker = CrashTracker::default();
+        let server = ServerIncarnation::of("s-1", 0);
+        tracker.record_crash(now, &[request], server);
+        GossipEnvelope {
+            exchange: exchange(now),
+            crashes: tracker.notices(now),
+            limits: server_limits(now).notices(now),
+        }
+    }
+
+    /// Guards against limits, or ends of limits, that get lost or change
+    /// between daemons of this version.
+    #[test]
+    fn gossip_envelope_with_limits() {
+        let now = Instant::now();
+        let sent = gossip_envelope(now);
+        let bytes = postcard::to_stdvec(&sent).unwrap();
+        let (received, rest): (GossipEnvelope, _) =
+            postcard::take_from_bytes(&bytes).unwrap();
+        assert!(rest.is_empty());
+        assert_eq!(received.exchange, sent.exchange);
+        assert_eq!(received.crashes, sent.crashes);
+        assert_eq!(received.limits, sent.limits);
+        assert_eq!(received.limits.len(), 3);
+
+        let mut limits = ServerLimits::new(now);
+        let ended = listed_server("s-3");
+        let named = NamedLimit::PerS(1.0);
+        let response = Observation { sent_at: now, named, is_own: true };
+        let earlier = now.checked_sub(Duration::from_secs(20)).unwrap();
+        limits.observe(earlier, &ended, response);
+        limits.merge(now, &received.limits);
+        let limit_of = |name| limits.limit_per_s(now, &listed_server(name));
+        let known = ["s-1", "s-2", "s-3"].map(limit_of);
+        assert_eq!(known, [Some(0.0), Some(2.5), None]);
+    }
+
+    /// Guards against daemons without limits that can't read the message, and
+    /// against crashes that get lost on the way to them and back.
+    #[test]
+    fn crashes_envelope_without_limits() {
+        let now = Instant::now();
+        let sent = CrashesEnvelope::from(gossip_envelope(now));
+        let bytes = postcard::to_stdvec(&sent).unwrap();
+        // What such a daemon reads, field by field.
+        let (exchange, crashes): (GossipMessage, Vec<CrashNotice>) =
+            postcard::from_bytes(&bytes).unwrap();
+        let read = postcard::to_stdvec(&(&exchange, &crashes)).unwrap();
+        assert_eq!(read, bytes);
+        assert_eq!(exchange, sent.exchange);
+        assert_eq!(crashes, sent.crashes);
+        assert_eq!(crashes.len(), 1);
+
+        // What it sends.
+        let decoded: CrashesEnvelope = postcard::from_bytes(&read).unwrap();
+        let received = GossipEnvelope::from(decoded);
+        assert_eq!(received.exchange, sent.exchange);
+        assert_eq!(received.crashes, sent.crashes);
+        assert!(received.limits.is_empty());
+    }
+
+    /// Guards against daemons that track only whole requests and can't read a
+    /// message of a daemon that knows limits, or are not understood by it.
+    #[test]
+    fn request_crashes_envelope_without_limits() {
+        type Crashes = Vec<(Fingerprint, Vec<ServerIncarnation>)>;
+        let now = Instant::now();
+        let sent = CrashesEnvelope::from(gossip_envelope(now));
+        let (exchange, crashes) =
+            (sent.exchange.clone(), sent.crashes.clone());
+        let sent = RequestCrashesEnvelope::from(sent);
+        let bytes = postcard::to_stdvec(&sent).unwrap();
+        let read: (GossipMessage, Crashes) =
+            postcard::from_bytes(&bytes).unwrap();
+        assert_eq!(postcard::to_stdvec(&read).unwrap(), bytes);
+        let fingerprint = crashes[0].feature.fingerprint;
+        let server = ServerIncarnation::of("s-1", 0);
+        assert_eq!(read.0, exchange);
+        assert_eq!(read.1, [(fingerprint, vec![server])]);
+
+        let decoded: RequestCrashesEnvelope =
+            postcard::from_bytes(&bytes).unwrap();
+        let received = GossipEnvelope::from(CrashesEnvelope::from(decoded));
+        assert_eq!(received.exchange, exchange);
+        assert_eq!(received.crashes, crashes);
+        assert!(received.limits.is_empty());
+    }
 }
