Simulate daemons that ask each other for places

The bound of a limit was only checked for daemons that use their own turns, but a daemon without a place now asks a holder of the turn for one.

Requests for places are counted.

The example also runs 30 daemons, and a single design on request.

--- a/crates/briarladder-core/examples/server_limits.rs
+++ b/crates/briarladder-core/examples/server_limits.rs
@@ -3,14 +3,17 @@
 //! Prints, for each number of daemons, limit, demand and design, the most
 //! requests that the server got in 4 s, the most that are allowed, which share
 //! of the limit was used, in how many runs the limit was exceeded, and how
-//! many daemons knew it at the end. Of a limit of 0, the share is that of 0.2
-//! requests a second. Clocks jump, processes restart, a zone is cut off, and
-//! lists of members differ. With `chosen`, the rejected designs are left out.
-//! The exit status is 1 if a design of the crate exceeds a limit.
+//! many daemons knew it at the end. The last columns are the requests for
+//! places: the most that one daemon sent in a second, the most that all sent,
+//! the most that were not granted, and the mean of those. Of a limit of 0, the
+//! share is that of 0.2 requests a second. Clocks jump, processes restart, a
+//! zone is cut off, and lists of members differ. With `chosen`, the rejected
+//! designs are left out; with the name of a design, all others are. The exit
+//! status is 1 if a design of the crate exceeds a limit.
 //!
 //! ```text
 //! cargo run --release -p briarladder-core \
-//!     --example server_limits -- [seeds] [chosen]
+//!     --example server_limits -- [seeds] [chosen|DESIGN]
 //! ```
 
 #[path = "../src/fleet/server_limits/simulation/mod.rs"]
@@ -22,12 +25,20 @@
 use simulation::{Demand, Design, Outcome, Scenario, run};
 
 /// Numbers of daemons and zones.
-const SIZES: [(usize, usize); 3] = [(9, 3), (300, 6), (2500, 12)];
+const SIZES: [(usize, usize); 4] = [(9, 3), (30, 3), (300, 6), (2500, 12)];
 const LIMITS_PER_S: [f64; 6] = [0.0, 0.3, 1.0, 2.5, 8.0, 40.0];
 
 /// The designs of the crate, and then the rejected ones.
-const DESIGNS: [Design; 4] =
-    [Design::Turns, Design::Coordinator, Design::EqualParts, Design::OneHome];
+const DESIGNS: [Design; 5] = [
+    Design::Turns,
+    Design::TurnsWithAsking,
+    Design::Coordinator,
+    Design::EqualParts,
+    Design::OneHome,
+];
+
+/// Number of designs of the crate.
+const CHOSEN: usize = 3;
 
 const DURATION: Duration = Duration::from_mins(1);
 const DEFAULT_SEEDS: u64 = 5;
@@ -41,6 +52,10 @@
     exceeded: u64,
     /// The fewest daemons that knew the limit at the end of a run.
     least_aware: Option<usize>,
+    most_asks_per_daemon: usize,
+    most_asks: usize,
+    most_refused_asks: usize,
+    refused_asks_per_s: f64,
 }
 
 impl Summary {
@@ -52,6 +67,12 @@
         let aware = outcome.limited_daemons;
         let least = self.least_aware.map_or(aware, |least| least.min(aware));
         self.least_aware = Some(least);
+        let asks = outcome.asks;
+        self.most_asks_per_daemon =
+            self.most_asks_per_daemon.max(asks.most_per_daemon);
+        self.most_asks = self.most_asks.max(asks.most);
+        self.most_refused_asks = self.most_refused_asks.max(asks.most_refused);
+        self.refused_asks_per_s += asks.refused_per_s * weight;
     }
 }
 
@@ -71,22 +92,33 @@
         .next()
         .and_then(|seeds| seeds.parse().ok())
         .unwrap_or(DEFAULT_SEEDS);
-    let chosen_only = args.next().is_some_and(|arg| arg == "chosen");
-    let designs = if chosen_only { &DESIGNS[..2] } else { &DESIGNS[..] };
+    let designs = designs(args.next().as_deref());
     println!(
-        "daemons limit/s demand     design      most allowed share \
-         runs over aware"
+        "daemons limit/s demand     design          most allowed share \
+         over    aware asks: daemon   all refused mean"
     );
     let mut is_kept = true;
-    for scenario in scenarios(designs) {
+    for scenario in scenarios(&designs) {
         let summary = run_seeds(scenario, seeds);
         print_row(&scenario, &summary, seeds);
-        let is_chosen = DESIGNS[..2].contains(&scenario.design);
+        let is_chosen = DESIGNS[..CHOSEN].contains(&scenario.design);
         is_kept &= !is_chosen || summary.exceeded == 0;
     }
     if is_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// Returns the designs that an argument selects.
+fn designs(selection: Option<&str>) -> Vec<Design> {
+    let Some(selection) = selection else { return DESIGNS.to_vec() };
+    if selection == "chosen" {
+        return DESIGNS[..CHOSEN].to_vec();
+    }
+    DESIGNS
+        .into_iter()
+        .filter(|design| format!("{design:?}") == selection)
+        .collect()
+}
+
 /// Returns all scenarios of some designs.
 fn scenarios(designs: &[Design]) -> Vec<Scenario> {
     let mut scenarios = Vec::new();
@@ -113,7 +145,8 @@
 fn print_row(scenario: &Scenario, summary: &Summary, seeds: u64) {
     let share = summary.rate_per_s / scenario.limit_per_s.max(0.2);
     println!(
-        "{:7} {:7} {:10} {:11} {:4} {:7} {:4.0}% {:>4}/{seeds} {:8}",
+        "{:7} {:7} {:10} {:15} {:4} {:7} {:4.0}% {:>2}/{seeds} {:8} \
+         {:12} {:5} {:7} {:4.0}",
         scenario.daemons,
         scenario.limit_per_s,
         format!("{:?}", scenario.demand),
@@ -123,5 +156,9 @@
         share * 100.0,
         summary.exceeded,
         summary.least_aware.unwrap_or(0),
+        summary.most_asks_per_daemon,
+        summary.most_asks,
+        summary.most_refused_asks,
+        summary.refused_asks_per_s,
     );
 }
--- a/crates/briarladder-core/src/fleet/server_limits/simulation/designs.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/simulation/designs.rs
@@ -25,15 +25,10 @@
         let daemon = &mut self.daemons[at];
         daemon.limits.limit_per_s(now.now, &self.server)?;
         match self.scenario.design {
-            Design::Turns => daemon
-                .limits
-                .next_place_at(
-                    now,
-                    &self.server,
-                    Sharing::Turns,
-                    &daemon.members,
-                )
-                .map(|at| at.saturating_duration_since(now.now)),
+            Design::Turns => self.next_turn_in(at),
+            Design::TurnsWithAsking => self
+                .next_turn_in(at)
+                .map(|wait| wait.min(self.next_ask_in(at))),
             Design::EqualParts => Some(ms(50)),
             Design::Coordinator | Design::OneHome if !may_send => {
                 Some(ms(100))
@@ -42,10 +37,24 @@
         }
     }
 
+    fn next_turn_in(&mut self, at: usize) -> Option<Duration> {
+        let now = self.time_of(at);
+        let daemon = &mut self.daemons[at];
+        let next_at = daemon.limits.next_place_at(
+            now,
+            &self.server,
+            Sharing::Turns,
+            &daemon.members,
+        )?;
+        Some(next_at.saturating_duration_since(now.now))
+    }
+
     /// Returns whether a daemon is one that uses the limit at the time.
     fn calls_server(&mut self, at: usize) -> bool {
         match self.scenario.design {
-            Design::Turns | Design::EqualParts => true,
+            Design::Turns | Design::TurnsWithAsking | Design::EqualParts => {
+                true
+            }
             Design::Coordinator => self.is_coordinator(at),
             Design::OneHome => self.is_home(at),
         }
@@ -102,7 +111,7 @@
         let limit_per_s = limit_per_s.max(0.2);
         let members = &daemon.members;
         match self.scenario.design {
-            Design::Turns => {
+            Design::Turns | Design::TurnsWithAsking => {
                 daemon.limits.take_place(now, server, Sharing::Turns, members)
             }
             Design::Coordinator => daemon.limits.take_place(
--- a/crates/briarladder-core/src/fleet/server_limits/simulation/events.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/simulation/events.rs
@@ -4,6 +4,8 @@
 
 use briarladder_core::fleet::server_limits::LimitNotice;
 
+use super::asking::Ask;
+
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Event {
     /// A daemon of a run tries to send a request.
@@ -32,6 +34,12 @@
         notices: Vec<LimitNotice>,
         is_reply: bool,
     },
+    /// A request for a place arrives at a holder of the turn.
+    PlaceRequest(Ask),
+    PlaceResponse {
+        ask: Ask,
+        is_granted: bool,
+    },
     ClockJump,
     ClockCorrection {
         daemon: usize,
--- a/crates/briarladder-core/src/fleet/server_limits/simulation/faults.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/simulation/faults.rs
@@ -47,6 +47,7 @@
         let daemon = &mut self.daemons[at];
         daemon.limits = ServerLimits::new(started_at);
         daemon.bucket = None;
+        daemon.next_ask_at = Duration::ZERO;
         daemon.down_until = down_until;
         daemon.run += 1;
         let run = daemon.run;
--- a/crates/briarladder-core/src/fleet/server_limits/simulation/mod.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/simulation/mod.rs
@@ -4,6 +4,7 @@
 //! responses and gossip messages take some time. The example `server_limits`
 //! includes this file, so it uses only the public interface of the crate.
 
+mod asking;
 mod designs;
 mod events;
 mod faults;
@@ -24,7 +25,10 @@
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
+pub use self::asking::AskCounts;
+
 use self::{
+    asking::SentAsk,
     designs::Bucket,
     events::{Event, Timed},
 };
@@ -56,6 +60,8 @@
 pub enum Design {
     /// The one of this crate.
     Turns,
+    /// The same, and a daemon without a place asks a holder of the turn.
+    TurnsWithAsking,
     /// The one of this crate for servers that one daemon calls. It is replaced
     /// regularly and when it restarts; for 2 s both daemons call the server.
     Coordinator,
@@ -103,6 +109,7 @@
     pub rate_per_s: f64,
     /// Daemons that keep a limit at the end.
     pub limited_daemons: usize,
+    pub asks: AskCounts,
 }
 
 impl Outcome {
@@ -120,6 +127,8 @@
     clock_ahead: Duration,
     jumped_by: Duration,
     down_until: Duration,
+    /// When it may next ask another daemon for a place.
+    next_ask_at: Duration,
     /// Number of its processes so far.
     run: u32,
 }
@@ -142,6 +151,7 @@
     overlap_until: Duration,
     first_named_at: Option<Duration>,
     arrivals: Vec<Duration>,
+    asks: Vec<SentAsk>,
 }
 
 /// Runs a scenario.
@@ -179,6 +189,7 @@
                 clock_ahead: ms(random.random_range(0..100)),
                 jumped_by: Duration::ZERO,
                 down_until: Duration::ZERO,
+                next_ask_at: Duration::ZERO,
                 run: 0,
             })
             .collect();
@@ -200,6 +211,7 @@
             overlap_until: Duration::ZERO,
             first_named_at: None,
             arrivals: Vec::new(),
+            asks: Vec::new(),
         }
     }
 
@@ -275,6 +287,10 @@
             Event::Notices { from, to, notices, is_reply } => {
                 self.receive(from, to, &notices, is_reply);
             }
+            Event::PlaceRequest(ask) => self.answer_ask(ask),
+            Event::PlaceResponse { ask, is_granted } => {
+                self.receive_place(ask, is_granted);
+            }
             Event::ClockJump => self.jump_clock(),
             Event::ClockCorrection { daemon } => {
                 self.daemons[daemon].jumped_by = Duration::ZERO;
@@ -311,17 +327,21 @@
 
     fn send_if_allowed(&mut self, daemon: usize) {
         let is_down = self.now < self.daemons[daemon].down_until;
-        if is_down || !self.take(daemon) {
+        if is_down {
+            return;
+        }
+        if !self.take(daemon) {
+            self.ask_for_place(daemon);
             return;
         }
         let now = self.instant();
-        let is_aware =
-            self.daemons[daemon].limits.limit_per_s(now, &self.server);
-        let event = Event::Arrival {
-            daemon,
-            sent_at: self.now,
-            is_aware: is_aware.is_some(),
-        };
+        let limits = &self.daemons[daemon].limits;
+        let is_aware = limits.limit_per_s(now, &self.server).is_some();
+        self.send(daemon, is_aware);
+    }
+
+    fn send(&mut self, daemon: usize, is_aware: bool) {
+        let event = Event::Arrival { daemon, sent_at: self.now, is_aware };
         let transit = self.up_to(ms(20));
         self.schedule(transit, event);
     }
@@ -408,13 +428,6 @@
         let from = self.first_named_at.unwrap_or(NAMED_AT) + GRACE;
         let counted: Vec<Duration> =
             self.arrivals.iter().copied().filter(|&at| at >= from).collect();
-        let most_requests = (0..counted.len())
-            .map(|first| {
-                let end = counted[first] + WINDOW;
-                counted.partition_point(|&at| at <= end) - first
-            })
-            .max()
-            .unwrap_or(0);
         let counted_s =
             self.scenario.duration.saturating_sub(from).as_secs_f64();
         let now = self.instant();
@@ -425,18 +438,30 @@
             .count();
         Outcome {
             limited_daemons,
-            most_requests,
+            most_requests: most_in_window(&counted, WINDOW),
             allowed_requests: 1.5 * limit_per_s * window_s + 5.0,
             rate_per_s: to_f64(counted.len()) / counted_s,
+            asks: self.ask_counts(),
         }
     }
 }
 
+/// Returns the most of some ascending times that lie in a window.
+fn most_in_window(times: &[Duration], window: Duration) -> usize {
+    (0..times.len())
+        .map(|first| {
+            let end = times[first] + window;
+            times.partition_point(|&at| at <= end) - first
+        })
+        .max()
+        .unwrap_or(0)
+}
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
 #[allow(clippy::cast_precision_loss)] // Counts of one run are small.
-fn to_f64(n: usize) -> f64 {
+pub fn to_f64(n: usize) -> f64 {
     n as f64
 }
