--- a/crates/briarladder-gateway/src/server_limits.rs
+++ b/crates/briarladder-gateway/src/server_limits.rs
@@ -30,8 +30,8 @@
 use crate::{blackboard::Blackboard, peers::places::PlaceOwner};
 
 /// The time between two requests for a place at one server that were not
-/// granted, for each daemon of the fleet. So all daemons together ask at most
-/// 100 times a second.
+/// granted, for each daemon of the fleet. So all daemons together ask in vain
+/// about 100 times a second, after a first request of each.
 const ASK_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(10);
 
 /// The shortest such time, in a small fleet.
