Spread the first requests for places after a limit is learned

All daemons learn of a limit at about the same time, and each could ask for a place at once. The first request now comes after a random part of the interval between two.

--- a/crates/briarladder-gateway/src/server_limits.rs
+++ b/crates/briarladder-gateway/src/server_limits.rs
@@ -31,7 +31,8 @@
 
 /// The time between two requests for a place at one server that were not
 /// granted, for each daemon of the fleet. So all daemons together ask in vain
-/// about 100 times a second, after a first request of each.
+/// about 100 times a second. The first one comes within this time of the
+/// moment at which the daemon learns of the limit.
 const ASK_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(10);
 
 /// The shortest such time, in a small fleet.
@@ -228,9 +229,7 @@
             .filter_map(|name| peers.address_of(time.now, name))
             .collect();
         let address = *addresses.choose(&mut rand::rng())?;
-        let daemons = u32::try_from(members.len()).unwrap_or(u32::MAX);
-        let interval =
-            (ASK_INTERVAL_PER_DAEMON * daemons).max(MIN_ASK_INTERVAL);
+        let interval = ask_interval(&members);
         next_ask_at.retain(|_, at| *at > time.now);
         next_ask_at.insert(Arc::clone(&server.name), time.now + interval);
         Some(PlaceOwner { server: Arc::clone(server), address })
@@ -259,12 +258,26 @@
 
     /// Logs changes and tells them to other daemons soon.
     fn announce(&self, changes: &[LimitChange]) {
-        changes.iter().for_each(log_change);
+        for change in changes {
+            log_change(change);
+            if matches!(change.kind, LimitChangeKind::Named { .. }) {
+                self.delay_first_ask(&change.server);
+            }
+        }
         if !changes.is_empty() {
             self.hasten_gossip();
         }
     }
 
+    /// Spreads the first requests for a place: all daemons learn of a limit
+    /// at about the same time, and few of them have places.
+    fn delay_first_ask(&self, server: &Arc<str>) {
+        let interval = ask_interval(&self.limit_members());
+        let delay = interval.mul_f64(rand::random());
+        let mut next_ask_at = self.limits.next_ask_at.borrow_mut();
+        next_ask_at.insert(Arc::clone(server), self.now() + delay);
+    }
+
     /// Returns the number of servers that have a limit, and logs at intervals
     /// what this daemon uses of each.
     pub fn summarize_limits(&self) -> usize {
@@ -316,6 +329,11 @@
     }
 }
 
+fn ask_interval(members: &LimitMembers) -> Duration {
+    let daemons = u32::try_from(members.len()).unwrap_or(u32::MAX);
+    (ASK_INTERVAL_PER_DAEMON * daemons).max(MIN_ASK_INTERVAL)
+}
+
 fn log_change(change: &LimitChange) {
     let LimitChange { server, born_ms, kind, source } = change;
     let shown = match kind {
