Test the wait for calls to a server that limits them

The queue of pieces counts a limited server as the part of its calls that it takes, which no unit test covered. With half a call a second, ten full calls wait at least 19 s, and the throughput is that of four pieces a second.

--- a/crates/briarladder-core/src/fleet/batching/tests.rs
+++ b/crates/briarladder-core/src/fleet/batching/tests.rs
@@ -543,3 +543,23 @@
     queue.record_process_end("a");
     assert_eq!(queue.next_call(now).unwrap().ids.len(), 8);
 }
+
+/// Guards against pieces that are admitted although the limit of their server
+/// leaves no time for them.
+#[test]
+fn expected_wait_limited_server() {
+    let now = Instant::now();
+    let mut queue = queue(&["a"]);
+    for id in 0..80 {
+        queue.push(piece(id, now, 5_000));
+    }
+    let unlimited = queue.throughput().pieces_per_s;
+    let wait = queue.expected_wait();
+    queue.set_call_limit("a", Some(0.5));
+    // Half a call of eight pieces a second.
+    assert!((queue.throughput().pieces_per_s - 4.0).abs() < 0.01);
+    assert!(queue.expected_wait() >= Duration::from_secs(19));
+    queue.set_call_limit("a", None);
+    assert!((queue.throughput().pieces_per_s - unlimited).abs() < 0.01);
+    assert_eq!(queue.expected_wait(), wait);
+}
