Compare revisions of the store only within an era

Cause: a revision was taken for a counter that only rises. The local copy dropped each item of the restored store as older than the revision that it knew, and asked from that revision again: 410 and a listing three times a second until the counter had passed it. Where it had passed before a daemon asked, nothing showed the gap. What was written meanwhile stayed unknown.

Change: - A version is (era, revision) in the copy, in its removals, in requests and answers between daemons, and in logs. Only a full listing brings a copy into a new era; an answer, a page or a peer of an earlier one changes nothing. Answers to a watch of an earlier era and pages of two eras are discarded. - The configuration is ordered by its own version, and then by where it was written, over all eras. Neither an older one nor keys that were revoked come back. A daemon that starts asks three peers before the store, and a random peer for 3 s after a start or a restore. - Servers are reconciled with the listing of a restored store: one that it lacks stays for 2.5 s, and one that has announced that it leaves is not brought back by an older entry. An entry that is written later always holds. - Daemons that read the store only because it was away list it in the order in which they replace a reader, and follow those that have. - Daemons of the version before keep their path between daemons. Their answers count as of an unknown era, which precedes all others. - One log line for a restore, with both versions, and the counter `store_restores`.

Evidence: of the 12 tests of `restored_store`, 11 failed on the code before; `store_without_era_serves` passed. With this change all but `restored_twice_changes_in_force` pass, which shows another fault. The simulation of the copy draws restores: 300 histories of 400 steps with three daemons, in which no configuration goes back, and what a daemon believes after the last write of each key is the content of the store.

Two versions of different eras have an order now, and nothing of an earlier era is applied after a later one, so the gap can't arise.

--- a/crates/briarladder-core/src/fleet/store_roles.rs
+++ b/crates/briarladder-core/src/fleet/store_roles.rs
@@ -42,7 +42,7 @@
 const RESPONSE_GRACE: Duration = Duration::from_millis(500);
 
 /// How long a source is skipped after it failed to respond or lost the store.
-const SOURCE_BACKOFF: Duration = Duration::from_secs(2);
+pub const SOURCE_BACKOFF: Duration = Duration::from_secs(2);
 
 /// Number of daemons at the head of the order that all others also poll when
 /// their ancestors are lost. A network partition may cut off several daemons
@@ -169,10 +169,22 @@
         self.backoff_until.remove(source);
     }
 
-    /// Records that a source didn't respond or has lost the store.
-    pub fn record_failure(&mut self, now: Instant, source: &Arc<str>) {
+    /// Records that a source is of no use for a while, for example because it
+    /// didn't respond or has lost the store.
+    pub fn record_failure(
+        &mut self,
+        now: Instant,
+        source: &Arc<str>,
+        backoff: Duration,
+    ) {
         self.backoff_until.retain(|_, until| *until > now);
-        self.backoff_until.insert(Arc::clone(source), now + SOURCE_BACKOFF);
+        self.backoff_until.insert(Arc::clone(source), now + backoff);
+    }
+
+    /// Polls all sources again, for example because they may be the first ones
+    /// to know that the store is back.
+    pub fn clear_backoffs(&mut self) {
+        self.backoff_until = SortedMap::new();
     }
 
     /// Returns whether changes are being received.
@@ -297,9 +309,9 @@
         assert!(tracker.is_fresh(silent));
         let later = silent + Duration::from_millis(10);
         assert_eq!(tracker.stale_for(later), Some(Duration::from_millis(10)));
-        tracker.record_failure(now, &sources[0]);
+        tracker.record_failure(now, &sources[0], SOURCE_BACKOFF);
         assert_eq!(tracker.choose_source(now, &sources), Some(&sources[1]));
-        tracker.record_failure(now, &sources[1]);
+        tracker.record_failure(now, &sources[1], SOURCE_BACKOFF);
         assert_eq!(tracker.choose_source(now, &sources), Some(&sources[2]));
         let lost = 2 * (poll_timeout + RESPONSE_GRACE)
             + reader_poll_interval(max_change_delay);
--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -24,6 +24,7 @@
         mirror::Mirror,
         peers::{Member, PeerTable},
         placement::Placement,
+        reconciliation::Reconciliation,
         server::{ListedServer, ServerState, Servers},
         shutdown::Shutdown,
         store_roles::{self, Role, SourceTracker},
@@ -77,7 +78,7 @@
 pub struct CellsVersion {
     servers: u64,
     availability: u64,
-    config: u64,
+    config_changes: u64,
 }
 
 /// The shared state of a gateway.
@@ -99,8 +100,19 @@
     pub store_status: Cell<StoreStatus>,
     /// Configuration in force; owner: the store controller.
     config: RefCell<Option<Rc<FleetConfig>>>,
+    /// How often a configuration came into force; owner: the store controller.
+    config_changes: Cell<u64>,
     /// Listed servers; owner: the store controller.
     pub servers: RefCell<Servers>,
+    /// Servers for which the listing of a restored store does not hold yet;
+    /// owner: the store controller.
+    pub reconciliation: RefCell<Reconciliation>,
+    /// Notified when a listing does not hold for some servers; owner: the
+    /// store controller.
+    pub reconciliation_changed: Notify,
+    /// When this daemon received the listing of the last restored store;
+    /// owner: the store controller.
+    pub restored_at: Cell<Option<Instant>>,
     /// Requests that crash servers; owner: the request path.
     pub crash_tracker: RefCell<CrashTracker>,
     /// Servers that are leaving or have asked for a pause; owner: the request
@@ -166,7 +178,11 @@
             source_tracker: RefCell::default(),
             store_status: Cell::new(StoreStatus::NeverReached),
             config: RefCell::new(None),
+            config_changes: Cell::new(0),
             servers: RefCell::default(),
+            reconciliation: RefCell::default(),
+            reconciliation_changed: Notify::new(),
+            restored_at: Cell::new(None),
             availability: RefCell::default(),
             crash_tracker: RefCell::default(),
             limits: LimitState::new(started_at),
@@ -203,28 +219,19 @@
         self.config.borrow().clone()
     }
 
-    /// Puts a configuration in force if it is newer, and returns whether it
-    /// is.
-    pub fn apply_config(&self, config: FleetConfig) -> bool {
-        let newer = self
-            .config
-            .borrow()
-            .as_ref()
-            .is_none_or(|current| current.version < config.version);
-        if newer {
-            *self.config.borrow_mut() = Some(Rc::new(config));
-        }
-        newer
+    /// Puts a configuration in force.
+    pub fn set_config(&self, config: FleetConfig) {
+        *self.config.borrow_mut() = Some(Rc::new(config));
+        self.config_changes.set(self.config_changes.get() + 1);
     }
 
     /// Returns the current versions of the inputs of [`Self::cells`].
     #[must_use]
     pub fn cells_version(&self) -> CellsVersion {
-        let config = self.config.borrow();
         CellsVersion {
             servers: self.servers.borrow().change_count(),
             availability: self.availability.borrow().change_count(),
-            config: config.as_ref().map_or(0, |config| config.version),
+            config_changes: self.config_changes.get(),
         }
     }
 
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -276,6 +276,17 @@
     /// Returns the path that waits for changes after a revision.
     fn watch_path(&self, after: u64, wait: Duration) -> String;
 
+    /// Returns the era of the store that an answer names: how often it was
+    /// restored from a copy. `None` if the answer names none.
+    ///
+    /// # Errors
+    ///
+    /// If it is malformed.
+    fn decode_store_era(
+        &self,
+        headers: &HeaderMap,
+    ) -> Result<Option<u64>, FormatError>;
+
     /// Decodes a page of a listing.
     ///
     /// # Errors
--- a/crates/briarladder-gateway/src/metrics.rs
+++ b/crates/briarladder-gateway/src/metrics.rs
@@ -53,6 +53,8 @@
     pub pieces: Family<ServiceLabels, Counter>,
     /// Calls to the store by outcome.
     pub store_calls: Family<ServiceLabels, Counter>,
+    /// Restores of the store from a copy that this daemon has seen.
+    pub store_restores: Counter,
     /// Requests in progress.
     pub open_requests: Gauge,
     /// Version of the configuration in force.
@@ -81,6 +83,7 @@
         let sends = Family::default();
         let pieces = Family::default();
         let store_calls = Family::default();
+        let store_restores = Counter::default();
         let open_requests = Gauge::default();
         let config_version = Gauge::default();
         let live_daemons = Gauge::default();
@@ -99,6 +102,11 @@
             "Calls to the store",
             store_calls.clone(),
         );
+        registry.register(
+            "store_restores",
+            "Restores of the store from a copy",
+            store_restores.clone(),
+        );
         registry.register(
             "open_requests",
             "Requests in progress",
@@ -131,6 +139,7 @@
             sends,
             pieces,
             store_calls,
+            store_restores,
             open_requests,
             config_version,
             live_daemons,
--- a/crates/briarladder-gateway/src/peers/changes.rs
+++ b/crates/briarladder-gateway/src/peers/changes.rs
@@ -7,49 +7,72 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use briarladder_core::fleet::{
-    mirror::{Item, ItemKey, PublishedValue},
+    mirror::{ConfigStamp, Mirror, PublishedConfig, ServerEntry},
     server::{ListedServer, ServerState},
+    store_version::StoreVersion,
 };
 use serde::{Deserialize, Serialize};
 
 /// The path of a request for store items.
-pub const CHANGES_PATH: &str = "/peers/changes";
+pub const CHANGES_PATH: &str = "/peers/changes-2";
 
-/// Requests the items that have changed after a revision.
+/// Requests the items that have changed after a version.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct ChangesRequest {
-    /// The revision that the sender knows.
-    pub after: u64,
+    /// The version that the sender knows.
+    pub after: StoreVersion,
+    /// The configuration that the sender knows.
+    pub config: Option<ConfigStamp>,
     /// The long-poll timeout in milliseconds.
     pub wait_ms: u64,
 }
 
+impl ChangesRequest {
+    /// Returns whether a copy has something that the sender lacks.
+    #[must_use]
+    pub fn is_behind(&self, mirror: &Mirror) -> bool {
+        mirror.has_changes_after(self.after)
+            || mirror.config_after(self.config).is_some()
+    }
+
+    /// Returns whether the sender knows an era of the store that a copy
+    /// doesn't have yet.
+    #[must_use]
+    pub fn is_ahead(&self, mirror: &Mirror) -> bool {
+        self.after.era > mirror.version().era
+    }
+}
+
 /// Items of the store.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct ChangesResponse {
-    /// Whether these are all items, because removals after the requested
-    /// revision are no longer known.
+    /// Whether these are all servers, because removals after the requested
+    /// version are no longer known or it belongs to an earlier era.
     pub complete: bool,
-    /// The revision up to which the peer knows all changes.
-    pub revision: u64,
+    /// The version up to which the peer knows all changes. The versions of all
+    /// servers belong to its era.
+    pub version: StoreVersion,
     /// Whether the peer receives changes itself.
     pub in_contact: bool,
-    /// The configuration.
-    config: Option<ConfigItem>,
+    /// The configuration, if the sender of the request has an older one.
+    pub config: Option<ConfigItem>,
     /// Names of services and zones, referenced by index.
-    names: Vec<Arc<str>>,
-    servers: Vec<ServerItem>,
-    removed: Vec<RemovedItem>,
+    pub(super) names: Vec<Arc<str>>,
+    pub(super) servers: Vec<ServerItem>,
+    pub(super) removed: Vec<RemovedItem>,
 }
 
+/// A configuration. Its own version is read from it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct ConfigItem {
-    revision: u64,
-    bytes: Vec<u8>,
+pub struct ConfigItem {
+    /// The version of the store at which it was written.
+    pub written_at: StoreVersion,
+    /// The configuration, in the compressed format of the platform.
+    pub bytes: Vec<u8>,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct ServerItem {
+pub(super) struct ServerItem {
     revision: u64,
     name: Arc<str>,
     /// An index into `names`.
@@ -62,52 +85,66 @@
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct RemovedItem {
+pub(super) struct RemovedItem {
     revision: u64,
     name: Arc<str>,
 }
 
 impl ChangesResponse {
-    /// Creates a response with these items.
+    /// Creates the response to a request from a copy. A sender that is ahead
+    /// gets no servers, only a configuration that it lacks.
     #[must_use]
-    pub fn from_items<'a>(
-        items: impl IntoIterator<Item = &'a Item>,
+    pub fn new(
+        mirror: &Mirror,
+        request: &ChangesRequest,
+        in_contact: bool,
     ) -> ChangesResponse {
-        let mut response = ChangesResponse::default();
-        for item in items {
-            response.push(item);
+        let mut response = ChangesResponse {
+            version: mirror.version(),
+            in_contact,
+            config: mirror.config_after(request.config).map(ConfigItem::from),
+            ..ChangesResponse::default()
+        };
+        if request.is_ahead(mirror) {
+            return response;
+        }
+        if let Some(entries) = mirror.changes_since(request.after) {
+            response.extend(&entries);
+        } else {
+            response.complete = true;
+            response.extend(mirror.servers());
         }
         response
     }
 
-    fn push(&mut self, item: &Item) {
-        let revision = item.revision;
-        match (&item.key, &item.value) {
-            (_, Some(PublishedValue::Config(bytes))) => {
-                let bytes = bytes.to_vec();
-                self.config = Some(ConfigItem { revision, bytes });
-            }
-            (_, Some(PublishedValue::Server(server))) => {
-                let item = ServerItem {
-                    revision,
-                    name: Arc::clone(&server.name),
-                    service: self.position(&server.service),
-                    zone: self.position(&server.zone),
-                    address: server.address,
-                    state: server.state,
-                    born_ms: server.born_ms,
-                };
-                self.servers.push(item);
-            }
-            (ItemKey::Server(name), None) => {
-                let name = Arc::clone(name);
-                self.removed.push(RemovedItem { revision, name });
-            }
-            // A removed configuration stays in force.
-            (ItemKey::Config, None) => {}
+    fn extend<'a>(
+        &mut self,
+        entries: impl IntoIterator<Item = &'a ServerEntry>,
+    ) {
+        for entry in entries {
+            self.push(entry);
         }
     }
 
+    fn push(&mut self, entry: &ServerEntry) {
+        let revision = entry.version.revision;
+        let name = Arc::clone(&entry.name);
+        let Some(server) = &entry.server else {
+            self.removed.push(RemovedItem { revision, name });
+            return;
+        };
+        let item = ServerItem {
+            revision,
+            name,
+            service: self.position(&server.service),
+            zone: self.position(&server.zone),
+            address: server.address,
+            state: server.state,
+            born_ms: server.born_ms,
+        };
+        self.servers.push(item);
+    }
+
     fn position(&mut self, name: &Arc<str>) -> u32 {
         let known = self.names.iter().position(|known| known == name);
         let at = known.unwrap_or_else(|| {
@@ -125,16 +162,12 @@
             + usize::from(self.config.is_some())
     }
 
-    /// Returns the items, without servers that reference a missing name.
+    /// Returns the entries of servers, without those that reference a missing
+    /// name.
     #[must_use]
-    pub fn into_items(self) -> Vec<Item> {
-        let ChangesResponse { names, config, servers, removed, .. } = self;
+    pub fn into_servers(self) -> Vec<ServerEntry> {
+        let ChangesResponse { names, servers, removed, version, .. } = self;
         let name = |at: u32| names.get(usize::try_from(at).ok()?).cloned();
-        let config = config.map(|ConfigItem { revision, bytes }| Item {
-            key: ItemKey::Config,
-            revision,
-            value: Some(PublishedValue::Config(bytes.into())),
-        });
         let servers = servers.into_iter().filter_map(|item| {
             let server = ListedServer {
                 service: name(item.service)?,
@@ -144,67 +177,29 @@
                 state: item.state,
                 born_ms: item.born_ms,
             };
-            Some(Item {
-                key: ItemKey::Server(Arc::clone(&server.name)),
-                revision: item.revision,
-                value: Some(PublishedValue::Server(server)),
+            Some(ServerEntry {
+                name: Arc::clone(&server.name),
+                version: version.at(item.revision),
+                server: Some(server),
             })
         });
-        let removed = removed.into_iter().map(|item| Item {
-            key: ItemKey::Server(item.name),
-            revision: item.revision,
-            value: None,
+        let removed = removed.into_iter().map(|item| ServerEntry {
+            name: item.name,
+            version: version.at(item.revision),
+            server: None,
         });
-        config.into_iter().chain(servers).chain(removed).collect()
+        servers.chain(removed).collect()
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn server(number: usize) -> Item {
-        let name = format!("i-{number:08x}");
-        let address = SocketAddr::from(([10, 1, 64, 9], 8080));
-        let mut server = ListedServer::new(&name, "engines", address);
-        server.zone = Arc::from(format!("zone-{}", number % 12));
-        server.born_ms = 1_700_000_000_000;
-        Item {
-            key: ItemKey::Server(Arc::clone(&server.name)),
-            revision: 400_000,
-            value: Some(PublishedValue::Server(server)),
+impl From<&PublishedConfig> for ConfigItem {
+    fn from(config: &PublishedConfig) -> ConfigItem {
+        ConfigItem {
+            written_at: config.stamp.written_at,
+            bytes: config.bytes.to_vec(),
         }
     }
-
-    /// Guards against items that are altered by encoding, and against one
-    /// invalid reference that loses the other items.
-    #[test]
-    fn items_round_trip() {
-        let removed = Item { value: None, ..server(3) };
-        let config = Item {
-            key: ItemKey::Config,
-            revision: 7,
-            value: Some(PublishedValue::Config(Arc::from(&b"{}"[..]))),
-        };
-        let sent = [config, server(1), server(2), removed];
-        let mut response = ChangesResponse::from_items(&sent);
-        assert_eq!(response.item_count(), 4);
-        let bytes = postcard::to_stdvec(&response).unwrap();
-        let read: ChangesResponse = postcard::from_bytes(&bytes).unwrap();
-        assert_eq!(read.into_items(), sent);
-        response.servers[0].zone = 99;
-        assert_eq!(response.into_items().len(), 3);
-    }
-
-    /// Guards against a list of all backend servers at the target fleet size
-    /// that takes long on the link of a small VM: 10 Mbit/s carry half a
-    /// megabyte in 400 ms.
-    #[test]
-    fn all_servers_are_small() {
-        let servers: Vec<Item> = (0..10_000).map(server).collect();
-        let bytes =
-            postcard::to_stdvec(&ChangesResponse::from_items(&servers))
-                .unwrap();
-        assert!(bytes.len() < 500_000, "{} bytes", bytes.len());
-    }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/briarladder-gateway/src/peers/client.rs
+++ b/crates/briarladder-gateway/src/peers/client.rs
@@ -10,7 +10,7 @@
 
 use crate::{bounded_body::read_body, pool::ConnectionPool};
 
-use super::changes::CHANGES_PATH;
+use super::{changes::CHANGES_PATH, eraless_changes::ERALESS_CHANGES_PATH};
 
 /// A call to a peer that failed.
 #[derive(Debug, Display, Error)]
@@ -66,7 +66,10 @@
 /// Returns the longest response to a call. Whatever listens at the address of
 /// another daemon may send more.
 fn max_response_bytes(path: &str) -> usize {
-    if path == CHANGES_PATH { MAX_CHANGES_BYTES } else { MAX_RESPONSE_BYTES }
+    match path {
+        CHANGES_PATH | ERALESS_CHANGES_PATH => MAX_CHANGES_BYTES,
+        _ => MAX_RESPONSE_BYTES,
+    }
 }
 
 /// Calls other daemons on pooled connections.
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -47,9 +47,6 @@
 /// The path of a ping.
 pub const PING_PATH: &str = "/peers/ping";
 
-/// The path of a request for store items.
-pub const CHANGES_PATH: &str = "/peers/changes";
-
 /// A gossip message, sent in both directions of an exchange.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct GossipEnvelope {
--- a/crates/briarladder-gateway/src/peers/mod.rs
+++ b/crates/briarladder-gateway/src/peers/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod changes;
 pub mod client;
+pub mod eraless_changes;
 pub mod membership;
 pub mod messages;
 pub mod places;
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -13,6 +13,7 @@
 
 use super::{
     changes::{CHANGES_PATH, ChangesRequest, ChangesResponse},
+    eraless_changes::{ERALESS_CHANGES_PATH, EralessRequest, EralessResponse},
     membership,
     messages::{
         Ack, CHECK_PATH, COMPARE_PATH, CRASHES_EXCHANGE_PATH, CrashesEnvelope,
@@ -75,10 +76,16 @@
             Err(error) => malformed(&error),
         },
         CHANGES_PATH => match postcard::from_bytes(&body) {
+            Ok(message) => encode(&changes_response(&gateway, &message).await),
+            Err(error) => malformed(&error),
+        },
+        ERALESS_CHANGES_PATH => match postcard::from_bytes(&body) {
             Ok(message) => {
-                let message: ChangesRequest = message;
-                wait_for_change(&gateway, message).await;
-                encode(&changes_response(&gateway, message))
+                let message: EralessRequest = message;
+                let message =
+                    message.in_era_of(&gateway.blackboard.mirror.borrow());
+                let response = changes_response(&gateway, &message).await;
+                encode(&EralessResponse::from(response))
             }
             Err(error) => malformed(&error),
         },
@@ -124,37 +131,28 @@
     ProbeResponse { reached: response.is_ok() }
 }
 
-/// Waits, for at most the requested long-poll timeout, until there is a change
-/// after the sender's revision or this daemon no longer receives changes.
-async fn wait_for_change(gateway: &Gateway, message: ChangesRequest) {
+/// Waits, for at most the requested long-poll timeout, until the sender lacks
+/// something or this daemon can't tell it anything new: it no longer receives
+/// changes, or the sender knows a later era of the store.
+async fn changes_response(
+    gateway: &Gateway,
+    message: &ChangesRequest,
+) -> ChangesResponse {
     let blackboard = &gateway.blackboard;
+    let has_news = || {
+        let mirror = blackboard.mirror.borrow();
+        message.is_behind(&mirror) || message.is_ahead(&mirror)
+    };
     let changed = async {
-        while !blackboard.mirror.borrow().has_changes_after(message.after)
-            && blackboard.receives_changes()
-        {
+        while !has_news() && blackboard.receives_changes() {
             blackboard.mirror_changed.notified().await;
         }
     };
     let wait = Duration::from_millis(message.wait_ms).min(MAX_POLL_TIMEOUT);
     // On a timeout the response contains no changes.
     let _ = tokio::time::timeout(wait, changed).await;
-}
-
-fn changes_response(
-    gateway: &Gateway,
-    message: ChangesRequest,
-) -> ChangesResponse {
-    let blackboard = &gateway.blackboard;
-    let mirror = blackboard.mirror.borrow();
-    let since = mirror.changes_since(message.after);
-    let mut response = match &since {
-        Some(items) => ChangesResponse::from_items(items),
-        None => ChangesResponse::from_items(mirror.items()),
-    };
-    response.complete = since.is_none();
-    response.revision = mirror.revision();
-    response.in_contact = blackboard.receives_changes();
-    response
+    let in_contact = blackboard.receives_changes();
+    ChangesResponse::new(&blackboard.mirror.borrow(), message, in_contact)
 }
 
 fn respond<Q: DeserializeOwned, A: Serialize>(
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -146,6 +146,7 @@
     spawn_local(store::run(shared(), settings.store_address));
     spawn_local(store::run_peer_fallback(shared()));
     spawn_local(store::run_follower(shared()));
+    spawn_local(store::run_reconciliation(shared()));
     spawn_local(membership::run(shared(), Rc::clone(settings)));
     spawn_local(Rc::clone(&gateway.coordinator).run());
     spawn_local(release::run(shared()));
--- a/crates/briarladder-gateway/src/store/apply.rs
+++ b/crates/briarladder-gateway/src/store/apply.rs
@@ -1,8 +1,14 @@
 //! Applies items of the store to the shared state.
 
-use std::sync::Arc;
+use std::{rc::Rc, sync::Arc};
 
-use briarladder_core::fleet::mirror::{Item, ItemKey, PublishedValue};
+use briarladder_core::fleet::{
+    config::FleetConfig,
+    mirror::{Applied, ConfigStamp, Listing, PublishedConfig, ServerEntry},
+    reconciliation::ServerChange,
+    server::ListedServer,
+    store_version::StoreVersion,
+};
 
 use crate::{
     context::Gateway,
@@ -11,132 +17,268 @@
 
 use super::compression::{compress_config, decompress_config};
 
-/// Decodes an item of the store; `None` if the gateway does not use it. A
-/// server with a malformed entry is treated as removed.
-pub fn decode_item(gateway: &Gateway, item: &StoreItem) -> Option<Item> {
-    let StoreItem { key, revision, value } = item;
-    let (key, value) = match gateway.dialect.item_kind(key) {
-        ItemKind::Config => {
-            let value = value.as_ref();
-            let value = value
-                .map(|bytes| PublishedValue::Config(compress_config(bytes)));
-            (ItemKey::Config, value)
-        }
-        ItemKind::Server(name) => {
-            let server = value.as_ref().and_then(|value| {
-                gateway
-                    .dialect
-                    .decode_server(name, value)
-                    .inspect_err(|error| {
-                        // Another writer may have chosen any name.
-                        let name = name.escape_default();
-                        log::warn!(
-                            "servers: server={name} outcome=ignored \
-                             cause={error} revision={revision}"
-                        );
-                    })
-                    .ok()
-            });
-            (
-                ItemKey::Server(Arc::from(name)),
-                server.map(PublishedValue::Server),
-            )
-        }
-        ItemKind::Other => return None,
-    };
-    Some(Item { key, revision: *revision, value })
+/// Items of the store that the gateway uses.
+#[derive(Default)]
+pub struct DecodedItems {
+    /// The newest valid configuration.
+    pub config: Option<DecodedConfig>,
+    /// The entries of servers, in the order of the items.
+    pub servers: Vec<ServerEntry>,
 }
 
-/// Applies a full listing that was started at a revision.
-pub fn apply_snapshot(gateway: &Gateway, items: &[Item], revision: u64) {
-    for item in items {
-        apply_change(gateway, item);
-    }
-    let removed =
-        gateway.blackboard.mirror.borrow_mut().apply_snapshot(items, revision);
-    for item in removed {
-        update_state(gateway, &item);
-    }
-    gateway.blackboard.mirror_changed.notify_waiters();
+/// A valid configuration.
+pub struct DecodedConfig {
+    published: PublishedConfig,
+    config: FleetConfig,
 }
 
-/// Applies one change.
-pub fn apply_change(gateway: &Gateway, item: &Item) {
-    let changed = gateway.blackboard.mirror.borrow_mut().apply(item.clone());
-    if changed {
-        update_state(gateway, item);
+impl DecodedConfig {
+    /// Decodes a configuration that another daemon has sent. `None` if it is
+    /// invalid.
+    pub fn from_peer(
+        gateway: &Gateway,
+        written_at: StoreVersion,
+        compressed: Vec<u8>,
+    ) -> Option<DecodedConfig> {
+        let bytes = match decompress_config(&compressed) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("config: {written_at} outcome=rejected {error}");
+                return None;
+            }
+        };
+        decode_config(gateway, written_at, &bytes, compressed.into())
     }
 }
 
-/// Records that all changes up to a revision are applied.
-pub fn advance_revision(gateway: &Gateway, revision: u64) {
-    gateway.blackboard.mirror.borrow_mut().advance(revision);
-    gateway.blackboard.mirror_changed.notify_waiters();
+impl DecodedItems {
+    /// Decodes an item and adds it, if the gateway uses it. A server with a
+    /// malformed entry is treated as removed, and an invalid configuration is
+    /// left out.
+    pub fn add(&mut self, gateway: &Gateway, era: u64, item: &StoreItem) {
+        let StoreItem { key, revision, value } = item;
+        let version = StoreVersion { era, revision: *revision };
+        match gateway.dialect.item_kind(key) {
+            ItemKind::Config => {
+                let config = value.as_ref().and_then(|bytes| {
+                    let compressed = compress_config(bytes);
+                    decode_config(gateway, version, bytes, compressed)
+                });
+                self.config = config.or(self.config.take());
+            }
+            ItemKind::Server(name) => {
+                let server = value.as_ref().and_then(|value| {
+                    decode_server(gateway, version, name, value)
+                });
+                let name = Arc::from(name);
+                self.servers.push(ServerEntry { name, version, server });
+            }
+            ItemKind::Other => {}
+        }
+    }
 }
 
-/// Updates the shared state after a change of an item.
-fn update_state(gateway: &Gateway, item: &Item) {
-    let revision = item.revision;
-    match (&item.key, &item.value) {
-        (_, Some(PublishedValue::Config(bytes))) => {
-            update_config(gateway, revision, bytes);
+fn decode_config(
+    gateway: &Gateway,
+    written_at: StoreVersion,
+    bytes: &[u8],
+    compressed: Arc<[u8]>,
+) -> Option<DecodedConfig> {
+    match gateway.dialect.decode_config(bytes) {
+        Ok(config) => {
+            let config_version = config.version;
+            let stamp = ConfigStamp { config_version, written_at };
+            let published = PublishedConfig { stamp, bytes: compressed };
+            Some(DecodedConfig { published, config })
+        }
+        Err(error) => {
+            log::error!("config: {written_at} outcome=rejected cause={error}");
+            None
         }
-        (_, Some(PublishedValue::Server(server))) => {
-            log::info!(
-                "servers: server={} service={} zone={} state={:?} \
-                 revision={revision}",
-                server.name,
-                server.service,
-                server.zone,
-                server.state,
+    }
+}
+
+fn decode_server(
+    gateway: &Gateway,
+    version: StoreVersion,
+    name: &str,
+    value: &[u8],
+) -> Option<ListedServer> {
+    gateway
+        .dialect
+        .decode_server(name, value)
+        .inspect_err(|error| {
+            // Another writer may have chosen any name.
+            let name = name.escape_default();
+            log::warn!(
+                "servers: server={name} outcome=ignored cause={error} \
+                 {version}"
             );
-            let blackboard = &gateway.blackboard;
-            let known = blackboard.servers.borrow().get(&server.name).cloned();
-            if known.is_some_and(|known| known.born_ms != server.born_ms) {
-                // Failures and delays of the server's previous process no
-                // longer apply.
-                blackboard.placement.borrow_mut().remove_server(&server.name);
+        })
+        .ok()
+}
+
+/// Applies a full listing that was started at a version. Returns whether it
+/// belongs to the newest era that is known.
+pub fn apply_listing(
+    gateway: &Gateway,
+    items: DecodedItems,
+    version: StoreVersion,
+) -> bool {
+    let blackboard = &gateway.blackboard;
+    apply_config(gateway, items.config);
+    let known = blackboard.mirror.borrow().version();
+    let listing =
+        blackboard.mirror.borrow_mut().apply_listing(&items.servers, version);
+    match listing {
+        Listing::Outdated => return false,
+        Listing::Changes(changes) => {
+            for entry in &changes {
+                apply_written(gateway, entry);
             }
-            blackboard.servers.borrow_mut().insert(server.clone());
         }
-        (ItemKey::Server(name), None) => {
-            let shown = name.escape_default();
-            log::info!(
-                "servers: server={shown} state=gone revision={revision}"
-            );
-            gateway.blackboard.servers.borrow_mut().remove(name);
-            gateway.blackboard.placement.borrow_mut().remove_server(name);
+        Listing::NewEra => begin_era(gateway, known, version, &items.servers),
+    }
+    blackboard.mirror_changed.notify_waiters();
+    true
+}
+
+/// Replaces what is known of servers by the listing of a new era, except for
+/// what the listing may not hold yet.
+fn begin_era(
+    gateway: &Gateway,
+    known: StoreVersion,
+    version: StoreVersion,
+    listing: &[ServerEntry],
+) {
+    let blackboard = &gateway.blackboard;
+    let now = blackboard.now();
+    let mut reconciliation = blackboard.reconciliation.borrow_mut();
+    let changes =
+        reconciliation.begin(now, &blackboard.servers.borrow(), listing);
+    let held = reconciliation.held_count();
+    drop(reconciliation);
+    for change in &changes {
+        update_server(gateway, change, version);
+    }
+    blackboard.reconciliation_changed.notify_one();
+    if known == StoreVersion::default() {
+        return;
+    }
+    blackboard.restored_at.set(Some(now));
+    gateway.metrics.store_restores.inc();
+    log::warn!(
+        "store: event=restored from_era={} from_revision={} {version} \
+         servers={} held={held}",
+        known.era,
+        known.revision,
+        listing.len(),
+    );
+}
+
+/// Applies changes since a version that was known, after which all changes up
+/// to another version are known.
+pub fn apply_changes(
+    gateway: &Gateway,
+    items: DecodedItems,
+    version: StoreVersion,
+) {
+    let blackboard = &gateway.blackboard;
+    apply_config(gateway, items.config);
+    for entry in &items.servers {
+        let applied = blackboard.mirror.borrow_mut().apply(entry.clone());
+        if applied != Applied::Outdated {
+            apply_written(gateway, entry);
         }
-        // A removed configuration stays in force.
-        (ItemKey::Config, None) => {}
     }
+    blackboard.mirror.borrow_mut().advance(version);
+    blackboard.mirror_changed.notify_waiters();
 }
 
-fn update_config(gateway: &Gateway, revision: u64, compressed: &[u8]) {
-    let bytes = match decompress_config(compressed) {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            log::error!(
-                "config: revision={revision} outcome=rejected cause={error}"
-            );
-            return;
+/// Puts a configuration in force if it is newer.
+pub fn apply_config(gateway: &Gateway, config: Option<DecodedConfig>) {
+    let Some(DecodedConfig { published, config }) = config else { return };
+    let blackboard = &gateway.blackboard;
+    let written_at = published.stamp.written_at;
+    if !blackboard.mirror.borrow_mut().apply_config(published) {
+        return;
+    }
+    let version = config.version;
+    let routes = config.routes.len();
+    blackboard.set_config(config);
+    let shown = i64::try_from(version).unwrap_or(i64::MAX);
+    gateway.metrics.config_version.set(shown);
+    log::info!(
+        "config: version={version} routes={routes} {written_at} \
+         outcome=in_force"
+    );
+}
+
+/// Applies an entry that was written after the last listing of a new era, or
+/// in an era without a restore.
+fn apply_written(gateway: &Gateway, entry: &ServerEntry) {
+    let blackboard = &gateway.blackboard;
+    blackboard.reconciliation.borrow_mut().release(&entry.name);
+    let ServerEntry { name, version, server } = entry;
+    let change =
+        ServerChange { name: Arc::clone(name), server: server.clone() };
+    update_server(gateway, &change, *version);
+}
+
+/// Applies the listing of a restored store to the servers that have not
+/// written their entries again in time. Never returns.
+pub async fn run_reconciliation(gateway: Rc<Gateway>) {
+    let blackboard = &gateway.blackboard;
+    loop {
+        let next = blackboard.reconciliation.borrow().next_expiry();
+        let Some(next) = next else {
+            blackboard.reconciliation_changed.notified().await;
+            continue;
+        };
+        tokio::time::sleep_until(next.into()).await;
+        let now = blackboard.now();
+        let changes = blackboard.reconciliation.borrow_mut().expire(now);
+        let version = blackboard.mirror.borrow().version();
+        for change in &changes {
+            update_server(&gateway, change, version);
         }
-    };
-    match gateway.dialect.decode_config(&bytes) {
-        Ok(config) => {
-            let version = config.version;
-            let routes = config.routes.len();
-            if gateway.blackboard.apply_config(config) {
-                let shown = i64::try_from(version).unwrap_or(i64::MAX);
-                gateway.metrics.config_version.set(shown);
-                log::info!(
-                    "config: version={version} routes={routes} \
-                     revision={revision} outcome=in_force"
-                );
-            }
+    }
+}
+
+/// Updates the shared state after a change of a server.
+fn update_server(
+    gateway: &Gateway,
+    change: &ServerChange,
+    version: StoreVersion,
+) {
+    let blackboard = &gateway.blackboard;
+    let known = blackboard.servers.borrow().get(&change.name).cloned();
+    if known.as_deref() == change.server.as_ref() {
+        return;
+    }
+    if let Some(server) = &change.server {
+        log::info!(
+            "servers: server={} service={} zone={} state={:?} {version}",
+            server.name,
+            server.service,
+            server.zone,
+            server.state,
+        );
+        if known.is_some_and(|known| known.born_ms != server.born_ms) {
+            // Failures and delays of the server's previous process no longer
+            // apply.
+            blackboard.placement.borrow_mut().remove_server(&server.name);
         }
-        Err(error) => log::error!(
-            "config: revision={revision} outcome=rejected cause={error}"
-        ),
+        blackboard.servers.borrow_mut().insert(server.clone());
+        return;
+    }
+    let name = &change.name;
+    let shown = name.escape_default();
+    log::info!("servers: server={shown} state=gone {version}");
+    if let Some(known) = known {
+        let now = blackboard.now();
+        blackboard.reconciliation.borrow_mut().record_departure(now, &known);
     }
+    blackboard.servers.borrow_mut().remove(name);
+    blackboard.placement.borrow_mut().remove_server(name);
 }
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -5,14 +5,28 @@
 //! changes accumulate. In a large zone one daemon reads the store and the
 //! others receive the changes from it, directly or through others. If the
 //! store is unavailable, a daemon requests the same changes from a peer.
+//!
+//! A store that was restored from a copy names a new era. Its reader lists all
+//! items once and feeds the others. Those that were reading the store because
+//! it was away wait for that, in the order in which they replace a reader.
 
 mod apply;
 mod compression;
 mod peer_source;
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::Cell,
+    cmp::Ordering,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use briarladder_core::fleet::store_roles::{Role, reader_poll_interval};
+use briarladder_core::fleet::{
+    store_roles::{Role, reader_poll_interval},
+    store_version::{StoreVersion, UNKNOWN_ERA},
+};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{HeaderValue, Request, StatusCode, header};
@@ -24,11 +38,15 @@
     dialect::FormatError, metrics::Metrics,
 };
 
-use self::apply::{
-    advance_revision, apply_change, apply_snapshot, decode_item,
+use self::{
+    apply::{DecodedItems, apply_changes, apply_listing},
+    peer_source::poll_peers_at_start,
 };
 
-pub use self::peer_source::{run_follower, run_peer_fallback};
+pub use self::{
+    apply::run_reconciliation,
+    peer_source::{run_follower, run_peer_fallback},
+};
 
 /// Timeout of a call beyond its long-poll timeout.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -66,6 +84,22 @@
     /// be listed again.
     #[display("the store has dropped older changes; listing all items")]
     HistoryGone,
+    /// The store was restored from a copy; all items must be listed again.
+    #[display("the store was restored, era {from} to {to}; listing all items")]
+    Restored {
+        /// The era that was known.
+        from: u64,
+        /// The era of the answer.
+        to: u64,
+    },
+    /// The answer was on its way while the store was restored.
+    #[display("an answer of era {from}, after one of era {known}; ignored")]
+    EarlierEra {
+        /// The era of the answer.
+        from: u64,
+        /// The newest era that is known.
+        known: u64,
+    },
     /// The store did not respond, or with an error status.
     #[display("the store is unavailable: {_0}")]
     Unavailable(#[error(not(source))] String),
@@ -90,8 +124,10 @@
 
 /// Reads and then watches the store. Never returns.
 pub async fn run(gateway: Rc<Gateway>, store: SocketAddr) {
-    let reader = StoreReader { gateway, store };
+    let reader =
+        StoreReader { gateway, store, era_learned_at: Cell::new(None) };
     reader.wait_for_peers().await;
+    poll_peers_at_start(&reader.gateway).await;
     let mut listed = false;
     let mut reads = true;
     loop {
@@ -132,6 +168,11 @@
                 log::info!("store: history=gone action=list");
                 listed = false;
             }
+            Err(error @ StoreError::Restored { .. }) => {
+                log::info!("store: action=list cause={error}");
+                reader.record_new_era();
+                listed = false;
+            }
             Err(error) => {
                 reader.record_failure(&error);
                 let jitter = rand::rng().random_range(0.0..1.0);
@@ -144,6 +185,15 @@
 struct StoreReader {
     gateway: Rc<Gateway>,
     store: SocketAddr,
+    /// When an answer of the store last named a new era.
+    era_learned_at: Cell<Option<Instant>>,
+}
+
+/// A successful answer of the store.
+struct StoreAnswer {
+    /// The era that it names.
+    era: u64,
+    body: Bytes,
 }
 
 impl StoreReader {
@@ -179,34 +229,45 @@
             .borrow()
             .stale_for(now)
             .or_else(|| now.checked_duration_since(blackboard.started_at));
+        // After a restore, the daemons whose turn it is list all items, and
+        // the others receive them.
+        let era_known_for = self
+            .era_learned_at
+            .get()
+            .map(|learned_at| now.duration_since(learned_at));
+        let stale_for = stale_for.min(era_known_for.or(stale_for));
         blackboard.source_tracker.borrow().is_fresh(now)
             || stale_for.is_some_and(|stale| stale < takeover_delay)
     }
 
     /// Lists all items. Returns true, as there may be changes.
     async fn list(&self) -> Result<bool, StoreError> {
-        let mut items = Vec::new();
+        let mut items = DecodedItems::default();
+        let mut item_count = 0;
         let mut after: Option<Arc<str>> = None;
-        let mut first_revision = None;
+        let mut first: Option<StoreVersion> = None;
         loop {
             let path = self.gateway.dialect.list_path(after.as_deref());
-            let body = self.get(&path, RESPONSE_TIMEOUT).await?;
-            let page = self.gateway.dialect.decode_page(&body)?;
+            let answer = self.get(&path, RESPONSE_TIMEOUT).await?;
+            let page = self.gateway.dialect.decode_page(&answer.body)?;
             // The pages are not a consistent snapshot: only the items as of
             // the first page's revision are known to be complete.
-            let revision = *first_revision.get_or_insert(page.revision);
-            let decoded = page.items.iter();
-            let decoded =
-                decoded.filter_map(|i| decode_item(&self.gateway, i));
-            items.extend(decoded);
+            let version = *first.get_or_insert(StoreVersion {
+                era: answer.era,
+                revision: page.revision,
+            });
+            check_era(version.era, answer.era)?;
+            item_count += page.items.len();
+            for item in &page.items {
+                items.add(&self.gateway, answer.era, item);
+            }
             if !page.more {
-                apply_snapshot(&self.gateway, &items, revision);
-                return Ok(true);
+                return self.apply_listing(items, version);
             }
             let last_key = page.items.last().map(|item| Arc::clone(&item.key));
-            if last_key == after || items.len() > MAX_LISTED_ITEMS {
+            if last_key == after || item_count > MAX_LISTED_ITEMS {
                 return Err(StoreError::EndlessListing {
-                    items: items.len(),
+                    items: item_count,
                     last_key: last_key.unwrap_or_default(),
                 });
             }
@@ -214,27 +275,47 @@
         }
     }
 
+    fn apply_listing(
+        &self,
+        items: DecodedItems,
+        version: StoreVersion,
+    ) -> Result<bool, StoreError> {
+        if apply_listing(&self.gateway, items, version) {
+            return Ok(true);
+        }
+        let known = self.gateway.blackboard.mirror.borrow().version().era;
+        Err(StoreError::EarlierEra { from: version.era, known })
+    }
+
     /// Waits for changes. Returns whether there were any.
     async fn watch(&self) -> Result<bool, StoreError> {
-        let after = self.gateway.blackboard.mirror.borrow().revision();
+        let after = self.gateway.blackboard.mirror.borrow().version();
         let wait = self.gateway.blackboard.store_role().reader_poll_timeout;
-        let path = self.gateway.dialect.watch_path(after, wait);
-        let body = self.get(&path, wait + RESPONSE_TIMEOUT).await?;
-        let changes = self.gateway.dialect.decode_changes(&body)?;
+        let path = self.gateway.dialect.watch_path(after.revision, wait);
+        let answer = self.get(&path, wait + RESPONSE_TIMEOUT).await?;
+        // The changes after a revision of an earlier era leave a gap.
+        check_era(after.era, answer.era)?;
+        let changes = self.gateway.dialect.decode_changes(&answer.body)?;
+        let mut items = DecodedItems::default();
         for item in &changes.items {
-            if let Some(item) = decode_item(&self.gateway, item) {
-                apply_change(&self.gateway, &item);
-            }
+            items.add(&self.gateway, answer.era, item);
         }
-        advance_revision(&self.gateway, changes.revision);
+        apply_changes(&self.gateway, items, after.at(changes.revision));
         Ok(!changes.items.is_empty())
     }
 
+    /// Lets the daemons that read the store list all items first.
+    fn record_new_era(&self) {
+        let blackboard = &self.gateway.blackboard;
+        self.era_learned_at.set(Some(blackboard.now()));
+        blackboard.source_tracker.borrow_mut().clear_backoffs();
+    }
+
     async fn get(
         &self,
         path: &str,
         timeout: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreAnswer, StoreError> {
         let response =
             tokio::time::timeout(timeout, self.exchange(path)).await;
         response.unwrap_or_else(|_| {
@@ -242,7 +323,7 @@
         })
     }
 
-    async fn exchange(&self, path: &str) -> Result<Bytes, StoreError> {
+    async fn exchange(&self, path: &str) -> Result<StoreAnswer, StoreError> {
         let unavailable = |error: String| StoreError::Unavailable(error);
         let host = HeaderValue::from_str(&self.store.to_string())
             .map_err(|error| unavailable(error.to_string()))?;
@@ -255,12 +336,15 @@
         let (response, connection) =
             sent.map_err(|error| unavailable(error.to_string()))?;
         let status = response.status();
+        let era = self.gateway.dialect.decode_store_era(response.headers());
         let body = read_body(response.into_body(), MAX_RESPONSE_BYTES)
             .await
             .map_err(|error| unavailable(error.to_string()))?;
         connection.return_to_pool(None);
         match status {
-            StatusCode::OK => Ok(body),
+            StatusCode::OK => {
+                Ok(StoreAnswer { era: era?.unwrap_or(UNKNOWN_ERA), body })
+            }
             StatusCode::GONE => Err(StoreError::HistoryGone),
             status => Err(unavailable(format!("status {status}"))),
         }
@@ -272,8 +356,8 @@
             blackboard.store_status.get(),
             StoreStatus::NeverReached | StoreStatus::UnreachableSince(_)
         ) {
-            let revision = blackboard.mirror.borrow().revision();
-            log::info!("store: contact=regained revision={revision}");
+            let version = blackboard.mirror.borrow().version();
+            log::info!("store: contact=regained {version}");
         }
         blackboard.store_status.set(StoreStatus::Reachable);
         self.count("answered");
@@ -285,10 +369,8 @@
             blackboard.store_status.get(),
             StoreStatus::Reachable | StoreStatus::ReadByPeers
         ) {
-            let revision = blackboard.mirror.borrow().revision();
-            log::warn!(
-                "store: contact=lost revision={revision} cause={error}"
-            );
+            let version = blackboard.mirror.borrow().version();
+            log::warn!("store: contact=lost {version} cause={error}");
             blackboard
                 .store_status
                 .set(StoreStatus::UnreachableSince(blackboard.now()));
@@ -302,3 +384,14 @@
         Metrics::count(&self.gateway.metrics.store_calls, "store", outcome);
     }
 }
+
+/// Checks that an answer is of the era that is known.
+fn check_era(known: u64, from: u64) -> Result<(), StoreError> {
+    match from.cmp(&known) {
+        Ordering::Equal => Ok(()),
+        Ordering::Greater => {
+            Err(StoreError::Restored { from: known, to: from })
+        }
+        Ordering::Less => Err(StoreError::EarlierEra { from, known }),
+    }
+}
--- a/crates/briarladder-gateway/src/store/peer_source.rs
+++ b/crates/briarladder-gateway/src/store/peer_source.rs
@@ -5,7 +5,11 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use briarladder_core::fleet::store_roles::Role;
+use briarladder_core::fleet::{
+    store_roles::{Role, SOURCE_BACKOFF},
+    store_version::StoreVersion,
+};
+use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
 
 use crate::{
@@ -14,10 +18,15 @@
     peers::{
         changes::{CHANGES_PATH, ChangesRequest, ChangesResponse},
         client::PeerError,
+        eraless_changes::{
+            ERALESS_CHANGES_PATH, EralessRequest, EralessResponse,
+        },
     },
 };
 
-use super::apply::{advance_revision, apply_change, apply_snapshot};
+use super::apply::{
+    DecodedConfig, DecodedItems, apply_changes, apply_config, apply_listing,
+};
 
 /// How often a daemon without a source looks for one.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -31,6 +40,17 @@
 /// Timeout of a call to a peer beyond its long-poll timeout.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long a source is skipped that has not heard of a restore yet. It lists
+/// the store, or receives the items, within a few hundred milliseconds.
+const EARLIER_ERA_BACKOFF: Duration = Duration::from_millis(200);
+
+/// Peers that a daemon asks before it reads the store for the first time.
+const START_PEERS: usize = 3;
+
+/// How long after a start or a restore a random peer is polled as well. Its
+/// configuration may be newer than that of the store.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// Timeout of the first call, whose response holds all items.
 const FULL_LIST_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -58,17 +78,24 @@
         };
         let now = gateway.blackboard.now();
         let failure = match response {
-            Ok(true) => None,
-            Ok(false) => Some("it no longer receives changes".to_owned()),
-            Err(error) => Some(error.to_string()),
+            Ok(SourceState::Current) => None,
+            Ok(SourceState::OutOfContact) => {
+                let cause = "it no longer receives changes".to_owned();
+                Some((SOURCE_BACKOFF, cause))
+            }
+            Ok(SourceState::EarlierEra) => {
+                let cause = "it doesn't know the restore of the store";
+                Some((EARLIER_ERA_BACKOFF, cause.to_owned()))
+            }
+            Err(error) => Some((SOURCE_BACKOFF, error.to_string())),
         };
-        if let Some(cause) = failure {
+        if let Some((backoff, cause)) = failure {
             log::info!("store: source={source} outcome=lost cause={cause}");
             gateway
                 .blackboard
                 .source_tracker
                 .borrow_mut()
-                .record_failure(now, &source);
+                .record_failure(now, &source, backoff);
             gateway.blackboard.mirror_changed.notify_waiters();
             last = None;
             continue;
@@ -99,7 +126,19 @@
     Some((Arc::clone(source), address))
 }
 
-/// Polls peers while the store is unreachable. Never returns.
+/// What the answer of another daemon says of it as a source.
+enum SourceState {
+    /// It receives changes.
+    Current,
+    /// It receives no changes itself.
+    OutOfContact,
+    /// It has not received the items of the store since a restore that this
+    /// daemon knows.
+    EarlierEra,
+}
+
+/// Polls peers while the store is unreachable, and for a while after a start
+/// or a restore. Never returns.
 pub async fn run_peer_fallback(gateway: Rc<Gateway>) {
     loop {
         tokio::time::sleep(PEER_POLL_INTERVAL).await;
@@ -107,71 +146,113 @@
         let unreachable_for = blackboard.store_unreachable_for();
         let has_source =
             blackboard.source_tracker.borrow().is_fresh(blackboard.now());
-        if !has_source
-            && unreachable_for.is_some_and(|time| time > PEER_FALLBACK_DELAY)
-        {
-            poll_any_peer(&gateway).await;
+        let needs_source = !has_source
+            && unreachable_for.is_some_and(|time| time > PEER_FALLBACK_DELAY);
+        if needs_source || is_settling(&gateway) {
+            poll_peers(&gateway, 1).await;
         }
     }
 }
 
-async fn poll_any_peer(gateway: &Gateway) {
+/// Returns whether the process has just started or the store was just
+/// restored, so that the store may have lost a newer configuration.
+fn is_settling(gateway: &Gateway) -> bool {
+    let blackboard = &gateway.blackboard;
+    let since = blackboard.restored_at.get().unwrap_or(blackboard.started_at);
+    blackboard.now().duration_since(since) < SETTLE_TIME
+}
+
+/// Polls some peers before the first call to the store, which may have been
+/// restored from a copy with an older configuration.
+pub async fn poll_peers_at_start(gateway: &Gateway) {
+    poll_peers(gateway, START_PEERS).await;
+}
+
+async fn poll_peers(gateway: &Gateway, count: usize) {
     let now = gateway.blackboard.now();
-    let peer = {
+    let addresses: Vec<SocketAddr> = {
         let peers = gateway.blackboard.peers.borrow();
         let live: Vec<_> = peers.live_peers(now).collect();
-        live.choose(&mut rand::rng()).map(|member| member.address)
+        let chosen = live.sample(&mut rand::rng(), count);
+        chosen.map(|member| member.address).collect()
     };
-    let Some(address) = peer else { return };
-    if let Err(error) = poll_peer(gateway, address, Duration::ZERO).await {
-        log::debug!("store: {error}");
-    }
+    let polls = addresses.into_iter().map(|address| async move {
+        if let Err(error) = poll_peer(gateway, address, Duration::ZERO).await {
+            log::debug!("store: {error}");
+        }
+    });
+    join_all(polls).await;
 }
 
-/// Requests changes from a peer and applies them. Returns whether the peer
-/// receives changes itself.
+/// Requests changes from a peer and applies them.
 async fn poll_peer(
     gateway: &Gateway,
     address: SocketAddr,
     wait: Duration,
-) -> Result<bool, PeerError> {
-    let after = gateway.blackboard.mirror.borrow().revision();
-    let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-    let message = ChangesRequest { after, wait_ms };
+) -> Result<SourceState, PeerError> {
+    let request = {
+        let mirror = gateway.blackboard.mirror.borrow();
+        ChangesRequest {
+            after: mirror.version(),
+            config: mirror.config().map(|config| config.stamp),
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        }
+    };
+    let is_first = request.after == StoreVersion::default();
     let timeout =
-        if after == 0 { FULL_LIST_TIMEOUT } else { wait + PEER_TIMEOUT };
-    let response: ChangesResponse =
-        gateway.peers.call(address, CHANGES_PATH, &message, timeout).await?;
-    let in_contact = response.in_contact;
-    apply_response(gateway, address, after, response);
-    Ok(in_contact)
+        if is_first { FULL_LIST_TIMEOUT } else { wait + PEER_TIMEOUT };
+    let peers = &gateway.peers;
+    let sent = peers.call(address, CHANGES_PATH, &request, timeout).await;
+    let response = match sent {
+        // What an earlier version of the daemon knows is of use only to one
+        // that knows nothing.
+        Err(error) if error.is_unknown_path() && is_first => {
+            let request =
+                EralessRequest { after: 0, wait_ms: request.wait_ms };
+            let path = ERALESS_CHANGES_PATH;
+            let response: EralessResponse =
+                peers.call(address, path, &request, timeout).await?;
+            response.into()
+        }
+        sent => sent?,
+    };
+    Ok(apply_response(gateway, address, &request, response))
 }
 
 fn apply_response(
     gateway: &Gateway,
     address: SocketAddr,
-    after: u64,
-    response: ChangesResponse,
-) {
-    let revision = response.revision;
-    // A peer may know single items that are newer than its revision.
-    if revision <= after && response.item_count() == 0 {
-        return;
-    }
-    if response.item_count() > 0 {
+    request: &ChangesRequest,
+    mut response: ChangesResponse,
+) -> SourceState {
+    let ChangesResponse { complete, version, in_contact, .. } = response;
+    let item_count = response.item_count();
+    if item_count > 0 {
         log::info!(
-            "store: source=peer peer={address} items={} revision={revision}",
-            response.item_count(),
+            "store: source=peer peer={address} items={item_count} {version}"
         );
     }
-    let complete = response.complete;
-    let items = response.into_items();
-    if complete {
-        apply_snapshot(gateway, &items, revision);
+    let config = response.config.take().and_then(|config| {
+        DecodedConfig::from_peer(gateway, config.written_at, config.bytes)
+    });
+    let known = gateway.blackboard.mirror.borrow().version();
+    let state = if in_contact {
+        SourceState::Current
     } else {
-        for item in items {
-            apply_change(gateway, &item);
-        }
-        advance_revision(gateway, revision);
+        SourceState::OutOfContact
+    };
+    if version.era < known.era {
+        apply_config(gateway, config);
+        return SourceState::EarlierEra;
+    }
+    if !complete && item_count == 0 && version <= known {
+        return state;
+    }
+    let items = DecodedItems { config, servers: response.into_servers() };
+    if complete {
+        apply_listing(gateway, items, version);
+    } else if version.era == request.after.era {
+        apply_changes(gateway, items, version);
     }
+    state
 }
