Bound the polls of a lone reader by the bound for changes

Callers of a small site could see an older configuration for more than the bound for changes after a restore of the store.

Cause: a poll asks for changes after a revision. If the restored store has given out exactly that revision again, it holds the poll until its timeout, 3 s for a daemon that serves no others, also where a change has to be in force in 2.5 s. Only the answer tells the new era.

Change: such a poll takes at most three quarters of the bound, and the first one after the store was away does not wait.

Polls of 3 s stay where the bound is 4 s or more.

--- a/crates/briarladder-core/src/fleet/store_roles.rs
+++ b/crates/briarladder-core/src/fleet/store_roles.rs
@@ -68,6 +68,12 @@
 /// calls, which are billed.
 const LONE_READER_POLL_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The largest part of the bound for applying changes that a poll of such a
+/// reader may take. A poll that starts just after the store was restored may
+/// end only with its timeout, since it asks for changes after a revision that
+/// the store has given out again.
+const MAX_LONE_POLL_PERCENT: u32 = 75;
+
 /// The pause of a reader between two polls, in which changes accumulate, is
 /// the bound divided by this.
 const POLL_INTERVAL_DIVISOR: u32 = 8;
@@ -137,7 +143,8 @@
     zone_daemons: usize,
 ) -> Duration {
     if zone_daemons <= MAX_ALL_READERS_DAEMONS {
-        LONE_READER_POLL_TIMEOUT
+        let longest = max_change_delay * MAX_LONE_POLL_PERCENT / 100;
+        LONE_READER_POLL_TIMEOUT.min(longest)
     } else {
         max_change_delay / READER_TIMEOUT_DIVISOR
     }
@@ -259,6 +266,17 @@
         }
     }
 
+    /// Guards against a daemon that learns of a restore later than its bound
+    /// for changes, and against more calls than the bound needs.
+    #[test]
+    fn reader_poll_timeout_within_bound() {
+        let timeout =
+            |bound_ms| reader_poll_timeout(Duration::from_millis(bound_ms), 1);
+        assert_eq!(timeout(2500), Duration::from_millis(1875));
+        assert_eq!(timeout(4000), LONE_READER_POLL_TIMEOUT);
+        assert_eq!(timeout(17_000), LONE_READER_POLL_TIMEOUT);
+    }
+
     /// Guards against a reader that changes when another daemon of its zone
     /// ends.
     #[test]
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -290,7 +290,13 @@
     /// Waits for changes. Returns whether there were any.
     async fn watch(&self) -> Result<bool, StoreError> {
         let after = self.gateway.blackboard.mirror.borrow().version();
-        let wait = self.gateway.blackboard.store_role().reader_poll_timeout;
+        // The first answer of a store that was away tells whether it was
+        // restored.
+        let blackboard = &self.gateway.blackboard;
+        let wait = match blackboard.store_status.get() {
+            StoreStatus::UnreachableSince(_) => Duration::ZERO,
+            _ => blackboard.store_role().reader_poll_timeout,
+        };
         let path = self.gateway.dialect.watch_path(after.revision, wait);
         let answer = self.get(&path, wait + RESPONSE_TIMEOUT).await?;
         // The changes after a revision of an earlier era leave a gap.
