Bound how long a starting daemon waits for its peers

A daemon that starts asks three peers before it reads the store for the first time, since the store may have been restored from a copy with an older configuration. At the size of the design each of these answers holds all servers, half a megabyte, and a peer that has just ended doesn't answer at all.

Now the first answer may hold all items, the others only what it lacks, all of them take 0.8 s at most, and a daemon that follows another one asks only if it has to read the store itself.

--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -127,7 +127,7 @@
     let reader =
         StoreReader { gateway, store, era_learned_at: Cell::new(None) };
     reader.wait_for_peers().await;
-    poll_peers_at_start(&reader.gateway).await;
+    let mut asked_peers = false;
     let mut listed = false;
     let mut reads = true;
     loop {
@@ -148,6 +148,10 @@
         let read = async {
             if listed { reader.watch().await } else { reader.list().await }
         };
+        if !asked_peers {
+            asked_peers = true;
+            poll_peers_at_start(&reader.gateway).await;
+        }
         // The response to a call from before a suspension may never arrive.
         let result = tokio::select! {
             result = read => result,
--- a/crates/briarladder-gateway/src/store/peer_source.rs
+++ b/crates/briarladder-gateway/src/store/peer_source.rs
@@ -47,6 +47,9 @@
 /// Peers that a daemon asks before it reads the store for the first time.
 const START_PEERS: usize = 3;
 
+/// The longest time for that. A peer that has just ended doesn't answer.
+const START_POLL_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// How long after a start or a restore a random peer is polled as well. Its
 /// configuration may be newer than that of the store.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -165,7 +168,14 @@
 /// Polls some peers before the first call to the store, which may have been
 /// restored from a copy with an older configuration.
 pub async fn poll_peers_at_start(gateway: &Gateway) {
-    poll_peers(gateway, START_PEERS).await;
+    let polls = async {
+        // The first answer may hold all items, the others what it lacks.
+        poll_peers(gateway, 1).await;
+        poll_peers(gateway, START_PEERS - 1).await;
+    };
+    if tokio::time::timeout(START_POLL_TIMEOUT, polls).await.is_err() {
+        log::info!("store: source=peer outcome=timed_out at=start");
+    }
 }
 
 async fn poll_peers(gateway: &Gateway, count: usize) {
