Take the era also from answers that say that the history is gone

A restored store usually answers the first watch with 410. The daemons that read it only because it was away then listed it at once, each one, instead of in the order in which they replace a reader, which was kept only where an answer with changes told the era.

The era of a 410 now counts like any other. The bound of `followers_receive_restored_items` holds both times; it can't tell the two apart.

--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -83,7 +83,10 @@
     /// The store no longer has the changes after the revision; all items must
     /// be listed again.
     #[display("the store has dropped older changes; listing all items")]
-    HistoryGone,
+    HistoryGone {
+        /// The era of the answer.
+        era: u64,
+    },
     /// The store was restored from a copy; all items must be listed again.
     #[display("the store was restored, era {from} to {to}; listing all items")]
     Restored {
@@ -168,13 +171,14 @@
                     tokio::time::sleep(reader_poll_interval(bound)).await;
                 }
             }
-            Err(StoreError::HistoryGone) => {
-                log::info!("store: history=gone action=list");
+            Err(StoreError::HistoryGone { era }) => {
+                log::info!("store: history=gone action=list era={era}");
+                reader.record_era(era);
                 listed = false;
             }
-            Err(error @ StoreError::Restored { .. }) => {
+            Err(error @ StoreError::Restored { to, .. }) => {
                 log::info!("store: action=list cause={error}");
-                reader.record_new_era();
+                reader.record_era(to);
                 listed = false;
             }
             Err(error) => {
@@ -314,11 +318,14 @@
         Ok(!changes.items.is_empty())
     }
 
-    /// Lets the daemons that read the store list all items first.
-    fn record_new_era(&self) {
+    /// Lets the daemons that read the store list all items first, if the store
+    /// has begun a new era.
+    fn record_era(&self, era: u64) {
         let blackboard = &self.gateway.blackboard;
-        self.era_learned_at.set(Some(blackboard.now()));
-        blackboard.source_tracker.borrow_mut().clear_backoffs();
+        if era > blackboard.mirror.borrow().version().era {
+            self.era_learned_at.set(Some(blackboard.now()));
+            blackboard.source_tracker.borrow_mut().clear_backoffs();
+        }
     }
 
     async fn get(
@@ -355,7 +362,10 @@
             StatusCode::OK => {
                 Ok(StoreAnswer { era: era?.unwrap_or(UNKNOWN_ERA), body })
             }
-            StatusCode::GONE => Err(StoreError::HistoryGone),
+            StatusCode::GONE => {
+                let era = era?.unwrap_or(UNKNOWN_ERA);
+                Err(StoreError::HistoryGone { era })
+            }
             status => Err(unavailable(format!("status {status}"))),
         }
     }
