Cancel a wrong part of a stream before the next server is asked

Cause: a part that fails because it does not continue the stream, with another event than the one after the last, has a connection that is still open. It was dropped only when the next part had begun, not when the next server was asked, as a stalled part is.

Change: the part is dropped, and with it the request cancelled, before any other server is selected.

`wrong_resume_cancelled_before_next` failed before ("two workers work on the stream") and passes; the other seven tests of `cut_answers` pass as before.

--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -158,7 +158,11 @@
                     self.send(Err(RelayError::Timeout)).await;
                     return;
                 }
-                PartEnd::Failed(error) => error,
+                PartEnd::Failed(error) => {
+                    // Cancels the request: the server may still work on it.
+                    drop(part);
+                    error
+                }
                 PartEnd::Stalled => {
                     let failure = AttemptFailure::TimedOut;
                     let error = AttemptError::new(failure, "no event in time");
