Hold unannounced removals longer, and read a store that stops naming its era

Three findings of a review of the reading of restored stores:

- A worker whose entry was removed without announcing it was brought back 2.5 s after a restore by the older entry of the copy, which expires only after three heartbeats (3.6 s on the users' sites).
Its removal now holds for 5 s.
- The first listing of a store after an answer of a daemon without eras counted as a restore, in the log and in `store_restores`.
- An answer without the header counted as of an earlier era once an era was known, so that a store that stops to name it could not be read any more.
It is now of the era that is known.

`begin_keeps_departures` has the new time.

--- a/crates/briarladder-core/src/fleet/reconciliation.rs
+++ b/crates/briarladder-core/src/fleet/reconciliation.rs
@@ -9,7 +9,7 @@
 //!   for [`RETURN_TIME`].
 //! - A server that leaves, or whose entry was removed, may be listed as ready.
 //!   Its departure holds for [`DEPARTURE_TIME`] or, if it was removed without
-//!   announcing it, for [`RETURN_TIME`]: silence also removes an entry, and
+//!   announcing it, for [`REMOVAL_TIME`]: silence also removes an entry, and
 //!   such a server may be back.
 //! - An entry may be that of an earlier process of the server. The later one
 //!   stays for [`RETURN_TIME`].
@@ -38,6 +38,11 @@
 /// processes that have ended expire within this time.
 pub const DEPARTURE_TIME: Duration = Duration::from_secs(10);
 
+/// How long a removal that was not announced holds against an older entry of
+/// the server: longer than three of its heartbeats, after which the entry of a
+/// server that has left expires.
+pub const REMOVAL_TIME: Duration = Duration::from_secs(5);
+
 /// How long departures are remembered, longer than a copy is old.
 const DEPARTURE_MEMORY: Duration = Duration::from_mins(1);
 
@@ -185,7 +190,7 @@
                 && departure.born_ms >= listed.born_ms
                 && now.duration_since(departure.at) < DEPARTURE_MEMORY
         })?;
-        Some(if departure.announced { DEPARTURE_TIME } else { RETURN_TIME })
+        Some(if departure.announced { DEPARTURE_TIME } else { REMOVAL_TIME })
     }
 }
 
--- a/crates/briarladder-core/src/fleet/reconciliation/tests.rs
+++ b/crates/briarladder-core/src/fleet/reconciliation/tests.rs
@@ -86,7 +86,8 @@
     let listing = names.map(|name| entry(&server(name)));
     assert!(reconciliation.begin(now, &known, &listing).is_empty());
     // Its entry may have been removed because it was cut off.
-    let changes = reconciliation.expire(now + RETURN_TIME);
+    assert!(reconciliation.expire(now + RETURN_TIME).is_empty());
+    let changes = reconciliation.expire(now + REMOVAL_TIME);
     assert_eq!(changes, [present(&server("silent"))]);
     let changes = reconciliation.expire(now + DEPARTURE_TIME);
     assert_eq!(
--- a/crates/briarladder-gateway/src/store/apply.rs
+++ b/crates/briarladder-gateway/src/store/apply.rs
@@ -7,7 +7,7 @@
     mirror::{Applied, ConfigStamp, Listing, PublishedConfig, ServerEntry},
     reconciliation::ServerChange,
     server::ListedServer,
-    store_version::StoreVersion,
+    store_version::{StoreVersion, UNKNOWN_ERA},
 };
 
 use crate::{
@@ -162,7 +162,8 @@
         update_server(gateway, change, version);
     }
     blackboard.reconciliation_changed.notify_one();
-    if known == StoreVersion::default() {
+    if known.era == UNKNOWN_ERA {
+        // The first listing, or the first one of a store that names its era.
         return;
     }
     blackboard.restored_at.set(Some(now));
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -25,11 +25,11 @@
 
 use briarladder_core::fleet::{
     store_roles::{Role, reader_poll_interval},
-    store_version::{StoreVersion, UNKNOWN_ERA},
+    store_version::StoreVersion,
 };
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::{HeaderValue, Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
 use rand::RngExt;
 
@@ -353,23 +353,26 @@
         let (response, connection) =
             sent.map_err(|error| unavailable(error.to_string()))?;
         let status = response.status();
-        let era = self.gateway.dialect.decode_store_era(response.headers());
+        let era = self.era_of(response.headers());
         let body = read_body(response.into_body(), MAX_RESPONSE_BYTES)
             .await
             .map_err(|error| unavailable(error.to_string()))?;
         connection.return_to_pool(None);
         match status {
-            StatusCode::OK => {
-                Ok(StoreAnswer { era: era?.unwrap_or(UNKNOWN_ERA), body })
-            }
-            StatusCode::GONE => {
-                let era = era?.unwrap_or(UNKNOWN_ERA);
-                Err(StoreError::HistoryGone { era })
-            }
+            StatusCode::OK => Ok(StoreAnswer { era: era?, body }),
+            StatusCode::GONE => Err(StoreError::HistoryGone { era: era? }),
             status => Err(unavailable(format!("status {status}"))),
         }
     }
 
+    /// Returns the era that an answer names. One that names none is of the era
+    /// that is known: the store may have stopped to name it.
+    fn era_of(&self, headers: &HeaderMap) -> Result<u64, FormatError> {
+        let era = self.gateway.dialect.decode_store_era(headers)?;
+        let known = self.gateway.blackboard.mirror.borrow().version().era;
+        Ok(era.unwrap_or(known))
+    }
+
     fn record_response(&self) {
         let blackboard = &self.gateway.blackboard;
         if matches!(
