Describe restores of the platform, and let the stand-in be restored

The description of the platform's interface said that epochs and versions only rise. A platform that is restored from an earlier copy gives them out again, and had no way to tell.

Change: each response may name the era of the platform in a header. It starts at 1 and rises by one with each restore. A watch may name the era of its `after`, and gets the current value at once if the platform is in another one. A platform without the header works as before. The stand-in copies its content, can be restored from the copy, and can be set to know no eras.

Nothing reads the header yet.

A header also says the era of a response without a body, so a watch that found nothing new still tells of the restore, and the manifest stays as it was published.

--- a/crates/briarladder-standins/src/platform.rs
+++ b/crates/briarladder-standins/src/platform.rs
@@ -2,7 +2,8 @@
 //!
 //! The manifest and the chunks are texts that the test sets and that the
 //! stand-in doesn't parse. Clients can watch the manifest and the list: a read
-//! with the parameter `after` waits for a later version.
+//! with the parameter `after` waits for a later version. A restore from a
+//! backup begins a new era, in which versions are given out again.
 //!
 //! # Example
 //!
@@ -33,10 +34,11 @@
 };
 
 use briarladder_core::sorted::SortedMap;
-use briarladder_wire::platform::{Vm, VmList, WATCH_TIMEOUT};
+use briarladder_wire::platform::{ERA_HEADER, Vm, VmList, WATCH_TIMEOUT};
 use bytes::Bytes;
 use salvo::{
-    Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode,
+    Depot, FlowCtrl, Handler, Request, Response, async_trait,
+    http::{HeaderName, HeaderValue, StatusCode},
 };
 use tokio::sync::watch;
 
@@ -56,15 +58,39 @@
     /// The time until a change of the list of VMs becomes visible; zero by
     /// default.
     pub vm_lag: Duration,
+    /// Whether responses name the era of the platform.
+    pub era_report: EraReport,
 }
 
 impl Default for PlatformSettings {
     fn default() -> PlatformSettings {
-        let vm_lag = Duration::ZERO;
-        PlatformSettings { port: 0, watch_timeout: WATCH_TIMEOUT, vm_lag }
+        PlatformSettings {
+            port: 0,
+            watch_timeout: WATCH_TIMEOUT,
+            vm_lag: Duration::ZERO,
+            era_report: EraReport::Header,
+        }
     }
 }
 
+/// Whether responses name the era of the platform.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum EraReport {
+    /// Each response names it in a header, and watches may name theirs.
+    #[default]
+    Header,
+    /// The platform knows no eras.
+    None,
+}
+
+/// The content of the platform at some time; see [`Platform::restore`].
+#[derive(Clone, Debug)]
+pub struct Backup {
+    manifest: VersionedText,
+    vms: VersionedText,
+    chunks: SortedMap<String, Bytes>,
+}
+
 /// A published chunk.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Chunk {
@@ -127,6 +153,7 @@
         let state = Arc::new(State {
             watch_timeout: settings.watch_timeout,
             vm_lag: Mutex::new(settings.vm_lag),
+            era_report: settings.era_report,
             manifest: watch::Sender::default(),
             vms: watch::Sender::default(),
             chunks: Mutex::default(),
@@ -160,7 +187,8 @@
             lock(&self.state.chunks).insert(chunk.digest.clone(), text);
         }
         let text = Bytes::copy_from_slice(manifest_json.as_bytes());
-        let published = VersionedText { version: epoch, text };
+        let era = self.era();
+        let published = VersionedText { era, version: epoch, text };
         let mut deferred = lock(&self.state.deferred);
         if deferred.stale {
             deferred.latest = Some(published);
@@ -190,7 +218,7 @@
         let version =
             self.state.vms_version.fetch_add(1, Ordering::AcqRel) + 1;
         let text = response::to_json(&VmList { version, vms }).into();
-        let published = VersionedText { version, text };
+        let published = VersionedText { era: self.era(), version, text };
         let lag = *lock(&self.state.vm_lag);
         if lag.is_zero() {
             self.state.publish_vms(published);
@@ -203,6 +231,31 @@
         }
     }
 
+    /// Copies the current content.
+    #[must_use]
+    pub fn backup(&self) -> Backup {
+        Backup {
+            manifest: self.state.manifest.borrow().clone(),
+            vms: self.state.vms.borrow().clone(),
+            chunks: lock(&self.state.chunks).clone(),
+        }
+    }
+
+    /// Restores an earlier content, which begins a new era. What was published
+    /// since is lost, and its epochs and versions are given out again.
+    pub fn restore(&self, backup: &Backup) {
+        let era = self.era() + 1;
+        lock(&self.state.chunks).clone_from(&backup.chunks);
+        self.state.vms_version.store(backup.vms.version, Ordering::Release);
+        let restored = |text: &VersionedText| text.clone().in_era(era);
+        self.state.manifest.send_replace(restored(&backup.manifest));
+        self.state.vms.send_replace(restored(&backup.vms));
+    }
+
+    fn era(&self) -> u64 {
+        self.state.manifest.borrow().era
+    }
+
     /// Sets the lag of the following changes of the list of VMs.
     pub fn set_vm_lag(&self, lag: Duration) {
         *lock(&self.state.vm_lag) = lag;
@@ -248,12 +301,26 @@
 
 /// A text with its version, which is the epoch for a manifest. Version 0 means
 /// that nothing was published.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct VersionedText {
+    /// The era in which it was published, or to which it was restored.
+    era: u64,
     version: u64,
     text: Bytes,
 }
 
+impl Default for VersionedText {
+    fn default() -> VersionedText {
+        VersionedText { era: 1, version: 0, text: Bytes::new() }
+    }
+}
+
+impl VersionedText {
+    fn in_era(self, era: u64) -> VersionedText {
+        VersionedText { era, ..self }
+    }
+}
+
 /// The latest manifest published while the platform is stale.
 #[derive(Debug, Default)]
 struct DeferredManifest {
@@ -265,6 +332,7 @@
 struct State {
     watch_timeout: Duration,
     vm_lag: Mutex<Duration>,
+    era_report: EraReport,
     manifest: watch::Sender<VersionedText>,
     vms: watch::Sender<VersionedText>,
     chunks: Mutex<SortedMap<String, Bytes>>,
@@ -277,9 +345,10 @@
 impl State {
     fn publish_vms(&self, published: VersionedText) {
         // If the lag is shortened, a later list may become visible before
-        // an earlier one.
+        // an earlier one. A list of an earlier era was lost in the restore.
         self.vms.send_if_modified(|current| {
-            let newer = published.version > current.version;
+            let newer = published.era == current.era
+                && published.version > current.version;
             if newer {
                 *current = published;
             }
@@ -287,41 +356,58 @@
         });
     }
 
-    /// Responds to a read, or to a watch for a version later than `after`.
+    /// Responds to a read, or to a watch for a version later than `after` or
+    /// for another era than `era`.
     async fn watch(
         &self,
         source: &watch::Sender<VersionedText>,
-        after: Option<u64>,
+        req: &Request,
         res: &mut Response,
     ) {
-        let mut receiver = source.subscribe();
-        let above = after.unwrap_or(0);
+        let after = response::query_u64(req, "after");
+        let era = match self.era_report {
+            EraReport::Header => response::query_u64(req, "era"),
+            EraReport::None => None,
+        };
+        let is_due = |published: &VersionedText| {
+            published.version > after.unwrap_or(0)
+                || era.is_some_and(|era| era != published.era)
+        };
         let wait = after.map_or(Duration::ZERO, |_| self.watch_timeout);
-        let found = tokio::time::timeout(
-            wait,
-            receiver.wait_for(|published| published.version > above),
-        );
-        let found = match found.await {
+        let mut receiver = source.subscribe();
+        let found =
+            tokio::time::timeout(wait, receiver.wait_for(is_due)).await;
+        let found = match found {
             // Receiving can't fail, because the state owns the sender.
-            Ok(published) => published.ok().map(|p| p.text.clone()),
+            Ok(published) => published.ok().map(|p| p.clone()),
             Err(_) => None,
         };
-        match found {
-            Some(text) => response::json_bytes(res, text),
+        let era = found.as_ref().map_or(source.borrow().era, |p| p.era);
+        self.set_era(res, era);
+        match found.filter(|published| published.version > 0) {
+            Some(published) => response::json_bytes(res, published.text),
             None => drop(res.status_code(StatusCode::NO_CONTENT)),
         }
     }
 
+    fn set_era(&self, res: &mut Response, era: u64) {
+        if self.era_report == EraReport::Header {
+            let name = HeaderName::from_static(ERA_HEADER);
+            res.headers_mut().insert(name, HeaderValue::from(era));
+        }
+    }
+
     async fn handle(&self, req: &Request, res: &mut Response) {
         let endpoint = Endpoint::from_path(req.uri().path());
         self.record_call(&endpoint);
+        let era = self.manifest.borrow().era;
+        self.set_era(res, era);
         if self.apply_fault(res).await {
             return;
         }
-        let after = response::query_u64(req, "after");
         match endpoint {
-            Endpoint::Manifest => self.watch(&self.manifest, after, res).await,
-            Endpoint::Vms => self.watch(&self.vms, after, res).await,
+            Endpoint::Manifest => self.watch(&self.manifest, req, res).await,
+            Endpoint::Vms => self.watch(&self.vms, req, res).await,
             Endpoint::Chunk(digest) => {
                 let chunk = lock(&self.chunks).get(digest).cloned();
                 if let Some(text) = chunk {
--- a/crates/briarladder-standins/tests/platform.rs
+++ b/crates/briarladder-standins/tests/platform.rs
@@ -8,7 +8,7 @@
 use briarladder_standins::platform::{
     Chunk, Platform, PlatformFault, PlatformSettings,
 };
-use briarladder_wire::platform::{Vm, VmKind, VmList, VmState};
+use briarladder_wire::platform::{ERA_HEADER, Vm, VmKind, VmList, VmState};
 use common::{SHORT_DELAY, get};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -147,3 +147,33 @@
     assert!(start.elapsed() >= SHORT_DELAY / 2);
     assert_eq!(later, VmList { version: 2, vms: vec![vm(VmState::Leaving)] });
 }
+
+/// Guards against a restore that keeps what was published since the backup,
+/// or that watches of the era before don't learn of.
+#[tokio::test]
+async fn restore_begins_era() {
+    let platform = platform().await;
+    let address = platform.address();
+    let backup = platform.backup();
+    let chunk = Chunk { digest: "00ff".into(), text: "[1]".into() };
+    platform.publish(2, SECOND, &[chunk]);
+    let watch = tokio::spawn(get(address, "/v1/manifest?after=2&era=1"));
+    let eraless = tokio::spawn(get(address, "/v1/manifest?after=2"));
+    wait_for_calls(&platform, 2).await;
+    platform.restore(&backup);
+    let restored =
+        timeout(SHORT_DELAY, watch).await.expect("the watch returns");
+    let restored = restored.unwrap().unwrap();
+    assert_eq!(restored.headers()[ERA_HEADER], "2");
+    assert_eq!(restored.text().await.unwrap(), FIRST);
+    let chunk = get(address, "/v1/chunks/00ff").await.unwrap();
+    assert_eq!(chunk.status(), 404);
+    assert_eq!(chunk.headers()[ERA_HEADER], "2");
+    let empty = get(address, "/v1/vms?after=7&era=1").await.unwrap();
+    assert_eq!(empty.status(), 204);
+    assert_eq!(empty.headers()[ERA_HEADER], "2");
+    sleep(SHORT_DELAY).await;
+    assert!(!eraless.is_finished(), "there is no epoch above 2");
+    platform.publish(2, SECOND, &[]);
+    assert_eq!(text(address, "/v1/manifest?after=1&era=2").await, SECOND);
+}
