Take the list of VMs of a restored platform

Cause: the version was taken for a counter that only rises. A watch asked for a version above the lost one and got 204 every 20 s, and `Members::apply_seeds` dropped a list with a lower or equal number.

Change: a version of the list is (era, number), ordered by era first. The client reads the era from the header and names it in the next watch, so that a restored platform responds at once. A response of an earlier era is an error, which is tried again after the usual delay. A platform that names no era is not told one and is compared by number as before. One log line tells of a restore, with both versions. A watch waits also where no list was published yet; the loop read the platform without a pause until then.

Numbers are only compared within an era now, and each response tells its era, so a list can't be held back by a number that the platform has lost.

--- a/crates/briarladder-cli/src/bench/control/components.rs
+++ b/crates/briarladder-cli/src/bench/control/components.rs
@@ -20,6 +20,7 @@
         WorkspaceName,
     },
     orders::sender_order,
+    platform_version::PlatformVersion,
     poison::{ContentHash, MAX_SUSPECTS, Suspects},
     routing::Sharing,
     timeline::{
@@ -83,7 +84,11 @@
                 state: SeedState::Live,
             })
             .collect();
-        members.apply_seeds(now, 1, &seeds);
+        members.apply_seeds(
+            now,
+            PlatformVersion { era: 1, number: 1 },
+            &seeds,
+        );
         members
     };
     let memory_bytes = bytes_per_copy(40, create)?;
--- a/crates/briarladder-cli/src/bench/control/membership.rs
+++ b/crates/briarladder-cli/src/bench/control/membership.rs
@@ -11,6 +11,7 @@
         TICK_INTERVAL, new_incarnation,
     },
     names::{VmName, ZoneName},
+    platform_version::PlatformVersion,
     timeline::Hlc,
 };
 use briarladder_wire::peers::Probe;
@@ -121,7 +122,11 @@
             .collect();
         let daemons = identities.into_iter().map(|identity| {
             let mut members = Members::new(identity.clone(), now);
-            members.apply_seeds(now, 1, &seeds);
+            members.apply_seeds(
+                now,
+                PlatformVersion { era: 1, number: 1 },
+                &seeds,
+            );
             Daemon { members, clock: Hlc::new(), identity, alive: true }
         });
         Simulation {
--- a/crates/briarladder-core/examples/membership_cost.rs
+++ b/crates/briarladder-core/examples/membership_cost.rs
@@ -21,6 +21,7 @@
         MemberUpdate, Members, ProbeTarget, Seed, SeedState, new_incarnation,
     },
     names::{VmName, ZoneName},
+    platform_version::PlatformVersion,
     timeline::Hlc,
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -91,7 +92,11 @@
             .collect();
         let daemons = identities.into_iter().map(|identity| {
             let mut members = Members::new(identity.clone(), now);
-            members.apply_seeds(now, 1, &seeds);
+            members.apply_seeds(
+                now,
+                PlatformVersion { era: 1, number: 1 },
+                &seeds,
+            );
             Daemon { members, clock: Hlc::new(), identity, alive: true }
         });
         Simulation {
--- a/crates/briarladder-core/src/lib.rs
+++ b/crates/briarladder-core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod names;
 pub mod objects;
 pub mod orders;
+pub mod platform_version;
 pub mod poison;
 pub mod rendezvous;
 pub mod retry;
--- a/crates/briarladder-core/src/membership/members.rs
+++ b/crates/briarladder-core/src/membership/members.rs
@@ -16,6 +16,7 @@
         },
     },
     names::{VmName, ZoneName},
+    platform_version::PlatformVersion,
     sorted::SortedMap,
     timeline::HlcTimestamp,
 };
@@ -33,7 +34,7 @@
 pub struct Members {
     identity: Identity,
     by_name: SortedMap<VmName, Member>,
-    list_version: u64,
+    list_version: PlatformVersion,
     schedule: ProbeSchedule,
     pending: Vec<PendingProbes>,
     gossip: Gossip,
@@ -60,7 +61,7 @@
             by_name: [(own_entry.name.clone(), own_entry)]
                 .into_iter()
                 .collect(),
-            list_version: 0,
+            list_version: PlatformVersion::default(),
             schedule: ProbeSchedule::new(now),
             pending: Vec::new(),
             gossip: Gossip::default(),
@@ -68,13 +69,14 @@
     }
 
     /// Applies the platform's VM list and returns the members it added or
-    /// changed. A list that is not newer than the last one is ignored. The
-    /// list adds unknown members; it never changes the state of a member that
+    /// changed. A list that is not newer than the last one is ignored. A list
+    /// of a later era is newer, also if its number is not: the platform was
+    /// restored. The list adds unknown members; it never changes the state of a member that
     /// was heard from or declared dead.
     pub fn apply_seeds(
         &mut self,
         now: Instant,
-        version: u64,
+        version: PlatformVersion,
         seeds: &[Seed],
     ) -> Vec<MemberChange> {
         if version <= self.list_version {
@@ -421,10 +423,9 @@
         self.by_name.values()
     }
 
-    /// Returns the version of the platform's list that was applied last; 0 if
-    /// there was none.
+    /// Returns the version of the platform's list that was applied last.
     #[must_use]
-    pub fn list_version(&self) -> u64 {
+    pub fn list_version(&self) -> PlatformVersion {
         self.list_version
     }
 
--- a/crates/briarladder-core/src/membership/mod.rs
+++ b/crates/briarladder-core/src/membership/mod.rs
@@ -19,6 +19,7 @@
 //!     ids::Incarnation,
 //!     membership::{Identity, Members, Seed, SeedState},
 //!     names::{VmName, ZoneName},
+//!     platform_version::PlatformVersion,
 //! };
 //! use rand::SeedableRng;
 //!
@@ -37,7 +38,7 @@
 //!     zone: zone.clone(),
 //!     state: SeedState::Live,
 //! };
-//! members.apply_seeds(now, 1, &[peer]);
+//! members.apply_seeds(now, PlatformVersion { era: 1, number: 1 }, &[peer]);
 //! assert_eq!(members.live_in_zone(&zone).len(), 2);
 //! let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
 //! let probe = members.next_probe(now, &mut rng).unwrap();
--- a/crates/briarladder-core/src/membership/tests.rs
+++ b/crates/briarladder-core/src/membership/tests.rs
@@ -6,6 +6,7 @@
 use crate::{
     ids::Incarnation,
     names::{VmName, ZoneName},
+    platform_version::PlatformVersion,
     timeline::HlcTimestamp,
 };
 
@@ -28,6 +29,11 @@
     }
 }
 
+/// Returns a version of the platform's list in its first era.
+fn version(number: u64) -> PlatformVersion {
+    PlatformVersion { era: 1, number }
+}
+
 fn seed(number: usize, zone_number: usize, state: SeedState) -> Seed {
     let address = ([10, 0, 0, 1], 7_000).into();
     Seed { name: vm(number), address, zone: zone(zone_number), state }
@@ -136,20 +142,36 @@
     let dead_at = fail_vm_1(&mut members, now);
     let list: Vec<Seed> =
         (1..4).map(|n| seed(n, 0, SeedState::Live)).collect();
-    assert_eq!(members.apply_seeds(dead_at, 3, &list), []);
+    assert_eq!(members.apply_seeds(dead_at, version(3), &list), []);
     assert_eq!(state(&members, 1), MemberState::Dead);
     assert_eq!(state(&members, 2), MemberState::Leaving);
 
     // Version 4 no longer contains the member, which is retained for a while
     // and then removed. An older version does not add it again.
-    members.apply_seeds(dead_at, 4, &list[1..]);
+    members.apply_seeds(dead_at, version(4), &list[1..]);
     members.tick(dead_at + DEAD_RETENTION / 2);
-    assert_eq!(members.apply_seeds(dead_at, 5, &list), []);
+    assert_eq!(members.apply_seeds(dead_at, version(5), &list), []);
     assert_eq!(state(&members, 1), MemberState::Dead);
-    members.apply_seeds(dead_at, 6, &list[1..]);
+    members.apply_seeds(dead_at, version(6), &list[1..]);
     members.tick(dead_at + DEAD_RETENTION);
     assert_eq!(members.get(&vm(1)), None);
-    assert_eq!(members.apply_seeds(dead_at, 5, &list), []);
+    assert_eq!(members.apply_seeds(dead_at, version(5), &list), []);
+}
+
+/// Guards against a list that is ignored after a restore of the platform,
+/// because of its lower number, and against one of before that arrives late.
+#[test]
+fn seeds_of_restored_platform() {
+    let now = Instant::now();
+    let mut members = members(now);
+    let list = |n| [seed(n, 0, SeedState::Live)];
+    let in_era = |era, number| PlatformVersion { era, number };
+    members.apply_seeds(now, in_era(1, 7), &list(7));
+    members.apply_seeds(now, in_era(2, 3), &list(8));
+    assert!(members.get(&vm(8)).is_some());
+    members.apply_seeds(now, in_era(1, 9), &list(9));
+    assert_eq!(members.get(&vm(9)), None);
+    assert_eq!(members.list_version(), in_era(2, 3));
 }
 
 /// Guards against an outdated list that marks a responding member as leaving,
@@ -161,7 +183,7 @@
     let mut old = seed(1, 0, SeedState::Leaving);
     old.address = ([10, 0, 0, 9], 7_000).into();
     let before = members.get(&vm(1)).unwrap().address;
-    assert_eq!(members.apply_seeds(now, 1, &[old]), []);
+    assert_eq!(members.apply_seeds(now, version(1), &[old]), []);
     assert_eq!(state(&members, 1), MemberState::Ready);
     assert_eq!(members.get(&vm(1)).unwrap().address, before);
 }
@@ -172,14 +194,14 @@
 fn unresponsive_seed_dies() {
     let now = Instant::now();
     let mut members = Members::new(identity(0, 5), now);
-    members.apply_seeds(now, 1, &[seed(1, 0, SeedState::Live)]);
+    members.apply_seeds(now, version(1), &[seed(1, 0, SeedState::Live)]);
     let target = members.next_probe(now, &mut SmallRng::seed_from_u64(1));
     let target = target.unwrap();
     let mut rng = SmallRng::seed_from_u64(1);
     assert_eq!(members.record_probe_failure(now, &target, &mut rng), []);
     assert_eq!(members.tick(now)[0].to, MemberState::Suspect);
     members.tick(now + SUSPECT_TIMEOUT);
-    members.apply_seeds(now, 2, &[seed(1, 0, SeedState::Live)]);
+    members.apply_seeds(now, version(2), &[seed(1, 0, SeedState::Live)]);
     assert_eq!(state(&members, 1), MemberState::Dead);
     // Its first update makes it live.
     members.apply_update(now, &update(1, 5, 0, MemberState::Ready));
@@ -254,7 +276,7 @@
     let start = Instant::now();
     let mut rng = SmallRng::seed_from_u64(1);
     let mut members = members(start);
-    members.apply_seeds(start, 1, &[seed(9, 1, SeedState::Live)]);
+    members.apply_seeds(start, version(1), &[seed(9, 1, SeedState::Live)]);
     members.apply_update(start, &update(3, 5, 0, MemberState::Dead));
     let mut counts = [0_u32; 3];
     for tick in 0..1_000 {
@@ -308,7 +330,7 @@
     let mut members = Members::new(identity(0, 5), now);
     let list: Vec<Seed> =
         (1..200).map(|n| seed(n, 0, SeedState::Live)).collect();
-    members.apply_seeds(now, 1, &list);
+    members.apply_seeds(now, version(1), &list);
     let first_updates = |members: &mut Members, numbers| {
         for number in numbers {
             members
@@ -384,7 +406,8 @@
         for _ in 0..seconds * 10 {
             self.now += TICK_INTERVAL;
             for index in 0..self.views.len() {
-                let version = self.views[index].list_version() + 1;
+                let listed = self.views[index].list_version();
+                let version = version(listed.number + 1);
                 self.views[index].apply_seeds(self.now, version, &list);
                 self.views[index].tick(self.now);
                 let view = &mut self.views[index];
@@ -455,7 +478,7 @@
     for number in 1..40 {
         members.apply_update(now, &update(number, 5, 0, MemberState::Dead));
     }
-    members.apply_seeds(now, 1, &[seed(1, 0, SeedState::Live)]);
+    members.apply_seeds(now, version(1), &[seed(1, 0, SeedState::Live)]);
     let mut rng = SmallRng::seed_from_u64(1);
     let probed: Vec<VmName> = (0..5)
         .filter_map(|at| {
--- a/crates/briarladder-daemon/src/controllers/config.rs
+++ b/crates/briarladder-daemon/src/controllers/config.rs
@@ -23,6 +23,7 @@
     membership::View,
     names::VmName,
     objects::snapshot::Snapshot,
+    platform_version::{PlatformVersion, UNKNOWN_ERA},
     ticket::TicketKeyring,
     timeline::{EventKind, EventSubject},
 };
@@ -127,7 +128,10 @@
             let behind_since =
                 behind_since.or((known == 0).then_some(started_at));
             if super::membership::is_reader(&daemon) {
-                mode = Some(ReadMode::NewerThan(known));
+                mode = Some(ReadMode::NewerThan(PlatformVersion {
+                    era: UNKNOWN_ERA,
+                    number: known,
+                }));
             } else if reads
                 .next_read_at(behind_since)
                 .is_some_and(|at| at <= now)
@@ -144,7 +148,7 @@
         match manifest {
             Ok(manifest) => {
                 daemon.pause_monitor.record_refresh(View::Configuration, now);
-                if let Some(manifest) = manifest {
+                if let Some(manifest) = manifest.value {
                     process_manifest(&daemon, manifest, Source::Platform)
                         .await;
                 }
--- a/crates/briarladder-daemon/src/controllers/membership.rs
+++ b/crates/briarladder-daemon/src/controllers/membership.rs
@@ -20,6 +20,7 @@
     },
     names::{ServerName, VmName, ZoneName},
     objects::snapshot::Snapshot,
+    platform_version::{PlatformVersion, UNKNOWN_ERA},
     routing::ListedState,
     timeline::{EventKind, EventSubject},
 };
@@ -30,7 +31,7 @@
 use parking_lot::Mutex;
 use rand::{Rng, seq::IteratorRandom};
 
-use super::platform::ReadMode;
+use super::platform::{PlatformRead, ReadMode};
 use crate::daemon::Daemon;
 
 /// The time between two reads of the VM list by a daemon that does not watch
@@ -346,20 +347,15 @@
 /// process ends: watches the list while this daemon is one of its zone's
 /// readers, and otherwise reads it every five minutes.
 pub async fn sync_vm_list(daemon: Arc<Daemon>) {
-    let mut version = 0;
+    let mut known = None;
     loop {
-        let mode = match version {
-            0 => ReadMode::Current,
-            known => ReadMode::NewerThan(known),
-        };
+        let mode = known.map_or(ReadMode::Current, ReadMode::NewerThan);
         let sent_at = daemon.clock.now();
         match daemon.platform.vms(mode).await {
-            Ok(list) => {
+            Ok(read) => {
                 daemon.members.with_inner(|inner| inner.list_loaded = true);
-                if let Some(list) = list {
-                    version = list.version;
-                    apply_vm_list(&daemon, &list);
-                }
+                let before = known.unwrap_or_default();
+                known = Some(apply_list_read(&daemon, before, &read));
                 // Without peers, no probe refreshes the view.
                 if daemon.members.with(|members| members.iter().len()) <= 1 {
                     daemon
@@ -373,7 +369,7 @@
                 continue;
             }
         }
-        if version > 0 {
+        if known.is_some_and(|known| known.number > 0) {
             wait_until_read_due(&daemon).await;
         }
     }
@@ -389,8 +385,29 @@
     }
 }
 
+/// Applies the list that the platform returned, if any, and returns the
+/// version from which to watch it.
+fn apply_list_read(
+    daemon: &Daemon,
+    known: PlatformVersion,
+    read: &PlatformRead<VmList>,
+) -> PlatformVersion {
+    let number = read.value.as_ref().map_or(0, |list| list.version);
+    let version = PlatformVersion { era: read.era, number };
+    if known.era > UNKNOWN_ERA && version.era > known.era {
+        log::warn!(
+            "membership: the platform was restored; its VM list goes from \
+             {known} to {version}"
+        );
+    }
+    if let Some(list) = &read.value {
+        apply_vm_list(daemon, version, list);
+    }
+    known.max(version)
+}
+
 /// Applies the list: entry VMs to the members, backend servers to the router.
-fn apply_vm_list(daemon: &Daemon, list: &VmList) {
+fn apply_vm_list(daemon: &Daemon, version: PlatformVersion, list: &VmList) {
     let now = daemon.clock.now();
     let seeds: Vec<Seed> = list
         .vms
@@ -406,8 +423,7 @@
             },
         })
         .collect();
-    let changes =
-        daemon.members.with(|m| m.apply_seeds(now, list.version, &seeds));
+    let changes = daemon.members.with(|m| m.apply_seeds(now, version, &seeds));
     record(daemon, changes);
     let mut router = daemon.router.lock();
     for vm in list.vms.iter().filter(|vm| vm.kind == VmKind::Backend) {
--- a/crates/briarladder-daemon/src/controllers/platform.rs
+++ b/crates/briarladder-daemon/src/controllers/platform.rs
@@ -2,9 +2,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use briarladder_core::config::{Digest, Manifest};
-use briarladder_wire::platform::{VmList, WATCH_TIMEOUT};
-use reqwest::{Client, Response, StatusCode};
+use anyhow::Context;
+use briarladder_core::{
+    config::{Digest, Manifest},
+    platform_version::{PlatformVersion, UNKNOWN_ERA},
+};
+use briarladder_wire::platform::{ERA_HEADER, VmList, WATCH_TIMEOUT};
+use reqwest::{Client, Response, StatusCode, header::HeaderMap};
 use serde::de::DeserializeOwned;
 
 /// The timeout for a read that does not wait for a change. The platform
@@ -28,7 +32,18 @@
     /// Return the current value.
     Current,
     /// Wait for a value with a version above this one.
-    NewerThan(u64),
+    NewerThan(PlatformVersion),
+}
+
+/// A response of the platform.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlatformRead<T> {
+    /// The era of the platform. That of the request, if the platform names
+    /// none.
+    pub era: u64,
+    /// The value; `None` if nothing was published, or nothing newer before
+    /// the watch timed out.
+    pub value: Option<T>,
 }
 
 impl PlatformClient {
@@ -45,28 +60,29 @@
         Ok(PlatformClient { client, address })
     }
 
-    /// Reads the manifest of the published configuration. Returns `None` if
-    /// nothing newer was published before the watch timed out.
+    /// Reads the manifest of the published configuration.
     ///
     /// # Errors
     ///
-    /// Returns an error when the platform can't be reached or its response
-    /// is not valid.
+    /// Returns an error when the platform can't be reached, or its response
+    /// is not valid or of an earlier era than the request.
     pub async fn manifest(
         &self,
         mode: ReadMode,
-    ) -> anyhow::Result<Option<Manifest>> {
+    ) -> anyhow::Result<PlatformRead<Manifest>> {
         self.read_or_watch("manifest", mode).await
     }
 
-    /// Reads the list of VMs. Returns `None` if it did not change before the
-    /// watch timed out.
+    /// Reads the list of VMs.
     ///
     /// # Errors
     ///
-    /// Returns an error when the platform can't be reached or its response
-    /// is not valid.
-    pub async fn vms(&self, mode: ReadMode) -> anyhow::Result<Option<VmList>> {
+    /// Returns an error when the platform can't be reached, or its response
+    /// is not valid or of an earlier era than the request.
+    pub async fn vms(
+        &self,
+        mode: ReadMode,
+    ) -> anyhow::Result<PlatformRead<VmList>> {
         self.read_or_watch("vms", mode).await
     }
 
@@ -87,24 +103,49 @@
         &self,
         path: &str,
         mode: ReadMode,
-    ) -> anyhow::Result<Option<T>> {
-        let base = format!("http://{}/v1/{path}", self.address);
-        let (url, timeout) = match mode {
-            ReadMode::Current => (base, READ_TIMEOUT),
+    ) -> anyhow::Result<PlatformRead<T>> {
+        let (query, timeout, known_era) = match mode {
+            ReadMode::Current => (String::new(), READ_TIMEOUT, UNKNOWN_ERA),
             ReadMode::NewerThan(version) => {
-                let url = format!("{base}?after={version}");
-                (url, WATCH_TIMEOUT + READ_TIMEOUT)
+                let timeout = WATCH_TIMEOUT + READ_TIMEOUT;
+                (watch_query(version), timeout, version.era)
             }
         };
+        let url = format!("http://{}/v1/{path}{query}", self.address);
         let request = self.client.get(url).timeout(timeout);
         let response = request.send().await?.error_for_status()?;
+        let era = decode_era(response.headers())?.unwrap_or(known_era);
+        anyhow::ensure!(
+            era >= known_era,
+            "the response is of era {era}, but the platform has been in era \
+             {known_era}; let it name a higher era, or restart the daemons"
+        );
         if response.status() == StatusCode::NO_CONTENT {
-            return Ok(None);
+            return Ok(PlatformRead { era, value: None });
         }
-        Ok(Some(serde_json::from_slice(&read_body(response).await?)?))
+        let value = serde_json::from_slice(&read_body(response).await?)?;
+        Ok(PlatformRead { era, value: Some(value) })
     }
 }
 
+/// Returns the query of a watch. A platform that names no era is not told one.
+fn watch_query(after: PlatformVersion) -> String {
+    match after {
+        PlatformVersion { era: UNKNOWN_ERA, number } => {
+            format!("?after={number}")
+        }
+        PlatformVersion { era, number } => {
+            format!("?after={number}&era={era}")
+        }
+    }
+}
+
+fn decode_era(headers: &HeaderMap) -> anyhow::Result<Option<u64>> {
+    let Some(era) = headers.get(ERA_HEADER) else { return Ok(None) };
+    let era = era.to_str().ok().and_then(|text| text.parse().ok());
+    era.map(Some).with_context(|| format!("{ERA_HEADER} is not a number"))
+}
+
 /// Reads a body of at most [`MAX_VALUE_BYTES`]. A body without a length may
 /// be endless, so the limit is checked while it is read.
 async fn read_body(mut response: Response) -> anyhow::Result<Vec<u8>> {
