Watch the platform from the epoch that it shows

An operator who published after a restore of the platform, at an epoch that was lost with it, was not told that the set is not in force: nothing appeared in the status. A daemon that started while the platform showed an epoch below one that was in force elsewhere read it without a pause, well over a thousand times a second, until a peer had the newer set.

Cause: a reader watched from the newest epoch that it knew. A restored platform gives lower epochs and that one out again, which such a watch never returns, and for a daemon that could adopt nothing the watch asked from 0 and got the same manifest at once.

Change: a reader watches from the (era, epoch) that the platform itself has shown last. It takes that position once the manifest was adopted, rejected or ignored, and reads again while chunks are missing. An epoch that is given out again with other content is rejected as published before, which the status shows; a lower epoch than the one in force is logged, with the remedy.

Each publication moves the platform away from the position that it has shown, in every era, so each is seen once, and none is read twice.

--- a/crates/briarladder-daemon/src/controllers/config.rs
+++ b/crates/briarladder-daemon/src/controllers/config.rs
@@ -23,7 +23,7 @@
     membership::View,
     names::VmName,
     objects::snapshot::Snapshot,
-    platform_version::{PlatformVersion, UNKNOWN_ERA},
+    platform_version::PlatformVersion,
     ticket::TicketKeyring,
     timeline::{EventKind, EventSubject},
 };
@@ -34,7 +34,7 @@
 
 use super::{
     live_peers::{Scope, live_peers},
-    platform::ReadMode,
+    platform::{PlatformRead, ReadMode},
 };
 use crate::{blackboard::Configuration, daemon::Daemon};
 
@@ -115,6 +115,7 @@
 /// chunk, they exceed the platform's call limit many times over.
 pub async fn watch_platform(daemon: Arc<Daemon>) {
     let mut reads = PlatformReadSchedule::new(&daemon.settings.vm);
+    let mut seen = PlatformVersion::default();
     let started_at = daemon.clock.now();
     wait_for_vm_list(&daemon).await;
     let mut mode = None;
@@ -128,10 +129,7 @@
             let behind_since =
                 behind_since.or((known == 0).then_some(started_at));
             if super::membership::is_reader(&daemon) {
-                mode = Some(ReadMode::NewerThan(PlatformVersion {
-                    era: UNKNOWN_ERA,
-                    number: known,
-                }));
+                mode = Some(ReadMode::NewerThan(seen));
             } else if reads
                 .next_read_at(behind_since)
                 .is_some_and(|at| at <= now)
@@ -144,14 +142,10 @@
             tokio::time::sleep(FOLLOW_INTERVAL).await;
             continue;
         };
-        let manifest = daemon.platform.manifest(read_mode).await;
-        match manifest {
-            Ok(manifest) => {
+        match daemon.platform.manifest(read_mode).await {
+            Ok(read) => {
                 daemon.pause_monitor.record_refresh(View::Configuration, now);
-                if let Some(manifest) = manifest.value {
-                    process_manifest(&daemon, manifest, Source::Platform)
-                        .await;
-                }
+                seen = process_read(&daemon, seen, read).await;
             }
             Err(error) => {
                 log::warn!("config: the platform can't be read: {error:#}");
@@ -161,6 +155,47 @@
     }
 }
 
+/// Processes the manifest that the platform returned, if any, and returns the
+/// version from which to watch it.
+///
+/// That is the version which the platform itself has shown, also if a newer
+/// epoch is known: after a restore it gives that epoch out again, and its
+/// operator must learn that it is not put in force.
+async fn process_read(
+    daemon: &Arc<Daemon>,
+    seen: PlatformVersion,
+    read: PlatformRead<Manifest>,
+) -> PlatformVersion {
+    let number = read.value.as_ref().map_or(0, |manifest| manifest.epoch);
+    let shown = PlatformVersion { era: read.era, number };
+    if let Some(manifest) = read.value {
+        warn_if_older(daemon, seen, shown);
+        process_manifest(daemon, manifest, Source::Platform).await;
+        let missing = daemon.config.with(|s| s.missing_chunks());
+        if !missing.is_empty() {
+            // The next watch returns the manifest again.
+            return seen;
+        }
+    }
+    seen.max(shown)
+}
+
+/// Logs that a restored platform shows an older epoch than the one in force.
+fn warn_if_older(
+    daemon: &Daemon,
+    seen: PlatformVersion,
+    shown: PlatformVersion,
+) {
+    let in_force = daemon.config.announcement().in_force;
+    if shown.number < in_force && shown > seen {
+        log::warn!(
+            "config: the platform shows epoch {}, but epoch {in_force} is in \
+             force and stays; publish an epoch above it",
+            shown.number
+        );
+    }
+}
+
 /// Waits for the list of VMs, for at most [`FLOOR_TIMEOUT`]. Without the
 /// list, each daemon assumes that it is alone in its zone and thus a reader.
 async fn wait_for_vm_list(daemon: &Daemon) {
--- a/crates/briarladder-daemon/tests/restored_platform.rs
+++ b/crates/briarladder-daemon/tests/restored_platform.rs
@@ -114,6 +114,11 @@
     configuration.snapshot.as_ref().unwrap().fleet.ticket_lifetime_ms
 }
 
+fn problem(daemon: &Daemon) -> String {
+    let configuration = daemon.blackboard.configuration();
+    configuration.problem.as_deref().unwrap_or_default().to_owned()
+}
+
 /// Guards against a daemon that takes no list of VMs until the version has
 /// passed the one that it knew before the restore.
 #[tokio::test]
@@ -208,6 +213,33 @@
     assert_eq!(lifetime_ms(daemon), 2043);
 }
 
+/// Guards against an epoch that is published again with other content and is
+/// ignored without a word, so that its operator takes it to be in force.
+#[tokio::test]
+async fn configuration_reports_reused_epoch() {
+    let platform = start_platform(EraReport::Header).await;
+    let running = start_daemon(&platform, "vm-1");
+    let daemon = running.daemon();
+    platform.set_vms(vec![entry_of(daemon)]);
+    publish(&platform, 40, 1040);
+    let backup = platform.backup();
+    publish(&platform, 41, 1041);
+    wait_for_epoch(daemon, 41).await;
+    publish(&platform, 42, 1042);
+    wait_for_epoch(daemon, 42).await;
+    platform.restore(&backup);
+    publish(&platform, 41, 2041);
+    let reused = || problem(daemon).contains("published before as epoch 41");
+    wait_until("the reuse of epoch 41 is reported", reused).await;
+    publish(&platform, 42, 2042);
+    let reused = || problem(daemon).contains("published before as epoch 42");
+    wait_until("the reuse of epoch 42 is reported", reused).await;
+    assert_eq!(lifetime_ms(daemon), 1042);
+    publish(&platform, 43, 2043);
+    wait_for_epoch(daemon, 43).await;
+    assert_eq!(problem(daemon), "");
+}
+
 /// Guards against a daemon that starts after the restore and puts an epoch in
 /// force that is older than those of its peers, and against one that reads the
 /// platform without end because it shows such an epoch.
@@ -237,3 +269,22 @@
     let calls = platform.counts().total();
     assert!(calls < 40, "{calls} calls");
 }
+
+/// Guards against a daemon that reads the platform without end while it shows
+/// an epoch below the one that is known to have been in force.
+#[tokio::test]
+async fn configuration_below_floor() {
+    let platform = start_platform(EraReport::Header).await;
+    publish(&platform, 40, 1040);
+    let running = start_daemon(&platform, "vm-1");
+    let daemon = running.daemon();
+    platform.set_vms(vec![entry_of(daemon)]);
+    let now = Instant::now();
+    daemon.config.with(|store| store.observe_floor(42, now));
+    tokio::time::sleep(QUIET_TIME).await;
+    let calls = platform.counts().total();
+    assert!(calls < 20, "{calls} calls");
+    assert_eq!(daemon.config.announcement().in_force, 0);
+    publish(&platform, 43, 1043);
+    wait_for_epoch(daemon, 43).await;
+}
