Pause before a manifest without its chunks is read again

A daemon read the platform without a pause, over a thousand times a second, while it showed a manifest whose chunks it did not have, as a platform that is restored in parts may.

Cause: the watch from the position before returns the manifest at once, and only a failed read of the manifest was followed by the retry delay.

--- a/crates/briarladder-daemon/src/controllers/config.rs
+++ b/crates/briarladder-daemon/src/controllers/config.rs
@@ -174,6 +174,7 @@
         let missing = daemon.config.with(|s| s.missing_chunks());
         if !missing.is_empty() {
             // The next watch returns the manifest again.
+            tokio::time::sleep(RETRY_DELAY).await;
             return seen;
         }
     }
--- a/crates/briarladder-daemon/tests/restored_platform.rs
+++ b/crates/briarladder-daemon/tests/restored_platform.rs
@@ -71,19 +71,30 @@
     listed_vm(daemon.settings.vm.as_str(), daemon.peer_address)
 }
 
+/// Returns a set that differs from others of its epoch in `lifetime_ms`.
+fn bundle(epoch: u64, lifetime_ms: u64) -> Bundle {
+    let fleet = serde_json::json!({
+        "kind": "fleet", "ticket_lifetime_ms": lifetime_ms,
+        "outcome_retention_ms": 10_000, "weight_store_bytes_per_s": 1,
+        "ticket_keys": [{"id": 1, "secret_hex": TICKET_KEY}]
+    });
+    let fleet: Object = serde_json::from_value(fleet).unwrap();
+    Bundle::new(epoch, &[fleet]).unwrap()
+}
+
+fn manifest_text(bundle: &Bundle) -> String {
+    serde_json::to_string(&bundle.manifest).unwrap()
+}
+
 /// Publishes a set that differs from others of its epoch in `lifetime_ms`.
 fn publish(platform: &Platform, epoch: u64, lifetime_ms: u64) {
-    let fleet = serde_json::json!({"kind": "fleet", "ticket_keys": [{"id": 1, "secret_hex": TICKET_KEY}],
-        "ticket_lifetime_ms": lifetime_ms, "outcome_retention_ms": 10_000,
-        "weight_store_bytes_per_s": 1});
-    let fleet: Object = serde_json::from_value(fleet).unwrap();
-    let bundle = Bundle::new(epoch, &[fleet]).unwrap();
-    let manifest = serde_json::to_string(&bundle.manifest).unwrap();
+    let bundle = bundle(epoch, lifetime_ms);
     let chunks = bundle.chunks.iter().map(|chunk| Chunk {
         digest: chunk.digest.to_string(),
         text: String::from_utf8(chunk.bytes.to_vec()).unwrap(),
     });
-    platform.publish(epoch, &manifest, &chunks.collect::<Vec<_>>());
+    let chunks: Vec<Chunk> = chunks.collect();
+    platform.publish(epoch, &manifest_text(&bundle), &chunks);
 }
 
 async fn wait_until(what: &str, is_done: impl Fn() -> bool) {
@@ -288,3 +299,19 @@
     publish(&platform, 43, 1043);
     wait_for_epoch(daemon, 43).await;
 }
+
+/// Guards against a daemon that reads the platform without end while it shows
+/// a manifest whose chunks it does not have.
+#[tokio::test]
+async fn configuration_without_chunks() {
+    let platform = start_platform(EraReport::Header).await;
+    let running = start_daemon(&platform, "vm-1");
+    let daemon = running.daemon();
+    platform.set_vms(vec![entry_of(daemon)]);
+    platform.publish(40, &manifest_text(&bundle(40, 1040)), &[]);
+    tokio::time::sleep(QUIET_TIME).await;
+    let calls = platform.counts().total();
+    assert!(calls < 20, "{calls} calls");
+    publish(&platform, 40, 1040);
+    wait_for_epoch(daemon, 40).await;
+}
