Raise the incarnation of a daemon whose wall clock went back

A daemon that was restarted after the wall clock of its VM had gone back stayed dead or leaving for its peers: it took no part in reading the platform or in limits, and its own planned stop was not heard. That lasted as long as the process ran and the platform listed its VM.

Cause: the incarnation starts with the wall clock, and peers ignore updates of a lower one than they know. The daemon only logged that a later run of it exists. Peers told it nothing at all while they took the earlier run for ready or leaving.

Change: a daemon that learns of a higher incarnation at its own address takes the next one, since only one process serves at an address. One at another address is reported as before. A peer that hears from a lower incarnation answers with what it knows of the member. Tickets keep the incarnation of the process, which only has to be unique.

Evidence: `restarted_member_with_earlier_clock` and `quickly_restarted_member_with_earlier_clock` failed before and pass with the 18 other tests of the module. `suspected_member_refutes` gives its later run another address now; it had the address of the daemon, where the outcome it demands would be the fault. What it checks of a run that exists is unchanged.

--- a/crates/briarladder-core/src/membership/member.rs
+++ b/crates/briarladder-core/src/membership/member.rs
@@ -120,6 +120,10 @@
     pub(super) since: Instant,
     /// Whether the newest list of the platform contains the member.
     pub(super) listed: bool,
+    /// Whether an update of an earlier incarnation arrived since the last
+    /// message to the member. It may be that of a process that started after
+    /// the wall clock went back.
+    pub(super) earlier_heard: bool,
 }
 
 impl Member {
@@ -209,11 +213,11 @@
     /// The update was applied. It changed the state, or confirmed it with a
     /// higher sequence or incarnation.
     Applied(MemberChange),
-    /// The update claims that this daemon is suspect or dead. The daemon
-    /// incremented its sequence to refute it.
+    /// The update claims that this daemon is suspect or dead, or is about a
+    /// process that has ended. The daemon increased its sequence or its
+    /// incarnation to refute it.
     Refuted,
-    /// A later incarnation of this daemon exists, or the wall clock was set
-    /// back before the start. This process must stop, or restart with a
-    /// higher incarnation.
+    /// A later incarnation of this daemon exists at another address. This
+    /// process must stop, or restart with a higher incarnation.
     Superseded(Incarnation),
 }
--- a/crates/briarladder-core/src/membership/members.rs
+++ b/crates/briarladder-core/src/membership/members.rs
@@ -55,6 +55,7 @@
             leaving: false,
             since: now,
             listed: false,
+            earlier_heard: false,
         };
         Members {
             identity,
@@ -109,6 +110,7 @@
                 leaving,
                 since: now,
                 listed: true,
+                earlier_heard: false,
             };
             self.by_name.insert(seed.name.clone(), member);
             return Some(MemberChange {
@@ -265,6 +267,7 @@
             *member = Member { listed, ..member_from(update, now) };
         } else {
             if member.incarnation > Some(update.incarnation) {
+                member.earlier_heard = true;
                 return UpdateOutcome::Stale;
             }
             let order = (update.sequence, update.state)
@@ -303,7 +306,15 @@
 
     fn apply_own_update(&mut self, update: &MemberUpdate) -> UpdateOutcome {
         if update.incarnation > self.identity.incarnation {
-            return UpdateOutcome::Superseded(update.incarnation);
+            if update.address != self.identity.address {
+                return UpdateOutcome::Superseded(update.incarnation);
+            }
+            // Only one process serves at an address, so the other one has
+            // ended, and its wall clock was ahead.
+            let next = update.incarnation.0.saturating_add(1);
+            self.identity.incarnation = Incarnation(next);
+            self.own_entry_mut().incarnation = Some(Incarnation(next));
+            return UpdateOutcome::Refuted;
         }
         let own = self.own_entry_mut();
         let suspected = update.state >= MemberState::Suspect;
@@ -373,7 +384,8 @@
     }
 
     /// Returns the body of a probe of a member, or of a response to it. If
-    /// this daemon considers the member suspect or dead, the body says so,
+    /// this daemon considers the member suspect or dead, or has heard from an
+    /// incarnation of it that is not the highest, the body says what it knows,
     /// which allows the member to refute it.
     pub fn heartbeat_for(
         &mut self,
@@ -382,11 +394,12 @@
     ) -> Heartbeat {
         let mut updates = self.gossip.take();
         updates.retain(|update| update.name != *to);
-        let suspected = self
-            .by_name
-            .get(to)
-            .filter(|member| member.state >= MemberState::Suspect);
-        updates.extend(suspected.and_then(Member::update));
+        if let Some(member) = self.by_name.get_mut(to) {
+            let earlier_heard = std::mem::take(&mut member.earlier_heard);
+            if earlier_heard || member.state >= MemberState::Suspect {
+                updates.extend(member.update());
+            }
+        }
         let own = self.own_entry();
         let sender = MemberUpdate {
             name: own.name.clone(),
@@ -511,5 +524,6 @@
         leaving: update.state == MemberState::Leaving,
         since: now,
         listed: false,
+        earlier_heard: false,
     }
 }
--- a/crates/briarladder-core/src/membership/tests.rs
+++ b/crates/briarladder-core/src/membership/tests.rs
@@ -225,11 +225,60 @@
 
     let earlier = update(1, 4, 9, MemberState::Dead);
     assert_eq!(suspected.apply_update(now, &earlier), UpdateOutcome::Stale);
-    let later = update(1, 6, 0, MemberState::Ready);
+    let mut later = update(1, 6, 0, MemberState::Ready);
+    later.address = ([10, 0, 0, 2], 7_000).into();
     let superseded = UpdateOutcome::Superseded(Incarnation(6));
     assert_eq!(suspected.apply_update(now, &later), superseded);
 }
 
+/// Guards against a daemon that stays dead for its peers, because its wall clock
+/// went back before it was started again and its incarnation is lower.
+#[test]
+fn restarted_member_with_earlier_clock() {
+    let now = Instant::now();
+    let mut peer = members(now);
+    let now = fail_vm_1(&mut peer, now);
+    assert_eq!(state(&peer, 1), MemberState::Dead);
+    let mut restarted = Members::new(identity(1, 3), now);
+    let probe = restarted.heartbeat_for(&vm(0), TIMESTAMP);
+    let outcomes = peer.apply_heartbeat(now, &probe);
+    assert!(outcomes.contains(&UpdateOutcome::Stale), "{outcomes:?}");
+    let response = peer.heartbeat_for(&vm(1), TIMESTAMP);
+    let outcomes = restarted.record_probe_response(now, &response);
+    assert!(outcomes.contains(&UpdateOutcome::Refuted), "{outcomes:?}");
+    assert_eq!(restarted.incarnation(), Incarnation(6));
+    let probe = restarted.heartbeat_for(&vm(0), TIMESTAMP);
+    peer.apply_heartbeat(now, &probe);
+    assert_eq!(state(&peer, 1), MemberState::Ready);
+}
+
+/// Guards against a daemon that is not heard, because its peers know a higher
+/// incarnation of it that has announced its shutdown, or that is ready.
+#[test]
+fn quickly_restarted_member_with_earlier_clock() {
+    let now = Instant::now();
+    for before in [MemberState::Leaving, MemberState::Ready] {
+        let mut peer = members(now);
+        peer.apply_update(now, &update(1, 5, 1, before));
+        let mut restarted = Members::new(identity(1, 3), now);
+        for _ in 0..2 {
+            let probe = restarted.heartbeat_for(&vm(0), TIMESTAMP);
+            peer.apply_heartbeat(now, &probe);
+            let response = peer.heartbeat_for(&vm(1), TIMESTAMP);
+            restarted.record_probe_response(now, &response);
+        }
+        assert_eq!(
+            peer.get(&vm(1)).unwrap().incarnation,
+            Some(Incarnation(6))
+        );
+        assert_eq!(state(&peer, 1), MemberState::Ready);
+        restarted.begin_leave(now);
+        let probe = restarted.heartbeat_for(&vm(0), TIMESTAMP);
+        peer.apply_heartbeat(now, &probe);
+        assert_eq!(state(&peer, 1), MemberState::Leaving, "{before}");
+    }
+}
+
 /// Guards against a suspicion despite a response through a peer, a suspicion
 /// of an incarnation that has been replaced, and a lost response that prevents
 /// detection.
--- a/crates/briarladder-daemon/src/controllers/membership.rs
+++ b/crates/briarladder-daemon/src/controllers/membership.rs
@@ -318,7 +318,10 @@
             UpdateOutcome::Unchanged | UpdateOutcome::Stale => {}
             UpdateOutcome::Applied(change) => record(daemon, Some(change)),
             UpdateOutcome::Refuted => {
-                log::warn!("membership: peers considered this daemon dead");
+                log::warn!(
+                    "membership: peers considered this daemon dead, or an \
+                     ended run of it current"
+                );
             }
             UpdateOutcome::Superseded(incarnation) => {
                 log::error!(
