Announce the digest of the configuration in force

After a restore of the platform an operator may publish an epoch again that was lost, with other content. A daemon that started then put it in force, while its peers served with the content of before: callers got answers by two configurations, and the status of the new daemon named no problem.

Cause: daemons compare epochs only. A starting daemon knew from its peers that the epoch is in force, and took the content of the platform for it.

Change: an announcement has the digest of the manifest in force. A set of the same epoch with another digest is rejected as published before, also if it was held or collected before a peer was heard, and the set of the peer is fetched. Daemons of earlier versions announce no digest and ignore it.

`invalid_set_leaves_last_valid` checks the digest besides the epochs.

Two daemons that have put two contents of one epoch in force apart from each other, as in a partition, keep them until a higher epoch is published.

--- a/crates/briarladder-cli/src/bench/control/config_and_load.rs
+++ b/crates/briarladder-cli/src/bench/control/config_and_load.rs
@@ -5,7 +5,8 @@
 use anyhow::{Context, ensure};
 use briarladder_core::{
     config::{
-        Announcement, Bundle, ConfigStore, OfferOutcome, notify_targets,
+        Announcement, Bundle, ConfigStore, Digest, OfferOutcome,
+        notify_targets,
     },
     ids::Incarnation,
     load::{LoadReport, ServerState},
@@ -177,7 +178,11 @@
     let targets = notify_targets(&names[0], &names, 2).len();
     let notice = ConfigNotice {
         address: ([10, 0, 0, 1], 7_000).into(),
-        announcement: Announcement { in_force: 18_000, known: 18_000 },
+        announcement: Announcement {
+            in_force: 18_000,
+            known: 18_000,
+            in_force_digest: Some(Digest::of(b"manifest")),
+        },
     };
     let bytes = json_bytes(&notice, RPC_REQUEST_BYTES + RPC_RESPONSE_BYTES);
     let mut epoch = 0;
--- a/crates/briarladder-cli/src/bench/control/membership.rs
+++ b/crates/briarladder-cli/src/bench/control/membership.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use briarladder_core::{
-    config::Announcement,
+    config::{Announcement, Digest},
     membership::{
         Identity, MemberState, Members, ProbeTarget, Seed, SeedState,
         TICK_INTERVAL, new_incarnation,
@@ -224,7 +224,11 @@
         let timestamp = daemon.clock.tick(unix_time);
         let probe = Probe {
             heartbeat: daemon.members.heartbeat_for(to, timestamp),
-            announcement: Announcement { in_force: 18_000, known: 18_000 },
+            announcement: Announcement {
+                in_force: 18_000,
+                known: 18_000,
+                in_force_digest: Some(Digest::of(b"manifest")),
+            },
         };
         let json = serde_json::to_vec(&probe).expect("serialisable");
         let framing =
--- a/crates/briarladder-core/src/config/peers.rs
+++ b/crates/briarladder-core/src/config/peers.rs
@@ -13,9 +13,14 @@
 //! let start = Instant::now();
 //! let mut peers = PeerEpochs::new();
 //! let (a, b) = (VmName::new("a").unwrap(), VmName::new("b").unwrap());
-//! peers.observe(&a, Announcement { in_force: 4, known: 4 }, start);
+//! let announce = |epoch| Announcement {
+//!     in_force: epoch,
+//!     known: epoch,
+//!     in_force_digest: None,
+//! };
+//! peers.observe(&a, announce(4), start);
 //! let later = start + Duration::from_secs(1);
-//! peers.observe(&b, Announcement { in_force: 5, known: 5 }, later);
+//! peers.observe(&b, announce(5), later);
 //! let behind = peers.behind();
 //! assert_eq!((behind[0].vm, behind[0].since), (&a, later));
 //! ```
@@ -24,7 +29,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{names::VmName, sorted::SortedMap};
+use crate::{config::Digest, names::VmName, sorted::SortedMap};
 
 /// The epochs that a daemon announces in each probe.
 #[derive(
@@ -37,6 +42,11 @@
     /// Rejected sets are passed on, so that every daemon's status shows the
     /// reason.
     pub known: u64,
+    /// The digest of the manifest in force, which tells two contents of one
+    /// epoch apart. `None` if no epoch is in force, or in announcements of
+    /// earlier versions of the daemon.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub in_force_digest: Option<Digest>,
 }
 
 /// The epochs in force at all known daemons, this one included.
@@ -132,7 +142,11 @@
         let start = Instant::now();
         let at = |s| start + Duration::from_secs(s);
         let vm = |name| VmName::new(name).unwrap();
-        let announce = |epoch| Announcement { in_force: epoch, known: epoch };
+        let announce = |epoch| Announcement {
+            in_force: epoch,
+            known: epoch,
+            in_force_digest: None,
+        };
         let mut peers = PeerEpochs::new();
         peers.observe(&vm("a"), announce(4), at(0));
         peers.observe(&vm("b"), announce(5), at(1));
--- a/crates/briarladder-core/src/config/store/mod.rs
+++ b/crates/briarladder-core/src/config/store/mod.rs
@@ -56,6 +56,11 @@
     /// When this daemon learned of a newer epoch; `None` if it has the newest.
     behind_since: Option<Instant>,
     in_force: Option<Arc<Snapshot>>,
+    /// The digest of the manifest in force.
+    in_force_digest: Option<Digest>,
+    /// The manifest in force at a peer, of the highest epoch that any has
+    /// announced with its digest.
+    in_force_elsewhere: Option<ManifestId>,
     /// A valid set that is put in force once the floor is confirmed.
     held: Option<Arc<Snapshot>>,
     /// The manifests whose chunks were all received, and invalid ones, sorted
@@ -93,6 +98,12 @@
     pub fn observe_peer(&mut self, announced: Announcement, now: Instant) {
         self.observe_floor(announced.in_force, now);
         self.observe_epoch(announced.known, now);
+        let Some(digest) = announced.in_force_digest else { return };
+        let id = ManifestId { epoch: announced.in_force, digest };
+        let known = self.in_force_elsewhere;
+        if known.is_none_or(|known| known.epoch < id.epoch) {
+            self.in_force_elsewhere = Some(id);
+        }
     }
 
     /// Records an epoch that some daemon has, this one included.
@@ -184,6 +195,35 @@
             .filter(|manifest| manifest.epoch == offered.epoch)
             .map(Manifest::id)
             .find(|id| *id != offered)
+            .or_else(|| self.conflict_elsewhere(offered))
+    }
+
+    /// Returns the manifest of the same epoch that is in force at a peer, if
+    /// its content differs and the epoch is not in force here.
+    fn conflict_elsewhere(&self, offered: ManifestId) -> Option<ManifestId> {
+        let in_force = self.in_force.as_ref().map(|s| s.epoch);
+        self.in_force_elsewhere.filter(|first| {
+            first.epoch == offered.epoch
+                && first.digest != offered.digest
+                && in_force != Some(offered.epoch)
+        })
+    }
+
+    /// Drops a complete set, and rejects it because its epoch is in force at
+    /// a peer with another content. The set of the peer can then be received.
+    fn reject_reused(
+        &mut self,
+        id: ManifestId,
+        first: ManifestId,
+        now: Instant,
+    ) -> OfferOutcome {
+        self.complete.retain(|manifest| manifest.id() != id);
+        self.evict_unused_chunks();
+        self.update_behind(now);
+        let reason = RejectReason::EpochReused { first };
+        let rejection = Rejection { id, reason };
+        self.rejected = Some(rejection.clone());
+        OfferOutcome::Rejected(rejection)
     }
 
     /// Processes a chunk received from the platform or a peer.
@@ -277,7 +317,16 @@
             let floor = self.floor;
             return OfferOutcome::Ignored(IgnoreReason::BelowFloor { floor });
         }
+        let mut complete = self.complete.iter();
+        let manifest = complete.find(|m| m.epoch == snapshot.epoch);
+        let id = manifest.map(Manifest::id);
+        if let Some(id) = id
+            && let Some(first) = self.conflict_elsewhere(id)
+        {
+            return self.reject_reused(id, first, now);
+        }
         self.floor = snapshot.epoch;
+        self.in_force_digest = id.map(|id| id.digest);
         self.in_force = Some(Arc::clone(&snapshot));
         // The rejection of a newer epoch stays until a later set corrects it.
         self.rejected =
@@ -343,7 +392,11 @@
     #[must_use]
     pub fn announcement(&self) -> Announcement {
         let in_force = self.in_force.as_ref().map_or(0, |s| s.epoch);
-        Announcement { in_force, known: self.newest_complete_epoch() }
+        Announcement {
+            in_force,
+            known: self.newest_complete_epoch(),
+            in_force_digest: self.in_force_digest,
+        }
     }
 
     /// Returns the set in force.
--- a/crates/briarladder-core/src/config/store/tests.rs
+++ b/crates/briarladder-core/src/config/store/tests.rs
@@ -27,6 +27,11 @@
     Bundle::new(epoch, &objects).unwrap()
 }
 
+/// Returns the announcement of a peer that names no digest.
+fn announcement(in_force: u64, known: u64) -> Announcement {
+    Announcement { in_force, known, in_force_digest: None }
+}
+
 /// Returns a store whose floor is confirmed.
 fn confirmed(now: Instant) -> ConfigStore {
     let mut store = ConfigStore::new();
@@ -96,7 +101,7 @@
     let outcome = offer(&mut store, &bundle(6, 1), now);
     assert!(matches!(outcome, OfferOutcome::Held(_)));
     assert_eq!(store.readiness(), Readiness::FloorUnconfirmed);
-    store.observe_peer(Announcement { in_force: 7, known: 7 }, now);
+    store.observe_peer(announcement(7, 7), now);
     let outcome = store.confirm_floor(now);
     assert!(matches!(outcome, Some(OfferOutcome::Ignored(r)) if r == ignored));
     assert_eq!(epoch(&store), None);
@@ -198,8 +203,11 @@
     assert!(rejection.to_string().contains("add up to 101%"));
     assert_eq!(store.rejected(), Some(&rejection));
     assert_eq!((epoch(&store), store.floor()), (Some(1), 1));
-    let announced = Announcement { in_force: 1, known: 2 };
-    assert_eq!(store.announcement(), announced);
+    let announced = store.announcement();
+    let digest = bundle(1, 1).manifest.id().digest;
+    let expected =
+        Announcement { in_force_digest: Some(digest), ..announcement(1, 2) };
+    assert_eq!(announced, expected);
     // Peers fetch the rejected set too, so that they can show the reason.
     let mut peer = confirmed(now);
     offer(&mut peer, &bundle(1, 1), now);
@@ -312,8 +320,8 @@
     let mut store = confirmed(start);
     offer(&mut store, &bundle(1, 1), start);
     assert_eq!(store.behind_since(), None);
-    store.observe_peer(Announcement { in_force: 2, known: 3 }, at(1));
-    store.observe_peer(Announcement { in_force: 4, known: 4 }, at(2));
+    store.observe_peer(announcement(2, 3), at(1));
+    store.observe_peer(announcement(4, 4), at(2));
     assert_eq!(store.behind_since(), Some(at(1)));
     offer(&mut store, &bundle(4, 4), at(3));
     assert_eq!(store.behind_since(), None);
@@ -377,3 +385,46 @@
     starting.observe_floor(29, now);
     assert_eq!(starting.wanted_manifest(), None);
 }
+
+/// Guards against two contents of one epoch in force in a fleet, after the
+/// platform has given the epoch out again: for a daemon that starts and has
+/// the set before it hears of its peers, while it collects it, and after.
+#[test]
+fn epoch_reused_elsewhere() {
+    let now = Instant::now();
+    let (first, reused) = (bundle(7, 1), bundle(7, 2));
+    let mut peer = confirmed(now);
+    offer(&mut peer, &first, now);
+    let is_reused = |outcome: &OfferOutcome| match outcome {
+        OfferOutcome::Rejected(rejection) => {
+            let first = first.manifest.id();
+            rejection.reason == RejectReason::EpochReused { first }
+        }
+        _ => false,
+    };
+    let mut held = ConfigStore::new();
+    let outcome = offer(&mut held, &reused, now);
+    assert!(matches!(outcome, OfferOutcome::Held(_)));
+    held.observe_peer(peer.announcement(), now);
+    assert!(is_reused(&held.confirm_floor(now).unwrap()));
+    let mut collecting = confirmed(now);
+    collecting.offer_manifest(reused.manifest.clone(), now);
+    collecting.observe_peer(peer.announcement(), now);
+    let last = reused
+        .chunks
+        .iter()
+        .map(|chunk| collecting.offer_chunk(&chunk.digest, &chunk.bytes, now));
+    assert!(is_reused(&last.last().unwrap()));
+    let mut knowing = confirmed(now);
+    knowing.observe_peer(peer.announcement(), now);
+    assert!(is_reused(&offer(&mut knowing, &reused, now)));
+    for mut store in [held, collecting, knowing] {
+        assert_eq!(epoch(&store), None);
+        assert_eq!(store.wanted_manifest(), Some(ManifestSelector::Newest));
+        let outcome = offer(&mut store, &first, now);
+        assert!(matches!(outcome, OfferOutcome::Adopted(_)), "{outcome:?}");
+        assert_eq!(store.announcement(), peer.announcement());
+        assert!(is_reused(&offer(&mut store, &reused, now)));
+        assert_eq!(store.in_force().unwrap().ranks[7].guaranteed_percent, 1);
+    }
+}
--- a/crates/briarladder-daemon/tests/restored_platform.rs
+++ b/crates/briarladder-daemon/tests/restored_platform.rs
@@ -315,3 +315,24 @@
     publish(&platform, 40, 1040);
     wait_for_epoch(daemon, 40).await;
 }
+
+/// Guards against two contents of one epoch in force at once: a daemon that
+/// starts takes an epoch that the platform gives out again, while its peers
+/// have that of before the restore.
+#[tokio::test]
+async fn configuration_reused_at_starting_daemon() {
+    let platform = start_platform(EraReport::Header).await;
+    let first = start_daemon(&platform, "vm-1");
+    platform.set_vms(vec![entry_of(first.daemon())]);
+    publish(&platform, 40, 1040);
+    let backup = platform.backup();
+    publish(&platform, 42, 1042);
+    wait_for_epoch(first.daemon(), 42).await;
+    platform.restore(&backup);
+    publish(&platform, 42, 2042);
+    let second = start_daemon(&platform, "vm-2");
+    let daemon = second.daemon();
+    platform.set_vms(vec![entry_of(first.daemon()), entry_of(daemon)]);
+    wait_for_epoch(daemon, 42).await;
+    assert_eq!(lifetime_ms(daemon), lifetime_ms(first.daemon()));
+}
