--- a/crates/briarladder-core/src/membership/members.rs
+++ b/crates/briarladder-core/src/membership/members.rs
@@ -72,8 +72,8 @@
     /// Applies the platform's VM list and returns the members it added or
     /// changed. A list that is not newer than the last one is ignored. A list
     /// of a later era is newer, also if its number is not: the platform was
-    /// restored. The list adds unknown members; it never changes the state of a member that
-    /// was heard from or declared dead.
+    /// restored. The list adds unknown members; it never changes the state of
+    /// a member that was heard from or declared dead.
     pub fn apply_seeds(
         &mut self,
         now: Instant,
--- a/crates/briarladder-core/src/membership/tests.rs
+++ b/crates/briarladder-core/src/membership/tests.rs
@@ -231,8 +231,8 @@
     assert_eq!(suspected.apply_update(now, &later), superseded);
 }
 
-/// Guards against a daemon that stays dead for its peers, because its wall clock
-/// went back before it was started again and its incarnation is lower.
+/// Guards against a daemon that stays dead for its peers, because its wall
+/// clock went back before it was started again and its incarnation is lower.
 #[test]
 fn restarted_member_with_earlier_clock() {
     let now = Instant::now();
