--- a/review/cases-2/src/bin/crashing-pieces.rs
+++ b/review/cases-2/src/bin/crashing-pieces.rs
@@ -14,9 +14,9 @@
 use briarladder_platform_standins::Store;
 use rand::{RngExt, seq::IndexedRandom};
 use review_cases_2::{
-    Action, CONTACT, Call, Daemon, Message, Record, Server, answer,
-    exit_code, has_trouble, machine_addresses, name, new_attempt, show,
-    start_store, temporary_folder,
+    Action, CONTACT, Call, Daemon, Message, Record, Server, answer, exit_code,
+    has_trouble, machine_addresses, name, new_attempt, show, start_store,
+    temporary_folder,
 };
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -51,7 +51,8 @@
     request: &Message,
 ) -> Action {
     if request.path() != name("run") {
-        let empty = answer(200, &[("Content-Type", "application/json")], b"{}");
+        let empty =
+            answer(200, &[("Content-Type", "application/json")], b"{}");
         return Action::Answer(Duration::ZERO, empty);
     }
     let call: Value = serde_json::from_slice(&request.body).unwrap();
@@ -172,9 +173,8 @@
     for (number, zone) in ["zone-a", "zone-b", "zone-c"].iter().enumerate() {
         let machine = format!("front-{zone}-1");
         let ip = machines[number];
-        let mut daemon = Daemon::new(
-            files.path(), &machine, zone, ip, &machines, &store,
-        )?;
+        let mut daemon =
+            Daemon::new(files.path(), &machine, zone, ip, &machines, &store)?;
         daemon.start()?;
         daemons.push(daemon);
     }
--- a/review/cases-2/src/bin/forgotten-crashes.rs
+++ b/review/cases-2/src/bin/forgotten-crashes.rs
@@ -11,9 +11,9 @@
 use anyhow::bail;
 use briarladder_platform_standins::Store;
 use review_cases_2::{
-    Action, CONTACT, Call, Daemon, Message, Record, Server, answer,
-    exit_code, has_trouble, machine_addresses, name, new_attempt, show,
-    start_store, temporary_folder,
+    Action, CONTACT, Call, Daemon, Message, Record, Server, answer, exit_code,
+    has_trouble, machine_addresses, name, new_attempt, show, start_store,
+    temporary_folder,
 };
 use tokio::time::sleep;
 
@@ -71,9 +71,7 @@
                 Action::Answer(Duration::from_millis(30), bytes)
             };
             let store = store.clone();
-            async move {
-                Server::start("desk", 6, &store, Arc::new(handler)).await
-            }
+            async move { Server::start("desk", 6, &store, Arc::new(handler)).await }
         }
     };
     let mut server = start().await?;
@@ -181,8 +179,7 @@
         pieces: None,
         body: b"an order",
     };
-    let answer =
-        order.send(daemons[0].callers(), &new_attempt()).await;
+    let answer = order.send(daemons[0].callers(), &new_attempt()).await;
     record.say(&format!("an ordinary request: {}", show(answer.as_ref())));
     if answer.and_then(|answer| answer.status()) != Some(200) {
         bail!("an ordinary request was not served");
