--- a/review/cases-2/src/bin/forgotten-crashes.rs
+++ b/review/cases-2/src/bin/forgotten-crashes.rs
@@ -27,12 +27,17 @@
 /// How long a server that has crashed is away.
 const AWAY: Duration = Duration::from_secs(4);
 
-/// The pause after a machine has been restarted and asked until the next one
-/// is stopped.
-const PAUSE: Duration = Duration::from_millis(3500);
+/// The pause between two machines of a roll, `gap_s` of the site.
+const GAP: Duration = Duration::from_millis(1300);
 
-/// How long a machine has run again when the request comes there.
-const RUNS_AGAIN: Duration = Duration::from_millis(4500);
+/// How often all machines are stopped and started in turn.
+const ROLLS: usize = 2;
+
+/// How long all machines have run again when the request comes.
+const RUN_AGAIN: Duration = Duration::from_millis(4500);
+
+/// The pause between two attempts.
+const PAUSE: Duration = Duration::from_millis(700);
 
 /// The rule allows so many retries.
 const ALLOWED_RETRIES: usize = 3;
@@ -159,19 +164,25 @@
     for daemon in &daemons {
         send_crashing(daemon, &crashes, &record).await;
     }
-    for daemon in &mut daemons {
-        sleep(PAUSE).await;
-        if has_trouble() {
-            daemon.stop().await?;
-            daemon.start()?;
-            daemon.wait_ready().await?;
-            record.say(&format!("{} was restarted", daemon.machine));
+    for roll in 1..=ROLLS {
+        for daemon in &mut daemons {
+            if has_trouble() {
+                daemon.stop().await?;
+                daemon.start()?;
+                daemon.wait_ready().await?;
+                record.say(&format!("{} was restarted", daemon.machine));
+            }
+            sleep(GAP).await;
         }
-        sleep(RUNS_AGAIN).await;
-        if !daemon.is_in_touch() {
-            bail!("{} is not in touch", daemon.machine);
+        record.say(&format!("roll {roll} has ended"));
+        sleep(RUN_AGAIN).await;
+        for daemon in &daemons {
+            if !daemon.is_in_touch() {
+                bail!("{} is not in touch", daemon.machine);
+            }
+            send_crashing(daemon, &crashes, &record).await;
+            sleep(PAUSE).await;
         }
-        send_crashing(daemon, &crashes, &record).await;
     }
     let order = Call {
         path: "/order/1",
