--- a/review/cases-2/src/lib.rs
+++ b/review/cases-2/src/lib.rs
@@ -184,6 +184,17 @@
         bail!("{} is not ready", self.machine)
     }
 
+    /// Stops its process for a while, or lets it go on.
+    pub fn freeze(&mut self, frozen: bool) -> anyhow::Result<()> {
+        let child = self.child.as_ref().context("not running")?;
+        let id = i32::try_from(child.id())?;
+        let pid = Pid::from_raw(id).context("no process")?;
+        let signal = if frozen { Signal::STOP } else { Signal::CONT };
+        kill_process(pid, signal)?;
+        self.disturbed_at = Instant::now();
+        Ok(())
+    }
+
     /// Sends SIGTERM and waits until the process has ended.
     pub async fn stop(&mut self) -> anyhow::Result<()> {
         let child = self.child.as_mut().context("not running")?;
