--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -22,6 +22,7 @@
 };
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use http::StatusCode;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use tokio::{
@@ -106,6 +107,7 @@
     progress: AnswerProgress,
     boundary: EventBoundary,
     framing: Framing,
+    status: StatusCode,
     /// Tells whether the body may be cut off, once it has ended with its
     /// connection.
     end_check: Option<Pin<Box<dyn Future<Output = Option<DoubtfulEnd>>>>>,
@@ -130,6 +132,7 @@
         in_flight: InFlightGuard,
     ) -> RelayedBody {
         let framing = response.framing();
+        let status = response.head.status;
         let ServerResponse { info, buffered, body, connection, .. } = response;
         let deadline = sleep_until(outgoing.accepted.deadline.into());
         RelayedBody {
@@ -144,6 +147,7 @@
             progress: AnswerProgress::default(),
             boundary: EventBoundary::default(),
             framing,
+            status,
             end_check: None,
             _in_flight: in_flight,
         }
@@ -183,12 +187,14 @@
             Poll::Ready(None) if self.framing == Framing::ConnectionClose => {
                 let outgoing = self.outgoing.clone();
                 let server = Arc::clone(&self.server);
-                let framing = self.framing;
+                let (framing, status) = (self.framing, self.status);
                 let upload =
                     self.connection.as_ref().map(PooledConnection::upload);
                 let check = async move {
                     let upload = upload?;
-                    outgoing.doubtful_end(&server, framing, &upload).await
+                    let doubt = outgoing
+                        .doubtful_end(&server, framing, status, &upload);
+                    doubt.await
                 };
                 self.end_check = Some(Box::pin(check));
                 self.poll_end_check(cx)
--- a/crates/briarladder-gateway/src/pool.rs
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -9,10 +9,12 @@
 //! the next answer there may be a copy of the one before
 //! ([`excluded_attempts`]). A connection whose request isn't written to its
 //! end is not used again, and the end of such a connection isn't the end of an
-//! answer ([`upload`]).
+//! answer; nor is an end before the server's kernel has received the request
+//! ([`upload`], [`send_queue`]).
 
 mod excluded_attempts;
 mod fair_stream;
+mod send_queue;
 mod status;
 mod upload;
 
@@ -46,10 +48,11 @@
 use self::{
     excluded_attempts::{AttemptHash, ExcludedAttempts},
     fair_stream::FairStream,
+    send_queue::SendQueues,
     upload::UploadStream,
 };
 
-pub use upload::Upload;
+pub use upload::{RequestProgress, Upload};
 
 /// Idle timeout of a connection whose peer announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -178,6 +181,7 @@
     clock: SharedClock,
     idle: RefCell<SortedMap<SocketAddr, Vec<IdleConnection>>>,
     opened_count: Cell<u64>,
+    send_queues: Rc<SendQueues>,
 }
 
 /// A connection in use. Dropping it closes the connection.
@@ -252,6 +256,7 @@
             clock,
             idle: RefCell::new(SortedMap::new()),
             opened_count: Cell::new(0),
+            send_queues: Rc::default(),
         })
     }
 
@@ -415,7 +420,7 @@
             .await
             .map_err(|error| SendError::connect_failed(&error))?;
         let connect_time = self.clock.now().duration_since(started_at);
-        let stream = UploadStream::new(stream);
+        let stream = UploadStream::new(stream, &self.send_queues);
         let upload = stream.upload();
         let handshake = handshake(stream).await;
         let (sender, connection) = handshake.map_err(|error| {
--- a/crates/briarladder-gateway/src/pool/upload.rs
+++ b/crates/briarladder-gateway/src/pool/upload.rs
@@ -1,9 +1,10 @@
-//! Tells whether a connection still has a part of its request to write.
+//! Tells how much of its request a connection has passed on.
 //!
-//! hyper takes a whole request into its buffer and then considers it written.
-//! A server may answer before it has read the request, so a whole answer
-//! doesn't show that the request was sent to its end. The end of a connection
-//! before that end is not the end of an answer.
+//! hyper takes a whole request into its buffer and then considers it written,
+//! and the kernel considers it written once it is in the send queue. A server
+//! may answer before it has read the request, so a whole answer doesn't show
+//! that the request was received. What was known of it when the server ended
+//! the connection is therefore recorded at that moment.
 
 use std::{
     cell::{Cell, RefCell},
@@ -13,35 +14,58 @@
     task::{Context, Poll},
 };
 
+use derive_more::Display;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     sync::Notify,
 };
 
+use super::send_queue::SendQueues;
+
+/// How much of a request was passed on when the server ended the connection.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum RequestProgress {
+    /// A part of it had yet to be written.
+    #[display("unwritten")]
+    Unwritten,
+    /// It was written, but the server's kernel had not received so many bytes
+    /// of it.
+    #[display("unreceived:{_0}")]
+    Unreceived(u32),
+    /// The server's kernel had received all of it. The server may not have
+    /// read it.
+    #[display("received")]
+    Received,
+    /// It was written, and this kernel doesn't tell what the other one has
+    /// received; or the connection hasn't ended.
+    #[display("unknown")]
+    Unknown,
+}
+
 /// What is known of the request that was written last on a connection.
 #[derive(Debug)]
-pub struct Upload<S = TcpStream> {
+pub struct Upload {
     is_pending: Cell<bool>,
-    ended_while_pending: Cell<bool>,
+    progress_at_end: Cell<RequestProgress>,
     written: Notify,
     /// The stream once the server has ended the connection and it was dropped.
     /// A reset that follows the end is only seen here.
-    ended_stream: RefCell<Option<S>>,
+    ended_stream: RefCell<Option<TcpStream>>,
 }
 
-impl<S> Upload<S> {
+impl Upload {
     /// Returns whether a part of the request has yet to be written.
     #[must_use]
     pub fn is_pending(&self) -> bool {
         self.is_pending.get()
     }
 
-    /// Returns whether the server ended the connection while a part of the
-    /// request had yet to be written.
+    /// Returns how much of the request was passed on when the server ended the
+    /// connection.
     #[must_use]
-    pub fn ended_while_pending(&self) -> bool {
-        self.ended_while_pending.get()
+    pub fn progress_at_end(&self) -> RequestProgress {
+        self.progress_at_end.get()
     }
 
     /// Waits until the request is written.
@@ -51,15 +75,6 @@
         }
     }
 
-    fn set_pending(&self, is_pending: bool) {
-        self.is_pending.set(is_pending);
-        if !is_pending {
-            self.written.notify_waiters();
-        }
-    }
-}
-
-impl Upload {
     /// Returns whether the server has reset the connection after its end: it
     /// closed it before it had received the whole request.
     #[must_use]
@@ -69,41 +84,76 @@
             stream.take_error().is_ok_and(|error| error.is_some())
         })
     }
+
+    fn set_pending(&self, is_pending: bool) {
+        self.is_pending.set(is_pending);
+        if !is_pending {
+            self.written.notify_waiters();
+        }
+    }
 }
 
 /// A stream that records in an [`Upload`] what was written.
 #[derive(Debug)]
-pub(super) struct UploadStream<S> {
+pub(super) struct UploadStream {
     /// `None` while it is dropped.
-    inner: Option<S>,
-    upload: Rc<Upload<S>>,
+    inner: Option<TcpStream>,
+    upload: Rc<Upload>,
+    send_queues: Rc<SendQueues>,
     has_ended: bool,
 }
 
-impl<S> UploadStream<S> {
-    pub(super) fn new(inner: S) -> UploadStream<S> {
+impl UploadStream {
+    pub(super) fn new(
+        inner: TcpStream,
+        send_queues: &Rc<SendQueues>,
+    ) -> UploadStream {
         let upload = Rc::new(Upload {
             is_pending: Cell::new(false),
-            ended_while_pending: Cell::new(false),
+            progress_at_end: Cell::new(RequestProgress::Unknown),
             written: Notify::new(),
             ended_stream: RefCell::new(None),
         });
-        UploadStream { inner: Some(inner), upload, has_ended: false }
+        UploadStream {
+            inner: Some(inner),
+            upload,
+            send_queues: Rc::clone(send_queues),
+            has_ended: false,
+        }
     }
 
-    pub(super) fn upload(&self) -> Rc<Upload<S>> {
+    pub(super) fn upload(&self) -> Rc<Upload> {
         Rc::clone(&self.upload)
     }
-}
 
-impl<S: Unpin> UploadStream<S> {
-    fn inner(&mut self) -> io::Result<Pin<&mut S>> {
+    fn inner(&mut self) -> io::Result<Pin<&mut TcpStream>> {
         let inner = self.inner.as_mut();
         inner.map(Pin::new).ok_or(io::ErrorKind::NotConnected.into())
     }
+
+    /// Records the end of the connection. The segment that ends it
+    /// acknowledges all that the server's kernel has received, and later ones
+    /// may acknowledge more, so the kernel is asked at once.
+    fn record_end(&mut self) {
+        self.has_ended = true;
+        let unreceived = || {
+            let stream = self.inner.as_ref()?;
+            self.send_queues.unacknowledged_bytes(stream)
+        };
+        let progress = if self.upload.is_pending() {
+            RequestProgress::Unwritten
+        } else {
+            match unreceived() {
+                None => RequestProgress::Unknown,
+                Some(0) => RequestProgress::Received,
+                Some(bytes) => RequestProgress::Unreceived(bytes),
+            }
+        };
+        self.upload.progress_at_end.set(progress);
+    }
 }
 
-impl<S> Drop for UploadStream<S> {
+impl Drop for UploadStream {
     fn drop(&mut self) {
         if self.has_ended {
             self.upload.ended_stream.replace(self.inner.take());
@@ -111,7 +161,7 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for UploadStream<S> {
+impl AsyncRead for UploadStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -123,15 +173,13 @@
             && remaining_before > 0
             && buffer.remaining() == remaining_before;
         if is_end && !self.has_ended {
-            self.has_ended = true;
-            let upload = &self.upload;
-            upload.ended_while_pending.set(upload.is_pending());
+            self.record_end();
         }
         read
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for UploadStream<S> {
+impl AsyncWrite for UploadStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/briarladder-gateway/src/request/connection_end.rs
+++ b/crates/briarladder-gateway/src/request/connection_end.rs
@@ -7,17 +7,22 @@
 //! connection after the end of its answer was still running at that end;
 //! otherwise the answer may be cut off.
 //!
-//! A server may answer while the request is still being written. One that ends
-//! the connection before it has received the whole request has given up, so
-//! what it has sent until then proves nothing. The kernel answers what arrives
-//! after the end with a reset, which follows within a round trip; opening the
-//! other connection takes as long.
+//! A server may answer while the request is still on its way. One that ends the
+//! connection before it has received the whole request has given up, so what
+//! it has sent until then does not prove success. It may still be the whole
+//! text of a failure, since a server need not read what it rejects.
+//!
+//! A request that the server's kernel has received is not known to be read by
+//! the server. If the server closes its socket without reading it, the kernel
+//! sends a reset, which is noticed if it follows within a round trip; opening
+//! the other connection takes as long.
 
 use briarladder_core::fleet::server::{ListedServer, ServerState};
 use derive_more::Display;
+use http::StatusCode;
 use tokio::time::timeout_at;
 
-use crate::pool::{ProbeResult, Upload};
+use crate::pool::{ProbeResult, RequestProgress, Upload};
 
 use super::{framing::Framing, outgoing::OutgoingRequest};
 
@@ -48,6 +53,7 @@
         &self,
         server: &ListedServer,
         framing: Framing,
+        status: StatusCode,
         upload: &Upload,
     ) -> Option<DoubtfulEnd> {
         if framing != Framing::ConnectionClose {
@@ -55,13 +61,17 @@
         }
         let deadline = self.accepted.deadline.into();
         let doubt =
-            timeout_at(deadline, self.find_doubt(server, upload)).await;
+            timeout_at(deadline, self.find_doubt(server, status, upload));
+        let doubt = doubt.await;
         let doubt = doubt.unwrap_or(Some(DoubtfulEnd::NoResponse));
         if let Some(doubt) = doubt {
             log::info!(
-                "dispatch: id={} server={} outcome=doubtful_end cause={doubt:?}",
+                "dispatch: id={} server={} outcome=doubtful_end \
+                 cause={doubt:?} status={} request={}",
                 self.accepted.caller.attempt,
-                server.name
+                server.name,
+                status.as_u16(),
+                upload.progress_at_end()
             );
         }
         doubt
@@ -70,9 +80,15 @@
     async fn find_doubt(
         &self,
         server: &ListedServer,
+        status: StatusCode,
         upload: &Upload,
     ) -> Option<DoubtfulEnd> {
-        if upload.ended_while_pending() {
+        let is_unfinished = match upload.progress_at_end() {
+            RequestProgress::Unwritten => true,
+            RequestProgress::Unreceived(_) => status.is_success(),
+            RequestProgress::Received | RequestProgress::Unknown => false,
+        };
+        if is_unfinished {
             return Some(DoubtfulEnd::RequestUnfinished);
         }
         for _ in 0..MAX_PROBES {
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -499,8 +499,8 @@
             }
         };
         let upload = connection.upload();
-        if let Some(doubt) = self.doubtful_end(server, framing, &upload).await
-        {
+        let doubt = self.doubtful_end(server, framing, status, &upload);
+        if let Some(doubt) = doubt.await {
             return Err(broken(doubt.to_string()));
         }
         let is_failure = status.is_server_error()
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -254,8 +254,10 @@
             STREAM_CUT_CAUSE.to_owned()
         } else {
             let upload = part.response.connection.upload();
+            let status = part.response.head.status;
+            let server = &part.server;
             let doubt =
-                self.outgoing.doubtful_end(&part.server, framing, &upload);
+                self.outgoing.doubtful_end(server, framing, status, &upload);
             // The server that is asked to resume says whether events follow.
             let Some(doubt) = doubt.await else { return PartEnd::Complete };
             doubt.to_string()
