--- a/crates/briarladder-core/src/fleet/crash_tracker/feature.rs
+++ b/crates/briarladder-core/src/fleet/crash_tracker/feature.rs
@@ -18,6 +18,11 @@
         hasher.finalize_xof().fill(&mut bytes);
         Fingerprint(bytes)
     }
+
+    /// Returns a hash that tells apart the features that a daemon knows.
+    pub(super) fn short(self) -> u64 {
+        rapidhash::v3::rapidhash_v3(&self.0)
+    }
 }
 
 /// A property of a request that may be the reason why servers crash.
@@ -92,6 +97,10 @@
         let name = rapidhash::v3::rapidhash_v3(name.as_bytes());
         ServerIncarnation(name.rotate_left(1) ^ born_ms)
     }
+
+    pub(super) fn to_bytes(self) -> [u8; 8] {
+        self.0.to_le_bytes()
+    }
 }
 
 #[cfg(test)]
--- a/crates/briarladder-core/src/fleet/crash_tracker/mod.rs
+++ b/crates/briarladder-core/src/fleet/crash_tracker/mod.rs
@@ -15,7 +15,8 @@
 //!
 //! Daemons tell each other of crashes and of their clearance. Merging what
 //! others tell needs no common clock: a crash that was cleared anywhere stays
-//! cleared.
+//! cleared. What is no longer news is compared ([`exchange`]), so that a daemon
+//! that starts, or was cut off, refuses what the others refuse.
 //!
 //! # Example
 //!
@@ -41,6 +42,7 @@
 //! ```
 
 mod attribution;
+mod exchange;
 mod feature;
 mod suspect;
 #[cfg(test)]
@@ -55,7 +57,13 @@
 
 use crate::sorted::SortedMap;
 
-pub use self::feature::{Feature, Fingerprint, ServerIncarnation};
+pub use self::{
+    exchange::{
+        CrashDifference, CrashDigest, CrashSummary, MAX_COMPARED_FEATURES,
+        MergedDifference,
+    },
+    feature::{Feature, Fingerprint, ServerIncarnation},
+};
 
 use self::suspect::{Crash, Suspect};
 
@@ -110,6 +118,10 @@
     suspects: SortedMap<Fingerprint, Suspect>,
     /// Until when requests with a feature are refused.
     refused: SortedMap<Fingerprint, Instant>,
+    /// Whether this daemon knows what others knew when it started.
+    is_synced: bool,
+    /// When this daemon last began a comparison with another one.
+    compared_at: Option<Instant>,
 }
 
 impl CrashTracker {
@@ -135,6 +147,7 @@
         features: &[Feature],
         incarnation: ServerIncarnation,
     ) -> bool {
+        self.expire(now);
         let crash = Crash { at: now, cleared: false };
         for feature in features {
             self.add(now, *feature, &[(incarnation, crash)]);
@@ -209,11 +222,7 @@
             .into_iter()
             .map(|(fingerprint, suspect)| {
                 suspect.told += 1;
-                let feature = Feature {
-                    fingerprint: *fingerprint,
-                    specificity: suspect.specificity,
-                };
-                suspect.notice(now, feature)
+                suspect.notice(now, *fingerprint)
             })
             .collect()
     }
@@ -221,8 +230,13 @@
     /// Merges notices of another daemon and returns how many of them were
     /// new. Merging is idempotent.
     pub fn merge(&mut self, now: Instant, notices: &[CrashNotice]) -> usize {
+        self.merge_all(now, &notices[..notices.len().min(MAX_NOTICES)])
+    }
+
+    fn merge_all(&mut self, now: Instant, notices: &[CrashNotice]) -> usize {
+        self.expire(now);
         let mut new = 0;
-        for notice in notices.iter().take(MAX_NOTICES) {
+        for notice in notices {
             let crashes: Vec<(ServerIncarnation, Crash)> = notice
                 .crashes
                 .iter()
@@ -256,6 +270,10 @@
         self.refused.values().filter(|until| **until > now).count()
     }
 
+    fn expire(&mut self, now: Instant) {
+        self.suspects.retain(|_, suspect| suspect.expire(now));
+    }
+
     /// Adds crashes of a feature and returns whether something is new.
     fn add(
         &mut self,
@@ -263,10 +281,10 @@
         feature: Feature,
         crashes: &[(ServerIncarnation, Crash)],
     ) -> bool {
-        self.suspects.retain(|_, suspect| suspect.expire(now));
+        let first_at = crashes.iter().map(|(_, crash)| crash.at).min();
         let known =
             self.suspects.get_or_insert_with(feature.fingerprint, || {
-                Suspect::new(now, feature)
+                Suspect::new(now, first_at.unwrap_or(now), feature)
             });
         known.specificity = known.specificity.max(feature.specificity);
         let mut new = false;
--- a/crates/briarladder-core/src/fleet/crash_tracker/suspect.rs
+++ b/crates/briarladder-core/src/fleet/crash_tracker/suspect.rs
@@ -2,19 +2,21 @@
 
 use std::time::{Duration, Instant};
 
+use rapidhash::v3::rapidhash_v3;
+
 use crate::sorted::SortedMap;
 
 use super::{
-    CRASH_LIMIT, CrashNotice, CrashReport, Feature, REFUSAL_DURATION,
-    ServerIncarnation,
+    CRASH_LIMIT, CrashNotice, CrashReport, Feature, Fingerprint,
+    REFUSAL_DURATION, ServerIncarnation,
 };
 
 /// Maximum number of crashes that are kept for one feature.
 const MAX_CRASHES: usize = 8;
 
-/// How long a feature is kept after all its crashes were cleared. Other
-/// daemons must no longer report them as not cleared by then.
-const CLEARED_RETENTION: Duration = Duration::from_secs(20);
+/// How long a feature is kept at least after all its crashes were cleared, so
+/// that late messages don't report them as not cleared.
+const MIN_CLEARED_RETENTION: Duration = Duration::from_secs(20);
 
 /// A server process that ended while it ran a request.
 #[derive(Clone, Copy, Debug)]
@@ -39,14 +41,28 @@
     last_crash_at: Instant,
 }
 
+impl Crash {
+    /// Returns the order in which crashes are kept: those that count first,
+    /// and of these the newest.
+    fn importance(self) -> (bool, Instant) {
+        (!self.cleared, self.at)
+    }
+}
+
 impl Suspect {
-    pub(super) fn new(now: Instant, feature: Feature) -> Suspect {
+    /// Creates a feature without crashes, of which the first one happened at
+    /// `crash_at`.
+    pub(super) fn new(
+        now: Instant,
+        crash_at: Instant,
+        feature: Feature,
+    ) -> Suspect {
         Suspect {
             specificity: feature.specificity,
             crashes: SortedMap::new(),
             updated_at: now,
             told: 0,
-            last_crash_at: now,
+            last_crash_at: crash_at,
         }
     }
 
@@ -81,7 +97,7 @@
         if !crash.cleared {
             self.last_crash_at = self.last_crash_at.max(crash.at);
         }
-        if self.crashes.len() >= MAX_CRASHES && !self.remove_cleared() {
+        if self.crashes.len() >= MAX_CRASHES && !self.make_room(crash) {
             return false;
         }
         self.crashes.insert(incarnation, crash);
@@ -104,10 +120,17 @@
 
     /// Removes what is too old, and returns whether anything is left. A
     /// feature that was refused stays one crash below the limit, so that one
-    /// more crash is enough to refuse it again.
+    /// more crash is enough to refuse it again. A clearance is kept for as long
+    /// as other daemons may report the crashes that it clears.
     pub(super) fn expire(&mut self, now: Instant) -> bool {
         if self.counted().next().is_none() {
-            return now.duration_since(self.updated_at) < CLEARED_RETENTION;
+            let is_reported = self
+                .crashes
+                .values()
+                .any(|crash| now.duration_since(crash.at) < REFUSAL_DURATION);
+            return is_reported
+                || now.duration_since(self.updated_at)
+                    < MIN_CLEARED_RETENTION;
         }
         if now.duration_since(self.last_crash_at) < REFUSAL_DURATION {
             return true;
@@ -134,8 +157,9 @@
     pub(super) fn notice(
         &self,
         now: Instant,
-        feature: Feature,
+        fingerprint: Fingerprint,
     ) -> CrashNotice {
+        let feature = Feature { fingerprint, specificity: self.specificity };
         let report = |(incarnation, crash): (&ServerIncarnation, &Crash)| {
             let age = now.duration_since(crash.at).as_millis();
             CrashReport {
@@ -155,14 +179,36 @@
         self.told = 0;
     }
 
-    /// Removes the oldest cleared crash, and returns whether there was one.
-    fn remove_cleared(&mut self) -> bool {
-        let oldest = self
+    /// Returns a hash of the crashes that count.
+    pub(super) fn hash_counted(&self) -> u64 {
+        let bytes: Vec<u8> = self
+            .counted()
+            .flat_map(|(incarnation, _)| incarnation.to_bytes())
+            .collect();
+        rapidhash_v3(&bytes)
+    }
+
+    /// Returns whether a crash, or its clearance, is missing in a notice.
+    pub(super) fn exceeds(&self, notice: &CrashNotice) -> bool {
+        self.crashes.iter().any(|(incarnation, crash)| {
+            let told = notice
+                .crashes
+                .iter()
+                .find(|report| report.incarnation == *incarnation);
+            told.is_none_or(|report| crash.cleared && !report.cleared)
+        })
+    }
+
+    /// Removes the least important crash, and returns whether that makes room
+    /// for another one. All daemons keep the same crashes, in whichever order
+    /// they learn them.
+    fn make_room(&mut self, crash: Crash) -> bool {
+        let least = self
             .crashes
             .iter()
-            .filter(|(_, crash)| crash.cleared)
-            .min_by_key(|(_, crash)| crash.at)
+            .min_by_key(|(_, crash)| crash.importance())
+            .filter(|(_, least)| least.importance() < crash.importance())
             .map(|(incarnation, _)| *incarnation);
-        oldest.is_some_and(|oldest| self.crashes.remove(&oldest).is_some())
+        least.is_some_and(|least| self.crashes.remove(&least).is_some())
     }
 }
--- a/crates/briarladder-core/src/fleet/peers/simulation.rs
+++ b/crates/briarladder-core/src/fleet/peers/simulation.rs
@@ -23,7 +23,7 @@
 use super::{GossipTarget, Member, PeerTable};
 
 /// The simulated time of one step.
-const STEP: Duration = Duration::from_millis(125);
+pub(super) const STEP: Duration = Duration::from_millis(125);
 
 /// The steps of a round.
 const ROUND_STEPS: u32 = 4;
@@ -78,6 +78,8 @@
     pub(super) comparisons: usize,
     /// Number of entries that were sent in comparisons.
     pub(super) sent_members: usize,
+    /// Bytes of the messages that compare crashes.
+    pub(super) crash_bytes: usize,
 }
 
 fn zone_name(zone: usize) -> String {
@@ -127,6 +129,7 @@
             partitioned_zone: None,
             comparisons: 0,
             sent_members: 0,
+            crash_bytes: 0,
         }
     }
 
@@ -173,6 +176,8 @@
         let daemon = &mut self.daemons[at];
         daemon.member.incarnation += 1;
         daemon.table = Some(PeerTable::new(daemon.member.clone()));
+        daemon.crash_tracker = CrashTracker::default();
+        daemon.next_at = self.start + STEP * self.step;
     }
 
     /// Starts a graceful shutdown.
@@ -226,6 +231,41 @@
         self.daemons.iter().map(|daemon| &daemon.crash_tracker)
     }
 
+    /// Records that a server has survived a request of a daemon.
+    pub(super) fn record_survival(&mut self, at: usize, features: &[Feature]) {
+        let now = self.now();
+        self.daemons[at].crash_tracker.record_survival(now, features);
+    }
+
+    /// Makes all daemons those that know what others knew at their start.
+    pub(super) fn set_crashes_synced(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.crash_tracker.set_synced();
+        }
+    }
+
+    /// Compares crashes if the digests of two daemons in contact require it.
+    fn compare_crashes(&mut self, now: Instant, from: usize, to: usize) {
+        let digest = self.daemons[to].crash_tracker.digest(now);
+        let tracker = &mut self.daemons[from].crash_tracker;
+        if !tracker.begin_comparison(now, digest) {
+            return;
+        }
+        let summary = tracker.summarize(now);
+        let difference = self.daemons[to].crash_tracker.compare(now, &summary);
+        let tracker = &mut self.daemons[from].crash_tracker;
+        let merged = tracker.merge_difference(now, &difference);
+        if digest.is_synced() {
+            tracker.set_synced();
+        }
+        let tracker = &mut self.daemons[to].crash_tracker;
+        tracker.merge_compared(now, &merged.replies);
+        let len = |bytes: postcard::Result<Vec<u8>>| bytes.unwrap().len();
+        self.crash_bytes += len(postcard::to_stdvec(&summary))
+            + len(postcard::to_stdvec(&difference))
+            + len(postcard::to_stdvec(&merged.replies));
+    }
+
     /// Runs one step, without checking the agreement.
     pub(super) fn step(&mut self) {
         self.run_step();
@@ -388,6 +428,7 @@
             return false;
         }
         self.merge_crashes(from, &notices);
+        self.compare_crashes(now, from, to);
         let table = self.table_mut(from);
         table.apply_message(now, &response);
         let zones = table.differing_zones(&response);
--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -342,6 +342,13 @@
             && !self.servers.borrow().is_empty()
     }
 
+    /// Returns whether callers can be served, and requests that crash servers
+    /// are known as far as other daemons know them.
+    #[must_use]
+    pub fn reports_ready(&self) -> bool {
+        self.is_ready() && self.crash_tracker.borrow().is_synced()
+    }
+
     /// Returns the graceful shutdown, if one has started.
     #[must_use]
     pub fn shutdown(&self) -> Option<Shutdown> {
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -169,13 +169,13 @@
     .await;
 }
 
-/// Serves the readiness endpoint: 200 if callers can be served, else 503.
+/// Serves the readiness endpoint: 200 if callers may be sent here, else 503.
 /// Never returns.
 pub async fn serve_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
     accept_loop(listener, move |stream| {
         let gateway = Rc::clone(&gateway);
         serve_http(stream, move |_| {
-            let ready = gateway.blackboard.is_ready();
+            let ready = gateway.blackboard.reports_ready();
             let mut response = Response::new(Full::default());
             if !ready {
                 *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/briarladder-gateway/src/peers/membership.rs
+++ b/crates/briarladder-gateway/src/peers/membership.rs
@@ -8,7 +8,6 @@
 
 use briarladder_core::fleet::{
     cells::Cell,
-    crash_tracker::CrashNotice,
     peers::{GossipTarget, Member, MemberChange, ZoneDifference},
 };
 use futures_util::future::join_all;
@@ -18,11 +17,13 @@
 
 use super::{
     client::PeerError,
+    crashes,
     messages::{
         Ack, CHECK_PATH, COMPARE_PATH, CRASHES_EXCHANGE_PATH, CrashesEnvelope,
         EXCHANGE_PATH, GossipEnvelope, LIMITS_EXCHANGE_PATH, LimitsEnvelope,
         MEMBERS_PATH, MemberList, ProbeRequest, ProbeResponse,
         REQUEST_CRASHES_EXCHANGE_PATH, RequestCrashesEnvelope,
+        WAITS_EXCHANGE_PATH, WaitsEnvelope,
     },
 };
 
@@ -35,7 +36,8 @@
 /// Timeout of a message that carries members.
 const MEMBERS_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Gossip interval until another daemon has responded for the first time.
+/// Gossip interval until another daemon that has run for a while has responded
+/// for the first time.
 const JOIN_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time from urgent news to the message that carries it.
@@ -59,6 +61,7 @@
             blackboard.peers.borrow_mut().record_own_heartbeat(now, wait_ms);
         }
         record_own_waits(&gateway, &coordinated);
+        crashes::end_start_sync(&gateway);
         let target =
             blackboard.peers.borrow_mut().next_target(now, &mut rand::rng());
         let gossip =
@@ -77,7 +80,8 @@
         gateway.metrics.limited_servers.set(limited);
         blackboard.update_cold_servers(&gateway.metrics);
         gateway.pool.evict_expired();
-        let joined = blackboard.joined_at.get().is_some();
+        let joined = blackboard.joined_at.get().is_some()
+            && blackboard.crash_tracker.borrow().is_synced();
         let interval = if joined { interval } else { JOIN_INTERVAL };
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
@@ -153,8 +157,8 @@
     others.choose(&mut rand::rng()).copied()
 }
 
-/// Exchanges a gossip message with a daemon, and then compares the members of
-/// the zones in which the two tables differ.
+/// Exchanges a gossip message with a daemon, and then compares the crashes and
+/// the members of the zones in which the two differ.
 async fn exchange(
     gateway: &Gateway,
     address: SocketAddr,
@@ -164,6 +168,9 @@
     let message = gossip_message(gateway, member);
     let response = send_gossip(gateway, address, message).await?;
     handle_gossip(gateway, &response, "answer");
+    if let Some(digest) = response.crash_digest {
+        crashes::compare(gateway, address, digest).await?;
+    }
     let zones = blackboard.peers.borrow().differing_zones(&response.exchange);
     if zones.is_empty() {
         return Ok(());
@@ -199,6 +206,26 @@
     let peers = &gateway.peers;
     let sent =
         peers.call(address, EXCHANGE_PATH, &message, GOSSIP_TIMEOUT).await;
+    match sent {
+        Err(error) if error.is_unknown_path() => {
+            let message = WaitsEnvelope::from(message);
+            let response = send_waits(gateway, address, message).await?;
+            Ok(response.into())
+        }
+        sent => sent,
+    }
+}
+
+/// Sends the gossip message of daemons that don't compare crashes or, if its
+/// path is not known either, that of the version before.
+async fn send_waits(
+    gateway: &Gateway,
+    address: SocketAddr,
+    message: WaitsEnvelope,
+) -> Result<WaitsEnvelope, PeerError> {
+    let peers = &gateway.peers;
+    let path = WAITS_EXCHANGE_PATH;
+    let sent = peers.call(address, path, &message, GOSSIP_TIMEOUT).await;
     match sent {
         Err(error) if error.is_unknown_path() => {
             let message = LimitsEnvelope::from(message);
@@ -209,8 +236,8 @@
     }
 }
 
-/// Sends the gossip message of the earlier version or, if its path is not
-/// known either, that of the version before.
+/// Sends the gossip message of daemons that know one wait for all services of a
+/// cell or, if its path is not known either, that of the version before.
 async fn send_limits(
     gateway: &Gateway,
     address: SocketAddr,
@@ -258,11 +285,13 @@
 ) -> GossipEnvelope {
     let blackboard = &gateway.blackboard;
     let now = blackboard.now();
+    let crash_digest = blackboard.crash_tracker.borrow().digest(now);
     GossipEnvelope {
         exchange: blackboard.peers.borrow().message_to(now, to),
         crashes: blackboard.crash_tracker.borrow_mut().notices(now),
         limits: blackboard.limit_notices(),
         stage_waits: blackboard.stage_waits.borrow().newest(now),
+        crash_digest: Some(crash_digest),
     }
 }
 
@@ -277,28 +306,12 @@
     let changes =
         blackboard.peers.borrow_mut().apply_message(now, &message.exchange);
     log_changes(&changes, source);
-    learn_crashes(gateway, &message.crashes, source);
+    crashes::learn(gateway, &message.crashes, source);
     blackboard.merge_limits(&message.limits);
     blackboard.stage_waits.borrow_mut().merge(now, &message.stage_waits);
     blackboard.mark_joined(now);
 }
 
-fn learn_crashes(gateway: &Gateway, notices: &[CrashNotice], source: &str) {
-    let blackboard = &gateway.blackboard;
-    let now = blackboard.now();
-    let mut crash_tracker = blackboard.crash_tracker.borrow_mut();
-    let learned = crash_tracker.merge(now, notices);
-    if learned > 0 {
-        let refused = crash_tracker.refused_count(now);
-        log::info!(
-            "crashers: learned={learned} refused={refused} source={source}"
-        );
-        if crash_tracker.has_urgent_news(now) {
-            blackboard.hasten_gossip();
-        }
-    }
-}
-
 /// Asks other daemons to probe a daemon that did not respond.
 async fn probe_indirectly(gateway: &Gateway, silent: &Member) {
     let blackboard = &gateway.blackboard;
--- a/crates/briarladder-gateway/src/peers/messages.rs
+++ b/crates/briarladder-gateway/src/peers/messages.rs
@@ -10,7 +10,8 @@
     cells::Cell,
     config::StageSpec,
     crash_tracker::{
-        CrashNotice, CrashReport, Feature, Fingerprint, ServerIncarnation,
+        CrashDigest, CrashNotice, CrashReport, Feature, Fingerprint,
+        ServerIncarnation,
     },
     peers::{GossipMessage, Member},
     residency::AllowedRegions,
@@ -20,7 +21,10 @@
 use serde::{Deserialize, Serialize};
 
 /// The path of a gossip exchange.
-pub const EXCHANGE_PATH: &str = "/peers/exchange-4";
+pub const EXCHANGE_PATH: &str = "/peers/exchange-5";
+
+/// The path of a gossip exchange of daemons that don't compare crashes.
+pub const WAITS_EXCHANGE_PATH: &str = "/peers/exchange-4";
 
 /// The path of a gossip exchange of daemons that know one wait for all
 /// services of a cell.
@@ -35,6 +39,12 @@
 /// The path of a comparison of the members of some zones.
 pub const COMPARE_PATH: &str = "/peers/compare";
 
+/// The path of a comparison of the crashes that two daemons know.
+pub const COMPARE_CRASHES_PATH: &str = "/peers/compare-crashes";
+
+/// The path for sending crashes that the receiver lacks.
+pub const CRASHES_PATH: &str = "/peers/crashes";
+
 /// The path of a request for a place at a server that limits its requests.
 pub const PLACE_PATH: &str = "/peers/place";
 
@@ -69,6 +79,45 @@
     pub limits: Vec<LimitNotice>,
     /// The newest waits at the coordinators of cells.
     pub stage_waits: Vec<CellWaits>,
+    /// Tells whether the sender knows other crashes; `None` from daemons that
+    /// don't compare them.
+    pub crash_digest: Option<CrashDigest>,
+}
+
+/// The gossip message of daemons that don't compare crashes.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct WaitsEnvelope {
+    /// Membership and heartbeats.
+    pub exchange: GossipMessage,
+    /// The newest crashes of servers, by the features of the requests that
+    /// they were processing.
+    pub crashes: Vec<CrashNotice>,
+    /// The limits that servers have named, and those that have ended.
+    pub limits: Vec<LimitNotice>,
+    /// The newest waits at the coordinators of cells.
+    pub stage_waits: Vec<CellWaits>,
+}
+
+impl From<GossipEnvelope> for WaitsEnvelope {
+    fn from(envelope: GossipEnvelope) -> WaitsEnvelope {
+        let GossipEnvelope {
+            exchange,
+            crashes,
+            limits,
+            stage_waits,
+            crash_digest: _,
+        } = envelope;
+        WaitsEnvelope { exchange, crashes, limits, stage_waits }
+    }
+}
+
+impl From<WaitsEnvelope> for GossipEnvelope {
+    fn from(envelope: WaitsEnvelope) -> GossipEnvelope {
+        let WaitsEnvelope { exchange, crashes, limits, stage_waits } =
+            envelope;
+        let crash_digest = None;
+        GossipEnvelope { exchange, crashes, limits, stage_waits, crash_digest }
+    }
 }
 
 /// The gossip message of daemons that know one wait for all services of a
@@ -84,19 +133,19 @@
     pub limits: Vec<LimitNotice>,
 }
 
-impl From<GossipEnvelope> for LimitsEnvelope {
-    fn from(envelope: GossipEnvelope) -> LimitsEnvelope {
-        let GossipEnvelope { exchange, crashes, limits, stage_waits: _ } =
+impl From<WaitsEnvelope> for LimitsEnvelope {
+    fn from(envelope: WaitsEnvelope) -> LimitsEnvelope {
+        let WaitsEnvelope { exchange, crashes, limits, stage_waits: _ } =
             envelope;
         LimitsEnvelope { exchange, crashes, limits }
     }
 }
 
-impl From<LimitsEnvelope> for GossipEnvelope {
-    fn from(envelope: LimitsEnvelope) -> GossipEnvelope {
+impl From<LimitsEnvelope> for WaitsEnvelope {
+    fn from(envelope: LimitsEnvelope) -> WaitsEnvelope {
         let LimitsEnvelope { exchange, crashes, limits } = envelope;
         let stage_waits = Vec::new();
-        GossipEnvelope { exchange, crashes, limits, stage_waits }
+        WaitsEnvelope { exchange, crashes, limits, stage_waits }
     }
 }
 
@@ -197,6 +246,13 @@
     pub granted: bool,
 }
 
+/// Crashes that the receiver lacks.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct CrashList {
+    /// The crashes.
+    pub crashes: Vec<CrashNotice>,
+}
+
 /// Members that the receiver lacks.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct MemberList {
@@ -430,6 +486,7 @@
             crashes: tracker.notices(now),
             limits: server_limits(now).notices(now),
             stage_waits: Vec::new(),
+            crash_digest: Some(tracker.digest(now)),
         }
     }
 
@@ -477,7 +534,7 @@
         assert_eq!(received.stage_waits, sent.stage_waits);
         assert_eq!(received.stage_waits[0].waits, waits);
 
-        let sent = LimitsEnvelope::from(sent);
+        let sent = LimitsEnvelope::from(WaitsEnvelope::from(sent));
         let bytes = postcard::to_stdvec(&sent).unwrap();
         // What such a daemon reads, field by field.
         let read: (GossipMessage, Vec<CrashNotice>, Vec<LimitNotice>) =
@@ -486,12 +543,44 @@
         assert_eq!(read.0, sent.exchange);
     }
 
+    /// Guards against daemons that don't compare crashes and can't read the
+    /// message, or whose message is not understood, as while a new version is
+    /// rolled out.
+    #[test]
+    fn waits_envelope_without_digest() {
+        let now = Instant::now();
+        let sent = gossip_envelope(now);
+        let bytes = postcard::to_stdvec(&sent).unwrap();
+        let received: GossipEnvelope = postcard::from_bytes(&bytes).unwrap();
+        assert!(received.crash_digest.is_some());
+        assert_eq!(received.crash_digest, sent.crash_digest);
+
+        let sent = WaitsEnvelope::from(sent);
+        let bytes = postcard::to_stdvec(&sent).unwrap();
+        // What such a daemon reads, field by field.
+        let read: (
+            GossipMessage,
+            Vec<CrashNotice>,
+            Vec<LimitNotice>,
+            Vec<CellWaits>,
+        ) = postcard::from_bytes(&bytes).unwrap();
+        assert_eq!(postcard::to_stdvec(&read).unwrap(), bytes);
+
+        // What it sends.
+        let decoded: WaitsEnvelope = postcard::from_bytes(&bytes).unwrap();
+        let received = GossipEnvelope::from(decoded);
+        assert_eq!(received.crashes, sent.crashes);
+        assert_eq!(received.limits, sent.limits);
+        assert!(received.crash_digest.is_none());
+    }
+
     /// Guards against daemons without limits that can't read the message, and
     /// against crashes that get lost on the way to them and back.
     #[test]
     fn crashes_envelope_without_limits() {
         let now = Instant::now();
-        let sent = LimitsEnvelope::from(gossip_envelope(now));
+        let sent =
+            LimitsEnvelope::from(WaitsEnvelope::from(gossip_envelope(now)));
         let sent = CrashesEnvelope::from(sent);
         let bytes = postcard::to_stdvec(&sent).unwrap();
         // What such a daemon reads, field by field.
@@ -505,7 +594,7 @@
 
         // What it sends.
         let decoded: CrashesEnvelope = postcard::from_bytes(&read).unwrap();
-        let received = GossipEnvelope::from(LimitsEnvelope::from(decoded));
+        let received = WaitsEnvelope::from(LimitsEnvelope::from(decoded));
         assert_eq!(received.exchange, sent.exchange);
         assert_eq!(received.crashes, sent.crashes);
         assert!(received.limits.is_empty());
@@ -517,8 +606,9 @@
     fn request_crashes_envelope_without_limits() {
         type Crashes = Vec<(Fingerprint, Vec<ServerIncarnation>)>;
         let now = Instant::now();
-        let sent =
-            CrashesEnvelope::from(LimitsEnvelope::from(gossip_envelope(now)));
+        let sent = CrashesEnvelope::from(LimitsEnvelope::from(
+            WaitsEnvelope::from(gossip_envelope(now)),
+        ));
         let (exchange, crashes) =
             (sent.exchange.clone(), sent.crashes.clone());
         let sent = RequestCrashesEnvelope::from(sent);
@@ -534,7 +624,7 @@
         let decoded: RequestCrashesEnvelope =
             postcard::from_bytes(&bytes).unwrap();
         let decoded = CrashesEnvelope::from(decoded);
-        let received = GossipEnvelope::from(LimitsEnvelope::from(decoded));
+        let received = WaitsEnvelope::from(LimitsEnvelope::from(decoded));
         assert_eq!(received.exchange, exchange);
         assert_eq!(received.crashes, crashes);
         assert!(received.limits.is_empty());
--- a/crates/briarladder-gateway/src/peers/mod.rs
+++ b/crates/briarladder-gateway/src/peers/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod changes;
 pub mod client;
+mod crashes;
 pub mod eraless_changes;
 pub mod evacuationless_changes;
 pub mod membership;
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -2,7 +2,10 @@
 
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
-use briarladder_core::fleet::peers::{Member, ZoneSummary};
+use briarladder_core::fleet::{
+    crash_tracker::CrashSummary,
+    peers::{Member, ZoneSummary},
+};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -13,18 +16,21 @@
 
 use super::{
     changes::{CHANGES_PATH, ChangesRequest, ChangesResponse},
+    crashes,
     eraless_changes::{ERALESS_CHANGES_PATH, EralessRequest, EralessResponse},
     evacuationless_changes::{
         EVACUATIONLESS_CHANGES_PATH, EvacuationlessResponse,
     },
     membership,
     messages::{
-        Ack, CHECK_PATH, COMPARE_PATH, CRASHES_EXCHANGE_PATH, CrashesEnvelope,
+        Ack, CHECK_PATH, COMPARE_CRASHES_PATH, COMPARE_PATH,
+        CRASHES_EXCHANGE_PATH, CRASHES_PATH, CrashList, CrashesEnvelope,
         EXCHANGE_PATH, GossipEnvelope, LIMITS_EXCHANGE_PATH, LimitsEnvelope,
         MEMBERS_PATH, MemberList, PING_PATH, PLACE_PATH, Ping, PlaceRequest,
         ProbeRequest, ProbeResponse, REGIONAL_STAGES_PATH, RELEASE_PATH,
         REQUEST_CRASHES_EXCHANGE_PATH, RegionalStagesRequest, ReleaseRequest,
         RequestCrashesEnvelope, STAGES_PATH, StagesRequest, StagesResponse,
+        WAITS_EXCHANGE_PATH, WaitsEnvelope,
     },
     places,
 };
@@ -57,24 +63,35 @@
         EXCHANGE_PATH => respond(&body, |message: GossipEnvelope| {
             exchange_gossip(&gateway, &message)
         }),
+        WAITS_EXCHANGE_PATH => respond(&body, |message: WaitsEnvelope| {
+            exchange_waits(&gateway, message)
+        }),
         LIMITS_EXCHANGE_PATH => respond(&body, |message: LimitsEnvelope| {
-            let response = exchange_gossip(&gateway, &message.into());
-            LimitsEnvelope::from(response)
+            LimitsEnvelope::from(exchange_waits(&gateway, message.into()))
         }),
         CRASHES_EXCHANGE_PATH => respond(&body, |message: CrashesEnvelope| {
             let message = LimitsEnvelope::from(message);
-            let response = exchange_gossip(&gateway, &message.into());
+            let response = exchange_waits(&gateway, message.into());
             CrashesEnvelope::from(LimitsEnvelope::from(response))
         }),
         REQUEST_CRASHES_EXCHANGE_PATH => {
             respond(&body, |message: RequestCrashesEnvelope| {
                 let message = CrashesEnvelope::from(message);
                 let message = LimitsEnvelope::from(message);
-                let response = exchange_gossip(&gateway, &message.into());
+                let response = exchange_waits(&gateway, message.into());
                 let response = LimitsEnvelope::from(response);
                 RequestCrashesEnvelope::from(CrashesEnvelope::from(response))
             })
         }
+        COMPARE_CRASHES_PATH => respond(&body, |summary: CrashSummary| {
+            let blackboard = &gateway.blackboard;
+            let tracker = blackboard.crash_tracker.borrow();
+            tracker.compare(blackboard.now(), &summary)
+        }),
+        CRASHES_PATH => respond(&body, |message: CrashList| {
+            crashes::learn_compared(&gateway, &message.crashes);
+            Ack {}
+        }),
         COMPARE_PATH => respond(&body, |summary: ZoneSummary| {
             gateway.blackboard.peers.borrow().compare(&summary)
         }),
@@ -139,6 +156,11 @@
     membership::gossip_message(gateway, Some(&message.exchange.from))
 }
 
+/// Exchanges gossip with a daemon that doesn't compare crashes.
+fn exchange_waits(gateway: &Gateway, message: WaitsEnvelope) -> WaitsEnvelope {
+    exchange_gossip(gateway, &message.into()).into()
+}
+
 async fn run_stages(
     gateway: &Gateway,
     request: StagesRequest,
