--- a/crates/briarladder-core/src/fleet/batching.rs
+++ b/crates/briarladder-core/src/fleet/batching.rs
@@ -63,6 +63,8 @@
     time::{Duration, Instant},
 };
 
+use derive_more::Display;
+
 use crate::sorted::{SortedMap, SortedSet};
 
 use super::{
@@ -171,12 +173,31 @@
     pub expected: Duration,
     /// The expected size of all results.
     pub result_bytes: u64,
+    /// Why the call has no more pieces.
+    pub limit: CallLimit,
     /// Whether the server is expected to start the call immediately. A slow
     /// server, or one that also works for another daemon, fetches the inputs
     /// later.
     pub starts_immediately: bool,
 }
 
+/// Why a call has no more pieces.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum CallLimit {
+    /// No other piece waits.
+    #[display("none_waiting")]
+    NoneWaiting,
+    /// It has as many pieces as a call may have.
+    #[display("full")]
+    Full,
+    /// The server has no memory for more results.
+    #[display("memory")]
+    Memory,
+    /// The other pieces should be processed by other servers.
+    #[display("other_servers")]
+    OtherServers,
+}
+
 /// How a call ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallOutcome {
@@ -473,7 +494,7 @@
 
     /// Moves waiting pieces into a call to a server.
     fn take_batch(&mut self, now: Instant, server: Arc<str>) -> Call {
-        let positions = self.choose_batch(now, &server);
+        let (positions, limit) = self.choose_batch(now, &server);
         let mut ids = Vec::with_capacity(positions.len());
         let mut result_bytes = 0;
         for &at in &positions {
@@ -500,7 +521,7 @@
         let tracked = self.servers.get(&*server);
         let starts_immediately =
             tracked.is_some_and(|tracked| tracked.slowdown.is_normal());
-        Call { server, ids, expected, result_bytes, starts_immediately }
+        Call { server, ids, expected, result_bytes, limit, starts_immediately }
     }
 
     /// Forgets the groups that have no waiting piece.
--- a/crates/briarladder-core/src/fleet/batching/batch_selection.rs
+++ b/crates/briarladder-core/src/fleet/batching/batch_selection.rs
@@ -2,7 +2,9 @@
 
 use std::{sync::Arc, time::Instant};
 
-use super::{PieceQueue, QueuedPiece, TrackedServer, ZoneAffinity, to_u32};
+use super::{
+    CallLimit, PieceQueue, QueuedPiece, TrackedServer, ZoneAffinity, to_u32,
+};
 
 /// One in this many places of a call goes to the piece that is due first, so
 /// that a flood of a more urgent rank doesn't starve others.
@@ -29,16 +31,16 @@
 }
 
 impl PieceQueue {
-    /// Returns the queue positions of the pieces for a call: in queue order,
-    /// except for the reserved places, which go to the pieces that are due
-    /// first.
+    /// Returns the queue positions of the pieces for a call, and why it has no
+    /// more: in queue order, except for the reserved places, which go to the
+    /// pieces that are due first.
     pub(super) fn choose_batch(
         &self,
         now: Instant,
         server: &Arc<str>,
-    ) -> Vec<usize> {
+    ) -> (Vec<usize>, CallLimit) {
         let Some(tracked) = self.servers.get(&**server) else {
-            return Vec::new();
+            return (Vec::new(), CallLimit::OtherServers);
         };
         let only_server = self.servers.len() == 1;
         let max_batch = self.spec.max_batch.max(1);
@@ -64,7 +66,13 @@
             self.add_group(&mut batch, *at, &candidates, max_batch);
         }
         self.fill_with_part(&mut batch, &candidates, max_batch);
-        batch.positions
+        let limit = match batch.positions.len() {
+            taken if taken >= max_batch => CallLimit::Full,
+            taken if taken == self.waiting.len() => CallLimit::NoneWaiting,
+            taken if taken < candidates.len() => CallLimit::Memory,
+            _ => CallLimit::OtherServers,
+        };
+        (batch.positions, limit)
     }
 
     /// Adds a piece and the rest of its group if all of them fit. A group is
@@ -176,3 +184,6 @@
         f64::from(to_u32(zone_waiting)) > next_calls_pieces
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/briarladder-core/src/fleet/batching/tests.rs
+++ b/crates/briarladder-core/src/fleet/batching/tests.rs
@@ -15,7 +15,7 @@
     }
 }
 
-fn piece(id: u64, now: Instant, due_ms: u64) -> QueuedPiece {
+pub(super) fn piece(id: u64, now: Instant, due_ms: u64) -> QueuedPiece {
     QueuedPiece {
         id,
         group: id,
@@ -31,7 +31,7 @@
     }
 }
 
-fn queue(servers: &[&str]) -> PieceQueue {
+pub(super) fn queue(servers: &[&str]) -> PieceQueue {
     let mut queue = PieceQueue::new(spec());
     queue.set_servers(
         servers.iter().map(|name| (Arc::from(*name), Arc::from("z"))),
--- a/crates/briarladder-core/src/fleet/stage_admission.rs
+++ b/crates/briarladder-core/src/fleet/stage_admission.rs
@@ -38,7 +38,7 @@
 //!     pieces_per_s: 100.0,
 //!     call_time: Duration::from_millis(200),
 //! };
-//! assert_eq!(queue.admit(now, &throughput), Some(1));
+//! assert_eq!(queue.admit(now, &throughput).unwrap().id, 1);
 //! assert_eq!(queue.admit(now, &throughput), None);
 //! ```
 
@@ -47,6 +47,8 @@
     time::{Duration, Instant},
 };
 
+use derive_more::Display;
+
 use crate::sorted::SortedMap;
 
 /// How much work is started for a service beyond the calls in progress, as
@@ -176,13 +178,39 @@
     }
 }
 
-/// A request that is refused because it can't meet its deadline.
+/// Why a request starts before the others that wait.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum AdmissionTurn {
+    /// It is the first in order that may start.
+    #[display("in_order")]
+    InOrder,
+    /// It has waited longest, and it is the turn of such a request.
+    #[display("oldest")]
+    Oldest,
+    /// It has no time to wait, and starts although the backlog of a service
+    /// stops requests that have.
+    #[display("head_start")]
+    HeadStart,
+}
+
+/// A request that starts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Admission {
+    /// The request.
+    pub id: u64,
+    /// Why it starts before the others.
+    pub turn: AdmissionTurn,
+}
+
+/// A request that is refused because it can't meet its deadline.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RefusedRequest {
     /// The request.
     pub id: u64,
     /// How long it would have waited to start.
     pub wait: Duration,
+    /// The service with the longest wait among those that it needs.
+    pub service: Option<Arc<str>>,
 }
 
 /// The unfinished pieces of a service that belong to requests that have
@@ -261,7 +289,7 @@
         &mut self,
         now: Instant,
         throughput: &impl Fn(&str) -> Throughput,
-    ) -> Option<u64> {
+    ) -> Option<Admission> {
         self.sort(now);
         let take_oldest =
             self.admissions.is_multiple_of(OLDEST_ADMISSION_INTERVAL);
@@ -272,6 +300,13 @@
             .into_iter()
             .chain(0..self.waiting.len())
             .find(|&at| self.may_start(now, &self.waiting[at], throughput))?;
+        let turn = if !self.has_room(&self.waiting[at], throughput) {
+            AdmissionTurn::HeadStart
+        } else if oldest == Some(at) {
+            AdmissionTurn::Oldest
+        } else {
+            AdmissionTurn::InOrder
+        };
         let request = self.waiting.remove(at);
         self.admissions = self.admissions.wrapping_add(1);
         for StageDemand { service, pieces, lead_time } in &request.demand {
@@ -279,7 +314,7 @@
                 .get_or_insert_with(Arc::clone(service), StartedWork::default)
                 .add(*pieces, *lead_time);
         }
-        Some(request.id)
+        Some(Admission { id: request.id, turn })
     }
 
     /// Records that pieces of a started request are done, or not needed any
@@ -307,7 +342,8 @@
         let mut refused = Vec::new();
         let started = &self.started;
         self.waiting.retain(|request| {
-            let wait = expected_wait_of(started, &ahead, request, throughput);
+            let (wait, service) =
+                longest_wait(started, &ahead, request, throughput);
             let factor =
                 if request.misses_target(now) { LATE_WAIT_FACTOR } else { 1 };
             let expected = wait.saturating_mul(factor);
@@ -315,7 +351,8 @@
                 now.checked_add(expected.saturating_add(request.stages_time));
             let infeasible = end.is_none_or(|end| end > request.deadline);
             if infeasible {
-                refused.push(RefusedRequest { id: request.id, wait });
+                let id = request.id;
+                refused.push(RefusedRequest { id, wait, service });
             } else {
                 for StageDemand { service, pieces, .. } in &request.demand {
                     *ahead.get_or_insert_with(Arc::clone(service), || 0.0) +=
@@ -386,9 +423,30 @@
         } else {
             Duration::ZERO
         };
+        self.has_room_after(head_start, request, throughput)
+    }
+
+    /// Returns whether no service that a request needs has more work than it
+    /// may have.
+    fn has_room(
+        &self,
+        request: &QueuedRequest,
+        throughput: &impl Fn(&str) -> Throughput,
+    ) -> bool {
+        self.has_room_after(Duration::ZERO, request, throughput)
+    }
+
+    /// Returns whether all services that a request needs have room for it
+    /// after a time.
+    fn has_room_after(
+        &self,
+        time: Duration,
+        request: &QueuedRequest,
+        throughput: &impl Fn(&str) -> Throughput,
+    ) -> bool {
         request.demand.iter().all(|demand| {
             self.started.get(&*demand.service).is_none_or(|started| {
-                started.wait(&throughput(&demand.service), 0.0) <= head_start
+                started.wait(&throughput(&demand.service), 0.0) <= time
             })
         })
     }
@@ -408,23 +466,25 @@
 }
 
 /// Returns how long a request waits behind started work and the `ahead` pieces
-/// of each service.
-fn expected_wait_of(
+/// of each service, and the service with the longest wait.
+fn longest_wait(
     started: &SortedMap<Arc<str>, StartedWork>,
     ahead: &SortedMap<Arc<str>, f64>,
     request: &QueuedRequest,
     throughput: &impl Fn(&str) -> Throughput,
-) -> Duration {
+) -> (Duration, Option<Arc<str>>) {
     request
         .demand
         .iter()
         .map(|StageDemand { service, .. }| {
             let started = started.get(&**service).copied().unwrap_or_default();
             let ahead = ahead.get(&**service).copied().unwrap_or(0.0);
-            started.wait(&throughput(service), ahead)
+            (started.wait(&throughput(service), ahead), service)
         })
         .max()
-        .unwrap_or_default()
+        .map_or((Duration::ZERO, None), |(wait, service)| {
+            (wait, Some(Arc::clone(service)))
+        })
 }
 
 #[cfg(test)]
--- a/crates/briarladder-core/src/fleet/stage_admission/tests.rs
+++ b/crates/briarladder-core/src/fleet/stage_admission/tests.rs
@@ -27,7 +27,12 @@
 }
 
 fn admitted(queue: &mut StageAdmissionQueue, now: Instant) -> Vec<u64> {
-    std::iter::from_fn(|| queue.admit(now, &throughput)).collect()
+    let admissions = std::iter::from_fn(|| queue.admit(now, &throughput));
+    admissions.map(|admission| admission.id).collect()
+}
+
+fn admit_one(queue: &mut StageAdmissionQueue, now: Instant) -> Option<u64> {
+    queue.admit(now, &throughput).map(|admission| admission.id)
 }
 
 /// Guards against a burst that starts all its first stages at once: their
@@ -78,7 +83,7 @@
     let mut queue = StageAdmissionQueue::default();
     for round in 0..50 {
         queue.push(request(round, now, vec![demand("s", 500, 10)]));
-        assert_eq!(queue.admit(now, &throughput), Some(round));
+        assert_eq!(admit_one(&mut queue, now), Some(round));
         queue.record_pieces_done(&demand("s", 500, 10));
     }
     assert!(queue.expected_wait(now, &throughput).is_zero());
@@ -126,7 +131,7 @@
         let mut urgent = request(id, now, vec![demand("s", 10, 0)]);
         urgent.rank = 0;
         queue.push(urgent);
-        while let Some(id) = queue.admit(now, &throughput) {
+        while let Some(id) = admit_one(&mut queue, now) {
             admitted.push(id);
         }
         queue.record_pieces_done(&demand("s", 10, 0));
@@ -142,7 +147,7 @@
     let now = Instant::now();
     let mut queue = StageAdmissionQueue::default();
     queue.push(request(1, now, vec![demand("full", 1000, 0)]));
-    assert_eq!(queue.admit(now, &throughput), Some(1));
+    assert_eq!(admit_one(&mut queue, now), Some(1));
     queue.push(request(2, now, vec![demand("full", 1, 0)]));
     queue.push(request(3, now, vec![demand("free", 1, 0)]));
     assert_eq!(admitted(&mut queue, now), [3]);
@@ -205,6 +210,28 @@
         |_: &str| Throughput { pieces_per_s: 0.0, call_time: CALL_TIME };
     queue.push(request(1, now, vec![demand("s", 1, 0)]));
     queue.push(request(2, now, vec![demand("s", 1, 0)]));
-    assert_eq!(queue.admit(now, &no_servers), Some(1));
+    let admission = queue.admit(now, &no_servers);
+    assert_eq!(admission.map(|admission| admission.id), Some(1));
     assert_eq!(queue.shed_infeasible(now, &no_servers).len(), 1);
 }
+
+/// Guards against log lines that don't tell why a request starts before
+/// others, or for which service a refused one would wait.
+#[test]
+fn admit_reports_turn() {
+    let now = Instant::now();
+    let mut queue = StageAdmissionQueue::default();
+    let next_turn = |queue: &mut StageAdmissionQueue, target_ms| {
+        let mut request = request(1, now, vec![demand("s", 35, 0)]);
+        request.target_at = now + Duration::from_millis(target_ms);
+        queue.push(request);
+        queue.admit(now, &throughput).map(|admission| admission.turn)
+    };
+    assert_eq!(next_turn(&mut queue, 2000), Some(AdmissionTurn::Oldest));
+    assert_eq!(next_turn(&mut queue, 2000), Some(AdmissionTurn::InOrder));
+    assert_eq!(next_turn(&mut queue, 2000), None);
+    assert_eq!(next_turn(&mut queue, 700), Some(AdmissionTurn::HeadStart));
+    let refused =
+        queue.shed_infeasible(now + Duration::from_secs(8), &throughput);
+    assert_eq!(refused[0].service.as_deref(), Some("s"));
+}
--- a/crates/briarladder-gateway/src/stages/batcher/mod.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/mod.rs
@@ -375,12 +375,13 @@
             .collect();
         log::info!(
             "collector: cell={} service={} server={} pieces={} made={} \
-             expected_ms={} ms={} work_percent={} waiting={}",
+             limit={} expected_ms={} ms={} work_percent={} waiting={}",
             CellName(&key.cell),
             key.service,
             call.server,
             call.ids.len(),
             completed.len(),
+            call.limit,
             call.expected.as_millis(),
             now.duration_since(started_at).as_millis(),
             load.and_then(|load| load.work_percent).map_or(-1, i64::from),
--- a/crates/briarladder-gateway/src/stages/coordinator.rs
+++ b/crates/briarladder-gateway/src/stages/coordinator.rs
@@ -14,7 +14,8 @@
         config::ServiceWork,
         peers::Member,
         stage_admission::{
-            QueuedRequest, StageAdmissionQueue, StageDemand, Throughput,
+            Admission, AdmissionTurn, QueuedRequest, RefusedRequest,
+            StageAdmissionQueue, StageDemand, Throughput,
         },
         stage_waits::{MAX_WAIT, ServiceWait},
         stages::StagePlan,
@@ -62,8 +63,13 @@
 /// Why a request is not admitted.
 #[derive(Clone, Debug)]
 enum NotAdmitted {
-    /// It would wait too long; the expected wait.
-    Late(Duration),
+    /// It would wait too long.
+    Late {
+        /// The expected wait.
+        wait: Duration,
+        /// The service that it would wait for.
+        service: Option<Arc<str>>,
+    },
     /// Another daemon coordinates the cell now.
     Moved(Member),
 }
@@ -114,6 +120,7 @@
     coordinator: Rc<Coordinator>,
     cell: Cell,
     demand: RefCell<Vec<(usize, StageDemand)>>,
+    turn: AdmissionTurn,
 }
 
 impl AdmittedRequest {
@@ -224,12 +231,15 @@
             Err(NotAdmitted::Moved(holder)) => {
                 return self.redirected(request, holder);
             }
-            Err(NotAdmitted::Late(wait)) => {
+            Err(NotAdmitted::Late { wait, service }) => {
                 log::info!(
                     "stages: id={} stage=0 cell={} outcome=stages_late \
-                     wait_ms={} target_ms={} left_ms={} rank={}",
+                     held_ms={} service={} wait_ms={} target_ms={} left_ms={} \
+                     rank={}",
                     request.attempt,
                     CellName(&request.cell),
+                    self.blackboard.now().duration_since(now).as_millis(),
+                    service.as_deref().unwrap_or("-"),
                     wait.as_millis(),
                     request.target_ms,
                     request.left_ms,
@@ -244,13 +254,15 @@
             Ok(output) => {
                 let elapsed = self.blackboard.now().duration_since(started_at);
                 log::info!(
-                    "stages: id={} cell={} outcome=done wait_ms={} ms={} \
-                     expected_ms={} rank={}",
+                    "stages: id={} cell={} outcome=done turn={} wait_ms={} \
+                     ms={} expected_ms={} target_ms={} rank={}",
                     request.attempt,
                     CellName(&request.cell),
+                    admitted.turn,
                     started_at.duration_since(now).as_millis(),
                     elapsed.as_millis(),
                     expected.as_millis(),
+                    request.target_ms,
                     request.rank,
                 );
                 self.with_queue(&request.cell, |queue| {
@@ -308,7 +320,10 @@
         // The sender is dropped without a message only when the process exits.
         let decision = admission_result.await;
         drop(guard);
-        decision.unwrap_or(Err(NotAdmitted::Late(Duration::ZERO)))
+        decision.unwrap_or(Err(NotAdmitted::Late {
+            wait: Duration::ZERO,
+            service: None,
+        }))
     }
 
     /// Refuses requests that cannot be completed in time, and admits others.
@@ -317,20 +332,19 @@
         let throughput = self.throughput(cell);
         let (refused, admitted) = self.with_queue(cell, |queue| {
             let refused = queue.shed_infeasible(now, &throughput);
-            let admitted: Vec<u64> =
+            let admitted: Vec<Admission> =
                 std::iter::from_fn(|| queue.admit(now, &throughput)).collect();
             (refused, admitted)
         });
-        for refused in refused {
-            let waiting = self.waiting.borrow_mut().remove(&refused.id);
+        for RefusedRequest { id, wait, service } in refused {
+            let waiting = self.waiting.borrow_mut().remove(&id);
             if let Some(waiting) = waiting {
+                let late = NotAdmitted::Late { wait, service };
                 // Sending fails only if the caller has disconnected.
-                let _ = waiting
-                    .admission
-                    .send(Err(NotAdmitted::Late(refused.wait)));
+                let _ = waiting.admission.send(Err(late));
             }
         }
-        for id in admitted {
+        for Admission { id, turn } in admitted {
             let waiting = self.waiting.borrow_mut().remove(&id);
             let Some(waiting) = waiting else { continue };
             // The demand of an admitted request is counted until the guard is
@@ -340,6 +354,7 @@
                 coordinator: Rc::clone(self),
                 cell: waiting.cell,
                 demand: RefCell::new(waiting.demand),
+                turn,
             };
             let _ = waiting.admission.send(Ok(admitted));
         }
