--- a/crates/briarladder-core/src/fleet/stage_admission/tests.rs
+++ b/crates/briarladder-core/src/fleet/stage_admission/tests.rs
@@ -235,3 +235,129 @@
         queue.shed_infeasible(now + Duration::from_secs(8), &throughput);
     assert_eq!(refused[0].service.as_deref(), Some("s"));
 }
+
+/// Requests of one service that arrive for some seconds, and the service that
+/// processes what has started.
+struct Overload {
+    queue: StageAdmissionQueue,
+    now: Instant,
+    /// Requests that have arrived, by id.
+    arrived: Vec<QueuedRequest>,
+    /// When each of them started, by id.
+    started_at: Vec<Option<Instant>>,
+    unfinished: std::collections::VecDeque<StageDemand>,
+}
+
+impl Overload {
+    const STEP: Duration = Duration::from_millis(10);
+
+    fn new(now: Instant) -> Overload {
+        Overload {
+            queue: StageAdmissionQueue::default(),
+            now,
+            arrived: Vec::new(),
+            started_at: Vec::new(),
+            unfinished: std::collections::VecDeque::new(),
+        }
+    }
+
+    /// Adds a request of one piece.
+    fn push(&mut self, rank: u8, target_ms: u64, deadline_ms: u64) {
+        let id = u64::try_from(self.arrived.len()).unwrap();
+        let mut request = request(id, self.now, vec![demand("s", 1, 0)]);
+        request.rank = rank;
+        request.target_at = self.now + Duration::from_millis(target_ms);
+        request.deadline = self.now + Duration::from_millis(deadline_ms);
+        self.arrived.push(request.clone());
+        self.started_at.push(None);
+        self.queue.push(request);
+    }
+
+    /// Starts what may start, and processes one piece: 100 a second, which is
+    /// the throughput.
+    fn step(&mut self) {
+        self.queue.shed_infeasible(self.now, &throughput);
+        for id in admitted(&mut self.queue, self.now) {
+            let at = usize::try_from(id).unwrap();
+            self.started_at[at] = Some(self.now);
+            self.unfinished.extend(self.arrived[at].demand.clone());
+        }
+        if let Some(done) = self.unfinished.pop_front() {
+            self.queue.record_pieces_done(&done);
+        }
+        self.now += Overload::STEP;
+    }
+
+    /// Returns how many requests of a rank have started.
+    fn started(&self, rank: u8) -> usize {
+        let requests = self.arrived.iter().zip(&self.started_at);
+        requests.filter(|(r, at)| r.rank == rank && at.is_some()).count()
+    }
+}
+
+/// Guards against requests without time to wait that arrive faster than a
+/// service works: the others start only when the backlog is shorter than those
+/// leave it, which is never.
+#[test]
+fn admit_head_starts_bounded() {
+    let mut overload = Overload::new(Instant::now());
+    for step in 0..1000 {
+        overload.push(1, 700, 1500);
+        if step % 5 == 0 {
+            overload.push(0, 1400, 3000);
+        }
+        if step % 4 == 0 {
+            overload.push(2, 3000, 8000);
+        }
+        overload.step();
+    }
+    let started = [0, 1, 2].map(|rank| overload.started(rank));
+    let all: usize = started.iter().sum();
+    assert!(started[0] >= 190, "the most urgent wait: {started:?}");
+    // One admission in eight goes to the longest wait.
+    assert!(started[2] >= all / 8 - 10, "the last rank starves: {started:?}");
+    assert!(started[1] >= all / 8, "head starts are lost: {started:?}");
+}
+
+/// Guards against turns of the longest wait that go to requests which are late
+/// already, while one that can still be on time waits behind more urgent ones.
+#[test]
+fn admit_oldest_on_time() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(2);
+    let mut queue = StageAdmissionQueue::default();
+    for id in 0..10 {
+        let mut late = request(id, start, vec![demand("s", 1, 0)]);
+        late.rank = 1;
+        queue.push(late);
+    }
+    let mut on_time = request(10, now, vec![demand("s", 1, 0)]);
+    on_time.arrived_at = start + Duration::from_secs(1);
+    on_time.rank = 2;
+    queue.push(on_time);
+    for id in 11..20 {
+        let mut urgent = request(id, now, vec![demand("s", 1, 0)]);
+        urgent.rank = 0;
+        queue.push(urgent);
+    }
+    assert_eq!(admit_one(&mut queue, now), Some(10));
+}
+
+/// Guards against requests that will be late, as those before them were, and
+/// go before less urgent ones that would be on time.
+#[test]
+fn admit_order_learned_duration() {
+    let now = Instant::now();
+    let mut queue =
+        StageAdmissionQueue { admissions: 1, ..Default::default() };
+    let expected = Duration::from_millis(600);
+    for _ in 0..50 {
+        queue.record_duration(expected, expected * 2);
+    }
+    let mut urgent = request(1, now, vec![demand("s", 1, 0)]);
+    urgent.rank = 0;
+    urgent.target_at = now + Duration::from_millis(1100);
+    queue.push(urgent);
+    queue.push(request(2, now, vec![demand("s", 1, 0)]));
+    assert_eq!(admitted(&mut queue, now), [2, 1]);
+}
