--- a/crates/briarladder-core/src/fleet/stage_admission.rs
+++ b/crates/briarladder-core/src/fleet/stage_admission.rs
@@ -59,6 +59,15 @@
 /// Requests without time to wait may start this much earlier.
 const NO_SLACK_AHEAD: Duration = Duration::from_millis(300);
 
+/// At most one admission in this many is a head start, so that requests
+/// without time to wait don't starve the others: while more of them arrive
+/// than a service can process, the backlog never falls to the level at which
+/// the others start.
+const HEAD_START_INTERVAL: u32 = 3;
+
+/// Head starts that a quiet time may save up for a burst.
+const MAX_SAVED_HEAD_STARTS: u32 = 4;
+
 /// A request has no time to wait if it arrived less than this many times its
 /// own processing time before its target.
 const NO_SLACK_FACTOR: u32 = 2;
@@ -250,12 +259,45 @@
     }
 }
 
+/// Limits head starts to a part of all admissions.
+#[derive(Clone, Copy, Debug)]
+struct HeadStartBudget {
+    /// Admissions since the last head starts, up to a limit.
+    saved_admissions: u32,
+}
+
+impl HeadStartBudget {
+    const MAX_ADMISSIONS: u32 = HEAD_START_INTERVAL * MAX_SAVED_HEAD_STARTS;
+
+    fn allows_head_start(self) -> bool {
+        self.saved_admissions >= HEAD_START_INTERVAL
+    }
+
+    fn record(&mut self, turn: AdmissionTurn) {
+        if turn == AdmissionTurn::HeadStart {
+            self.saved_admissions =
+                self.saved_admissions.saturating_sub(HEAD_START_INTERVAL);
+        }
+        self.saved_admissions =
+            (self.saved_admissions + 1).min(HeadStartBudget::MAX_ADMISSIONS);
+    }
+}
+
+impl Default for HeadStartBudget {
+    fn default() -> HeadStartBudget {
+        HeadStartBudget { saved_admissions: HeadStartBudget::MAX_ADMISSIONS }
+    }
+}
+
 /// The requests that wait to start their stages.
 #[derive(Clone, Debug, Default)]
 pub struct StageAdmissionQueue {
     waiting: Vec<QueuedRequest>,
     started: SortedMap<Arc<str>, StartedWork>,
-    admissions: u32,
+    /// Admissions until it is the turn of the longest wait. The turn stays
+    /// due until such a request starts.
+    admissions_to_turn: u32,
+    head_starts: HeadStartBudget,
     duration_ratio: DurationRatio,
 }
 
@@ -291,8 +333,7 @@
         throughput: &impl Fn(&str) -> Throughput,
     ) -> Option<Admission> {
         self.sort(now);
-        let take_oldest =
-            self.admissions.is_multiple_of(OLDEST_ADMISSION_INTERVAL);
+        let take_oldest = self.admissions_to_turn == 0;
         let oldest = (0..self.waiting.len())
             .min_by_key(|&at| self.waiting[at].arrived_at)
             .filter(|_| take_oldest);
@@ -300,15 +341,19 @@
             .into_iter()
             .chain(0..self.waiting.len())
             .find(|&at| self.may_start(now, &self.waiting[at], throughput))?;
-        let turn = if !self.has_room(&self.waiting[at], throughput) {
-            AdmissionTurn::HeadStart
-        } else if oldest == Some(at) {
+        let turn = if oldest == Some(at) {
             AdmissionTurn::Oldest
-        } else {
+        } else if self.has_room(&self.waiting[at], throughput) {
             AdmissionTurn::InOrder
+        } else {
+            AdmissionTurn::HeadStart
         };
         let request = self.waiting.remove(at);
-        self.admissions = self.admissions.wrapping_add(1);
+        self.admissions_to_turn = match turn {
+            AdmissionTurn::Oldest => OLDEST_ADMISSION_INTERVAL - 1,
+            _ => self.admissions_to_turn.saturating_sub(1),
+        };
+        self.head_starts.record(turn);
         for StageDemand { service, pieces, lead_time } in &request.demand {
             self.started
                 .get_or_insert_with(Arc::clone(service), StartedWork::default)
@@ -418,7 +463,8 @@
         request: &QueuedRequest,
         throughput: &impl Fn(&str) -> Throughput,
     ) -> bool {
-        let head_start = if request.has_no_slack(now) {
+        let may_start_ahead = self.head_starts.allows_head_start();
+        let head_start = if may_start_ahead && request.has_no_slack(now) {
             NO_SLACK_AHEAD
         } else {
             Duration::ZERO
--- a/crates/briarladder-core/src/fleet/stage_admission/tests.rs
+++ b/crates/briarladder-core/src/fleet/stage_admission/tests.rs
@@ -112,7 +112,7 @@
         assert_eq!(at, queue.len());
         queue.push(request);
     }
-    queue.admissions = 1;
+    queue.admissions_to_turn = 7;
     assert_eq!(admitted(&mut queue, now), [3, 4, 2, 1]);
 }
 
@@ -124,7 +124,7 @@
     let mut standard = request(0, start, vec![demand("s", 10, 0)]);
     standard.rank = 2;
     queue.push(standard);
-    queue.admissions = 1;
+    queue.admissions_to_turn = 7;
     let now = start + Duration::from_millis(10);
     let mut admitted = Vec::new();
     for id in 1..40 {
@@ -349,7 +349,7 @@
 fn admit_order_learned_duration() {
     let now = Instant::now();
     let mut queue =
-        StageAdmissionQueue { admissions: 1, ..Default::default() };
+        StageAdmissionQueue { admissions_to_turn: 7, ..Default::default() };
     let expected = Duration::from_millis(600);
     for _ in 0..50 {
         queue.record_duration(expected, expected * 2);
