--- a/crates/briarladder-core/src/fleet/stage_admission.rs
+++ b/crates/briarladder-core/src/fleet/stage_admission.rs
@@ -6,8 +6,8 @@
 //! slowest service, where they expire. So requests wait in this queue, where
 //! they hold no resources, and start when each service that they need is about
 //! to run out of work. Requests that can still meet their target come first,
-//! by rank and then by target time; one admission in eight goes to the request
-//! that has waited longest. Requests that can't meet their deadline are
+//! by rank and then by target time; one admission in eight goes to the one of
+//! them that has waited longest. Requests that can't meet their deadline are
 //! refused at once.
 //!
 //! # Example
@@ -335,7 +335,10 @@
         self.sort(now);
         let take_oldest = self.admissions_to_turn == 0;
         let oldest = (0..self.waiting.len())
-            .min_by_key(|&at| self.waiting[at].arrived_at)
+            .min_by_key(|&at| {
+                let request = &self.waiting[at];
+                (request.misses_target(now), request.arrived_at)
+            })
             .filter(|_| take_oldest);
         let at = oldest
             .into_iter()
