--- a/crates/briarladder-core/src/fleet/stage_admission.rs
+++ b/crates/briarladder-core/src/fleet/stage_admission.rs
@@ -141,6 +141,17 @@
         now + self.stages_time > self.target_at
     }
 
+    /// Returns whether the request would miss its target if it started now and
+    /// took as much longer than expected as others have. Its expected time
+    /// leaves out the waits between its stages, which grow with the load.
+    fn is_expected_late(
+        &self,
+        now: Instant,
+        duration_ratio: DurationRatio,
+    ) -> bool {
+        now + duration_ratio.mean_time(self.stages_time) > self.target_at
+    }
+
     /// Returns whether the request is likely to miss its target if it starts
     /// now, given how much longer than expected requests have taken.
     fn is_likely_late(
@@ -181,6 +192,12 @@
         self.deviation += (difference - self.deviation) * RATIO_SMOOTHING;
     }
 
+    /// Returns the time that a request takes on average, at least the expected
+    /// time.
+    fn mean_time(self, expected: Duration) -> Duration {
+        expected.mul_f64(self.mean.max(1.0))
+    }
+
     /// Returns a time that a request rarely exceeds.
     fn upper_bound(self, expected: Duration) -> Duration {
         expected.mul_f64(self.mean + self.deviation * RATIO_DEVIATIONS)
@@ -334,10 +351,12 @@
     ) -> Option<Admission> {
         self.sort(now);
         let take_oldest = self.admissions_to_turn == 0;
+        let duration_ratio = self.duration_ratio;
         let oldest = (0..self.waiting.len())
             .min_by_key(|&at| {
                 let request = &self.waiting[at];
-                (request.misses_target(now), request.arrived_at)
+                let is_late = request.is_expected_late(now, duration_ratio);
+                (is_late, request.arrived_at)
             })
             .filter(|_| take_oldest);
         let at = oldest
@@ -504,7 +523,7 @@
         let duration_ratio = self.duration_ratio;
         self.waiting.sort_by_key(|request| {
             (
-                request.misses_target(now),
+                request.is_expected_late(now, duration_ratio),
                 request.rank,
                 !request.has_no_slack(now)
                     && request.is_likely_late(now, duration_ratio),
