--- a/crates/briarladder-gateway/src/caller_memory.rs
+++ b/crates/briarladder-gateway/src/caller_memory.rs
@@ -25,6 +25,8 @@
 use bytes::Bytes;
 use tokio::{sync::Notify, time::timeout};
 
+use crate::receive_buffer::ReceiveBuffer;
+
 /// How long one victim is waited for before another connection is closed for
 /// a new one.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
@@ -292,6 +294,7 @@
     pub fn charge_bytes(&self, bytes: Vec<u8>) -> Result<Bytes, Vec<u8>> {
         match self.charge(bytes.capacity()) {
             Ok(charge) => {
+                let bytes = ReceiveBuffer::Heap(bytes);
                 Ok(Bytes::from_owner(ChargedBytes { bytes, _charge: charge }))
             }
             Err(CallerMemoryExhausted) => Err(bytes),
@@ -357,7 +360,7 @@
 #[derive(Debug)]
 pub struct ChargedBuffer<'a> {
     connection: &'a CallerConnection,
-    bytes: Vec<u8>,
+    bytes: ReceiveBuffer,
     charge: Charge,
     max_capacity_bytes: usize,
     unrecorded_bytes: usize,
@@ -376,7 +379,7 @@
     ) -> Result<ChargedBuffer<'a>, CallerMemoryExhausted> {
         Ok(ChargedBuffer {
             connection,
-            bytes: Vec::new(),
+            bytes: ReceiveBuffer::default(),
             charge: connection.charge(0)?,
             max_capacity_bytes,
             unrecorded_bytes: 0,
@@ -427,7 +430,7 @@
             .max(len);
         // Both allocations exist while the bytes are moved.
         self.charge.resize(self.bytes.capacity() + capacity)?;
-        self.bytes.reserve_exact(capacity - self.bytes.len());
+        self.bytes.reserve(capacity);
         self.charge.resize(self.bytes.capacity())
     }
 
@@ -444,12 +447,12 @@
 
 #[derive(Debug)]
 struct ChargedBytes {
-    bytes: Vec<u8>,
+    bytes: ReceiveBuffer,
     _charge: Charge,
 }
 
 impl AsRef<[u8]> for ChargedBytes {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
--- a/crates/briarladder-gateway/src/lib.rs
+++ b/crates/briarladder-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peers;
 pub mod pool;
 pub mod process;
+pub mod receive_buffer;
 pub mod refusal;
 pub mod request;
 pub mod server_limits;
