--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -9,6 +9,7 @@
     fmt,
     future::Future,
     pin::Pin,
+    rc::Rc,
     sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
@@ -33,6 +34,7 @@
 use crate::{
     blackboard::InFlightGuard,
     caller_memory::{CallerConnection, Charge},
+    caller_progress::ConnectionProgress,
     pool::PooledConnection,
     request::{
         connection_end::DoubtfulEnd,
@@ -288,6 +290,7 @@
 pub struct CallerBody {
     body: ResponseBody,
     connection: Arc<CallerConnection>,
+    progress: Rc<ConnectionProgress>,
     /// What a relay may buffer. Without room for it, the reply is passed on
     /// nevertheless, since its request has run.
     _charge: Option<Charge>,
@@ -299,6 +302,7 @@
     pub fn new(
         body: ResponseBody,
         connection: Arc<CallerConnection>,
+        progress: Rc<ConnectionProgress>,
     ) -> CallerBody {
         let charge = match &body {
             ResponseBody::Full(_) => None,
@@ -306,13 +310,14 @@
                 connection.charge(RELAY_BYTES).ok()
             }
         };
-        CallerBody { body, connection, _charge: charge }
+        CallerBody { body, connection, progress, _charge: charge }
     }
 }
 
 impl Drop for CallerBody {
     fn drop(&mut self) {
         self.connection.set_activity(Activity::Idle);
+        self.progress.record_answered(self.connection.now());
     }
 }
 
--- a/crates/briarladder-gateway/src/caller_memory.rs
+++ b/crates/briarladder-gateway/src/caller_memory.rs
@@ -231,6 +231,12 @@
 }
 
 impl CallerConnection {
+    /// Returns the time of the account's clock.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.memory.clock.now()
+    }
+
     /// Records what the connection does.
     pub fn set_activity(&self, activity: Activity) {
         let now = self.memory.clock.now();
--- /dev/null
+++ b/crates/briarladder-gateway/src/caller_progress.rs
@@ -0,0 +1,86 @@
+//! How far the request on a caller's connection has come, and what was
+//! received of it.
+
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
+
+use derive_more::Display;
+
+/// What a caller's connection is doing.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Stage {
+    /// Nothing of the next request has arrived.
+    #[display("idle")]
+    Idle,
+    /// The head of a request is being received.
+    #[display("head")]
+    Head,
+    /// A request is being served.
+    #[display("request")]
+    Request,
+}
+
+/// The progress of a caller's connection. All its changes come from the task
+/// that serves the connection.
+#[derive(Debug)]
+pub struct ConnectionProgress {
+    stage: Cell<Stage>,
+    since: Cell<Instant>,
+    received_bytes: Cell<usize>,
+}
+
+impl ConnectionProgress {
+    /// Creates the progress of a connection that was just accepted.
+    #[must_use]
+    pub fn new(now: Instant) -> ConnectionProgress {
+        ConnectionProgress {
+            stage: Cell::new(Stage::Idle),
+            since: Cell::new(now),
+            received_bytes: Cell::new(0),
+        }
+    }
+
+    fn enter(&self, stage: Stage, now: Instant) {
+        self.stage.set(stage);
+        self.since.set(now);
+    }
+
+    /// Records bytes from the caller.
+    pub fn record_received(&self, now: Instant, bytes: usize) {
+        self.received_bytes.set(self.received_bytes.get() + bytes);
+        if bytes > 0 && self.stage.get() == Stage::Idle {
+            self.enter(Stage::Head, now);
+        }
+    }
+
+    /// Records that a whole head has arrived.
+    pub fn record_request(&self, now: Instant) {
+        self.enter(Stage::Request, now);
+    }
+
+    /// Records the end of the response.
+    pub fn record_answered(&self, now: Instant) {
+        self.received_bytes.set(0);
+        self.enter(Stage::Idle, now);
+    }
+
+    /// Returns what the connection is doing.
+    #[must_use]
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    /// Returns for how long it has been doing that.
+    #[must_use]
+    pub fn time_in_stage(&self, now: Instant) -> Duration {
+        now.duration_since(self.since.get())
+    }
+
+    /// Returns the number of bytes of a request that was not answered yet.
+    #[must_use]
+    pub fn received_bytes(&self) -> usize {
+        self.received_bytes.get()
+    }
+}
--- a/crates/briarladder-gateway/src/caller_stream.rs
+++ b/crates/briarladder-gateway/src/caller_stream.rs
@@ -18,7 +18,9 @@
     time::timeout,
 };
 
-use crate::caller_memory::CallerConnection;
+use crate::{
+    caller_memory::CallerConnection, caller_progress::ConnectionProgress,
+};
 
 /// How long bytes are discarded before a connection is closed.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
@@ -33,6 +35,7 @@
 pub struct CallerStream<'a> {
     stream: &'a mut TcpStream,
     connection: &'a CallerConnection,
+    progress: &'a ConnectionProgress,
     is_blocked: bool,
 }
 
@@ -41,8 +44,9 @@
     pub fn new(
         stream: &'a mut TcpStream,
         connection: &'a CallerConnection,
+        progress: &'a ConnectionProgress,
     ) -> CallerStream<'a> {
-        CallerStream { stream, connection, is_blocked: false }
+        CallerStream { stream, connection, progress, is_blocked: false }
     }
 
     fn record_write<T>(&mut self, written: Poll<T>) -> Poll<T> {
@@ -60,7 +64,14 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream).poll_read(cx, buffer)
+        let filled_bytes = buffer.filled().len();
+        let read = Pin::new(&mut *self.stream).poll_read(cx, buffer);
+        let received_bytes = buffer.filled().len() - filled_bytes;
+        if received_bytes > 0 {
+            let now = self.connection.now();
+            self.progress.record_received(now, received_bytes);
+        }
+        read
     }
 }
 
@@ -103,21 +114,47 @@
     }
 }
 
+/// What was discarded of the bytes of a caller.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Discarded {
+    /// The number of bytes.
+    pub bytes: usize,
+    /// Whether they seem to hold the whole head of a request.
+    pub has_head: bool,
+}
+
+/// The end of the head of a request.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+impl Discarded {
+    /// Adds bytes. A head whose end lies in two calls is not noticed.
+    fn add(&mut self, bytes: &[u8]) {
+        self.bytes += bytes.len();
+        self.has_head |=
+            bytes.windows(HEAD_END.len()).any(|window| window == HEAD_END);
+    }
+}
+
 /// Discards what a caller sends until it closes the connection, for a limited
 /// time and up to a limit. Nothing more is written to it.
-pub async fn discard_rest(stream: &TcpStream) {
+pub async fn discard_rest(stream: &TcpStream) -> Discarded {
+    let mut discarded = Discarded::default();
     // The caller gets a reset if it goes on.
-    let _ = timeout(DISCARD_TIMEOUT, discard_until_end(stream)).await;
+    let discarding = discard_until_end(stream, &mut discarded);
+    let _ = timeout(DISCARD_TIMEOUT, discarding).await;
+    discarded
 }
 
-async fn discard_until_end(stream: &TcpStream) -> io::Result<()> {
-    let mut discarded_bytes = 0;
-    while discarded_bytes < MAX_DISCARDED_BYTES {
+async fn discard_until_end(
+    stream: &TcpStream,
+    discarded: &mut Discarded,
+) -> io::Result<()> {
+    while discarded.bytes < MAX_DISCARDED_BYTES {
         stream.readable().await?;
         let mut buffer = [0; DISCARD_BUFFER_BYTES];
         match stream.try_read(&mut buffer) {
             Ok(0) => return Ok(()),
-            Ok(len) => discarded_bytes += len,
+            Ok(len) => discarded.add(&buffer[..len]),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             Err(error) => return Err(error),
         }
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -17,7 +17,9 @@
 
 use crate::{
     caller_memory::CallerConnection,
+    caller_progress::ConnectionProgress,
     caller_stream::{self, CallerStream},
+    connection_end::{self, ConnectionEnd},
     context::Gateway,
     net, peers, request,
 };
@@ -97,37 +99,63 @@
     mut stream: TcpStream,
     stop: StopSignal,
 ) {
+    let progress = Rc::new(ConnectionProgress::new(gateway.blackboard.now()));
     let serving = async {
-        serve_requests(&gateway, &connection, &mut stream, stop).await;
+        let end = serve_requests(
+            &gateway,
+            &connection,
+            &progress,
+            &mut stream,
+            stop,
+        )
+        .await;
+        let is_refused =
+            end == ConnectionEnd::Finished && connection.has_unread_body();
+        if !is_refused {
+            connection_end::report(&gateway, &progress, &end);
+        }
         if connection.has_unread_body() {
             connection.set_activity(Activity::Closing);
-            caller_stream::discard_rest(&stream).await;
+            let mut discarded = caller_stream::discard_rest(&stream).await;
+            if is_refused {
+                // hyper has read a part of the rest of the body.
+                discarded.bytes += progress.received_bytes();
+            }
+            connection_end::report_discarded(&gateway, discarded);
         }
     };
+    let closed = async {
+        connection.wait_closed().await;
+        // Before the request that is being served is dropped.
+        connection_end::report(&gateway, &progress, &ConnectionEnd::NoRoom);
+    };
     tokio::select! {
         () = serving => {}
-        () = connection.wait_closed() => {}
+        () = closed => {}
     }
 }
 
 async fn serve_requests(
     gateway: &Rc<Gateway>,
     caller: &Arc<CallerConnection>,
+    progress: &Rc<ConnectionProgress>,
     stream: &mut TcpStream,
     mut stop: StopSignal,
-) {
+) -> ConnectionEnd {
     let limits =
         gateway.blackboard.config().map(|c| c.limits).unwrap_or_default();
     let serving = gateway.blackboard.shutdown().is_none();
     let service = service_fn(|request: Request<Incoming>| {
         let gateway = Rc::clone(gateway);
         let caller = Arc::clone(caller);
+        let progress = Rc::clone(progress);
         async move {
-            let response = request::serve(gateway, caller, request).await;
+            let response =
+                request::serve(gateway, caller, progress, request).await;
             Ok::<_, Infallible>(response)
         }
     });
-    let stream = CallerStream::new(stream, caller);
+    let stream = CallerStream::new(stream, caller, progress);
     // hyper starts the header timeout when the connection becomes idle, so the
     // idle timeout covers both.
     let connection = http1::Builder::new()
@@ -153,8 +181,15 @@
             }
         }
     };
-    if let Err(error) = result {
-        log::debug!("listener: caller connection closed: {error}");
+    match result {
+        Ok(()) if gateway.blackboard.shutdown().is_some() => {
+            ConnectionEnd::Stop
+        }
+        Ok(()) => ConnectionEnd::Finished,
+        Err(error) if error.is_timeout() => {
+            ConnectionEnd::Timeout { limit: limits.idle_timeout }
+        }
+        Err(error) => ConnectionEnd::Error(error.to_string()),
     }
 }
 
--- a/crates/briarladder-gateway/src/metrics.rs
+++ b/crates/briarladder-gateway/src/metrics.rs
@@ -10,7 +10,9 @@
     registry::{Metric, Registry},
 };
 
-use crate::caller_memory::CallerMemoryStatus;
+use crate::{
+    caller_memory::CallerMemoryStatus, connection_end::UnansweredLabels,
+};
 
 /// Upper bounds of the latency buckets in seconds. They cover the range from a
 /// fast response of a plain service to the longest deadline.
@@ -60,6 +62,9 @@
     pub store_calls: Family<ServiceLabels, Counter>,
     /// Restores of the store from a copy that this daemon has seen.
     pub store_restores: Counter,
+    /// Connections of callers that ended with received bytes unanswered, by
+    /// cause.
+    pub unanswered: Family<UnansweredLabels, Counter>,
     /// Requests in progress.
     pub open_requests: Gauge,
     /// Version of the configuration in force.
@@ -100,14 +105,7 @@
     fn default() -> Self {
         let mut whole = Registry::with_prefix("briarladder");
         let registry = &mut whole;
-        let first_byte = Family::new_with_constructor(
-            (|| Histogram::new(LATENCY_BUCKETS_S)) as fn() -> Histogram,
-        );
-        registry.register(
-            "first_byte_seconds",
-            "Time to the head of the answer",
-            first_byte.clone(),
-        );
+        let first_byte = register_first_byte(registry);
         Metrics {
             requests: register(registry, "requests", "Requests by outcome"),
             sends: register(registry, "sends", "Sends to servers"),
@@ -127,6 +125,11 @@
                 "store_restores",
                 "Restores of the store from a copy",
             ),
+            unanswered: register(
+                registry,
+                "unanswered",
+                "Connections that ended with received bytes unanswered",
+            ),
             open_requests: register(
                 registry,
                 "open_requests",
@@ -199,6 +202,20 @@
     }
 }
 
+fn register_first_byte(
+    registry: &mut Registry,
+) -> Family<RouteLabels, Histogram> {
+    let first_byte = Family::new_with_constructor(
+        (|| Histogram::new(LATENCY_BUCKETS_S)) as fn() -> Histogram,
+    );
+    registry.register(
+        "first_byte_seconds",
+        "Time to the head of the answer",
+        first_byte.clone(),
+    );
+    first_byte
+}
+
 /// Creates a metric and registers it.
 fn register<M: Metric + Clone + Default>(
     registry: &mut Registry,
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -25,6 +25,7 @@
     blackboard::Blackboard,
     body::{CallerBody, ResponseBody},
     caller_memory::CallerConnection,
+    caller_progress::ConnectionProgress,
     context::Gateway,
     refusal::Refusal,
     stages::preparation,
@@ -79,8 +80,10 @@
 pub async fn serve(
     gateway: Rc<Gateway>,
     connection: Arc<CallerConnection>,
+    progress: Rc<ConnectionProgress>,
     request: Request<Incoming>,
 ) -> Response<CallerBody> {
+    progress.record_request(gateway.blackboard.now());
     connection.set_activity(Activity::Receiving);
     connection.set_unread_body(true);
     // Prevents request smuggling: bytes after a chunked body may have been
@@ -93,7 +96,7 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    response.map(|body| CallerBody::new(body, connection))
+    response.map(|body| CallerBody::new(body, connection, progress))
 }
 
 async fn respond(
