Close idle connections at once after a refused request without a body

Callers whose request without a body had been refused could send their next one into half a second in which the connection was read and nothing served: the mark "body unread" stayed set, so any later end of the connection, such as the idle limit, was followed by 500 ms of discarding.

The mark is now set only for a request that has a body.

Evidence: `refused_without_body_ends_at_idle_limit` failed before: the connection of a refused GET was open for 803 ms with an idle limit of 300 ms.

--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -18,7 +18,7 @@
 use briarladder_core::fleet::caller_memory::Activity;
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::timeout_at;
 
 use crate::{
@@ -85,7 +85,7 @@
 ) -> Response<CallerBody> {
     progress.record_request(gateway.blackboard.now());
     connection.set_activity(Activity::Receiving);
-    connection.set_unread_body(true);
+    connection.set_unread_body(!request.body().is_end_stream());
     // Prevents request smuggling: bytes after a chunked body may have been
     // framed for a different parsing of the same bytes, so nothing more is
     // read from the connection.
