--- a/crates/briarladder-gateway/src/bounded_body.rs
+++ b/crates/briarladder-gateway/src/bounded_body.rs
@@ -5,6 +5,8 @@
 //! chunks are therefore copied into one buffer, since a list of chunks takes
 //! many times the memory of their bytes. docs/read-bounds.md lists the limits.
 
+use std::{future::poll_fn, pin::Pin, task::Poll};
+
 use briarladder_core::fleet::caller_memory::CallerMemoryExhausted;
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
@@ -134,6 +136,44 @@
     Ok(read.into_bytes())
 }
 
+/// How much of the rest of a body is read that nobody needs.
+const MAX_SKIPPED_BYTES: usize = 64 * 1024;
+
+/// After so many turns without a frame, the rest of a body counts as not
+/// arrived. In the first one, the connection is asked to read.
+const MAX_EMPTY_TURNS: u32 = 3;
+
+/// Reads the rest of a body that has already arrived, without waiting for
+/// more. Returns whether it has ended, so that a request may follow it on its
+/// connection.
+pub async fn skip_arrived<B>(mut body: B) -> bool
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut skipped_bytes = 0;
+    let mut empty_turns = 0;
+    while empty_turns < MAX_EMPTY_TURNS && skipped_bytes <= MAX_SKIPPED_BYTES {
+        if body.is_end_stream() {
+            return true;
+        }
+        let polled =
+            poll_fn(|cx| Poll::Ready(Pin::new(&mut body).poll_frame(cx)));
+        match polled.await {
+            Poll::Ready(None) => return true,
+            Poll::Ready(Some(Err(_))) => return false,
+            Poll::Ready(Some(Ok(frame))) => {
+                skipped_bytes += frame.data_ref().map_or(0, Bytes::len);
+                empty_turns = 0;
+            }
+            Poll::Pending => {
+                empty_turns += 1;
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+    false
+}
+
 /// Reads a reply for a caller until it ends or exceeds a limit by one frame.
 /// Its bytes are charged to the caller's connection. If there is no room for
 /// them, the limit counts as exceeded.
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     caller_memory::CallerConnection,
-    caller_progress::ConnectionProgress,
+    caller_progress::{ConnectionProgress, Stage},
     caller_stream::{self, CallerStream},
     connection_end::{self, ConnectionEnd},
     context::Gateway,
@@ -109,20 +109,18 @@
             stop,
         )
         .await;
-        let is_refused =
-            end == ConnectionEnd::Finished && connection.has_unread_body();
-        if !is_refused {
-            connection_end::report(&gateway, &progress, &end);
-        }
-        if connection.has_unread_body() {
-            connection.set_activity(Activity::Closing);
-            let mut discarded = caller_stream::discard_rest(&stream).await;
-            if is_refused {
-                // hyper has read a part of the rest of the body.
-                discarded.bytes += progress.received_bytes();
-            }
-            connection_end::report_discarded(&gateway, discarded);
+        // A response before an unread body announces the end of its
+        // connection. Behind any other end, nothing is discarded.
+        let discards =
+            connection.has_unread_body() && progress.stage() != Stage::Request;
+        if !discards {
+            return connection_end::report(&gateway, &progress, &end);
         }
+        connection.set_activity(Activity::Closing);
+        let mut discarded = caller_stream::discard_rest(&stream).await;
+        // hyper has read a part of the rest of the body.
+        discarded.bytes += progress.received_bytes();
+        connection_end::report_discarded(&gateway, discarded);
     };
     let closed = async {
         connection.wait_closed().await;
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -17,13 +17,14 @@
 
 use briarladder_core::fleet::caller_memory::Activity;
 
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout_at;
 
 use crate::{
     blackboard::Blackboard,
     body::{CallerBody, ResponseBody},
+    bounded_body::skip_arrived,
     caller_memory::CallerConnection,
     caller_progress::ConnectionProgress,
     context::Gateway,
@@ -92,7 +93,10 @@
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = respond(&gateway, &connection, request).await;
     connection.set_activity(Activity::Running);
-    if chunked || gateway.blackboard.shutdown().is_some() {
+    // What follows an unread body is discarded, so that the caller must not
+    // send its next request on this connection.
+    let ends = chunked || connection.has_unread_body();
+    if ends || gateway.blackboard.shutdown().is_some() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -108,17 +112,16 @@
     let (head, body) = request.into_parts();
     gateway.check_suspension();
     wait_for_config(gateway).await;
-    let accepted = match accept(gateway, connection, &head, &mut record) {
+    let accepted = match check_head(gateway, connection, &head, &mut record) {
         Ok(accepted) => accepted,
-        Err(refusal) => return refuse(record, refusal.into(), None),
+        Err(RefusedHead { refused, accepted }) => {
+            if !expects_continue(&head) && skip_arrived(body).await {
+                connection.set_unread_body(false);
+            }
+            return refuse(record, refused, accepted.as_deref());
+        }
     };
     let blackboard = &gateway.blackboard;
-    if is_too_late(blackboard, &accepted) {
-        return refuse(record, Refusal::Stopping.into(), Some(&accepted));
-    }
-    if let Some(refused) = refused_for_regions(blackboard, &accepted) {
-        return refuse(record, refused, Some(&accepted));
-    }
     let limits = accepted.config.limits;
     let head_deadline = accepted.head_deadline.into();
     let body_result =
@@ -190,6 +193,43 @@
     }
 }
 
+/// A request that is refused before its body is read.
+struct RefusedHead {
+    refused: RequestRefusal,
+    accepted: Option<Box<AcceptedRequest>>,
+}
+
+/// Checks all that can be told from the head of a request.
+fn check_head(
+    gateway: &Gateway,
+    connection: &Arc<CallerConnection>,
+    head: &request::Parts,
+    record: &mut RequestRecord,
+) -> Result<AcceptedRequest, RefusedHead> {
+    let accepted =
+        accept(gateway, connection, head, record).map_err(|refusal| {
+            RefusedHead { refused: refusal.into(), accepted: None }
+        })?;
+    let blackboard = &gateway.blackboard;
+    let refused = if is_too_late(blackboard, &accepted) {
+        Some(Refusal::Stopping.into())
+    } else {
+        refused_for_regions(blackboard, &accepted)
+    };
+    match refused {
+        Some(refused) => {
+            let accepted = Some(Box::new(accepted));
+            Err(RefusedHead { refused, accepted })
+        }
+        None => Ok(accepted),
+    }
+}
+
+/// Returns whether the caller sends the body only when it is asked to.
+fn expects_continue(head: &request::Parts) -> bool {
+    head.headers.contains_key(header::EXPECT)
+}
+
 /// Returns whether a request is refused because the process stops and may not
 /// finish it.
 fn is_too_late(blackboard: &Blackboard, accepted: &AcceptedRequest) -> bool {
