--- a/crates/briarladder-core/src/fleet/server.rs
+++ b/crates/briarladder-core/src/fleet/server.rs
@@ -38,6 +38,9 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: Arc<str>,
+    /// The version of its software, not of the weights that it serves; empty
+    /// if unknown.
+    pub software_version: Arc<str>,
     /// Whether it takes new work.
     pub state: ServerState,
     /// Start time of its process in milliseconds since the Unix epoch, by the
@@ -54,6 +57,7 @@
             service: Arc::from(service),
             address,
             zone: Arc::from(""),
+            software_version: Arc::from(""),
             state: ServerState::Ready,
             born_ms: 0,
         }
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -40,6 +40,17 @@
     pub piece_counts: Vec<u32>,
     /// The input of the first stages, if there is one.
     pub piece_key: Option<Arc<str>>,
+    /// The stream that it takes up, if it does.
+    pub take_up: Option<TakenUpStream>,
+}
+
+/// A stream that has broken off, as a caller that takes it up describes it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TakenUpStream {
+    /// The id of the last event that the caller has received.
+    pub last_event_id: Arc<str>,
+    /// The caller's attempt that brought the first event, if it names one.
+    pub first_attempt: Option<Arc<str>>,
 }
 
 /// A prompt as described by the caller's headers.
--- a/crates/briarladder-gateway/src/peers/changes.rs
+++ b/crates/briarladder-gateway/src/peers/changes.rs
@@ -17,8 +17,11 @@
 };
 use serde::{Deserialize, Serialize};
 
+/// The index of a name that is not known.
+const UNKNOWN_NAME: u32 = u32::MAX;
+
 /// The path of a request for store items.
-pub const CHANGES_PATH: &str = "/peers/changes-3";
+pub const CHANGES_PATH: &str = "/peers/changes-4";
 
 /// Requests the items that have changed after a version.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
@@ -60,7 +63,7 @@
     pub in_contact: bool,
     /// The configuration, if the sender of the request has an older one.
     pub config: Option<ConfigItem>,
-    /// Names of services and zones, referenced by index.
+    /// Names of services, zones and software versions, referenced by index.
     pub(super) names: Vec<Arc<str>>,
     pub(super) servers: Vec<ServerItem>,
     pub(super) removed: Vec<RemovedItem>,
@@ -68,6 +71,9 @@
     pub(super) evacuated: Option<Vec<EvacuatedZone>>,
     /// How long the servers stay cold that are.
     pub(super) cold: Vec<ColdItem>,
+    /// The software versions of the servers, in their order, as indices into
+    /// `names`. Those of servers without an item are unknown.
+    pub(super) software_versions: Vec<u32>,
 }
 
 /// A configuration. Its own version is read from it.
@@ -176,6 +182,13 @@
             });
         }
         self.servers.push(item);
+        let version = &server.software_version;
+        let version = if version.is_empty() {
+            UNKNOWN_NAME
+        } else {
+            self.position(version)
+        };
+        self.software_versions.push(version);
     }
 
     fn position(&mut self, name: &Arc<str>) -> u32 {
@@ -210,9 +223,20 @@
     /// name.
     #[must_use]
     pub fn into_servers(self) -> Vec<ServerEntry> {
-        let ChangesResponse { names, servers, removed, version, cold, .. } =
-            self;
+        let ChangesResponse {
+            names,
+            servers,
+            removed,
+            version,
+            cold,
+            software_versions,
+            ..
+        } = self;
         let name = |at: u32| names.get(usize::try_from(at).ok()?).cloned();
+        let software_version = |at: u32| {
+            let at = software_versions.get(usize::try_from(at).ok()?)?;
+            name(*at)
+        };
         let cold: SortedMap<u32, u32> =
             cold.iter().map(|item| (item.server, item.cold_left_ms)).collect();
         let cold_left = |at: u32| {
@@ -227,6 +251,7 @@
                 address: item.address,
                 state: item.state,
                 born_ms: item.born_ms,
+                software_version: software_version(at).unwrap_or_default(),
             };
             Some(ServerEntry {
                 name: Arc::clone(&server.name),
--- a/crates/briarladder-gateway/src/peers/changes/tests.rs
+++ b/crates/briarladder-gateway/src/peers/changes/tests.rs
@@ -6,6 +6,7 @@
 use crate::peers::{
     eraless_changes::{EralessRequest, EralessResponse},
     evacuationless_changes::EvacuationlessResponse,
+    versionless_changes::VersionlessResponse,
 };
 
 const ERA: u64 = 2;
@@ -230,3 +231,51 @@
     assert_eq!(read.take_evacuations(), None);
     assert_eq!(read.into_servers().len(), 1);
 }
+
+/// The first fields of an answer to a daemon without software versions.
+type VersionlessHead = EvacuationlessHead;
+
+/// Guards against software versions that are lost or mixed up on the way to
+/// another daemon, and against daemons of the earlier version that can't read
+/// the answers.
+#[test]
+fn software_versions_round_trip() {
+    let versions = ["v1", "", "v2", "v1"];
+    let servers: Vec<ServerEntry> = (1..)
+        .zip(versions)
+        .map(|(number, version)| {
+            let mut entry = server(number);
+            let server = entry.server.as_mut().unwrap();
+            server.software_version = Arc::from(version);
+            entry
+        })
+        .collect();
+    let mirror = mirror(&servers);
+    let all = request(StoreVersion::default());
+    let response = ChangesResponse::new(&mirror, &all, true);
+    assert_eq!(round_trip(&response).into_servers(), servers);
+
+    let bytes =
+        postcard::to_stdvec(&VersionlessResponse::from(response)).unwrap();
+    let (head, rest): (VersionlessHead, _) =
+        postcard::take_from_bytes(&bytes).unwrap();
+    assert_eq!((head.0, head.1), (true, version(400_001)));
+    let (items, rest): (Vec<ServerItem>, _) =
+        postcard::take_from_bytes(rest).unwrap();
+    let (removed, rest): (Vec<RemovedItem>, _) =
+        postcard::take_from_bytes(rest).unwrap();
+    let (zones, rest): (Option<Vec<EvacuatedZone>>, _) =
+        postcard::take_from_bytes(rest).unwrap();
+    let (cold, rest): (Vec<ColdItem>, _) =
+        postcard::take_from_bytes(rest).unwrap();
+    assert_eq!((items.len(), removed.len(), cold.len()), (4, 0, 0));
+    assert_eq!(zones.unwrap().len(), 0);
+    assert!(rest.is_empty());
+
+    let read: VersionlessResponse = postcard::from_bytes(&bytes).unwrap();
+    let read = ChangesResponse::from(read);
+    assert_eq!(read.version, StoreVersion { era: 0, revision: 400_001 });
+    let mut versions =
+        read.into_servers().into_iter().filter_map(|entry| entry.server);
+    assert!(versions.all(|server| server.software_version.is_empty()));
+}
--- a/crates/briarladder-gateway/src/peers/client.rs
+++ b/crates/briarladder-gateway/src/peers/client.rs
@@ -13,6 +13,7 @@
 use super::{
     changes::CHANGES_PATH, eraless_changes::ERALESS_CHANGES_PATH,
     evacuationless_changes::EVACUATIONLESS_CHANGES_PATH,
+    versionless_changes::VERSIONLESS_CHANGES_PATH,
 };
 
 /// A call to a peer that failed.
@@ -70,9 +71,10 @@
 /// another daemon may send more.
 fn max_response_bytes(path: &str) -> usize {
     match path {
-        CHANGES_PATH | EVACUATIONLESS_CHANGES_PATH | ERALESS_CHANGES_PATH => {
-            MAX_CHANGES_BYTES
-        }
+        CHANGES_PATH
+        | VERSIONLESS_CHANGES_PATH
+        | EVACUATIONLESS_CHANGES_PATH
+        | ERALESS_CHANGES_PATH => MAX_CHANGES_BYTES,
         _ => MAX_RESPONSE_BYTES,
     }
 }
--- a/crates/briarladder-gateway/src/peers/eraless_changes.rs
+++ b/crates/briarladder-gateway/src/peers/eraless_changes.rs
@@ -93,6 +93,7 @@
             removed: response.removed,
             evacuated: None,
             cold: Vec::new(),
+            software_versions: Vec::new(),
         }
     }
 }
--- a/crates/briarladder-gateway/src/peers/evacuationless_changes.rs
+++ b/crates/briarladder-gateway/src/peers/evacuationless_changes.rs
@@ -54,6 +54,7 @@
             removed: response.removed,
             evacuated: None,
             cold: Vec::new(),
+            software_versions: Vec::new(),
         }
     }
 }
--- a/crates/briarladder-gateway/src/peers/mod.rs
+++ b/crates/briarladder-gateway/src/peers/mod.rs
@@ -15,4 +15,5 @@
 pub mod messages;
 pub mod places;
 pub mod server;
+pub mod versionless_changes;
 pub mod watchdog;
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -33,6 +33,7 @@
         WAITS_EXCHANGE_PATH, WaitsEnvelope,
     },
     places,
+    versionless_changes::{VERSIONLESS_CHANGES_PATH, VersionlessResponse},
 };
 
 /// The longest message of a peer. It fits the references of the largest
@@ -103,27 +104,10 @@
             Ok(message) => encode(&probe(&gateway, message).await),
             Err(error) => malformed(&error),
         },
-        CHANGES_PATH => match postcard::from_bytes(&body) {
-            Ok(message) => encode(&changes_response(&gateway, &message).await),
-            Err(error) => malformed(&error),
-        },
-        EVACUATIONLESS_CHANGES_PATH => match postcard::from_bytes(&body) {
-            Ok(message) => {
-                let response = changes_response(&gateway, &message).await;
-                encode(&EvacuationlessResponse::from(response))
-            }
-            Err(error) => malformed(&error),
-        },
-        ERALESS_CHANGES_PATH => match postcard::from_bytes(&body) {
-            Ok(message) => {
-                let message: EralessRequest = message;
-                let message =
-                    message.in_era_of(&gateway.blackboard.mirror.borrow());
-                let response = changes_response(&gateway, &message).await;
-                encode(&EralessResponse::from(response))
-            }
-            Err(error) => malformed(&error),
-        },
+        CHANGES_PATH
+        | VERSIONLESS_CHANGES_PATH
+        | EVACUATIONLESS_CHANGES_PATH
+        | ERALESS_CHANGES_PATH => serve_changes(&gateway, &path, &body).await,
         PLACE_PATH => respond(&body, |message: PlaceRequest| {
             places::grant_place(&gateway, &message)
         }),
@@ -148,6 +132,37 @@
     })
 }
 
+/// Serves a call for items of the store, in the form of the caller's version.
+async fn serve_changes(
+    gateway: &Gateway,
+    path: &str,
+    body: &[u8],
+) -> Response<Full<Bytes>> {
+    let message = match path {
+        ERALESS_CHANGES_PATH => {
+            postcard::from_bytes(body).map(|message: EralessRequest| {
+                message.in_era_of(&gateway.blackboard.mirror.borrow())
+            })
+        }
+        _ => postcard::from_bytes(body),
+    };
+    let message: ChangesRequest = match message {
+        Ok(message) => message,
+        Err(error) => return malformed(&error),
+    };
+    let response = changes_response(gateway, &message).await;
+    match path {
+        ERALESS_CHANGES_PATH => encode(&EralessResponse::from(response)),
+        EVACUATIONLESS_CHANGES_PATH => {
+            encode(&EvacuationlessResponse::from(response))
+        }
+        VERSIONLESS_CHANGES_PATH => {
+            encode(&VersionlessResponse::from(response))
+        }
+        _ => encode(&response),
+    }
+}
+
 fn exchange_gossip(
     gateway: &Gateway,
     message: &GossipEnvelope,
--- a/crates/briarladder-gateway/src/request/accept.rs
+++ b/crates/briarladder-gateway/src/request/accept.rs
@@ -101,6 +101,7 @@
     };
     record.config_version = config.version;
     let caller = decode(gateway, head, record)?;
+    record.take_up.clone_from(&caller.take_up);
     record.prompt = caller.prompt.as_ref().map(|prompt| {
         let shared = prompt.shared_prefix().map_or(0, |p| p.tokens);
         (shared, prompt.suffix_tokens())
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -82,8 +82,7 @@
             }
             break Refusal::OutcomeUnknown;
         };
-        record.server = Some(Arc::clone(&server.name));
-        record.attempts += 1;
+        record.record_attempt(&server);
         record.phase = Phase::Server;
         if tried.is_empty() {
             blackboard.record_first_send(&accepted.service);
--- a/crates/briarladder-gateway/src/request/extra_send.rs
+++ b/crates/briarladder-gateway/src/request/extra_send.rs
@@ -118,7 +118,7 @@
         state.tried.push(Arc::clone(&failed.name));
         state.record.cause = Some(error.cause.clone());
     }
-    state.record.server = Some(Arc::clone(&outcome.send.server.name));
+    state.record.set_server(&outcome.send.server);
     outcome
 }
 
--- a/crates/briarladder-gateway/src/request/record.rs
+++ b/crates/briarladder-gateway/src/request/record.rs
@@ -9,9 +9,12 @@
     time::{Duration, Instant},
 };
 
+use briarladder_core::fleet::server::ListedServer;
 use derive_more::Display;
 
-use crate::{blackboard::Blackboard, metrics::Metrics};
+use crate::{
+    blackboard::Blackboard, dialect::TakenUpStream, metrics::Metrics,
+};
 
 use super::framing::Framing;
 
@@ -54,6 +57,10 @@
     pub prompt: Option<(u64, u64)>,
     /// The server of the last attempt.
     pub server: Option<Arc<str>>,
+    /// The software version of that server.
+    pub software_version: Option<Arc<str>>,
+    /// The stream that it takes up, if it does.
+    pub take_up: Option<TakenUpStream>,
     /// The number of attempts to send it to a server.
     pub attempts: u32,
     /// What came of a send to a second server while the first one was slow.
@@ -97,6 +104,8 @@
             config_version: 0,
             prompt: None,
             server: None,
+            software_version: None,
+            take_up: None,
             attempts: 0,
             extra_send: None,
             stages_time: None,
@@ -112,6 +121,18 @@
         }
     }
 
+    /// Records the server of the next attempt.
+    pub fn record_attempt(&mut self, server: &ListedServer) {
+        self.set_server(server);
+        self.attempts += 1;
+    }
+
+    /// Sets the server of the last attempt.
+    pub fn set_server(&mut self, server: &ListedServer) {
+        self.server = Some(Arc::clone(&server.name));
+        self.software_version = Some(Arc::clone(&server.software_version));
+    }
+
     /// Returns when the request arrived.
     #[must_use]
     pub fn arrived_at(&self) -> Instant {
@@ -169,7 +190,9 @@
         log::info!(
             "request: id={} route={route} workspace={} outcome={outcome} \
              status={} at={} ms={} limit_ms={} first_ms={} stages_ms={} \
-             prompt={}+{} server={} sends={} extra={} framing={} bytes={} config={} retry_after_ms={} cause={:?}",
+             prompt={}+{} server={} software={} sends={} extra={} framing={} \
+             bytes={} config={} retry_after_ms={} takes_up={} after={} \
+             cause={:?}",
             self.attempt,
             self.workspace.as_deref().unwrap_or("-"),
             self.status,
@@ -181,12 +204,17 @@
             self.prompt.map_or(0, |(shared, _)| shared),
             self.prompt.map_or(0, |(_, own)| own),
             self.server.as_deref().unwrap_or("-"),
+            self.software_version.as_deref().unwrap_or("-"),
             self.attempts,
             self.extra_send.unwrap_or("-"),
             self.framing.map_or_else(|| "-".to_owned(), |f| f.to_string()),
             self.relayed_bytes,
             self.config_version,
             millis(self.retry_after),
+            self.take_up.as_ref().map_or("-", |stream| {
+                stream.first_attempt.as_deref().unwrap_or("unnamed")
+            }),
+            self.take_up.as_ref().map_or("-", |s| &*s.last_event_id),
             self.cause.as_deref().unwrap_or("-"),
         );
     }
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -361,13 +361,15 @@
         let blackboard = &outgoing.gateway.blackboard;
         let accepted = &outgoing.accepted;
         log::info!(
-            "resume: id={} server={} after={}",
+            "resume: id={} server={} software={} after={} \
+             software_before={}",
             accepted.caller.attempt,
             server.name,
-            self.splitter.last_id().unwrap_or("-")
+            server.software_version,
+            self.splitter.last_id().unwrap_or("-"),
+            self.record.software_version.as_deref().unwrap_or("-")
         );
-        self.record.server = Some(Arc::clone(&server.name));
-        self.record.attempts += 1;
+        self.record.record_attempt(&server);
         let in_flight = blackboard.track_in_flight(&server.name);
         let last_event_id = self.splitter.last_id();
         let sent = timeout_at(
--- a/crates/briarladder-gateway/src/store/apply.rs
+++ b/crates/briarladder-gateway/src/store/apply.rs
@@ -361,9 +361,11 @@
     }
     if let Some(server) = &change.server {
         log::info!(
-            "servers: server={} service={} zone={} state={:?} {version}",
+            "servers: server={} service={} software={} zone={} state={:?} \
+             {version}",
             server.name,
             server.service,
+            server.software_version,
             server.zone,
             server.state,
         );
--- a/crates/briarladder-gateway/src/store/peer_source.rs
+++ b/crates/briarladder-gateway/src/store/peer_source.rs
@@ -24,6 +24,7 @@
         evacuationless_changes::{
             EVACUATIONLESS_CHANGES_PATH, EvacuationlessResponse,
         },
+        versionless_changes::{VERSIONLESS_CHANGES_PATH, VersionlessResponse},
     },
 };
 
@@ -235,6 +236,13 @@
     request: &ChangesRequest,
 ) -> Result<ChangesResponse, PeerError> {
     let peers = &gateway.peers;
+    let path = VERSIONLESS_CHANGES_PATH;
+    let sent: Result<VersionlessResponse, PeerError> =
+        peers.call(address, path, request, FULL_LIST_TIMEOUT).await;
+    match sent {
+        Err(error) if error.is_unknown_path() => {}
+        sent => return Ok(sent?.into()),
+    }
     let path = EVACUATIONLESS_CHANGES_PATH;
     let sent: Result<EvacuationlessResponse, PeerError> =
         peers.call(address, path, request, FULL_LIST_TIMEOUT).await;
