--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -44,5 +44,6 @@
 pub mod stages;
 pub mod store_roles;
 pub mod store_version;
+pub mod stream_versions;
 pub mod suspension;
 mod token_bucket;
--- /dev/null
+++ b/crates/briarladder-core/src/fleet/stream_versions/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the versions of streams.
