--- a/crates/briarladder-core/src/fleet/stream_versions/history.rs
+++ b/crates/briarladder-core/src/fleet/stream_versions/history.rs
@@ -155,7 +155,7 @@
                 continue;
             }
             let version = &software.version;
-            if *sole.get_or_insert(version) != version {
+            if version.is_empty() || *sole.get_or_insert(version) != version {
                 return None;
             }
         }
--- a/crates/briarladder-core/src/fleet/stream_versions/tests.rs
+++ b/crates/briarladder-core/src/fleet/stream_versions/tests.rs
@@ -146,6 +146,16 @@
     assert_eq!(sole(&rerouted, start, &servers), None);
 }
 
+/// Guards against a service without servers whose only departure is of an
+/// unknown version, which then counts as a version named "".
+#[test]
+fn sole_version_only_unknown_departed() {
+    let now = Instant::now();
+    let mut history = VersionHistory::first_start(now);
+    history.record_unknown(now, &Arc::from("a"));
+    assert_eq!(sole(&history, now, &Servers::default()), None);
+}
+
 /// Guards against a daemon that has started and doesn't learn of a version
 /// that has left before, or that has left at the teller since.
 #[test]
