--- a/crates/briarladder-core/src/fleet/stream_versions/history.rs
+++ b/crates/briarladder-core/src/fleet/stream_versions/history.rs
@@ -199,17 +199,18 @@
     /// Merges what another daemon knows. Its coverage counts only after the
     /// first listing of this one, so that there is no gap between the two.
     pub fn merge(&mut self, now: Instant, summary: &VersionSummary) {
-        for ListedVersion { software, age_ms } in &summary.versions {
-            let age = Duration::from_millis(u64::from(*age_ms));
-            let listed = Moment::with_age(now, age);
-            self.insert(now, software.clone(), listed);
-        }
         let covered = Duration::from_millis(u64::from(summary.covered_ms));
         if let Some(since) = &mut self.covered_since
             && since.age(now) < covered
         {
             *since = Moment::with_age(now, covered);
         }
+        // Departures for which there is no room end the coverage again.
+        for ListedVersion { software, age_ms } in &summary.versions {
+            let age = Duration::from_millis(u64::from(*age_ms));
+            let listed = Moment::with_age(now, age);
+            self.insert(now, software.clone(), listed);
+        }
     }
 }
 
--- a/crates/briarladder-core/src/fleet/stream_versions/tests.rs
+++ b/crates/briarladder-core/src/fleet/stream_versions/tests.rs
@@ -268,6 +268,23 @@
     assert_eq!(history.summarize(now, []).versions.len(), 256);
 }
 
+/// Guards against coverage that is merged from a summary with more versions
+/// than there is room for.
+#[test]
+fn merge_too_many_departures() {
+    let now = Instant::now();
+    let version = |number| ListedVersion {
+        software: Some(software("b", &format!("v{number}"))),
+        age_ms: 1,
+    };
+    let versions = (0..257).map(version).collect();
+    let summary = VersionSummary { covered_ms: 60_000, versions };
+    let mut history = VersionHistory::default();
+    history.record_listing(now, false);
+    history.merge(now, &summary);
+    assert!(!history.is_covered(now));
+}
+
 /// Guards against a record that is lost, found for another stream, or found
 /// after its attempt's id may name another stream.
 #[test]
