--- a/crates/briarladder-core/src/fleet/stream_versions/origins.rs
+++ b/crates/briarladder-core/src/fleet/stream_versions/origins.rs
@@ -91,8 +91,18 @@
         let mut ages: Vec<Duration> =
             self.records.values().map(|origin| origin.used.age(now)).collect();
         ages.sort_unstable();
-        let max_age = ages[ages.len() * 3 / 4];
-        self.records.retain(|_, origin| origin.used.age(now) < max_age);
+        let kept = ages.len() * 3 / 4;
+        let max_age = ages[kept];
+        let older = ages.len() - ages.partition_point(|age| *age <= max_age);
+        let mut dropped_of_max_age = ages.len() - kept - older;
+        self.records.retain(|_, origin| {
+            let age = origin.used.age(now);
+            if age == max_age && dropped_of_max_age > 0 {
+                dropped_of_max_age -= 1;
+                return false;
+            }
+            age <= max_age
+        });
     }
 
     /// Returns the version that has begun a stream, if it is known.
--- a/crates/briarladder-core/src/fleet/stream_versions/tests.rs
+++ b/crates/briarladder-core/src/fleet/stream_versions/tests.rs
@@ -407,6 +407,18 @@
     assert_eq!(origins.find(end, "16999"), Some(&v1));
 }
 
+/// Guards against a flood in one instant that empties the records.
+#[test]
+fn records_bounded_same_age() {
+    let now = Instant::now();
+    let v1 = software("a", "v1");
+    let mut origins = StreamOrigins::default();
+    for number in 0..=16 * 1024_u32 {
+        origins.record(now, &format!("{number}").into(), &v1);
+    }
+    assert!(origins.len() > 12 * 1024, "{}", origins.len());
+}
+
 /// Guards against records that nobody finds after some daemons have ended.
 #[test]
 fn replicas_stable() {
