--- a/crates/briarladder-gateway/src/peers/places.rs
+++ b/crates/briarladder-gateway/src/peers/places.rs
@@ -35,7 +35,10 @@
 ) -> Option<Arc<ListedServer>> {
     let blackboard = &gateway.blackboard;
     let AcceptedRequest { service, allowed_regions, .. } = accepted;
-    let owner = blackboard.place_owner(service, allowed_regions, tried)?;
+    let owner =
+        blackboard.place_owner(service, allowed_regions, tried, |server| {
+            accepted.may_run_at(server)
+        })?;
     let PlaceOwner { server, address } = owner;
     let message = PlaceRequest {
         server: Arc::clone(&server.name),
--- a/crates/briarladder-gateway/src/request/accept.rs
+++ b/crates/briarladder-gateway/src/request/accept.rs
@@ -9,6 +9,8 @@
 use briarladder_core::fleet::{
     config::{CallerLimits, FleetConfig, Route, Workspace},
     residency::AllowedRegions,
+    server::ListedServer,
+    stream_versions::Software,
 };
 use bytes::Bytes;
 use http::request;
@@ -41,6 +43,9 @@
     pub route: Arc<Route>,
     /// The service that runs the request.
     pub service: Arc<str>,
+    /// The software version at which it must run, because it goes on with a
+    /// stream.
+    pub software: Option<Software>,
     /// The workspace of the caller's API key; `None` for anonymous callers or
     /// if no keys are configured.
     pub workspace: Option<Workspace>,
@@ -78,6 +83,13 @@
         }
     }
 
+    /// Returns whether a server has the software version at which the request
+    /// must run.
+    #[must_use]
+    pub fn may_run_at(&self, server: &ListedServer) -> bool {
+        self.software.as_ref().is_none_or(|software| software.runs_at(server))
+    }
+
     /// Returns the time until the deadline of the response head.
     #[must_use]
     pub fn time_to_head_deadline(&self, now: Instant) -> Duration {
@@ -129,6 +141,7 @@
         connection: Arc::clone(connection),
         config,
         service,
+        software: None,
         allowed_regions: allowed_regions(&route, workspace.as_ref()),
         route,
         workspace,
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -12,6 +12,7 @@
 pub mod record;
 pub mod regions;
 mod resume;
+pub mod take_up;
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -179,9 +179,10 @@
         random: rand::random(),
     };
     let places = blackboard.places();
-    let ready = servers
-        .ready_in_service(&accepted.service)
-        .map(|server| &**server)
+    let in_service =
+        servers.ready_in_service(&accepted.service).map(|server| &**server);
+    let ready = in_service
+        .filter(|server| accepted.may_run_at(server))
         .filter(|server| {
             blackboard.may_send(server, &accepted.allowed_regions)
         })
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -8,6 +8,10 @@
 //! server had used them, because the memory for results limits how many stages
 //! can run.
 //!
+//! A stream only goes on at the software version that has brought its first
+//! event. Before the first events of a server are passed on, the relay checks
+//! that no process of another version has the server's name by now.
+//!
 //! The relay is the only part of a request that does not run within the future
 //! of its caller's connection. The task that owns it waits for the caller's
 //! departure as well, and drops the relay with all that it waits for.
@@ -33,12 +37,14 @@
 };
 
 use super::{
+    accept::AcceptedRequest,
     framing::{Framing, StreamFormat},
     outgoing::{
         AttemptError, OutgoingRequest, ServerResponse, UsableResponse,
         choose_server, record_failure,
     },
     record::RequestRecord,
+    take_up::software_of_process,
 };
 
 /// A server counts as stalled when no complete event arrives for this many
@@ -110,6 +116,8 @@
     server: Arc<ListedServer>,
     response: ServerResponse,
     progress: AnswerProgress,
+    /// Events of it were passed on.
+    has_events: bool,
     _in_flight: InFlightGuard,
 }
 
@@ -119,8 +127,13 @@
         response: ServerResponse,
         in_flight: InFlightGuard,
     ) -> StreamPart {
-        let progress = AnswerProgress::default();
-        StreamPart { server, response, progress, _in_flight: in_flight }
+        StreamPart {
+            server,
+            response,
+            progress: AnswerProgress::default(),
+            has_events: false,
+            _in_flight: in_flight,
+        }
     }
 }
 
@@ -245,6 +258,12 @@
             if !self.splitter.is_truncated() {
                 last_event_at = gateway.blackboard.now();
             }
+            if !part.has_events
+                && let Err(error) = self.record_software(&part.server)
+            {
+                return PartEnd::Failed(error);
+            }
+            part.has_events = true;
             self.forward(complete_events).await;
         }
         let framing = part.response.framing();
@@ -267,6 +286,32 @@
         PartEnd::Failed(error)
     }
 
+    /// Records the software version of a server whose first events are about
+    /// to be passed on. The stream goes on at this version only.
+    fn record_software(
+        &mut self,
+        server: &ListedServer,
+    ) -> Result<(), AttemptError> {
+        let blackboard = &self.outgoing.gateway.blackboard;
+        let accepted = &self.outgoing.accepted;
+        let software = software_of_process(blackboard, server);
+        if accepted.software.is_some() && accepted.software != software {
+            let failure = AttemptFailure::ResponseMismatch;
+            let cause = "another software version has the server's name";
+            return Err(AttemptError::new(failure, cause));
+        }
+        let accepted = AcceptedRequest { software, ..(**accepted).clone() };
+        self.outgoing.accepted = Rc::new(accepted);
+        Ok(())
+    }
+
+    /// Returns whether another server can go on after the last event.
+    fn is_resumable(&self) -> bool {
+        let is_begun = self.splitter.last_id().is_some();
+        let has_software = self.outgoing.accepted.software.is_some();
+        self.splitter.is_resumable() && (has_software || !is_begun)
+    }
+
     async fn forward(&mut self, bytes: Vec<u8>) {
         self.record.add_relayed_bytes(bytes.len());
         let bytes = self.charge_events(bytes).await;
@@ -329,7 +374,7 @@
             }
         }
         let refused = outgoing.refused_for().is_some();
-        if refused || !self.splitter.is_resumable() {
+        if refused || !self.is_resumable() {
             return None;
         }
         let time_left = accepted.time_left(blackboard.now());
--- a/crates/briarladder-gateway/src/server_limits.rs
+++ b/crates/briarladder-gateway/src/server_limits.rs
@@ -220,6 +220,7 @@
         service: &Arc<str>,
         allowed: &AllowedRegions,
         tried: &[Arc<str>],
+        may_run_at: impl Fn(&ListedServer) -> bool,
     ) -> Option<PlaceOwner> {
         let PlaceFinder { time, .. } = self.places();
         let servers = self.servers.borrow();
@@ -232,6 +233,7 @@
                     || self.is_cold(server)
             })
             .filter(|server| self.sharing_of(server) == Sharing::Turns)
+            .filter(|server| may_run_at(server))
             .filter(|server| {
                 self.may_send(server, allowed) && !tried.contains(&server.name)
             })
