--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -32,6 +32,7 @@
         shutdown::Shutdown,
         stage_waits::StageWaitTable,
         store_roles::{self, Role, SourceTracker},
+        stream_versions::VersionHistory,
         suspension::SuspensionDetector,
     },
     sorted::SortedMap,
@@ -42,6 +43,7 @@
 use crate::{
     cold_start::ColdStartState, dialect::ResponseHead,
     server_limits::LimitState, settings::GatewaySettings,
+    stream_versions::StreamVersions,
 };
 
 /// The phase of a process between start and exit.
@@ -122,6 +124,9 @@
     /// When this daemon received the listing of the last restored store;
     /// owner: the store controller.
     pub restored_at: Cell<Option<Instant>>,
+    /// The software versions that began streams; owners: the request path and
+    /// the store controller.
+    pub stream_versions: StreamVersions,
     /// Requests that crash servers; owner: the request path.
     pub crash_tracker: RefCell<CrashTracker>,
     /// Servers that are leaving or have asked for a pause; owner: the request
@@ -188,6 +193,11 @@
         local_member: Member,
     ) -> Rc<Blackboard> {
         let started_at = clock.now();
+        let history = if settings.is_first_start {
+            VersionHistory::first_start(started_at)
+        } else {
+            VersionHistory::default()
+        };
         Rc::new(Blackboard {
             clock,
             zone: Arc::clone(&settings.zone),
@@ -204,6 +214,7 @@
             reconciliation_changed: Notify::new(),
             restored_at: Cell::new(None),
             availability: RefCell::default(),
+            stream_versions: StreamVersions::new(history),
             crash_tracker: RefCell::default(),
             limits: LimitState::new(started_at),
             cold_start: ColdStartState::new(settings, started_at),
--- a/crates/briarladder-gateway/src/lib.rs
+++ b/crates/briarladder-gateway/src/lib.rs
@@ -34,3 +34,4 @@
 pub mod settings;
 pub mod stages;
 pub mod store;
+pub mod stream_versions;
--- a/crates/briarladder-gateway/src/metrics.rs
+++ b/crates/briarladder-gateway/src/metrics.rs
@@ -56,6 +56,9 @@
     /// Sends to a second server while the first one was slow, by service and
     /// by what came of them: `sent` and `won`, or the reason against one.
     pub extra_sends: Family<ServiceLabels, Counter>,
+    /// Streams that callers took up by service, and whether the version that
+    /// began them was found.
+    pub take_ups: Family<ServiceLabels, Counter>,
     /// Pieces of stages by service and outcome.
     pub pieces: Family<ServiceLabels, Counter>,
     /// Calls to the store by outcome.
@@ -114,6 +117,7 @@
                 "extra_sends",
                 "Sends to a second server beside a slow one",
             ),
+            take_ups: register(registry, "take_ups", "Streams taken up"),
             pieces: register(registry, "pieces", "Pieces of stages"),
             store_calls: register(
                 registry,
--- a/crates/briarladder-gateway/src/peers/mod.rs
+++ b/crates/briarladder-gateway/src/peers/mod.rs
@@ -15,5 +15,6 @@
 pub mod messages;
 pub mod places;
 pub mod server;
+pub mod stream_origins;
 pub mod versionless_changes;
 pub mod watchdog;
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -33,6 +33,10 @@
         WAITS_EXCHANGE_PATH, WaitsEnvelope,
     },
     places,
+    stream_origins::{
+        FIND_ORIGIN_PATH, FindOrigin, FoundOrigin, ORIGINS_PATH, OriginList,
+        VERSIONS_PATH, VersionsRequest,
+    },
     versionless_changes::{VERSIONLESS_CHANGES_PATH, VersionlessResponse},
 };
 
@@ -108,6 +112,18 @@
         | VERSIONLESS_CHANGES_PATH
         | EVACUATIONLESS_CHANGES_PATH
         | ERALESS_CHANGES_PATH => serve_changes(&gateway, &path, &body).await,
+        ORIGINS_PATH => respond(&body, |message: OriginList| {
+            gateway.blackboard.merge_streams(&message.origins);
+            Ack {}
+        }),
+        FIND_ORIGIN_PATH => respond(&body, |message: FindOrigin| {
+            let software =
+                gateway.blackboard.stream_software(&message.attempt);
+            FoundOrigin { software }
+        }),
+        VERSIONS_PATH => respond(&body, |VersionsRequest {}| {
+            gateway.blackboard.summarize_versions()
+        }),
         PLACE_PATH => respond(&body, |message: PlaceRequest| {
             places::grant_place(&gateway, &message)
         }),
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -26,7 +26,9 @@
     logs::LogFlusher,
     metrics::Metrics,
     net,
-    peers::{client::PeerClient, membership, watchdog::Watchdog},
+    peers::{
+        client::PeerClient, membership, stream_origins, watchdog::Watchdog,
+    },
     pool::ConnectionPool,
     settings::GatewaySettings,
     stages::{batcher::Batcher, coordinator::Coordinator, release},
@@ -164,6 +166,8 @@
     spawn_local(membership::run(shared(), Rc::clone(settings)));
     spawn_local(Rc::clone(&gateway.coordinator).run());
     spawn_local(release::run(shared()));
+    spawn_local(stream_origins::run_replication(shared()));
+    spawn_local(stream_origins::run_version_checks(shared()));
     Ok(())
 }
 
--- a/crates/briarladder-gateway/src/refusal.rs
+++ b/crates/briarladder-gateway/src/refusal.rs
@@ -50,6 +50,19 @@
     /// available.
     #[display("no server of the allowed regions takes the request; try later")]
     NoServerInRegions,
+    /// The software version that began the stream is not known, and the
+    /// outputs of two versions don't fit together.
+    #[display(
+        "it is not known which version of the software began the stream; \
+         begin it again"
+    )]
+    VersionUnknown,
+    /// No server of the software version that began the stream is available.
+    #[display(
+        "no server has the version of the software that began the stream; \
+         begin it again"
+    )]
+    VersionGone,
     /// The servers that could run the request limit how many they take.
     #[display("the servers of the service limit their requests; try later")]
     ServerLimit,
@@ -88,6 +101,8 @@
             | Refusal::NoServer
             | Refusal::NoServerInRegions
             | Refusal::ServerLimit
+            | Refusal::VersionUnknown
+            | Refusal::VersionGone
             | Refusal::StagesLate
             | Refusal::StageFailed
             | Refusal::TimeoutBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
@@ -112,6 +127,8 @@
             Refusal::NoServer => "no_server",
             Refusal::NoServerInRegions => "no_server_in_regions",
             Refusal::ServerLimit => "server_limit",
+            Refusal::VersionUnknown => "version_unknown",
+            Refusal::VersionGone => "version_gone",
             Refusal::StagesLate => "stages_late",
             Refusal::StageFailed => "stage_failed",
             Refusal::TimeoutBeforeSend => "time_out_unsent",
--- a/crates/briarladder-gateway/src/request/accept.rs
+++ b/crates/briarladder-gateway/src/request/accept.rs
@@ -90,6 +90,15 @@
         self.software.as_ref().is_none_or(|software| software.runs_at(server))
     }
 
+    /// Returns the attempt that brought the first event of the stream, or will
+    /// bring it.
+    #[must_use]
+    pub fn first_attempt(&self) -> &Arc<str> {
+        let take_up = self.caller.take_up.as_ref();
+        let named = take_up.and_then(|stream| stream.first_attempt.as_ref());
+        named.unwrap_or(&self.caller.attempt)
+    }
+
     /// Returns the time until the deadline of the response head.
     #[must_use]
     pub fn time_to_head_deadline(&self, now: Instant) -> Duration {
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -40,6 +40,7 @@
     outgoing::OutgoingRequest,
     record::RequestRecord,
     regions::refused_for_regions,
+    take_up::restrict_to_origin,
 };
 
 /// The shortest `retry-after` of a refusal.
@@ -113,7 +114,8 @@
     let (head, body) = request.into_parts();
     gateway.check_suspension();
     wait_for_config(gateway).await;
-    let accepted = match check_head(gateway, connection, &head, &mut record) {
+    let checked = check_head(gateway, connection, &head, &mut record);
+    let mut accepted = match checked {
         Ok(accepted) => accepted,
         Err(RefusedHead { refused, accepted }) => {
             if !expects_continue(&head) && skip_arrived(body).await {
@@ -144,6 +146,10 @@
         let refused = RequestRefusal { refusal, retry_after: Some(wait) };
         return refuse(record, refused, Some(&accepted));
     }
+    let restricted = restrict_to_origin(gateway, &mut accepted).await;
+    if let Err(refusal) = restricted {
+        return refuse(record, refusal.into(), Some(&accepted));
+    }
     let stages = preparation::run(gateway, &accepted, &mut record);
     let prepared = tokio::select! {
         prepared = timeout_at(head_deadline, stages) => prepared
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -300,6 +300,10 @@
             let cause = "another software version has the server's name";
             return Err(AttemptError::new(failure, cause));
         }
+        if let Some(software) = &software {
+            let attempt = accepted.first_attempt();
+            blackboard.record_stream(attempt, software, &accepted.route);
+        }
         let accepted = AcceptedRequest { software, ..(**accepted).clone() };
         self.outgoing.accepted = Rc::new(accepted);
         Ok(())
--- a/crates/briarladder-gateway/src/request/take_up.rs
+++ b/crates/briarladder-gateway/src/request/take_up.rs
@@ -1,10 +1,124 @@
-//! Finds the software version at which a stream may go on.
+//! Finds the software version at which a stream that a caller takes up may go
+//! on.
+
+use std::sync::Arc;
 
 use briarladder_core::fleet::{
-    server::ListedServer, stream_versions::Software,
+    config::RouteKind, server::ListedServer, stream_versions::Software,
+};
+use derive_more::Display;
+
+use crate::{
+    blackboard::Blackboard, context::Gateway, metrics::Metrics,
+    peers::stream_origins, refusal::Refusal,
 };
 
-use crate::blackboard::Blackboard;
+use super::accept::AcceptedRequest;
+
+/// How the version that began a stream was found.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+enum Source {
+    /// This daemon has its record.
+    #[display("own")]
+    Own,
+    /// Another daemon has its record.
+    #[display("peer")]
+    Peer,
+    /// No other version can have begun it.
+    #[display("sole")]
+    Sole,
+}
+
+/// Restricts a request that takes up a stream to the version that began it.
+///
+/// # Errors
+///
+/// If that version can't be told, or its servers don't serve the route any
+/// more.
+pub async fn restrict_to_origin(
+    gateway: &Gateway,
+    accepted: &mut AcceptedRequest,
+) -> Result<(), Refusal> {
+    let is_stream = matches!(accepted.route.kind, RouteKind::Stream { .. });
+    let Some(take_up) = accepted.caller.take_up.clone() else { return Ok(()) };
+    if !is_stream {
+        return Ok(());
+    }
+    let first = take_up.first_attempt.as_ref();
+    let found = find_origin(gateway, accepted, first).await;
+    let outcome = match &found {
+        None => "unknown",
+        Some((software, _)) if !is_served(gateway, accepted, software) => {
+            "not_served"
+        }
+        Some(_) => "found",
+    };
+    let (software, source) = found.as_ref().map_or_else(
+        || ("-".to_owned(), "-".to_owned()),
+        |(software, source)| (software.to_string(), source.to_string()),
+    );
+    log::info!(
+        "takeup: id={} first={} after={} software={software} \
+         source={source} outcome={outcome}",
+        accepted.caller.attempt,
+        first.map_or("-", |first| &**first),
+        take_up.last_event_id,
+    );
+    let service = &accepted.service;
+    Metrics::count(&gateway.metrics.take_ups, service, outcome);
+    match found {
+        Some((software, _)) if outcome == "found" => {
+            accepted.service = Arc::clone(&software.service);
+            accepted.software = Some(software);
+            Ok(())
+        }
+        Some(_) => Err(Refusal::VersionGone),
+        None => Err(Refusal::VersionUnknown),
+    }
+}
+
+async fn find_origin(
+    gateway: &Gateway,
+    accepted: &AcceptedRequest,
+    first: Option<&Arc<str>>,
+) -> Option<(Software, Source)> {
+    let blackboard = &gateway.blackboard;
+    if let Some(first) = first {
+        if let Some(software) = blackboard.stream_software(first) {
+            return Some((software, Source::Own));
+        }
+        // Other daemons may have heard of a new version earlier.
+        let found = stream_origins::find_origin(gateway, first).await;
+        if let Some(software) = found {
+            return Some((software, Source::Peer));
+        }
+    }
+    // Two services of one route may have begun the stream.
+    let [split] = &accepted.route.splits[..] else { return None };
+    if !blackboard.knows_versions() {
+        stream_origins::ask_for_versions(gateway).await;
+    }
+    if let Some(version) = blackboard.sole_version(&split.service) {
+        let service = Arc::clone(&split.service);
+        return Some((Software { service, version }, Source::Sole));
+    }
+    None
+}
+
+/// Returns whether the route leads to the service of a version, and a server
+/// of the version takes new work.
+fn is_served(
+    gateway: &Gateway,
+    accepted: &AcceptedRequest,
+    software: &Software,
+) -> bool {
+    let splits = &accepted.route.splits;
+    let servers = gateway.blackboard.servers.borrow();
+    splits.iter().any(|split| split.service == software.service)
+        && servers
+            .ready_in_service(&software.service)
+            .any(|server| software.runs_at(server))
+}
 
 /// Returns the software version of a server, unless it is listed with another
 /// one by now: it is not known which of the two processes got the request.
--- a/crates/briarladder-gateway/src/settings.rs
+++ b/crates/briarladder-gateway/src/settings.rs
@@ -29,6 +29,9 @@
     pub peers_address: SocketAddr,
     /// The address of the metrics endpoint.
     pub metrics_address: SocketAddr,
+    /// Whether the whole fleet starts for the first time, so that it has served
+    /// nothing before.
+    pub is_first_start: bool,
     /// Peer addresses of some daemons to contact first; they may be out of
     /// date.
     pub seeds: Vec<SocketAddr>,
--- a/crates/briarladder-gateway/src/store/apply.rs
+++ b/crates/briarladder-gateway/src/store/apply.rs
@@ -158,6 +158,7 @@
         }
         Listing::NewEra => begin_era(gateway, known, version, &items.servers),
     }
+    blackboard.record_versions_listed();
     blackboard.record_listing();
     blackboard.mirror_changed.notify_waiters();
     true
@@ -282,6 +283,9 @@
     let version = config.version;
     let routes = config.routes.len();
     report_unservable(gateway, &config);
+    if let Some(known) = blackboard.config() {
+        blackboard.record_rerouted(&known, &config);
+    }
     blackboard.set_config(config);
     let shown = i64::try_from(version).unwrap_or(i64::MAX);
     gateway.metrics.config_version.set(shown);
@@ -359,6 +363,9 @@
     if known.as_deref() == change.server.as_ref() {
         return;
     }
+    if let Some(known) = &known {
+        blackboard.record_server_changed(known, change.server.as_ref());
+    }
     if let Some(server) = &change.server {
         log::info!(
             "servers: server={} service={} software={} zone={} state={:?} \
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -318,6 +318,7 @@
             items.add(&self.gateway, answer.era, item);
         }
         apply_changes(&self.gateway, items, after.at(changes.revision));
+        blackboard.record_heard_of_store();
         Ok(!changes.items.is_empty())
     }
 
--- a/crates/briarladder-gateway/src/store/peer_source.rs
+++ b/crates/briarladder-gateway/src/store/peer_source.rs
@@ -286,6 +286,9 @@
         return SourceState::EarlierEra;
     }
     if !complete && item_count == 0 && version <= known {
+        if in_contact {
+            gateway.blackboard.record_heard_of_store();
+        }
         return state;
     }
     if let Some(listed) = response.take_evacuations() {
@@ -297,6 +300,9 @@
         apply_listing(gateway, items, version);
     } else if version.era == request.after.era {
         apply_changes(gateway, items, version);
+        if in_contact {
+            gateway.blackboard.record_heard_of_store();
+        }
     }
     state
 }
