--- a/crates/briarladder-core/src/fleet/stream_versions/mod.rs
+++ b/crates/briarladder-core/src/fleet/stream_versions/mod.rs
@@ -15,6 +15,9 @@
 //! - [`lone_versions`] names the versions that should begin no streams, since
 //!   they have no second server to go on at.
 //!
+//! - [`sole_holder`] names the version whose engines alone keep the prompt of
+//!   a stream, when no daemon has its record.
+//!
 //! A stream whose version can't be told is not taken up.
 //!
 //! # Example
@@ -47,6 +50,7 @@
 //! # Ok::<(), std::net::AddrParseError>(())
 //! ```
 
+mod caches;
 mod history;
 mod origins;
 mod placement;
@@ -63,6 +67,7 @@
 use super::server::ListedServer;
 
 pub use self::{
+    caches::{CacheAnswer, CacheReport, sole_holder},
     history::{ListedVersion, VersionHistory, VersionSummary},
     origins::{OriginNotice, StreamOrigins},
     placement::{REPLICA_COUNT, lone_versions, replicas},
--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -42,8 +42,8 @@
 
 use crate::{
     cold_start::ColdStartState, dialect::ResponseHead,
-    server_limits::LimitState, settings::GatewaySettings,
-    stream_versions::StreamVersions,
+    request::cache_evidence::CacheListings, server_limits::LimitState,
+    settings::GatewaySettings, stream_versions::StreamVersions,
 };
 
 /// The phase of a process between start and exit.
@@ -127,6 +127,8 @@
     /// The software versions that began streams; owners: the request path and
     /// the store controller.
     pub stream_versions: StreamVersions,
+    /// The prompt caches of engines that were asked; owner: the request path.
+    pub cache_listings: CacheListings,
     /// Requests that crash servers; owner: the request path.
     pub crash_tracker: RefCell<CrashTracker>,
     /// Servers that are leaving or have asked for a pause; owner: the request
@@ -215,6 +217,7 @@
             restored_at: Cell::new(None),
             availability: RefCell::default(),
             stream_versions: StreamVersions::new(history),
+            cache_listings: CacheListings::default(),
             crash_tracker: RefCell::default(),
             limits: LimitState::new(started_at),
             cold_start: ColdStartState::new(settings, started_at),
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -271,6 +271,20 @@
         attempt: &str,
     ) -> ResponseHead;
 
+    /// Returns the path of a call that lists the parts of prompts that an
+    /// engine keeps.
+    fn prompt_cache_path(&self) -> &'static str;
+
+    /// Decodes the ids of the parts that an engine keeps.
+    ///
+    /// # Errors
+    ///
+    /// If they are malformed.
+    fn decode_prompt_cache(
+        &self,
+        body: &[u8],
+    ) -> Result<Vec<Arc<str>>, FormatError>;
+
     /// Returns the path of a call that produces pieces.
     fn pieces_path(&self) -> &'static str;
 
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -2,6 +2,7 @@
 //! forward the response.
 
 pub mod accept;
+pub mod cache_evidence;
 pub mod connection_end;
 mod crash_evidence;
 mod dispatch;
--- a/crates/briarladder-gateway/src/request/take_up.rs
+++ b/crates/briarladder-gateway/src/request/take_up.rs
@@ -13,7 +13,7 @@
     peers::stream_origins, refusal::Refusal,
 };
 
-use super::accept::AcceptedRequest;
+use super::{accept::AcceptedRequest, cache_evidence::find_holder};
 
 /// How the version that began a stream was found.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -27,6 +27,9 @@
     /// No other version can have begun it.
     #[display("sole")]
     Sole,
+    /// Engines of this version alone keep its prompt.
+    #[display("cache")]
+    Cache,
 }
 
 /// Restricts a request that takes up a stream to the version that began it.
@@ -102,7 +105,8 @@
         let service = Arc::clone(&split.service);
         return Some((Software { service, version }, Source::Sole));
     }
-    None
+    let holder = find_holder(gateway, accepted).await?;
+    Some((holder, Source::Cache))
 }
 
 /// Returns whether the route leads to the service of a version, and a server
