--- a/crates/briarladder-gateway/src/request/take_up.rs
+++ b/crates/briarladder-gateway/src/request/take_up.rs
@@ -15,6 +15,11 @@
 
 use super::{accept::AcceptedRequest, cache_evidence::find_holder};
 
+/// The queue priority of streams that are taken up. They go before new ones:
+/// they have less time left, and what their caller has received is lost with
+/// them.
+const TAKE_UP_PRIORITY: u8 = 0;
+
 /// How the version that began a stream was found.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 enum Source {
@@ -72,6 +77,7 @@
     match found {
         Some((software, _)) if outcome == "found" => {
             accepted.service = Arc::clone(&software.service);
+            accepted.queue_priority = TAKE_UP_PRIORITY;
             accepted.software = Some(software);
             Ok(())
         }
