--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -7,6 +7,7 @@
         answer_progress::AnswerPhase,
         placement::{PlacementRequest, prefill_time},
         server::ListedServer,
+        stream_versions::lone_versions,
     },
     retry::AttemptFailure,
 };
@@ -181,8 +182,10 @@
     let places = blackboard.places();
     let in_service =
         servers.ready_in_service(&accepted.service).map(|server| &**server);
+    let lone = versions_to_avoid(accepted, in_service.clone());
     let ready = in_service
         .filter(|server| accepted.may_run_at(server))
+        .filter(|server| !lone.contains(&server.software_version))
         .filter(|server| {
             blackboard.may_send(server, &accepted.allowed_regions)
         })
@@ -197,6 +200,18 @@
     servers.get(&chosen.name).filter(|_| taken).cloned()
 }
 
+/// Returns the software versions at which a stream should not begin, since no
+/// other server could go on with it.
+fn versions_to_avoid<'a>(
+    accepted: &AcceptedRequest,
+    ready: impl IntoIterator<Item = &'a ListedServer>,
+) -> Vec<Arc<str>> {
+    if accepted.software.is_some() || !accepted.route.kind.is_resumable() {
+        return Vec::new();
+    }
+    lone_versions(ready)
+}
+
 /// Logs and counts a failed attempt, and updates the state of the server.
 pub fn record_failure(
     outgoing: &OutgoingRequest,
