--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -35,7 +35,7 @@
     places,
     stream_origins::{
         FIND_ORIGIN_PATH, FindOrigin, FoundOrigin, ORIGINS_PATH, OriginList,
-        VERSIONS_PATH, VersionsRequest,
+        VERSIONS_PATH, VersionsAnswer, VersionsRequest,
     },
     versionless_changes::{VERSIONLESS_CHANGES_PATH, VersionlessResponse},
 };
@@ -121,8 +121,9 @@
                 gateway.blackboard.stream_software(&message.attempt);
             FoundOrigin { software }
         }),
-        VERSIONS_PATH => respond(&body, |VersionsRequest {}| {
-            gateway.blackboard.summarize_versions()
+        VERSIONS_PATH => respond(&body, |VersionsRequest {}| VersionsAnswer {
+            known: gateway.blackboard.mirror.borrow().version(),
+            summary: gateway.blackboard.summarize_versions(),
         }),
         PLACE_PATH => respond(&body, |message: PlaceRequest| {
             places::grant_place(&gateway, &message)
--- a/crates/briarladder-gateway/src/peers/stream_origins.rs
+++ b/crates/briarladder-gateway/src/peers/stream_origins.rs
@@ -3,8 +3,11 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use briarladder_core::{
-    fleet::stream_versions::{
-        OriginNotice, REPLICA_COUNT, Software, VersionSummary, replicas,
+    fleet::{
+        store_version::StoreVersion,
+        stream_versions::{
+            OriginNotice, REPLICA_COUNT, Software, VersionSummary, replicas,
+        },
     },
     sorted::SortedMap,
 };
@@ -70,6 +73,15 @@
 #[derive(Debug, Deserialize, Serialize)]
 pub struct VersionsRequest {}
 
+/// The answer to [`VersionsRequest`].
+#[derive(Debug, Deserialize, Serialize)]
+pub struct VersionsAnswer {
+    /// The version of the store up to which the daemon knows all changes.
+    pub known: StoreVersion,
+    /// The versions of software.
+    pub summary: VersionSummary,
+}
+
 /// Sends queued records to their replicas. Never returns.
 pub async fn run_replication(gateway: Rc<Gateway>) {
     let versions = &gateway.blackboard.stream_versions;
@@ -179,9 +191,14 @@
     let message = VersionsRequest {};
     let call =
         gateway.peers.call(address, VERSIONS_PATH, &message, QUESTION_TIMEOUT);
-    let answer: Result<VersionSummary, PeerError> = call.await;
+    let answer: Result<VersionsAnswer, PeerError> = call.await;
     match answer {
-        Ok(summary) => {
+        Ok(VersionsAnswer { known, mut summary }) => {
+            if known < blackboard.mirror.borrow().version() {
+                // Versions may have come and gone between what the other
+                // daemon knows and the first listing of this one.
+                summary.covered_ms = 0;
+            }
             blackboard.merge_versions(&summary);
             if blackboard.knows_versions() {
                 log::info!(
