--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -97,6 +97,8 @@
     pub zone: Arc<str>,
     /// The region of each zone.
     pub regions: Regions,
+    /// The address of the store.
+    pub store_address: SocketAddr,
     /// Local copy of the store; owner: the store controller.
     pub mirror: RefCell<Mirror>,
     /// Notified when the copy has changed or the store is lost; owner: the
@@ -204,6 +206,7 @@
             clock,
             zone: Arc::clone(&settings.zone),
             regions: settings.region_map(),
+            store_address: settings.store_address,
             mirror: RefCell::default(),
             mirror_changed: Notify::new(),
             source_tracker: RefCell::default(),
--- a/crates/briarladder-gateway/src/request/take_up.rs
+++ b/crates/briarladder-gateway/src/request/take_up.rs
@@ -1,7 +1,7 @@
 //! Finds the software version at which a stream that a caller takes up may go
 //! on.
 
-use std::sync::Arc;
+use std::{rc::Rc, sync::Arc};
 
 use briarladder_core::fleet::{
     config::RouteKind, server::ListedServer, stream_versions::Software,
@@ -10,7 +10,7 @@
 
 use crate::{
     blackboard::Blackboard, context::Gateway, metrics::Metrics,
-    peers::stream_origins, refusal::Refusal,
+    peers::stream_origins, refusal::Refusal, store,
 };
 
 use super::{accept::AcceptedRequest, cache_evidence::find_holder};
@@ -44,7 +44,7 @@
 /// If that version can't be told, or its servers don't serve the route any
 /// more.
 pub async fn restrict_to_origin(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     accepted: &mut AcceptedRequest,
 ) -> Result<(), Refusal> {
     let is_stream = matches!(accepted.route.kind, RouteKind::Stream { .. });
@@ -87,7 +87,7 @@
 }
 
 async fn find_origin(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     accepted: &AcceptedRequest,
     first: Option<&Arc<str>>,
 ) -> Option<(Software, Source)> {
@@ -107,7 +107,10 @@
     if !blackboard.knows_versions() {
         stream_origins::ask_for_versions(gateway).await;
     }
-    if let Some(version) = blackboard.sole_version(&split.service) {
+    if blackboard.sole_version(&split.service).is_some()
+        && store::catch_up(gateway).await
+        && let Some(version) = blackboard.sole_version(&split.service)
+    {
         let service = Arc::clone(&split.service);
         return Some((Software { service, version }, Source::Sole));
     }
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -127,6 +127,39 @@
     }
 }
 
+/// A question for all changes that several requests share.
+#[derive(Clone, Copy, Debug)]
+pub struct CatchUp {
+    began_at: Instant,
+    has_succeeded: bool,
+}
+
+/// Applies all changes that the store has acknowledged when this is called.
+/// Returns false if the store doesn't tell them.
+pub async fn catch_up(gateway: &Rc<Gateway>) -> bool {
+    let blackboard = &gateway.blackboard;
+    let called_at = blackboard.now();
+    let mut last = blackboard.stream_versions.last_catch_up.lock().await;
+    if let Some(shared) = *last
+        && shared.began_at >= called_at
+    {
+        return shared.has_succeeded;
+    }
+    let began_at = blackboard.now();
+    let reader = StoreReader {
+        gateway: Rc::clone(gateway),
+        store: blackboard.store_address,
+        era_learned_at: Cell::new(None),
+    };
+    let caught_up = reader.watch_for(Duration::ZERO).await;
+    if let Err(error) = &caught_up {
+        log::info!("store: outcome=not_caught_up cause={error}");
+    }
+    let has_succeeded = caught_up.is_ok();
+    *last = Some(CatchUp { began_at, has_succeeded });
+    has_succeeded
+}
+
 /// Reads and then watches the store. Never returns.
 pub async fn run(gateway: Rc<Gateway>, store: SocketAddr) {
     let reader =
@@ -300,7 +333,6 @@
 
     /// Waits for changes. Returns whether there were any.
     async fn watch(&self) -> Result<bool, StoreError> {
-        let after = self.gateway.blackboard.mirror.borrow().version();
         // The first answer of a store that was away tells whether it was
         // restored.
         let blackboard = &self.gateway.blackboard;
@@ -308,6 +340,13 @@
             StoreStatus::UnreachableSince(_) => Duration::ZERO,
             _ => blackboard.store_role().reader_poll_timeout,
         };
+        self.watch_for(wait).await
+    }
+
+    /// Waits for changes for some time. Returns whether there were any.
+    async fn watch_for(&self, wait: Duration) -> Result<bool, StoreError> {
+        let blackboard = &self.gateway.blackboard;
+        let after = blackboard.mirror.borrow().version();
         let path = self.gateway.dialect.watch_path(after.revision, wait);
         let answer = self.get(&path, wait + RESPONSE_TIMEOUT).await?;
         // The changes after a revision of an earlier era leave a gap.
--- a/crates/briarladder-gateway/src/stream_versions.rs
+++ b/crates/briarladder-gateway/src/stream_versions.rs
@@ -17,9 +17,9 @@
         VersionHistory, VersionSummary, rerouted_services, resumable_services,
     },
 };
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 
-use crate::blackboard::Blackboard;
+use crate::{blackboard::Blackboard, store::CatchUp};
 
 /// The longest time without word of the store after which a listing of the
 /// servers leaves no gap. Servers drain for seconds before they leave, so no
@@ -32,6 +32,8 @@
 pub struct StreamVersions {
     origins: RefCell<StreamOrigins>,
     history: RefCell<VersionHistory>,
+    /// The last question for all changes of the store.
+    pub(crate) last_catch_up: Mutex<Option<CatchUp>>,
     /// When this daemon last heard of the store, directly or from a peer.
     heard_at: Cell<Option<Instant>>,
     /// The services for which this daemon last knew the sole version.
