End idle connections by the limit in force, and heads by their own

Callers' requests got no answer on connections that they took for open: they reuse a connection by the idle limit in force, while the listener kept to the one of its acceptance. A head that arrived in parts around the idle limit was cut too.

Cause: hyper's header timeout was used for idle connections. It is fixed when a connection is accepted, starts when the connection becomes idle, and does not start anew when a head begins to arrive.

The listener now has a timer of its own. An idle connection ends by the limit in force or that of its last response, whichever is longer; a head has `headerTimeoutMs` from its first byte (5 s if the configuration has none). What has arrived is read before the timer is asked, and a response that a slow caller is still reading does not count as idle.

--- a/crates/briarladder-core/src/fleet/config.rs
+++ b/crates/briarladder-core/src/fleet/config.rs
@@ -56,6 +56,8 @@
     pub max_header_bytes: usize,
     /// Maximum size of a request body in bytes.
     pub max_body_bytes: usize,
+    /// Maximum time from the first byte of a request head to its last one.
+    pub header_timeout: Duration,
     /// Maximum idle time between two requests of a connection.
     pub idle_timeout: Duration,
 }
@@ -65,6 +67,7 @@
         CallerLimits {
             max_header_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
+            header_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(15),
         }
     }
--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -18,7 +18,7 @@
         availability::ServerAvailability,
         budget::{RetryBudget, RetryBudgetConfig},
         cells::Cells,
-        config::{FleetConfig, ServiceWork},
+        config::{CallerLimits, FleetConfig, ServiceWork},
         crash_tracker::CrashTracker,
         evacuation::EvacuatedZones,
         fetch_time::FetchTimeEstimator,
@@ -253,6 +253,12 @@
         self.clock.now()
     }
 
+    /// Returns the limits of callers in force.
+    #[must_use]
+    pub fn caller_limits(&self) -> CallerLimits {
+        self.config().map(|config| config.limits).unwrap_or_default()
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn config(&self) -> Option<Rc<FleetConfig>> {
--- a/crates/briarladder-gateway/src/caller_progress.rs
+++ b/crates/briarladder-gateway/src/caller_progress.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use briarladder_core::fleet::config::CallerLimits;
 use derive_more::Display;
 
 /// What a caller's connection is doing.
@@ -29,16 +30,29 @@
     stage: Cell<Stage>,
     since: Cell<Instant>,
     received_bytes: Cell<usize>,
+    /// The idle timeout when the last response was begun, by which the caller
+    /// goes.
+    promised_idle_timeout: Cell<Duration>,
+}
+
+/// When a connection ends unless more of a request arrives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReceiveDeadline {
+    /// The moment.
+    pub at: Instant,
+    /// The limit that it follows from.
+    pub limit: Duration,
 }
 
 impl ConnectionProgress {
     /// Creates the progress of a connection that was just accepted.
     #[must_use]
-    pub fn new(now: Instant) -> ConnectionProgress {
+    pub fn new(now: Instant, limits: &CallerLimits) -> ConnectionProgress {
         ConnectionProgress {
             stage: Cell::new(Stage::Idle),
             since: Cell::new(now),
             received_bytes: Cell::new(0),
+            promised_idle_timeout: Cell::new(limits.idle_timeout),
         }
     }
 
@@ -60,12 +74,40 @@
         self.enter(Stage::Request, now);
     }
 
+    /// Records that a response is begun while these limits are in force.
+    pub fn record_response(&self, limits: &CallerLimits) {
+        self.promised_idle_timeout.set(limits.idle_timeout);
+    }
+
+    /// Records that the caller takes what is written to it. The connection is
+    /// not idle before the last response has been written.
+    pub fn record_written(&self, now: Instant) {
+        if self.stage.get() == Stage::Idle {
+            self.since.set(now);
+        }
+    }
+
     /// Records the end of the response.
     pub fn record_answered(&self, now: Instant) {
         self.received_bytes.set(0);
         self.enter(Stage::Idle, now);
     }
 
+    /// Returns when the connection ends by the limits in force, unless more
+    /// of a request arrives; `None` while a request is being served. An idle
+    /// connection is kept for as long as its caller was told.
+    #[must_use]
+    pub fn deadline(&self, limits: &CallerLimits) -> Option<ReceiveDeadline> {
+        let limit = match self.stage.get() {
+            Stage::Idle => {
+                limits.idle_timeout.max(self.promised_idle_timeout.get())
+            }
+            Stage::Head => limits.header_timeout,
+            Stage::Request => return None,
+        };
+        Some(ReceiveDeadline { at: self.since.get() + limit, limit })
+    }
+
     /// Returns what the connection is doing.
     #[must_use]
     pub fn stage(&self) -> Stage {
--- a/crates/briarladder-gateway/src/caller_stream.rs
+++ b/crates/briarladder-gateway/src/caller_stream.rs
@@ -19,7 +19,8 @@
 };
 
 use crate::{
-    caller_memory::CallerConnection, caller_progress::ConnectionProgress,
+    caller_memory::CallerConnection,
+    caller_progress::{ConnectionProgress, Stage},
 };
 
 /// How long bytes are discarded before a connection is closed.
@@ -50,6 +51,9 @@
     }
 
     fn record_write<T>(&mut self, written: Poll<T>) -> Poll<T> {
+        if written.is_ready() && self.progress.stage() == Stage::Idle {
+            self.progress.record_written(self.connection.now());
+        }
         if written.is_pending() != self.is_blocked {
             self.is_blocked = written.is_pending();
             self.connection.set_blocked(self.is_blocked);
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -1,7 +1,13 @@
 //! Accept loops for callers, peers, readiness checks and metrics.
 
 use std::{
-    convert::Infallible, future::Future, rc::Rc, sync::Arc, time::Duration,
+    convert::Infallible,
+    future::{Future, poll_fn},
+    pin::{Pin, pin},
+    rc::Rc,
+    sync::Arc,
+    task::Poll,
+    time::Duration,
 };
 
 use briarladder_core::fleet::caller_memory::Activity;
@@ -13,6 +19,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
+    time::sleep_until,
 };
 
 use crate::{
@@ -99,7 +106,10 @@
     mut stream: TcpStream,
     stop: StopSignal,
 ) {
-    let progress = Rc::new(ConnectionProgress::new(gateway.blackboard.now()));
+    let blackboard = &gateway.blackboard;
+    let limits = blackboard.caller_limits();
+    let progress = ConnectionProgress::new(blackboard.now(), &limits);
+    let progress = Rc::new(progress);
     let serving = async {
         let end = serve_requests(
             &gateway,
@@ -140,8 +150,7 @@
     stream: &mut TcpStream,
     mut stop: StopSignal,
 ) -> ConnectionEnd {
-    let limits =
-        gateway.blackboard.config().map(|c| c.limits).unwrap_or_default();
+    let limits = gateway.blackboard.caller_limits();
     let serving = gateway.blackboard.shutdown().is_none();
     let service = service_fn(|request: Request<Incoming>| {
         let gateway = Rc::clone(gateway);
@@ -154,41 +163,62 @@
         }
     });
     let stream = CallerStream::new(stream, caller, progress);
-    // hyper starts the header timeout when the connection becomes idle, so the
-    // idle timeout covers both.
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BYTES))
         .keep_alive(serving)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
+    tokio::select! {
+        end = serve_in_time(connection.as_mut(), gateway, progress) => end,
         _ = stop.changed() => {
             // The caller may have sent another request already. The response
             // to it closes the connection.
-            let lingering = connection.as_mut();
-            let result =
-                tokio::time::timeout(SHUTDOWN_LINGER, lingering).await;
-            if let Ok(result) = result {
-                result
+            let lingering =
+                serve_in_time(connection.as_mut(), gateway, progress);
+            let end = tokio::time::timeout(SHUTDOWN_LINGER, lingering).await;
+            if let Ok(end) = end {
+                end
             } else {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                serve_in_time(connection, gateway, progress).await
             }
         }
-    };
-    match result {
-        Ok(()) if gateway.blackboard.shutdown().is_some() => {
-            ConnectionEnd::Stop
+    }
+}
+
+/// Serves a connection until it ends or nothing more of a request arrives in
+/// time. The limits are those in force at that moment, since callers go by
+/// them. hyper's own timeout is fixed when a connection is accepted, and is
+/// one for idle connections and heads.
+async fn serve_in_time(
+    mut connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
+    gateway: &Gateway,
+    progress: &ConnectionProgress,
+) -> ConnectionEnd {
+    let blackboard = &gateway.blackboard;
+    let mut timer = pin!(sleep_until(blackboard.now().into()));
+    poll_fn(|cx| {
+        // Before the timer, so that what has arrived by now is read.
+        if let Poll::Ready(result) = connection.as_mut().poll(cx) {
+            return Poll::Ready(match result {
+                Ok(()) if blackboard.shutdown().is_some() => {
+                    ConnectionEnd::Stop
+                }
+                Ok(()) => ConnectionEnd::Finished,
+                Err(error) => ConnectionEnd::Error(error.to_string()),
+            });
         }
-        Ok(()) => ConnectionEnd::Finished,
-        Err(error) if error.is_timeout() => {
-            ConnectionEnd::Timeout { limit: limits.idle_timeout }
+        let Some(deadline) = progress.deadline(&blackboard.caller_limits())
+        else {
+            return Poll::Pending;
+        };
+        if timer.deadline() != deadline.at.into() {
+            timer.as_mut().reset(deadline.at.into());
         }
-        Err(error) => ConnectionEnd::Error(error.to_string()),
-    }
+        let limit = deadline.limit;
+        timer.as_mut().poll(cx).map(|()| ConnectionEnd::Timeout { limit })
+    })
+    .await
 }
 
 /// Accepts connections of other daemons. Never returns.
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -96,6 +96,7 @@
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = respond(&gateway, &connection, request).await;
     connection.set_activity(Activity::Running);
+    progress.record_response(&gateway.blackboard.caller_limits());
     // What follows an unread body is discarded, so that the caller must not
     // send its next request on this connection.
     let ends = chunked || connection.has_unread_body();
