Announce the end of connections behind unread bodies on the own interface

Callers of the own interface got no answer to a request that followed one refused before its body was read: a header that is missing or not valid, an unknown path, a wrong method, or a ticket call, which reads no body. hyper ended the connection, but the response did not say so.

All responses now pass one place that says `connection: close` if no handler has read the body, unless all of it has already arrived.

--- a/crates/briarladder-daemon/src/http/mod.rs
+++ b/crates/briarladder-daemon/src/http/mod.rs
@@ -23,6 +23,7 @@
 mod requests;
 mod respond;
 mod tickets;
+mod unread_body;
 
 /// How much longer the server waits for a body than the request's handler.
 /// With equal timeouts, the server's error reached the handler first, and a
@@ -97,6 +98,7 @@
                     .get(health::Ready(Arc::clone(daemon))),
             );
         let service = Service::new(router)
+            .hoop(unread_body::announce_end)
             .catcher(Catcher::new(fallback::write_problem));
         self.server.try_serve(service).await?;
         Ok(())
--- a/crates/briarladder-daemon/tests/callers_crowd.rs
+++ b/crates/briarladder-daemon/tests/callers_crowd.rs
@@ -297,6 +297,32 @@
     assert_eq!(&answer, b"HTTP/1.1 413");
 }
 
+/// Guards against a next request that gets no answer, since a refusal before
+/// the body was read did not say that its connection ends.
+#[tokio::test]
+async fn refused_late_body_announces_end() {
+    let daemon = Daemon::start().await;
+    let workspace = "briarladder-workspace: w1\r\n";
+    let request = head("content-length: 40000");
+    let refused = [
+        request.replace(workspace, ""),
+        request.replace("pipelines/plain", "pipelines/Not+a+name"),
+        request.replace("/v1/pipelines/", "/none/"),
+        request.replace("POST", "PUT"),
+        request.replace("/v1/pipelines/plain", "/v1/tickets"),
+    ];
+    for request in refused {
+        let mut stream = TcpStream::connect(daemon.address).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = vec![0; 4096];
+        let reading = stream.read(&mut answer);
+        let len = timeout(ANSWER_TIMEOUT, reading).await.unwrap().unwrap();
+        let answer = String::from_utf8_lossy(&answer[..len]);
+        assert!(answer.starts_with("HTTP/1.1 "), "{request}{answer}");
+        assert!(answer.contains("connection: close"), "{request}{answer}");
+    }
+}
+
 /// Guards against a process without descriptors when many callers connect and
 /// send nothing, or half a head.
 #[tokio::test]
