--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -138,8 +138,10 @@
         connection_end::report(&gateway, &progress, &ConnectionEnd::NoRoom);
     };
     tokio::select! {
-        () = serving => {}
+        // No request is read after the signal, which would be lost.
+        biased;
         () = closed => {}
+        () = serving => {}
     }
 }
 
