--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -120,7 +120,9 @@
     let mut accepted = match checked {
         Ok(accepted) => accepted,
         Err(RefusedHead { refused, accepted }) => {
-            if !expects_continue(&head) && skip_arrived(body).await {
+            let is_read = !expects_continue(&head) && skip_arrived(body).await;
+            // One that was told to make room meanwhile is closed.
+            if is_read && !connection.is_evicted() {
                 connection.set_unread_body(false);
             }
             return refuse(record, refused, accepted.as_deref());
