--- a/crates/briarladder-gateway/src/request/cache_evidence.rs
+++ b/crates/briarladder-gateway/src/request/cache_evidence.rs
@@ -60,8 +60,8 @@
 #[derive(Clone, Debug)]
 struct CacheListing {
     listed_at: Instant,
-    /// The parts, in order; `None` if the engine didn't answer.
-    parts: Option<Rc<[Arc<str>]>>,
+    /// The parts, in order.
+    parts: Rc<[Arc<str>]>,
 }
 
 /// Returns the version whose engines alone hold the prompt of a stream.
@@ -78,11 +78,11 @@
     drop(asking);
     let listings = caches.listings.borrow();
     let reports = servers.iter().map(|server| {
-        let listing = listings.get(&server.name);
-        let parts = listing.and_then(|listing| listing.parts.as_ref());
-        let answer = match parts {
+        let answer = match listings.get(&server.name) {
             None => CacheAnswer::None,
-            Some(parts) if parts.binary_search(last_part).is_ok() => {
+            Some(CacheListing { parts, .. })
+                if parts.binary_search(last_part).is_ok() =>
+            {
                 CacheAnswer::Held
             }
             Some(_) => CacheAnswer::NotHeld,
@@ -135,6 +135,8 @@
     let listed_at = blackboard.now();
     let mut listings = caches.listings.borrow_mut();
     for (server, parts) in to_ask.iter().zip(answers) {
+        // One that didn't answer is asked again for the next stream.
+        let Some(parts) = parts else { continue };
         let listing = CacheListing { listed_at, parts };
         listings.insert(Arc::clone(&server.name), listing);
     }
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -150,7 +150,12 @@
         let refused = RequestRefusal { refusal, retry_after: Some(wait) };
         return refuse(record, refused, Some(&accepted));
     }
-    let restricted = restrict_to_origin(gateway, &mut accepted).await;
+    let restriction = restrict_to_origin(gateway, &mut accepted);
+    let restricted = tokio::select! {
+        restricted = timeout_at(head_deadline, restriction) => restricted
+            .unwrap_or(Err(Refusal::TimeoutBeforeSend)),
+        () = blackboard.wait_for_final_responses() => Err(Refusal::Stopping),
+    };
     if let Err(refusal) = restricted {
         return refuse(record, refusal.into(), Some(&accepted));
     }
