--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -180,22 +180,25 @@
         random: rand::random(),
     };
     let places = blackboard.places();
-    let in_service =
-        servers.ready_in_service(&accepted.service).map(|server| &**server);
-    let lone = versions_to_avoid(accepted, in_service.clone());
-    let ready = in_service
+    let usable = servers
+        .ready_in_service(&accepted.service)
+        .map(|server| &**server)
         .filter(|server| accepted.may_run_at(server))
-        .filter(|server| !lone.contains(&server.software_version))
         .filter(|server| {
             blackboard.may_send(server, &accepted.allowed_regions)
-        })
-        .filter(|server| places.has_place(server, accepted.rank));
-    let chosen = blackboard.placement.borrow().choose(
-        blackboard.now(),
-        &request,
-        ready,
-        |name| blackboard.in_flight(name),
-    )?;
+        });
+    let lone = versions_to_avoid(accepted, usable.clone());
+    let with_place =
+        usable.filter(|server| places.has_place(server, accepted.rank));
+    let resumable = with_place
+        .clone()
+        .filter(|server| !lone.contains(&server.software_version));
+    let placement = blackboard.placement.borrow();
+    let now = blackboard.now();
+    let in_flight = |name: &str| blackboard.in_flight(name);
+    let chosen = placement
+        .choose(now, &request, resumable, in_flight)
+        .or_else(|| placement.choose(now, &request, with_place, in_flight))?;
     let taken = places.take(chosen);
     servers.get(&chosen.name).filter(|_| taken).cloned()
 }
