--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -127,6 +127,11 @@
     }
 }
 
+/// The shortest time between two questions for all changes. Requests that come
+/// in between share the next one, since all daemons together may make only so
+/// many calls.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A question for all changes that several requests share.
 #[derive(Clone, Copy, Debug)]
 pub struct CatchUp {
@@ -140,10 +145,12 @@
     let blackboard = &gateway.blackboard;
     let called_at = blackboard.now();
     let mut last = blackboard.stream_versions.last_catch_up.lock().await;
-    if let Some(shared) = *last
-        && shared.began_at >= called_at
-    {
-        return shared.has_succeeded;
+    if let Some(shared) = *last {
+        if shared.began_at >= called_at {
+            return shared.has_succeeded;
+        }
+        let next_at = shared.began_at + CATCH_UP_INTERVAL;
+        tokio::time::sleep_until(next_at.into()).await;
     }
     let began_at = blackboard.now();
     let reader = StoreReader {
