--- a/crates/briarladder-gateway/src/store/apply.rs
+++ b/crates/briarladder-gateway/src/store/apply.rs
@@ -149,6 +149,7 @@
     let known = blackboard.mirror.borrow().version();
     let listing =
         blackboard.mirror.borrow_mut().apply_listing(&items.servers, version);
+    let is_restored = listing == Listing::NewEra && known.era != UNKNOWN_ERA;
     match listing {
         Listing::Outdated => return false,
         Listing::Changes(changes) => {
@@ -158,7 +159,7 @@
         }
         Listing::NewEra => begin_era(gateway, known, version, &items.servers),
     }
-    blackboard.record_versions_listed();
+    blackboard.record_versions_listed(is_restored);
     blackboard.record_listing();
     blackboard.mirror_changed.notify_waiters();
     true
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -332,6 +332,7 @@
     ) -> Result<bool, StoreError> {
         apply_evacuation_listing(&self.gateway, &items.evacuations, version);
         if apply_listing(&self.gateway, items, version) {
+            self.gateway.blackboard.record_heard_of_store();
             return Ok(true);
         }
         let known = self.gateway.blackboard.mirror.borrow().version().era;
--- a/crates/briarladder-gateway/src/store/peer_source.rs
+++ b/crates/briarladder-gateway/src/store/peer_source.rs
@@ -300,9 +300,10 @@
         apply_listing(gateway, items, version);
     } else if version.era == request.after.era {
         apply_changes(gateway, items, version);
-        if in_contact {
-            gateway.blackboard.record_heard_of_store();
-        }
+        gateway.blackboard.record_versions_listed(false);
+    }
+    if in_contact {
+        gateway.blackboard.record_heard_of_store();
     }
     state
 }
--- a/crates/briarladder-gateway/src/stream_versions.rs
+++ b/crates/briarladder-gateway/src/stream_versions.rs
@@ -24,7 +24,7 @@
 /// The longest time without word of the store after which a listing of the
 /// servers leaves no gap. Servers drain for seconds before they leave, so no
 /// version comes and goes within it.
-const MAX_LISTING_GAP: Duration = Duration::from_secs(4);
+const MAX_LISTING_GAP: Duration = Duration::from_secs(3);
 
 /// The versions that began streams; owner of the records: the request path,
 /// of the history: the store controller.
@@ -117,19 +117,21 @@
         history.sole_version(self.now(), service, &self.servers.borrow())
     }
 
-    /// Records that all changes of the store are known by now.
+    /// Records that all changes of the store are known by now, one by one.
     pub fn record_heard_of_store(&self) {
         self.stream_versions.heard_at.set(Some(self.now()));
     }
 
-    /// Records a full listing of the servers.
-    pub fn record_versions_listed(&self) {
+    /// Records a listing of the servers, or what differs from the last one. A
+    /// version may have come and gone in between, unless the daemon heard of
+    /// the store a short while ago.
+    pub fn record_versions_listed(&self, is_new_era: bool) {
         let now = self.now();
-        let missed_changes =
-            self.stream_versions.heard_at.get().is_some_and(|heard_at| {
-                now.duration_since(heard_at) > MAX_LISTING_GAP
-            });
-        self.record_heard_of_store();
+        let heard_at = self.stream_versions.heard_at.get();
+        let has_gap = heard_at.is_some_and(|heard_at| {
+            now.duration_since(heard_at) > MAX_LISTING_GAP
+        });
+        let missed_changes = is_new_era || has_gap;
         let mut history = self.stream_versions.history.borrow_mut();
         history.record_listing(now, missed_changes);
     }
