--- a/crates/briarladder-core/src/fleet/stream_versions/mod.rs
+++ b/crates/briarladder-core/src/fleet/stream_versions/mod.rs
@@ -69,7 +69,7 @@
 pub use self::{
     caches::{CacheAnswer, CacheReport, sole_holder},
     history::{ListedVersion, VersionHistory, VersionSummary},
-    origins::{OriginNotice, StreamOrigins},
+    origins::{MAX_ATTEMPT_BYTES, OriginNotice, StreamOrigins},
     placement::{REPLICA_COUNT, lone_versions, replicas},
     routes::{rerouted_services, resumable_services},
 };
--- a/crates/briarladder-core/src/fleet/stream_versions/origins.rs
+++ b/crates/briarladder-core/src/fleet/stream_versions/origins.rs
@@ -17,7 +17,7 @@
 const MAX_RECORDS: usize = 16 * 1024;
 
 /// The longest id of an attempt that is recorded. Callers choose the ids.
-const MAX_ATTEMPT_BYTES: usize = 128;
+pub const MAX_ATTEMPT_BYTES: usize = 128;
 
 /// A record for another daemon.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/briarladder-gateway/src/peers/stream_origins.rs
+++ b/crates/briarladder-gateway/src/peers/stream_origins.rs
@@ -6,12 +6,13 @@
     fleet::{
         store_version::StoreVersion,
         stream_versions::{
-            OriginNotice, REPLICA_COUNT, Software, VersionSummary, replicas,
+            MAX_ATTEMPT_BYTES, OriginNotice, REPLICA_COUNT, Software,
+            VersionSummary, replicas,
         },
     },
     sorted::SortedMap,
 };
-use futures_util::{StreamExt, stream::FuturesUnordered};
+use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 
@@ -41,6 +42,14 @@
 /// are replicas: one that has started since may have taken a place.
 const ASKED_COUNT: usize = REPLICA_COUNT + 1;
 
+/// Daemons that are asked at once for the versions of the past. One of them
+/// may have started a short while ago as well.
+const ASKED_FOR_VERSIONS: usize = 3;
+
+/// Records in one message, which is far smaller than the longest one that a
+/// daemon takes.
+const MAX_LIST_LEN: usize = 1000;
+
 /// How often the versions are checked, and other daemons asked for those that
 /// this one doesn't know.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -89,22 +98,31 @@
         versions.wait_queued().await;
         tokio::time::sleep(BATCH_DELAY).await;
         for (&address, origins) in by_replica(&gateway).iter() {
-            let message = OriginList { origins: origins.clone() };
-            let gateway = Rc::clone(&gateway);
-            tokio::task::spawn_local(async move {
-                let sent: Result<Ack, PeerError> = gateway
-                    .peers
-                    .call(address, ORIGINS_PATH, &message, REPLICATION_TIMEOUT)
-                    .await;
-                if let Err(error) = sent {
-                    // The other replicas have the records.
-                    log::debug!("streams: {error}");
-                }
-            });
+            for origins in origins.chunks(MAX_LIST_LEN) {
+                let message = OriginList { origins: origins.to_vec() };
+                let gateway = Rc::clone(&gateway);
+                tokio::task::spawn_local(send_origins(
+                    gateway, address, message,
+                ));
+            }
         }
     }
 }
 
+async fn send_origins(
+    gateway: Rc<Gateway>,
+    address: SocketAddr,
+    message: OriginList,
+) {
+    let peers = &gateway.peers;
+    let sent: Result<Ack, PeerError> =
+        peers.call(address, ORIGINS_PATH, &message, REPLICATION_TIMEOUT).await;
+    if let Err(error) = sent {
+        // The other replicas have the records.
+        log::debug!("streams: {error}");
+    }
+}
+
 /// Returns the queued records by the address of each replica.
 fn by_replica(gateway: &Gateway) -> SortedMap<SocketAddr, Vec<OriginNotice>> {
     let mut lists = SortedMap::new();
@@ -141,6 +159,10 @@
     gateway: &Gateway,
     attempt: &Arc<str>,
 ) -> Option<Software> {
+    if attempt.len() > MAX_ATTEMPT_BYTES {
+        // No daemon records it.
+        return None;
+    }
     let message = FindOrigin { attempt: Arc::clone(attempt) };
     let addresses = replica_addresses(gateway, attempt, ASKED_COUNT);
     let mut answers: FuturesUnordered<_> = addresses
@@ -179,37 +201,44 @@
     }
 }
 
-/// Asks a random daemon which versions were listed recently.
+/// Asks some daemons which versions were listed recently.
 pub async fn ask_for_versions(gateway: &Gateway) {
     let blackboard = &gateway.blackboard;
-    let address = {
+    let addresses: Vec<SocketAddr> = {
         let peers = blackboard.peers.borrow();
         let live = peers.live_peers(blackboard.now());
-        live.map(|member| member.address).choose(&mut rand::rng())
+        let live = live.map(|member| member.address);
+        live.sample(&mut rand::rng(), ASKED_FOR_VERSIONS)
     };
-    let Some(address) = address else { return };
     let message = VersionsRequest {};
-    let call =
-        gateway.peers.call(address, VERSIONS_PATH, &message, QUESTION_TIMEOUT);
-    let answer: Result<VersionsAnswer, PeerError> = call.await;
-    match answer {
-        Ok(VersionsAnswer { known, mut summary }) => {
-            if known < blackboard.mirror.borrow().version() {
-                // Versions may have come and gone between what the other
-                // daemon knows and the first listing of this one.
-                summary.covered_ms = 0;
-            }
-            blackboard.merge_versions(&summary);
-            if blackboard.knows_versions() {
-                log::info!(
-                    "streams: event=versions_known source=peer ms={}",
-                    blackboard
-                        .now()
-                        .duration_since(blackboard.started_at)
-                        .as_millis()
-                );
-            }
+    let calls = addresses.into_iter().map(|address| {
+        let peers = &gateway.peers;
+        peers.call(address, VERSIONS_PATH, &message, QUESTION_TIMEOUT)
+    });
+    let answers: Vec<Result<VersionsAnswer, PeerError>> =
+        join_all(calls).await;
+    for answer in answers {
+        match answer {
+            Ok(answer) => merge_versions(gateway, answer),
+            Err(error) => log::debug!("streams: {error}"),
         }
-        Err(error) => log::debug!("streams: {error}"),
     }
+    if blackboard.knows_versions() {
+        let elapsed = blackboard.now().duration_since(blackboard.started_at);
+        log::info!(
+            "streams: event=versions_known source=peer ms={}",
+            elapsed.as_millis()
+        );
+    }
+}
+
+fn merge_versions(gateway: &Gateway, answer: VersionsAnswer) {
+    let blackboard = &gateway.blackboard;
+    let VersionsAnswer { known, mut summary } = answer;
+    if known < blackboard.mirror.borrow().version() {
+        // Versions may have come and gone between what the other daemon knows
+        // and the first listing of this one.
+        summary.covered_ms = 0;
+    }
+    blackboard.merge_versions(&summary);
 }
--- a/crates/briarladder-gateway/src/stream_versions.rs
+++ b/crates/briarladder-gateway/src/stream_versions.rs
@@ -13,8 +13,9 @@
     config::{FleetConfig, Route},
     server::ListedServer,
     stream_versions::{
-        MAX_STREAM_SPAN, OriginNotice, Software, StreamOrigins,
-        VersionHistory, VersionSummary, rerouted_services, resumable_services,
+        MAX_ATTEMPT_BYTES, MAX_STREAM_SPAN, OriginNotice, Software,
+        StreamOrigins, VersionHistory, VersionSummary, rerouted_services,
+        resumable_services,
     },
 };
 use tokio::sync::{Mutex, Notify};
@@ -78,9 +79,16 @@
         let versions = &self.stream_versions;
         let now = self.now();
         versions.origins.borrow_mut().record(now, attempt, software);
-        let has_one_service = route.splits.len() == 1;
-        if has_one_service && self.sole_version(&software.service).is_some() {
-            // Any daemon can tell the version without the record.
+        let service = &software.service;
+        // The records of a settled service are sent when it no longer is.
+        let is_settled = route.splits.len() == 1
+            && versions
+                .settled_services
+                .borrow()
+                .binary_search(service)
+                .is_ok()
+            && self.sole_version(service).is_some();
+        if is_settled || attempt.len() > MAX_ATTEMPT_BYTES {
             return;
         }
         log::info!("streams: id={attempt} software={software} event=recorded");
