--- a/crates/briarladder-gateway/src/store/apply.rs
+++ b/crates/briarladder-gateway/src/store/apply.rs
@@ -1,6 +1,6 @@
 //! Applies items of the store to the shared state.
 
-use std::{rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc, time::Instant};
 
 use briarladder_core::fleet::{
     config::FleetConfig,
@@ -137,10 +137,11 @@
         .ok()
 }
 
-/// Applies a full listing that was started at a version. Returns whether it
-/// belongs to the newest era that is known.
+/// Applies a full listing that was asked for at a time and started at a
+/// version. Returns whether it belongs to the newest era that is known.
 pub fn apply_listing(
     gateway: &Gateway,
+    asked_at: Instant,
     items: DecodedItems,
     version: StoreVersion,
 ) -> bool {
@@ -159,7 +160,7 @@
         }
         Listing::NewEra => begin_era(gateway, known, version, &items.servers),
     }
-    blackboard.record_versions_listed(is_restored);
+    blackboard.record_versions_listed(asked_at, is_restored);
     blackboard.record_listing();
     blackboard.mirror_changed.notify_waiters();
     true
--- a/crates/briarladder-gateway/src/store/mod.rs
+++ b/crates/briarladder-gateway/src/store/mod.rs
@@ -292,6 +292,7 @@
 
     /// Lists all items. Returns true, as there may be changes.
     async fn list(&self) -> Result<bool, StoreError> {
+        let asked_at = self.gateway.blackboard.now();
         let mut items = DecodedItems::default();
         let mut item_count = 0;
         let mut after: Option<Arc<str>> = None;
@@ -312,7 +313,7 @@
                 items.add(&self.gateway, answer.era, item);
             }
             if !page.more {
-                return self.apply_listing(items, version);
+                return self.apply_listing(asked_at, items, version);
             }
             let last_key = page.items.last().map(|item| Arc::clone(&item.key));
             if last_key == after || item_count > MAX_LISTED_ITEMS {
@@ -327,11 +328,12 @@
 
     fn apply_listing(
         &self,
+        asked_at: Instant,
         items: DecodedItems,
         version: StoreVersion,
     ) -> Result<bool, StoreError> {
         apply_evacuation_listing(&self.gateway, &items.evacuations, version);
-        if apply_listing(&self.gateway, items, version) {
+        if apply_listing(&self.gateway, asked_at, items, version) {
             self.gateway.blackboard.record_heard_of_store();
             return Ok(true);
         }
--- a/crates/briarladder-gateway/src/store/peer_source.rs
+++ b/crates/briarladder-gateway/src/store/peer_source.rs
@@ -3,7 +3,12 @@
 //! A follower long-polls its parent in the tree of its zone. A daemon that
 //! cannot reach the store polls a random peer.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use briarladder_core::fleet::{
     store_roles::{Role, SOURCE_BACKOFF},
@@ -205,6 +210,7 @@
     address: SocketAddr,
     wait: Duration,
 ) -> Result<SourceState, PeerError> {
+    let asked_at = gateway.blackboard.now();
     let request = {
         let mirror = gateway.blackboard.mirror.borrow();
         ChangesRequest {
@@ -226,7 +232,7 @@
         }
         sent => sent?,
     };
-    Ok(apply_response(gateway, address, &request, response))
+    Ok(apply_response(gateway, address, asked_at, &request, response))
 }
 
 /// Requests all items from a peer of an earlier version of the daemon.
@@ -262,6 +268,7 @@
 fn apply_response(
     gateway: &Gateway,
     address: SocketAddr,
+    asked_at: Instant,
     request: &ChangesRequest,
     mut response: ChangesResponse,
 ) -> SourceState {
@@ -297,10 +304,10 @@
     let servers = response.into_servers();
     let items = DecodedItems { config, servers, ..DecodedItems::default() };
     if complete {
-        apply_listing(gateway, items, version);
+        apply_listing(gateway, asked_at, items, version);
     } else if version.era == request.after.era {
         apply_changes(gateway, items, version);
-        gateway.blackboard.record_versions_listed(false);
+        gateway.blackboard.record_versions_listed(asked_at, false);
     }
     if in_contact {
         gateway.blackboard.record_heard_of_store();
--- a/crates/briarladder-gateway/src/stream_versions.rs
+++ b/crates/briarladder-gateway/src/stream_versions.rs
@@ -131,13 +131,13 @@
     }
 
     /// Records a listing of the servers, or what differs from the last one. A
-    /// version may have come and gone in between, unless the daemon heard of
-    /// the store a short while ago.
-    pub fn record_versions_listed(&self, is_new_era: bool) {
+    /// version may have come and gone in between, unless this daemon had heard
+    /// of the store a short while before it asked.
+    pub fn record_versions_listed(&self, asked_at: Instant, is_new_era: bool) {
         let now = self.now();
         let heard_at = self.stream_versions.heard_at.get();
         let has_gap = heard_at.is_some_and(|heard_at| {
-            now.duration_since(heard_at) > MAX_LISTING_GAP
+            asked_at.saturating_duration_since(heard_at) > MAX_LISTING_GAP
         });
         let missed_changes = is_new_era || has_gap;
         let mut history = self.stream_versions.history.borrow_mut();
