--- a/crates/briarladder-gateway/src/net.rs
+++ b/crates/briarladder-gateway/src/net.rs
@@ -9,18 +9,21 @@
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
 
-/// A connection is closed when sent bytes stay unacknowledged for this long,
-/// which is many times a round trip between regions.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+/// A connection is closed when sent bytes stay unacknowledged for this long.
+/// A peer that falls silent for a second or two and goes on is sent them again
+/// within this time.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3500);
 
 /// Idle time before the first keepalive probe.
-const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(2);
+const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(1);
 
 /// Interval between keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Unanswered probes after which the connection is closed.
-const KEEPALIVE_PROBES: u32 = 2;
+/// Unanswered probes after which the connection is closed. Linux closes it
+/// after the first one that is sent later than [`UNACKNOWLEDGED_TIMEOUT`]
+/// allows, whatever their number, so the two have to agree.
+const KEEPALIVE_PROBES: u32 = 3;
 
 /// Connections that wait to be accepted. A full queue drops the SYN, and the
 /// client retransmits it only after a second.
@@ -78,3 +81,6 @@
     configure(&stream)?;
     Ok(stream)
 }
+
+#[cfg(test)]
+mod tests;
