--- a/crates/briarladder-core/src/fleet/config.rs
+++ b/crates/briarladder-core/src/fleet/config.rs
@@ -38,6 +38,18 @@
     pub workspaces_by_key: Option<SortedMap<Arc<str>, Workspace>>,
 }
 
+impl FleetConfig {
+    /// Returns whether some requests may be served in some regions only.
+    #[must_use]
+    pub fn binds_regions(&self) -> bool {
+        let keys = self.workspaces_by_key.as_ref();
+        self.routes.iter().any(|route| !route.allowed_regions.is_any())
+            || keys.is_some_and(|keys| {
+                keys.values().any(|w| !w.allowed_regions.is_any())
+            })
+    }
+}
+
 /// The workspace of an API key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Workspace {
--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -37,6 +37,7 @@
 pub mod residency;
 pub mod server;
 pub mod server_limits;
+pub mod server_paths;
 pub mod server_speed;
 pub mod shutdown;
 pub mod stage_admission;
--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -31,6 +31,7 @@
         reconciliation::Reconciliation,
         residency::AllowedRegions,
         server::{ListedServer, ServerState, Servers},
+        server_paths::ServerPaths,
         shutdown::Shutdown,
         stage_waits::StageWaitTable,
         store_roles::{self, Role, SourceTracker},
@@ -115,10 +116,14 @@
     pub store_status: Cell<StoreStatus>,
     /// Configuration in force; owner: the store controller.
     config: RefCell<Option<Rc<FleetConfig>>>,
+    /// Whether it binds some requests to regions.
+    binds_regions: Cell<bool>,
     /// How often a configuration came into force; owner: the store controller.
     config_changes: Cell<u64>,
     /// Listed servers; owner: the store controller.
     pub servers: RefCell<Servers>,
+    /// Whether this daemon reaches the servers; owner: the client for servers.
+    pub server_paths: RefCell<ServerPaths>,
     /// Zones whose servers get no new work; owner: the store controller.
     pub evacuated_zones: RefCell<EvacuatedZones>,
     /// Servers for which the listing of a restored store does not hold yet;
@@ -216,8 +221,10 @@
             source_tracker: RefCell::default(),
             store_status: Cell::new(StoreStatus::NeverReached),
             config: RefCell::new(None),
+            binds_regions: Cell::new(false),
             config_changes: Cell::new(0),
             servers: RefCell::default(),
+            server_paths: RefCell::default(),
             evacuated_zones: RefCell::default(),
             reconciliation: RefCell::default(),
             reconciliation_changed: Notify::new(),
@@ -269,8 +276,15 @@
         self.config.borrow().clone()
     }
 
+    /// Returns whether some requests may be served in some regions only.
+    #[must_use]
+    pub fn binds_regions(&self) -> bool {
+        self.binds_regions.get()
+    }
+
     /// Puts a configuration in force.
     pub fn set_config(&self, config: FleetConfig) {
+        self.binds_regions.set(config.binds_regions());
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.config_changes.set(self.config_changes.get() + 1);
     }
--- a/crates/briarladder-gateway/src/context.rs
+++ b/crates/briarladder-gateway/src/context.rs
@@ -9,6 +9,8 @@
     metrics::Metrics,
     peers::{client::PeerClient, watchdog::Watchdog},
     pool::ConnectionPool,
+    relay::server::RelayServer,
+    server_client::ServerClient,
     stages::{coordinator::Coordinator, release::ReleaseQueue},
 };
 
@@ -18,7 +20,9 @@
     pub blackboard: Rc<Blackboard>,
     /// The platform's wire formats.
     pub dialect: Rc<dyn Dialect>,
-    /// HTTP client connections.
+    /// Connections to backend servers.
+    pub servers: Rc<ServerClient>,
+    /// Connections to other daemons and the store, and idle ones to servers.
     pub pool: Rc<ConnectionPool>,
     /// What callers make the process hold.
     pub caller_memory: Arc<CallerMemory>,
@@ -26,6 +30,8 @@
     pub metrics: Rc<Metrics>,
     /// The client for calls to other daemons.
     pub peers: PeerClient,
+    /// The connections that this daemon relays for others.
+    pub relay_server: Rc<RelayServer>,
     /// Pings the daemons that requests wait for.
     pub watchdog: Watchdog,
     /// Runs the stages of the cells that this daemon coordinates.
--- a/crates/briarladder-gateway/src/pool/fair_stream.rs
+++ b/crates/briarladder-gateway/src/fair_stream.rs
@@ -20,15 +20,20 @@
 
 /// A stream that is read in turns of [`MAX_TURN_BYTES`] and one read.
 #[derive(Debug)]
-pub(super) struct FairStream<S> {
+pub(crate) struct FairStream<S> {
     inner: S,
     turn_bytes: usize,
 }
 
 impl<S> FairStream<S> {
-    pub(super) fn new(inner: S) -> FairStream<S> {
+    pub(crate) fn new(inner: S) -> FairStream<S> {
         FairStream { inner, turn_bytes: 0 }
     }
+
+    /// Returns the stream that is read in turns.
+    pub(crate) fn into_inner(self) -> S {
+        self.inner
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for FairStream<S> {
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -264,7 +264,9 @@
     .await;
 }
 
-async fn serve_http<F>(
+/// Serves HTTP on a connection, which a response may hand over to another
+/// protocol.
+pub(crate) async fn serve_http<F>(
     stream: TcpStream,
     respond: impl Fn(Request<Incoming>) -> F,
 ) where
@@ -274,6 +276,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(PEER_IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service_fn(respond))
+        .with_upgrades()
         .await;
     if let Err(error) = result {
         log::debug!("listener: connection closed: {error}");
--- a/crates/briarladder-gateway/src/metrics.rs
+++ b/crates/briarladder-gateway/src/metrics.rs
@@ -37,6 +37,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the counter of relayed connections.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RelayLabels {
+    /// What came of the connection, as in its log line.
+    pub outcome: String,
+}
+
 /// Labels of a histogram of one route.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct RouteLabels {
@@ -44,6 +51,45 @@
     pub route: String,
 }
 
+/// Metrics of the connections that daemons open to servers for each other.
+pub struct RelayMetrics {
+    /// Connections that other daemons asked this one for, by outcome.
+    pub served: Family<RelayLabels, Counter>,
+    /// Connections that are open for other daemons.
+    pub open: Gauge,
+    /// Connections that this daemon asked others for, by outcome.
+    pub requested: Family<RelayLabels, Counter>,
+    /// 1 while this daemon reaches no server itself, else 0.
+    pub cut_off: Gauge,
+}
+
+impl RelayMetrics {
+    fn register(registry: &mut Registry) -> RelayMetrics {
+        RelayMetrics {
+            served: register(
+                registry,
+                "relays",
+                "Connections to servers that other daemons asked for",
+            ),
+            open: register(
+                registry,
+                "relayed_connections",
+                "Connections to servers that are open for other daemons",
+            ),
+            requested: register(
+                registry,
+                "relay_requests",
+                "Connections to servers that other daemons were asked for",
+            ),
+            cut_off: register(
+                registry,
+                "cut_off",
+                "Whether this daemon reaches no server itself",
+            ),
+        }
+    }
+}
+
 /// The metrics of a process.
 pub struct Metrics {
     registry: RefCell<Registry>,
@@ -88,6 +134,8 @@
     pub cold_sends: Counter,
     /// How often another server was chosen for lack of such a place.
     pub cold_skips: Counter,
+    /// Connections that daemons open to servers for each other.
+    pub relay: RelayMetrics,
     /// Bytes that are held for callers.
     pub caller_bytes: Gauge,
     /// Open connections of callers.
@@ -180,6 +228,7 @@
                 "cold_skips",
                 "Cold servers passed over for lack of a place",
             ),
+            relay: RelayMetrics::register(registry),
             caller_bytes: register(
                 registry,
                 "caller_bytes",
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{bounded_body::read_body, context::Gateway};
+use crate::{bounded_body::read_body, context::Gateway, relay::RELAY_PATH};
 
 use super::{
     changes::{CHANGES_PATH, ChangesRequest, ChangesResponse},
@@ -60,6 +60,9 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let path = request.uri().path().to_owned();
+    if path == RELAY_PATH {
+        return Ok(gateway.relay_server.serve(request).await);
+    }
     let body = request.into_body();
     let Ok(body) = read_body(body, MAX_MESSAGE_BYTES).await else {
         return Ok(status(StatusCode::BAD_REQUEST));
--- a/crates/briarladder-gateway/src/pool.rs
+++ b/crates/briarladder-gateway/src/pool.rs
@@ -10,11 +10,10 @@
 //! ([`excluded_attempts`]). A connection whose request isn't written to its
 //! end is not used again, and the end of such a connection isn't the end of an
 //! answer; nor is an end before the server's kernel has received the request
-//! ([`upload`], [`send_queue`]).
+//! ([`upload`], [`crate::send_queue`]).
 
 mod excluded_attempts;
-mod fair_stream;
-mod send_queue;
+mod server_stream;
 mod status;
 mod upload;
 
@@ -43,15 +42,17 @@
     task::AbortHandle,
 };
 
-use crate::net;
+use crate::{
+    fair_stream::FairStream, net, send_queue::SendQueues,
+    server_client::RelayGuard,
+};
 
 use self::{
     excluded_attempts::{AttemptHash, ExcludedAttempts},
-    fair_stream::FairStream,
-    send_queue::SendQueues,
     upload::UploadStream,
 };
 
+pub use server_stream::ServerStream;
 pub use upload::{RequestProgress, Upload};
 
 /// Idle timeout of a connection whose peer announces none.
@@ -78,7 +79,8 @@
 }
 
 impl Freshness {
-    fn allows(self, idle_time: Duration) -> bool {
+    /// Returns whether a connection may be used that has been idle for a time.
+    pub(crate) fn allows(self, idle_time: Duration) -> bool {
         match self {
             Freshness::Any => true,
             Freshness::UsedWithin(limit) => idle_time <= limit,
@@ -110,13 +112,13 @@
 }
 
 impl SendError {
-    fn connect_failed(cause: &io::Error) -> SendError {
-        SendError {
-            failure: AttemptFailure::ConnectFailed,
-            cause: cause.to_string(),
-            connection_refused: cause.kind()
-                == io::ErrorKind::ConnectionRefused,
-        }
+    /// Creates the error of a connection that could not be opened.
+    pub(crate) fn connect_failed(
+        cause: String,
+        connection_refused: bool,
+    ) -> SendError {
+        let failure = AttemptFailure::ConnectFailed;
+        SendError { failure, cause, connection_refused }
     }
 
     fn new(failure: AttemptFailure, cause: String) -> SendError {
@@ -141,6 +143,8 @@
     sender: SendRequest<Full<Bytes>>,
     excluded_attempts: ExcludedAttempts,
     upload: Rc<Upload>,
+    /// The daemon that passes the bytes on, if there is one.
+    relay: Option<RelayGuard>,
     _task: ConnectionTask,
 }
 
@@ -161,17 +165,28 @@
     reused: bool,
 }
 
+/// A connection without a request.
 #[derive(Debug)]
-struct IdleConnection {
+pub(crate) struct IdleConnection {
     connection: Connection,
     since: Instant,
     timeout: Duration,
 }
 
 impl IdleConnection {
-    fn excludes(&self, attempt: Option<AttemptHash>) -> bool {
-        let excluded = &self.connection.excluded_attempts;
-        attempt.is_some_and(|attempt| excluded.contains(attempt))
+    /// Returns when the last request on the connection ended.
+    pub(crate) fn used_at(&self) -> Instant {
+        self.since
+    }
+
+    /// Returns the daemon that passes the bytes on, if there is one.
+    pub(crate) fn relay(&self) -> Option<&RelayGuard> {
+        self.connection.relay.as_ref()
+    }
+
+    /// Returns whether an attempt may not use the connection again.
+    pub(crate) fn excludes(&self, attempt: &str) -> bool {
+        self.connection.excluded_attempts.contains(AttemptHash::of(attempt))
     }
 }
 
@@ -201,6 +216,19 @@
         self.connect_time
     }
 
+    /// Returns how long it took to open the connection from this daemon, or
+    /// `None` if it was reused or is relayed.
+    #[must_use]
+    pub fn direct_connect_time(&self) -> Option<Duration> {
+        self.connect_time.filter(|_| !self.is_relayed())
+    }
+
+    /// Returns whether another daemon passes the bytes on.
+    #[must_use]
+    pub fn is_relayed(&self) -> bool {
+        self.connection.relay.is_some()
+    }
+
     /// Returns how logs name the connection.
     #[must_use]
     pub fn label(&self) -> ConnectionLabel {
@@ -275,8 +303,8 @@
         });
     }
 
-    /// Sends a call that is no attempt of a caller, as [`Self::send_attempt`]
-    /// does, on any idle connection or a new one.
+    /// Sends a call to another daemon or the store, on any idle connection or a
+    /// new one.
     ///
     /// # Errors
     ///
@@ -286,36 +314,27 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
-        let pooled = self.checkout(address, Freshness::Any, None).await?;
-        self.send_on(pooled, request).await
+        let pooled = match self.take_idle(address, |_| true) {
+            Some(pooled) => pooled,
+            None => self.open(address).await?,
+        };
+        let reopen = async || self.open(address).await;
+        self.send_on(pooled, request, reopen).await
     }
 
-    /// Sends the request of an attempt and returns the response head. Idle
-    /// connections on which the attempt has failed are not used.
-    ///
-    /// If a reused connection turns out to be closed before a byte was sent,
-    /// the request is sent once more on a new connection.
+    /// Sends a request on a connection and returns the response head. If a
+    /// reused connection turns out to be closed before a byte was sent, the
+    /// request is sent once more on a new connection.
     ///
     /// # Errors
     ///
     /// If no response arrived. The error tells whether the request may have
     /// run.
-    pub async fn send_attempt(
-        self: &Rc<Self>,
-        address: SocketAddr,
-        request: Request<Full<Bytes>>,
-        freshness: Freshness,
-        attempt: &str,
-    ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
-        let attempt = Some(AttemptHash::of(attempt));
-        let pooled = self.checkout(address, freshness, attempt).await?;
-        self.send_on(pooled, request).await
-    }
-
-    async fn send_on(
-        self: &Rc<Self>,
+    pub(crate) async fn send_on(
+        &self,
         mut pooled: PooledConnection,
         request: Request<Full<Bytes>>,
+        reopen: impl AsyncFn() -> Result<PooledConnection, SendError>,
     ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
         let mut request = request;
         loop {
@@ -337,73 +356,38 @@
                         return Err(SendError::new(failure, cause));
                     }
                     request = unsent;
-                    pooled = self.open(pooled.address).await?;
+                    pooled = reopen().await?;
                 }
             }
         }
     }
 
-    /// Asks whether a process listens at an address. A connection that is
-    /// accepted becomes idle.
-    pub async fn probe(self: &Rc<Self>, address: SocketAddr) -> ProbeResult {
-        match self.open(address).await {
-            Ok(connection) => {
-                connection.return_to_pool(None);
-                ProbeResult::Accepted
-            }
-            Err(error) if error.connection_refused => ProbeResult::Refused,
-            Err(_) => ProbeResult::NoResponse,
-        }
-    }
-
-    async fn checkout(
-        self: &Rc<Self>,
-        address: SocketAddr,
-        freshness: Freshness,
-        attempt: Option<AttemptHash>,
-    ) -> Result<PooledConnection, SendError> {
-        if let Some(connection) = self.take_idle(address, freshness, attempt) {
-            return Ok(PooledConnection {
-                pool: Rc::clone(self),
-                address,
-                connection,
-                connect_time: None,
-            });
-        }
-        // The new connection replaces an excluded one, since a server resets
-        // connections beyond its limit.
-        if self.close_excluded(address, attempt) {
-            // Lets the task of the connection close it first.
-            tokio::task::yield_now().await;
-        }
-        self.open(address).await
-    }
-
     /// Takes the idle connection to an address that was used last, of those
-    /// that are fresh and that the attempt is not excluded from.
-    fn take_idle(
-        &self,
+    /// that are accepted.
+    pub(crate) fn take_idle(
+        self: &Rc<Self>,
         address: SocketAddr,
-        freshness: Freshness,
-        attempt: Option<AttemptHash>,
-    ) -> Option<Connection> {
+        accepts: impl Fn(&IdleConnection) -> bool,
+    ) -> Option<PooledConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
         list.retain(|idle| is_usable(idle, now));
-        let position = list.iter().rposition(|idle| {
-            freshness.allows(now.duration_since(idle.since))
-                && !idle.excludes(attempt)
-        })?;
-        Some(list.remove(position).connection)
+        let position = list.iter().rposition(accepts)?;
+        Some(PooledConnection {
+            pool: Rc::clone(self),
+            address,
+            connection: list.remove(position).connection,
+            connect_time: None,
+        })
     }
 
-    /// Closes an idle connection to an address that the attempt is excluded
+    /// Closes an idle connection to an address that an attempt is excluded
     /// from, and returns whether there was one.
-    fn close_excluded(
+    pub(crate) fn close_excluded(
         &self,
         address: SocketAddr,
-        attempt: Option<AttemptHash>,
+        attempt: &str,
     ) -> bool {
         let mut idle = self.idle.borrow_mut();
         let Some(list) = idle.get_mut(&address) else { return false };
@@ -416,10 +400,24 @@
         address: SocketAddr,
     ) -> Result<PooledConnection, SendError> {
         let started_at = self.clock.now();
-        let stream = net::connect(address)
-            .await
-            .map_err(|error| SendError::connect_failed(&error))?;
+        let stream = net::connect(address).await.map_err(|error| {
+            let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+            SendError::connect_failed(error.to_string(), is_refused)
+        })?;
         let connect_time = self.clock.now().duration_since(started_at);
+        let stream = ServerStream::Direct(stream);
+        self.start(address, stream, connect_time, None).await
+    }
+
+    /// Starts HTTP on a stream that was just opened to the server at an
+    /// address.
+    pub(crate) async fn start(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        stream: ServerStream,
+        connect_time: Duration,
+        relay: Option<RelayGuard>,
+    ) -> Result<PooledConnection, SendError> {
         let stream = UploadStream::new(stream, &self.send_queues);
         let upload = stream.upload();
         let handshake = handshake(stream).await;
@@ -443,6 +441,7 @@
                 sender,
                 excluded_attempts: ExcludedAttempts::default(),
                 upload,
+                relay,
                 _task: task,
             },
             connect_time: Some(connect_time),
--- a/crates/briarladder-gateway/src/pool/tests.rs
+++ b/crates/briarladder-gateway/src/pool/tests.rs
@@ -1,15 +1,22 @@
-//! Tests of connections whose peer sends without pause.
+//! Tests of connections whose peer sends without pause, and of connections
+//! over other daemons.
 
 use std::{
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
 };
 
+use briarladder_core::clock::SystemClock;
+use http_body_util::BodyExt;
 use tokio::{
-    io::ReadBuf,
+    io::{AsyncReadExt, AsyncWriteExt, ReadBuf},
     task::{LocalSet, spawn_local, yield_now},
+    time::{sleep, timeout},
 };
 
+use crate::relay::test_support::{self, RelayingDaemon};
+
 use super::*;
 
 /// What is read of an endless answer before a read fails, so that a connection
@@ -102,3 +109,90 @@
     });
     test.await;
 }
+
+/// Guards against an answer over another daemon that counts as whole although
+/// its server had not received the request, or had not read it.
+#[tokio::test]
+async fn start_relayed_ends_before_request() {
+    test_support::run(async {
+        let daemon = RelayingDaemon::start().await;
+        let (relayed, mut server) = daemon.open().await;
+        let pool = ConnectionPool::new(Arc::new(SystemClock));
+        let address = daemon.server.local_addr().unwrap();
+        let stream = ServerStream::Relayed(relayed);
+        let pooled = pool.start(address, stream, Duration::ZERO, None);
+        let pooled = pooled.await.unwrap();
+        let upload = pooled.upload();
+        let answering = spawn_local(async move {
+            server.read_exact(&mut [0; 1000]).await.unwrap();
+            upload.written().await;
+            let answer = b"HTTP/1.1 200 OK\r\n\r\nanswer";
+            server.write_all(answer).await.unwrap();
+            server.shutdown().await.unwrap();
+            server
+        });
+        let request = Request::post("/").body(Full::from(vec![7; 200_000]));
+        let sent = pool.send_on(pooled, request.unwrap(), no_reopen).await;
+        let (response, pooled) = sent.unwrap();
+        let answer = response.into_body().collect().await.unwrap();
+        assert_eq!(answer.to_bytes(), "answer");
+        let upload = pooled.upload();
+        let progress = upload.progress_at_end();
+        let RequestProgress::Unreceived(bytes) = progress else {
+            panic!("{progress}");
+        };
+        assert!((1..200_000).contains(&bytes), "{bytes}");
+        assert!(!upload.was_reset());
+        drop(answering.await.unwrap());
+        let reset = async {
+            while !upload.was_reset() {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(Duration::from_millis(500), reset).await.unwrap();
+    })
+    .await;
+}
+
+/// Guards against a connection over another daemon that can't be used again,
+/// or is used after the server has ended it.
+#[tokio::test]
+async fn start_relayed_reused() {
+    test_support::run(async {
+        let daemon = RelayingDaemon::start().await;
+        let (relayed, mut server) = daemon.open().await;
+        let pool = ConnectionPool::new(Arc::new(SystemClock));
+        let address = daemon.server.local_addr().unwrap();
+        let stream = ServerStream::Relayed(relayed);
+        let pooled = pool.start(address, stream, Duration::ZERO, None);
+        let mut pooled = pooled.await.unwrap();
+        for _ in 0..2 {
+            let request = Request::get("/").body(Full::default()).unwrap();
+            let answering = async {
+                while server.read_u8().await.unwrap() != b'\n' {}
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                server.write_all(answer).await.unwrap();
+                while server.read_u8().await.unwrap() != b'\n' {}
+            };
+            let sent = pool.send_on(pooled, request, no_reopen);
+            let (sent, ()) = tokio::join!(sent, answering);
+            let (response, connection) = sent.unwrap();
+            let body = response.into_body().collect().await.unwrap();
+            assert_eq!(body.to_bytes(), "ok");
+            connection.return_to_pool(None);
+            let idle = pool.take_idle(address, |_| true);
+            pooled = idle.expect("the connection is idle");
+        }
+        pooled.return_to_pool(None);
+        drop(server);
+        sleep(Duration::from_millis(100)).await;
+        assert!(pool.take_idle(address, |_| true).is_none());
+    })
+    .await;
+}
+
+/// Fails a test whose request is sent on another connection than the one that
+/// it was given.
+async fn no_reopen() -> Result<PooledConnection, SendError> {
+    panic!("the connection was closed before the request was sent")
+}
--- a/crates/briarladder-gateway/src/pool/upload.rs
+++ b/crates/briarladder-gateway/src/pool/upload.rs
@@ -17,11 +17,12 @@
 use derive_more::Display;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
     sync::Notify,
 };
 
-use super::send_queue::SendQueues;
+use crate::send_queue::SendQueues;
+
+use super::server_stream::ServerStream;
 
 /// How much of a request was passed on when the server ended the connection.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -51,7 +52,7 @@
     written: Notify,
     /// The stream once the server has ended the connection and it was dropped.
     /// A reset that follows the end is only seen here.
-    ended_stream: RefCell<Option<TcpStream>>,
+    ended_stream: RefCell<Option<ServerStream>>,
 }
 
 impl Upload {
@@ -80,9 +81,7 @@
     #[must_use]
     pub fn was_reset(&self) -> bool {
         let stream = self.ended_stream.borrow();
-        stream.as_ref().is_some_and(|stream| {
-            stream.take_error().is_ok_and(|error| error.is_some())
-        })
+        stream.as_ref().is_some_and(ServerStream::has_failed)
     }
 
     fn set_pending(&self, is_pending: bool) {
@@ -97,7 +96,7 @@
 #[derive(Debug)]
 pub(super) struct UploadStream {
     /// `None` while it is dropped.
-    inner: Option<TcpStream>,
+    inner: Option<ServerStream>,
     upload: Rc<Upload>,
     send_queues: Rc<SendQueues>,
     has_ended: bool,
@@ -105,7 +104,7 @@
 
 impl UploadStream {
     pub(super) fn new(
-        inner: TcpStream,
+        inner: ServerStream,
         send_queues: &Rc<SendQueues>,
     ) -> UploadStream {
         let upload = Rc::new(Upload {
@@ -126,7 +125,7 @@
         Rc::clone(&self.upload)
     }
 
-    fn inner(&mut self) -> io::Result<Pin<&mut TcpStream>> {
+    fn inner(&mut self) -> io::Result<Pin<&mut ServerStream>> {
         let inner = self.inner.as_mut();
         inner.map(Pin::new).ok_or(io::ErrorKind::NotConnected.into())
     }
@@ -138,7 +137,7 @@
         self.has_ended = true;
         let unreceived = || {
             let stream = self.inner.as_ref()?;
-            self.send_queues.unacknowledged_bytes(stream)
+            stream.unreceived_bytes(&self.send_queues)
         };
         let progress = if self.upload.is_pending() {
             RequestProgress::Unwritten
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -30,6 +30,8 @@
         client::PeerClient, membership, stream_origins, watchdog::Watchdog,
     },
     pool::ConnectionPool,
+    relay::server::RelayServer,
+    server_client::{self, ServerClient},
     settings::GatewaySettings,
     stages::{batcher::Batcher, coordinator::Coordinator, release},
     store,
@@ -111,15 +113,18 @@
         Blackboard::new(Arc::clone(clock), settings, local_member);
     let metrics = Rc::new(Metrics::default());
     let pool = ConnectionPool::new(Arc::clone(clock));
-    let batcher = Batcher::new(&blackboard, &dialect, &pool, &metrics);
+    let servers = ServerClient::new(&pool, &blackboard, &metrics);
+    let batcher = Batcher::new(&blackboard, &dialect, &servers, &metrics);
     let caller_memory =
         CallerMemory::new(Arc::clone(clock), caller_memory_limits(settings));
     Rc::new(Gateway {
         dialect,
         caller_memory,
         peers: PeerClient::new(&pool),
+        relay_server: RelayServer::new(&blackboard, &metrics),
         watchdog: Watchdog::default(),
         pool,
+        servers,
         metrics,
         coordinator: Coordinator::new(&blackboard, batcher),
         releases: release::ReleaseQueue::default(),
@@ -166,6 +171,7 @@
     spawn_local(membership::run(shared(), Rc::clone(settings)));
     spawn_local(Rc::clone(&gateway.coordinator).run());
     spawn_local(release::run(shared()));
+    spawn_local(server_client::run_probes(shared()));
     spawn_local(stream_origins::run_replication(shared()));
     spawn_local(stream_origins::run_version_checks(shared()));
     Ok(())
@@ -186,8 +192,9 @@
     }
 }
 
-/// Starts a graceful shutdown and waits for the requests in progress, at most
-/// until its deadline.
+/// Starts a graceful shutdown and waits for the requests in progress and the
+/// relayed connections, which carry requests of other daemons, at most until
+/// its deadline.
 async fn shut_down(
     gateway: &Rc<Gateway>,
     settings: &GatewaySettings,
@@ -205,8 +212,11 @@
     blackboard.peers.borrow_mut().leave();
     membership::announce_shutdown(gateway);
     stop.send_replace(true);
-    let open =
-        || blackboard.open_requests.get() + blackboard.open_stages.get();
+    let open = || {
+        blackboard.open_requests.get()
+            + blackboard.open_stages.get()
+            + gateway.relay_server.open_connections()
+    };
     while !shutdown.may_exit(blackboard.now(), open()) {
         tokio::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
     }
--- a/crates/briarladder-gateway/src/request/cache_evidence.rs
+++ b/crates/briarladder-gateway/src/request/cache_evidence.rs
@@ -29,7 +29,7 @@
 
 use crate::{
     bounded_body::read_body, context::Gateway, dialect::Prompt,
-    pool::SendError,
+    pool::SendError, server_client::RelayScope,
 };
 
 use super::accept::AcceptedRequest;
@@ -155,7 +155,8 @@
         .ok()?;
     let headers = request.headers_mut();
     gateway.dialect.add_expected_server(headers, &server.name);
-    let sent = gateway.pool.send(server.address, request);
+    let scope = RelayScope::AnyRequest;
+    let sent = gateway.servers.send(server, scope, request);
     let listed = timeout(LIST_TIMEOUT, async {
         let (response, connection) = match sent.await {
             Ok(answer) => answer,
--- a/crates/briarladder-gateway/src/request/connection_end.rs
+++ b/crates/briarladder-gateway/src/request/connection_end.rs
@@ -22,7 +22,10 @@
 use http::StatusCode;
 use tokio::time::timeout_at;
 
-use crate::pool::{ProbeResult, RequestProgress, Upload};
+use crate::{
+    pool::{ProbeResult, RequestProgress, Upload},
+    server_client::RelayScope,
+};
 
 use super::{framing::Framing, outgoing::OutgoingRequest};
 
@@ -91,8 +94,10 @@
         if is_unfinished {
             return Some(DoubtfulEnd::RequestUnfinished);
         }
+        let scope = RelayScope::Allowed(&self.accepted.allowed_regions);
         for _ in 0..MAX_PROBES {
-            match self.gateway.pool.probe(server.address).await {
+            let servers = &self.gateway.servers;
+            match servers.probe(server, scope).await {
                 ProbeResult::Accepted if self.was_replaced(server) => {
                     return Some(DoubtfulEnd::ServerExited);
                 }
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -25,6 +25,7 @@
     metrics::Metrics,
     pool::{Freshness, PooledConnection, SendError},
     refusal::Refusal,
+    server_client::RelayScope,
     stages::{preparation, prepared::PreparedInputs},
 };
 
@@ -375,14 +376,16 @@
         } else {
             Freshness::UsedWithin(NON_IDEMPOTENT_FRESHNESS)
         };
-        let pool = &self.gateway.pool;
-        self.sent.set(true);
+        let scope = RelayScope::Allowed(allowed);
         let attempt = &self.accepted.caller.attempt;
+        self.sent.set(true);
         let sent_at = self.gateway.blackboard.now();
-        let (response, connection) = pool
-            .send_attempt(server.address, request, freshness, attempt)
+        let (response, connection) = self
+            .gateway
+            .servers
+            .send_attempt(server, scope, request, freshness, attempt)
             .await?;
-        if let Some(elapsed) = connection.connect_time() {
+        if let Some(elapsed) = connection.direct_connect_time() {
             let mut fetch_estimator =
                 self.gateway.blackboard.fetch_estimator.borrow_mut();
             fetch_estimator.record_connect_time(&server.zone, elapsed);
--- a/crates/briarladder-gateway/src/pool/send_queue.rs
+++ b/crates/briarladder-gateway/src/send_queue.rs
@@ -31,7 +31,7 @@
 
 /// The send queues of the connections of this process.
 #[derive(Debug, Default)]
-pub(super) struct SendQueues {
+pub(crate) struct SendQueues {
     /// The netlink socket, or `None` if there is none on this system.
     socket: OnceCell<Option<OwnedFd>>,
     last_sequence: Cell<u32>,
@@ -40,7 +40,7 @@
 impl SendQueues {
     /// Returns how many of the bytes that were written on a connection its
     /// peer has not acknowledged, or `None` if the kernel doesn't tell.
-    pub(super) fn unacknowledged_bytes(
+    pub(crate) fn unacknowledged_bytes(
         &self,
         stream: &TcpStream,
     ) -> Option<u32> {
--- a/crates/briarladder-gateway/src/stages/batcher/calls.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/calls.rs
@@ -22,6 +22,7 @@
     bounded_body,
     dialect::{PieceCall, PieceOutcome},
     pool::{PooledConnection, SendError},
+    server_client::RelayScope,
 };
 
 use super::{super::piece_group::Piece, Batcher, QueueKey};
@@ -223,8 +224,8 @@
         self.dialect.add_expected_server(request.headers_mut(), &server.name);
         let sent_at = self.blackboard.now();
         let (response, connection) =
-            self.pool.send(server.address, request).await?;
-        if let Some(elapsed) = connection.connect_time() {
+            self.servers.send(server, RelayScope::AnyRequest, request).await?;
+        if let Some(elapsed) = connection.direct_connect_time() {
             let mut fetch_estimator = self.fetch_estimator.borrow_mut();
             fetch_estimator.record_connect_time(&server.zone, elapsed);
         }
--- a/crates/briarladder-gateway/src/stages/batcher/mod.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/mod.rs
@@ -25,7 +25,7 @@
     blackboard::{Blackboard, CellsVersion},
     dialect::{Dialect, PieceOutcome},
     metrics::Metrics,
-    pool::ConnectionPool,
+    server_client::ServerClient,
 };
 
 mod calls;
@@ -69,7 +69,7 @@
 pub struct Batcher {
     blackboard: Rc<Blackboard>,
     dialect: Rc<dyn Dialect>,
-    pool: Rc<ConnectionPool>,
+    servers: Rc<ServerClient>,
     metrics: Rc<Metrics>,
     queues: RefCell<SortedMap<QueueKey, ServiceQueue>>,
     /// Estimates how long servers take to fetch the inputs of a call.
@@ -112,13 +112,13 @@
     pub fn new(
         blackboard: &Rc<Blackboard>,
         dialect: &Rc<dyn Dialect>,
-        pool: &Rc<ConnectionPool>,
+        servers: &Rc<ServerClient>,
         metrics: &Rc<Metrics>,
     ) -> Rc<Batcher> {
         Rc::new(Batcher {
             blackboard: Rc::clone(blackboard),
             dialect: Rc::clone(dialect),
-            pool: Rc::clone(pool),
+            servers: Rc::clone(servers),
             metrics: Rc::clone(metrics),
             queues: RefCell::default(),
             fetch_estimator: RefCell::default(),
