--- a/crates/briarladder-core/src/fleet/server_paths/mod.rs
+++ b/crates/briarladder-core/src/fleet/server_paths/mod.rs
@@ -61,6 +61,13 @@
 /// are not asked again for it within this time.
 const DOWN_RETENTION: Duration = Duration::from_secs(1);
 
+/// Connections to so many servers that break within [`BREAK_WINDOW`] have lost
+/// their path: the processes of servers do not end at the same moment.
+const MIN_BROKEN_SERVERS: usize = 3;
+
+/// Less than it takes a request that crashes servers to reach the next one.
+const BREAK_WINDOW: Duration = Duration::from_millis(25);
+
 /// Why a connection to a server could not be opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ConnectFailure {
@@ -118,6 +125,8 @@
     /// Names of services with a listed server.
     service_count: usize,
     probed_unknown_at: Option<Instant>,
+    /// Servers whose connections have just broken.
+    broken: Vec<(Arc<str>, Instant)>,
 }
 
 impl ServerPaths {
@@ -260,6 +269,22 @@
         }
     }
 
+    /// Records that a connection to a server broke while it ran a request.
+    /// Returns whether the path is at fault, so that the end of the connection
+    /// is no evidence against the request.
+    pub fn record_broken(
+        &mut self,
+        now: Instant,
+        server: &ListedServer,
+    ) -> bool {
+        let broken = &mut self.broken;
+        broken.retain(|(name, at)| {
+            now.duration_since(*at) < BREAK_WINDOW && *name != server.name
+        });
+        broken.push((Arc::clone(&server.name), now));
+        broken.len() >= MIN_BROKEN_SERVERS || self.is_lost(now, server)
+    }
+
     /// Forgets servers that are not listed any more, and those that have not
     /// been used for a while.
     pub fn update(&mut self, now: Instant, servers: &Servers) {
--- a/crates/briarladder-core/src/fleet/server_paths/tests.rs
+++ b/crates/briarladder-core/src/fleet/server_paths/tests.rs
@@ -187,3 +187,28 @@
     let later = now + Duration::from_secs(1);
     assert!(choose(&relays, later).is_some());
 }
+
+/// Guards against requests that count as crashing servers because their
+/// connections broke with a path, and against a crash that counts for nothing.
+#[test]
+fn record_broken_many_servers() {
+    let now = Instant::now();
+    let servers = servers(&[("model", 4)]);
+    let broken_at = |paths: &mut ServerPaths, number: usize, now| {
+        let server = servers.get(&format!("model-{number}")).unwrap();
+        paths.record_broken(now, server)
+    };
+    let mut paths = ServerPaths::default();
+    let at_once: Vec<bool> =
+        (0..4).map(|number| broken_at(&mut paths, number, now)).collect();
+    assert_eq!(at_once, [false, false, true, true]);
+    let mut paths = ServerPaths::default();
+    for number in 0..4 {
+        let at = now + BREAK_WINDOW * u32::try_from(number).unwrap();
+        assert!(!broken_at(&mut paths, number, at), "server {number}");
+        assert!(!broken_at(&mut paths, number, at), "server {number}");
+    }
+    fail(&mut paths, now, &servers, &["model-0"]);
+    paths.record_relayed(now, servers.get("model-0").unwrap());
+    assert!(broken_at(&mut paths, 0, now + BREAK_WINDOW * 8));
+}
--- a/crates/briarladder-gateway/src/request/crash_evidence.rs
+++ b/crates/briarladder-gateway/src/request/crash_evidence.rs
@@ -90,12 +90,24 @@
     /// Records that a server exited, or closed its connection, while it
     /// processed the request. `answer` tells how far its answer had come: once
     /// it is underway, the prompt is not the reason. The exit of a server that
-    /// is leaving is planned, so it counts against no request.
+    /// is leaving is planned, and the loss of the path to it is none, so they
+    /// count against no request.
     pub fn record_crash(&self, server: &ListedServer, answer: AnswerPhase) {
         if self.is_leaving(server) {
             return;
         }
         let blackboard = &self.gateway.blackboard;
+        let now = blackboard.now();
+        let path_lost =
+            blackboard.server_paths.borrow_mut().record_broken(now, server);
+        if path_lost {
+            log::info!(
+                "crashers: id={} server={} outcome=path_lost",
+                self.accepted.caller.attempt,
+                server.name
+            );
+            return;
+        }
         let incarnation = ServerIncarnation::of(&server.name, server.born_ms);
         let mut features = match answer {
             AnswerPhase::NotBegun | AnswerPhase::Begun => {
@@ -104,7 +116,6 @@
             AnswerPhase::Underway => Vec::new(),
         };
         features.push(self.whole_request());
-        let now = blackboard.now();
         let mut crash_tracker = blackboard.crash_tracker.borrow_mut();
         let was_refused = crash_tracker.refused_for(now, &features).is_some();
         let refused = crash_tracker.record_crash(now, &features, incarnation);
