--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -109,8 +109,7 @@
             Ok(Err(error)) => error,
             Err(_) => {
                 count_attempt(&gateway, &accepted, "time_out");
-                record.cause = Some("no response in time".to_owned());
-                break Refusal::TimeoutAfterSend;
+                break timeout_refusal(&outgoing, &mut record);
             }
         };
         drop(in_flight);
@@ -141,6 +140,22 @@
     Err((Box::new(record), refusal.into()))
 }
 
+/// Returns the refusal of a request whose time is up. One that was never on a
+/// connection to a server has not run.
+fn timeout_refusal(
+    outgoing: &OutgoingRequest,
+    record: &mut RequestRecord,
+) -> Refusal {
+    let is_sent = outgoing.sent.get();
+    let missing = if is_sent { "response" } else { "connection" };
+    record.cause = Some(format!("no {missing} in time"));
+    if is_sent {
+        Refusal::TimeoutAfterSend
+    } else {
+        Refusal::TimeoutBeforeSend
+    }
+}
+
 /// Returns the refusal of a request that no server can be asked to run.
 fn refuse_without_server(
     outgoing: &OutgoingRequest,
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -56,7 +56,7 @@
     pub body: Bytes,
     /// The results of its stages, which are its inputs.
     pub prepared_inputs: Rc<PreparedInputs>,
-    /// Whether it was sent to a server, which may have run it.
+    /// Whether it was sent on a connection to a server, which may have run it.
     pub sent: Rc<Cell<bool>>,
 }
 
@@ -378,12 +378,19 @@
         };
         let scope = RelayScope::Allowed(allowed);
         let attempt = &self.accepted.caller.attempt;
-        self.sent.set(true);
+        let on_connected = || self.sent.set(true);
         let sent_at = self.gateway.blackboard.now();
         let (response, connection) = self
             .gateway
             .servers
-            .send_attempt(server, scope, request, freshness, attempt)
+            .send_attempt(
+                server,
+                scope,
+                request,
+                freshness,
+                attempt,
+                on_connected,
+            )
             .await?;
         if let Some(elapsed) = connection.direct_connect_time() {
             let mut fetch_estimator =
--- a/crates/briarladder-gateway/src/server_client.rs
+++ b/crates/briarladder-gateway/src/server_client.rs
@@ -152,7 +152,9 @@
     }
 
     /// Sends the request of an attempt and returns the response head. Idle
-    /// connections on which the attempt has failed are not used.
+    /// connections on which the attempt has failed are not used. `on_connected`
+    /// is called once there is a connection: before that, the request has not
+    /// run.
     ///
     /// # Errors
     ///
@@ -165,6 +167,7 @@
         request: Request<Full<Bytes>>,
         freshness: Freshness,
         attempt: &str,
+        on_connected: impl FnOnce(),
     ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
         let now = self.blackboard.now();
         let accepts = |idle: &IdleConnection| {
@@ -184,6 +187,7 @@
             }
             self.open(server, scope).await?
         };
+        on_connected();
         self.send_on(server, scope, pooled, request).await
     }
 
