--- a/crates/briarladder-gateway/src/caller_progress.rs
+++ b/crates/briarladder-gateway/src/caller_progress.rs
@@ -30,6 +30,8 @@
     stage: Cell<Stage>,
     since: Cell<Instant>,
     received_bytes: Cell<usize>,
+    /// The caller leaves unread what is being written.
+    is_blocked: Cell<bool>,
     /// The idle timeout when the last response was begun, by which the caller
     /// goes.
     promised_idle_timeout: Cell<Duration>,
@@ -52,6 +54,7 @@
             stage: Cell::new(Stage::Idle),
             since: Cell::new(now),
             received_bytes: Cell::new(0),
+            is_blocked: Cell::new(false),
             promised_idle_timeout: Cell::new(limits.idle_timeout),
         }
     }
@@ -87,6 +90,11 @@
         }
     }
 
+    /// Records whether the caller leaves unread what is being written.
+    pub fn record_blocked(&self, is_blocked: bool) {
+        self.is_blocked.set(is_blocked);
+    }
+
     /// Records the end of the response.
     pub fn record_answered(&self, now: Instant) {
         self.received_bytes.set(0);
@@ -108,6 +116,15 @@
         Some(ReceiveDeadline { at: self.since.get() + limit, limit })
     }
 
+    /// Returns whether the last response was written, and no byte of the next
+    /// request was read since.
+    #[must_use]
+    pub fn is_between_requests(&self) -> bool {
+        self.stage.get() == Stage::Idle
+            && self.received_bytes.get() == 0
+            && !self.is_blocked.get()
+    }
+
     /// Returns what the connection is doing.
     #[must_use]
     pub fn stage(&self) -> Stage {
--- a/crates/briarladder-gateway/src/caller_stream.rs
+++ b/crates/briarladder-gateway/src/caller_stream.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use bytes::{Buf, Bytes};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -37,17 +38,22 @@
     stream: &'a mut TcpStream,
     connection: &'a CallerConnection,
     progress: &'a ConnectionProgress,
+    /// Bytes that were read from the socket before.
+    read_ahead: Bytes,
     is_blocked: bool,
 }
 
 impl<'a> CallerStream<'a> {
-    /// Wraps the socket of a connection.
+    /// Wraps the socket of a connection, of which bytes may have been read
+    /// before.
     pub fn new(
         stream: &'a mut TcpStream,
         connection: &'a CallerConnection,
         progress: &'a ConnectionProgress,
+        read_ahead: Bytes,
     ) -> CallerStream<'a> {
-        CallerStream { stream, connection, progress, is_blocked: false }
+        let is_blocked = false;
+        CallerStream { stream, connection, progress, read_ahead, is_blocked }
     }
 
     fn record_write<T>(&mut self, written: Poll<T>) -> Poll<T> {
@@ -57,6 +63,7 @@
         if written.is_pending() != self.is_blocked {
             self.is_blocked = written.is_pending();
             self.connection.set_blocked(self.is_blocked);
+            self.progress.record_blocked(self.is_blocked);
         }
         written
     }
@@ -69,7 +76,14 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_bytes = buffer.filled().len();
-        let read = Pin::new(&mut *self.stream).poll_read(cx, buffer);
+        let read = if self.read_ahead.is_empty() {
+            Pin::new(&mut *self.stream).poll_read(cx, buffer)
+        } else {
+            let len = buffer.remaining().min(self.read_ahead.len());
+            buffer.put_slice(&self.read_ahead[..len]);
+            self.read_ahead.advance(len);
+            Poll::Ready(Ok(()))
+        };
         let received_bytes = buffer.filled().len() - filled_bytes;
         if received_bytes > 0 {
             let now = self.connection.now();
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -152,7 +152,6 @@
     stream: &mut TcpStream,
     mut stop: StopSignal,
 ) -> ConnectionEnd {
-    let limits = gateway.blackboard.caller_limits();
     let serving = gateway.blackboard.shutdown().is_none();
     let service = service_fn(|request: Request<Incoming>| {
         let gateway = Rc::clone(gateway);
@@ -164,61 +163,107 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let stream = CallerStream::new(stream, caller, progress);
-    let connection = http1::Builder::new()
-        .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BYTES))
-        .keep_alive(serving)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        end = serve_in_time(connection.as_mut(), gateway, progress) => end,
-        _ = stop.changed() => {
-            // The caller may have sent another request already. The response
-            // to it closes the connection.
-            let lingering =
-                serve_in_time(connection.as_mut(), gateway, progress);
-            let end = tokio::time::timeout(SHUTDOWN_LINGER, lingering).await;
-            if let Ok(end) = end {
-                end
-            } else {
-                connection.as_mut().graceful_shutdown();
-                serve_in_time(connection, gateway, progress).await
+    let mut read_ahead = Bytes::new();
+    // One turn for each limit of heads, which hyper can't change.
+    loop {
+        let limits = gateway.blackboard.caller_limits();
+        let max_head_bytes = limits.max_header_bytes;
+        let stream = CallerStream::new(stream, caller, progress, read_ahead);
+        let mut connection = http1::Builder::new()
+            .max_buf_size(max_head_bytes.max(MIN_HEAD_BYTES))
+            .keep_alive(serving)
+            .serve_connection(TokioIo::new(stream), service);
+        let served = tokio::select! {
+            served = serve_in_time(
+                Pin::new(&mut connection),
+                gateway,
+                progress,
+                max_head_bytes,
+            ) => served,
+            _ = stop.changed() => {
+                // The caller may have sent another request already. The
+                // response to it closes the connection.
+                let lingering = serve_in_time(
+                    Pin::new(&mut connection),
+                    gateway,
+                    progress,
+                    max_head_bytes,
+                );
+                let served =
+                    tokio::time::timeout(SHUTDOWN_LINGER, lingering).await;
+                if let Ok(served) = served {
+                    served
+                } else {
+                    let mut connection = Pin::new(&mut connection);
+                    connection.as_mut().graceful_shutdown();
+                    serve_in_time(
+                        connection,
+                        gateway,
+                        progress,
+                        max_head_bytes,
+                    )
+                    .await
+                }
+            }
+        };
+        match served {
+            Served::Ended(end) => return end,
+            Served::HeadLimitRaised => {
+                read_ahead = connection.into_parts().read_buf;
             }
         }
     }
 }
 
-/// Serves a connection until it ends or nothing more of a request arrives in
-/// time. The limits are those in force at that moment, since callers go by
-/// them. hyper's own timeout is fixed when a connection is accepted, and is
-/// one for idle connections and heads.
+/// Why a connection is no longer served with a limit of heads.
+enum Served {
+    /// It ends.
+    Ended(ConnectionEnd),
+    /// A higher limit is in force, and no request has begun.
+    HeadLimitRaised,
+}
+
+/// Serves a connection until it ends, nothing more of a request arrives in
+/// time, or the limit of heads is raised. The limits are those in force at
+/// that moment, since callers go by them. hyper's own timeout is fixed when a
+/// connection is accepted, and is one for idle connections and heads.
 async fn serve_in_time(
     mut connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
     gateway: &Gateway,
     progress: &ConnectionProgress,
-) -> ConnectionEnd {
+    max_head_bytes: usize,
+) -> Served {
     let blackboard = &gateway.blackboard;
     let mut timer = pin!(sleep_until(blackboard.now().into()));
     poll_fn(|cx| {
+        let limits = blackboard.caller_limits();
+        // Before what has arrived is read.
+        if limits.max_header_bytes > max_head_bytes
+            && progress.is_between_requests()
+            && blackboard.shutdown().is_none()
+        {
+            return Poll::Ready(Served::HeadLimitRaised);
+        }
         // Before the timer, so that what has arrived by now is read.
         if let Poll::Ready(result) = connection.as_mut().poll(cx) {
-            return Poll::Ready(match result {
+            let end = match result {
                 Ok(()) if blackboard.shutdown().is_some() => {
                     ConnectionEnd::Stop
                 }
                 Ok(()) => ConnectionEnd::Finished,
                 Err(error) => ConnectionEnd::Error(error.to_string()),
-            });
+            };
+            return Poll::Ready(Served::Ended(end));
         }
-        let Some(deadline) = progress.deadline(&blackboard.caller_limits())
-        else {
+        let Some(deadline) = progress.deadline(&limits) else {
             return Poll::Pending;
         };
         if timer.deadline() != deadline.at.into() {
             timer.as_mut().reset(deadline.at.into());
         }
         let limit = deadline.limit;
-        timer.as_mut().poll(cx).map(|()| ConnectionEnd::Timeout { limit })
+        let timeout = || Served::Ended(ConnectionEnd::Timeout { limit });
+        timer.as_mut().poll(cx).map(|()| timeout())
     })
     .await
 }
