--- a/crates/briarladder-gateway/src/caller_progress.rs
+++ b/crates/briarladder-gateway/src/caller_progress.rs
@@ -102,10 +102,14 @@
     }
 
     /// Returns when the connection ends by the limits in force, unless more
-    /// of a request arrives; `None` while a request is being served. An idle
-    /// connection is kept for as long as its caller was told.
+    /// of a request arrives; `None` while a request is being served or its
+    /// response is being written, which the kernel bounds. An idle connection
+    /// is kept for as long as its caller was told.
     #[must_use]
     pub fn deadline(&self, limits: &CallerLimits) -> Option<ReceiveDeadline> {
+        if self.is_blocked.get() {
+            return None;
+        }
         let limit = match self.stage.get() {
             Stage::Idle => {
                 limits.idle_timeout.max(self.promised_idle_timeout.get())
