--- a/crates/briarladder-core/src/fleet/caller_memory.rs
+++ b/crates/briarladder-core/src/fleet/caller_memory.rs
@@ -249,6 +249,14 @@
         self.open_connections
     }
 
+    /// Returns the number of open connections whose callers have not read what
+    /// is being written.
+    #[must_use]
+    pub fn blocked_connections(&self) -> usize {
+        let connections = self.connections.iter().map(|(_, c)| c);
+        connections.filter(|c| c.blocked_since.is_some() && !c.ended).count()
+    }
+
     /// Returns the limits.
     #[must_use]
     pub fn limits(&self) -> CallerMemoryLimits {
--- a/crates/briarladder-gateway/src/caller_memory.rs
+++ b/crates/briarladder-gateway/src/caller_memory.rs
@@ -149,6 +149,13 @@
         }
     }
 
+    /// Returns the number of connections whose callers have not read what is
+    /// being written.
+    #[must_use]
+    pub fn blocked_connections(&self) -> usize {
+        self.lock().account.blocked_connections()
+    }
+
     /// Adds a connection, whether there is room for it or not.
     #[must_use]
     pub fn open(self: &Arc<Self>) -> Arc<CallerConnection> {
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -186,8 +186,8 @@
     }
 }
 
-/// Starts a graceful shutdown and waits for the requests in progress, at most
-/// until its deadline.
+/// Starts a graceful shutdown and waits for the requests in progress, and until
+/// their responses are written, at most until its deadline.
 async fn shut_down(
     gateway: &Rc<Gateway>,
     settings: &GatewaySettings,
@@ -205,8 +205,12 @@
     blackboard.peers.borrow_mut().leave();
     membership::announce_shutdown(gateway);
     stop.send_replace(true);
-    let open =
-        || blackboard.open_requests.get() + blackboard.open_stages.get();
+    let open = || {
+        // A response may be handed over and not yet written.
+        blackboard.open_requests.get()
+            + blackboard.open_stages.get()
+            + gateway.caller_memory.blocked_connections()
+    };
     while !shutdown.may_exit(blackboard.now(), open()) {
         tokio::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
     }
