--- a/crates/briarladder-gateway/src/caller_progress.rs
+++ b/crates/briarladder-gateway/src/caller_progress.rs
@@ -30,6 +30,8 @@
     stage: Cell<Stage>,
     since: Cell<Instant>,
     received_bytes: Cell<usize>,
+    /// The caller leaves unread what is being written.
+    is_blocked: Cell<bool>,
     /// The idle timeout when the last response was begun, by which the caller
     /// goes.
     promised_idle_timeout: Cell<Duration>,
@@ -52,6 +54,7 @@
             stage: Cell::new(Stage::Idle),
             since: Cell::new(now),
             received_bytes: Cell::new(0),
+            is_blocked: Cell::new(false),
             promised_idle_timeout: Cell::new(limits.idle_timeout),
         }
     }
@@ -87,6 +90,11 @@
         }
     }
 
+    /// Records whether the caller leaves unread what is being written.
+    pub fn record_blocked(&self, is_blocked: bool) {
+        self.is_blocked.set(is_blocked);
+    }
+
     /// Records the end of the response.
     pub fn record_answered(&self, now: Instant) {
         self.received_bytes.set(0);
@@ -94,10 +102,14 @@
     }
 
     /// Returns when the connection ends by the limits in force, unless more
-    /// of a request arrives; `None` while a request is being served. An idle
-    /// connection is kept for as long as its caller was told.
+    /// of a request arrives; `None` while a request is being served or its
+    /// response is being written, which the kernel bounds. An idle connection
+    /// is kept for as long as its caller was told.
     #[must_use]
     pub fn deadline(&self, limits: &CallerLimits) -> Option<ReceiveDeadline> {
+        if self.is_blocked.get() {
+            return None;
+        }
         let limit = match self.stage.get() {
             Stage::Idle => {
                 limits.idle_timeout.max(self.promised_idle_timeout.get())
@@ -108,6 +120,15 @@
         Some(ReceiveDeadline { at: self.since.get() + limit, limit })
     }
 
+    /// Returns whether the last response was written, and no byte of the next
+    /// request was read since.
+    #[must_use]
+    pub fn is_between_requests(&self) -> bool {
+        self.stage.get() == Stage::Idle
+            && self.received_bytes.get() == 0
+            && !self.is_blocked.get()
+    }
+
     /// Returns what the connection is doing.
     #[must_use]
     pub fn stage(&self) -> Stage {
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -192,9 +192,9 @@
     }
 }
 
-/// Starts a graceful shutdown and waits for the requests in progress and the
-/// relayed connections, which carry requests of other daemons, at most until
-/// its deadline.
+/// Starts a graceful shutdown and waits, at most until its deadline, for the
+/// requests in progress, until their responses are written, and for the
+/// relayed connections, which carry requests of other daemons.
 async fn shut_down(
     gateway: &Rc<Gateway>,
     settings: &GatewaySettings,
@@ -213,8 +213,10 @@
     membership::announce_shutdown(gateway);
     stop.send_replace(true);
     let open = || {
+        // A response may be handed over and not yet written.
         blackboard.open_requests.get()
             + blackboard.open_stages.get()
+            + gateway.caller_memory.blocked_connections()
             + gateway.relay_server.open_connections()
     };
     while !shutdown.may_exit(blackboard.now(), open()) {
