--- a/crates/briarladder-core/src/fleet/server.rs
+++ b/crates/briarladder-core/src/fleet/server.rs
@@ -46,6 +46,8 @@
     /// Start time of its process in milliseconds since the Unix epoch, by the
     /// clock of the server; 0 if unknown. It identifies the process.
     pub born_ms: u64,
+    /// The requests that it runs at a time; 0 if unknown.
+    pub slots: u32,
 }
 
 impl ListedServer {
@@ -60,6 +62,7 @@
             software_version: Arc::from(""),
             state: ServerState::Ready,
             born_ms: 0,
+            slots: 0,
         }
     }
 }
--- a/crates/briarladder-gateway/src/peers/changes.rs
+++ b/crates/briarladder-gateway/src/peers/changes.rs
@@ -21,7 +21,7 @@
 const UNKNOWN_NAME: u32 = u32::MAX;
 
 /// The path of a request for store items.
-pub const CHANGES_PATH: &str = "/peers/changes-4";
+pub const CHANGES_PATH: &str = "/peers/changes-5";
 
 /// Requests the items that have changed after a version.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
@@ -74,6 +74,9 @@
     /// The software versions of the servers, in their order, as indices into
     /// `names`. Those of servers without an item are unknown.
     pub(super) software_versions: Vec<u32>,
+    /// The slots of the servers, in their order. Those of servers without an
+    /// item are unknown.
+    pub(super) slots: Vec<u32>,
 }
 
 /// A configuration. Its own version is read from it.
@@ -182,6 +185,7 @@
             });
         }
         self.servers.push(item);
+        self.slots.push(server.slots);
         let version = &server.software_version;
         let version = if version.is_empty() {
             UNKNOWN_NAME
@@ -230,6 +234,7 @@
             version,
             cold,
             software_versions,
+            slots,
             ..
         } = self;
         let name = |at: u32| names.get(usize::try_from(at).ok()?).cloned();
@@ -237,6 +242,7 @@
             let at = software_versions.get(usize::try_from(at).ok()?)?;
             name(*at)
         };
+        let slots_of = |at: u32| slots.get(usize::try_from(at).ok()?).copied();
         let cold: SortedMap<u32, u32> =
             cold.iter().map(|item| (item.server, item.cold_left_ms)).collect();
         let cold_left = |at: u32| {
@@ -252,6 +258,7 @@
                 state: item.state,
                 born_ms: item.born_ms,
                 software_version: software_version(at).unwrap_or_default(),
+                slots: slots_of(at).unwrap_or_default(),
             };
             Some(ServerEntry {
                 name: Arc::clone(&server.name),
--- a/crates/briarladder-gateway/src/peers/changes/tests.rs
+++ b/crates/briarladder-gateway/src/peers/changes/tests.rs
@@ -6,6 +6,7 @@
 use crate::peers::{
     eraless_changes::{EralessRequest, EralessResponse},
     evacuationless_changes::EvacuationlessResponse,
+    slotless_changes::SlotlessResponse,
     versionless_changes::VersionlessResponse,
 };
 
@@ -279,3 +280,38 @@
         read.into_servers().into_iter().filter_map(|entry| entry.server);
     assert!(versions.all(|server| server.software_version.is_empty()));
 }
+
+/// Guards against slots that are lost or mixed up on the way to another
+/// daemon, and against daemons of the earlier version that can't read the
+/// answers or whose answers count as complete.
+#[test]
+fn slots_round_trip() {
+    let servers: Vec<ServerEntry> = (1..)
+        .zip([64, 0, 6])
+        .map(|(number, slots)| {
+            let mut entry = server(number);
+            entry.server.as_mut().unwrap().slots = slots;
+            entry
+        })
+        .collect();
+    let mirror = mirror(&servers);
+    let all = request(StoreVersion::default());
+    let response = ChangesResponse::new(&mirror, &all, true);
+    assert_eq!(round_trip(&response).into_servers(), servers);
+
+    let versions = response.software_versions.clone();
+    let earlier = SlotlessResponse::from(response.clone());
+    let bytes = postcard::to_stdvec(&earlier).unwrap();
+    let earlier =
+        postcard::to_stdvec(&VersionlessResponse::from(response)).unwrap();
+    let rest = bytes.strip_prefix(&*earlier).unwrap();
+    let read: Vec<u32> = postcard::from_bytes(rest).unwrap();
+    assert_eq!(read, versions);
+
+    let read: SlotlessResponse = postcard::from_bytes(&bytes).unwrap();
+    let read = ChangesResponse::from(read);
+    assert_eq!(read.version, StoreVersion { era: 0, revision: 400_001 });
+    let mut servers =
+        read.into_servers().into_iter().filter_map(|entry| entry.server);
+    assert!(servers.all(|server| server.slots == 0));
+}
--- a/crates/briarladder-gateway/src/peers/client.rs
+++ b/crates/briarladder-gateway/src/peers/client.rs
@@ -13,6 +13,7 @@
 use super::{
     changes::CHANGES_PATH, eraless_changes::ERALESS_CHANGES_PATH,
     evacuationless_changes::EVACUATIONLESS_CHANGES_PATH,
+    slotless_changes::SLOTLESS_CHANGES_PATH,
     versionless_changes::VERSIONLESS_CHANGES_PATH,
 };
 
@@ -72,6 +73,7 @@
 fn max_response_bytes(path: &str) -> usize {
     match path {
         CHANGES_PATH
+        | SLOTLESS_CHANGES_PATH
         | VERSIONLESS_CHANGES_PATH
         | EVACUATIONLESS_CHANGES_PATH
         | ERALESS_CHANGES_PATH => MAX_CHANGES_BYTES,
--- a/crates/briarladder-gateway/src/peers/eraless_changes.rs
+++ b/crates/briarladder-gateway/src/peers/eraless_changes.rs
@@ -94,6 +94,7 @@
             evacuated: None,
             cold: Vec::new(),
             software_versions: Vec::new(),
+            slots: Vec::new(),
         }
     }
 }
--- a/crates/briarladder-gateway/src/peers/evacuationless_changes.rs
+++ b/crates/briarladder-gateway/src/peers/evacuationless_changes.rs
@@ -55,6 +55,7 @@
             evacuated: None,
             cold: Vec::new(),
             software_versions: Vec::new(),
+            slots: Vec::new(),
         }
     }
 }
--- a/crates/briarladder-gateway/src/peers/mod.rs
+++ b/crates/briarladder-gateway/src/peers/mod.rs
@@ -15,6 +15,7 @@
 pub mod messages;
 pub mod places;
 pub mod server;
+pub mod slotless_changes;
 pub mod stream_origins;
 pub mod versionless_changes;
 pub mod watchdog;
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -33,6 +33,7 @@
         WAITS_EXCHANGE_PATH, WaitsEnvelope,
     },
     places,
+    slotless_changes::{SLOTLESS_CHANGES_PATH, SlotlessResponse},
     stream_origins::{
         FIND_ORIGIN_PATH, FindOrigin, FoundOrigin, ORIGINS_PATH, OriginList,
         VERSIONS_PATH, VersionsAnswer, VersionsRequest,
@@ -109,6 +110,7 @@
             Err(error) => malformed(&error),
         },
         CHANGES_PATH
+        | SLOTLESS_CHANGES_PATH
         | VERSIONLESS_CHANGES_PATH
         | EVACUATIONLESS_CHANGES_PATH
         | ERALESS_CHANGES_PATH => serve_changes(&gateway, &path, &body).await,
@@ -173,6 +175,7 @@
         EVACUATIONLESS_CHANGES_PATH => {
             encode(&EvacuationlessResponse::from(response))
         }
+        SLOTLESS_CHANGES_PATH => encode(&SlotlessResponse::from(response)),
         VERSIONLESS_CHANGES_PATH => {
             encode(&VersionlessResponse::from(response))
         }
--- a/crates/briarladder-gateway/src/peers/versionless_changes.rs
+++ b/crates/briarladder-gateway/src/peers/versionless_changes.rs
@@ -62,6 +62,7 @@
             evacuated: None,
             cold: response.cold,
             software_versions: Vec::new(),
+            slots: Vec::new(),
         }
     }
 }
--- a/crates/briarladder-gateway/src/store/peer_source.rs
+++ b/crates/briarladder-gateway/src/store/peer_source.rs
@@ -29,6 +29,7 @@
         evacuationless_changes::{
             EVACUATIONLESS_CHANGES_PATH, EvacuationlessResponse,
         },
+        slotless_changes::{SLOTLESS_CHANGES_PATH, SlotlessResponse},
         versionless_changes::{VERSIONLESS_CHANGES_PATH, VersionlessResponse},
     },
 };
@@ -242,6 +243,13 @@
     request: &ChangesRequest,
 ) -> Result<ChangesResponse, PeerError> {
     let peers = &gateway.peers;
+    let path = SLOTLESS_CHANGES_PATH;
+    let sent: Result<SlotlessResponse, PeerError> =
+        peers.call(address, path, request, FULL_LIST_TIMEOUT).await;
+    match sent {
+        Err(error) if error.is_unknown_path() => {}
+        sent => return Ok(sent?.into()),
+    }
     let path = VERSIONLESS_CHANGES_PATH;
     let sent: Result<VersionlessResponse, PeerError> =
         peers.call(address, path, request, FULL_LIST_TIMEOUT).await;
