--- a/crates/briarladder-core/src/fleet/mod.rs
+++ b/crates/briarladder-core/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 pub mod attempt;
 pub mod availability;
 pub mod batching;
+pub mod brittle_servers;
 pub mod budget;
 pub mod caller_memory;
 pub mod cells;
--- a/crates/briarladder-core/src/fleet/server_limits/mod.rs
+++ b/crates/briarladder-core/src/fleet/server_limits/mod.rs
@@ -97,6 +97,8 @@
     time::{Duration, Instant},
 };
 
+use crate::rendezvous;
+
 use super::server::ListedServer;
 
 use self::{
@@ -179,6 +181,15 @@
         self.names.len()
     }
 
+    pub(crate) fn local(&self) -> &str {
+        &self.local
+    }
+
+    /// Returns the members in rendezvous order for a key.
+    pub(crate) fn order(&self, key: &str) -> Vec<&Arc<str>> {
+        rendezvous::order(key, &*self.names)
+    }
+
     /// Returns whether there are no members.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -41,7 +41,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    cold_start::ColdStartState, dialect::ResponseHead,
+    brittle_servers::BrittleState, cold_start::ColdStartState,
+    dialect::ResponseHead, in_flight::InFlightState,
     request::cache_evidence::CacheListings, server_limits::LimitState,
     settings::GatewaySettings, stream_versions::StreamVersions,
 };
@@ -138,6 +139,8 @@
     pub availability: RefCell<ServerAvailability>,
     /// Limits that servers have named; owner: the request path.
     pub(crate) limits: LimitState,
+    /// Services whose servers are brittle; owner: the request path.
+    pub(crate) brittle: BrittleState,
     /// How long new requests wait for each service at each coordinator;
     /// owner: the membership controller.
     pub stage_waits: RefCell<StageWaitTable>,
@@ -159,7 +162,7 @@
     pub placement: RefCell<Placement>,
     /// Requests of this daemon in flight at each server; owner: the request
     /// path.
-    in_flight: RefCell<SortedMap<Arc<str>, usize>>,
+    pub(crate) in_flight: InFlightState,
     /// Retry budgets by service; owner: the request path.
     retry_budgets: RefCell<SortedMap<Arc<str>, RetryBudget>>,
     retry_budget_config: RetryBudgetConfig,
@@ -223,6 +226,7 @@
             cache_listings: CacheListings::default(),
             crash_tracker: RefCell::default(),
             limits: LimitState::new(started_at),
+            brittle: BrittleState::default(),
             cold_start: ColdStartState::new(settings, started_at),
             peers: RefCell::new(PeerTable::new(local_member)),
             stage_waits: RefCell::default(),
@@ -231,7 +235,7 @@
             started_at,
             max_change_delay: settings.max_change_delay(),
             placement: RefCell::new(Placement::new(settings.region_map())),
-            in_flight: RefCell::default(),
+            in_flight: InFlightState::default(),
             retry_budgets: RefCell::default(),
             retry_budget_config: settings.retry_budget,
             hedging: RefCell::new(Hedging::new(settings.extra_send_ratio)),
@@ -403,28 +407,6 @@
         tokio::time::sleep_until(shutdown.final_responses_at().into()).await;
     }
 
-    /// Returns the number of requests of this daemon in flight at a server.
-    #[must_use]
-    pub fn in_flight(&self, server: &str) -> usize {
-        self.in_flight.borrow().get(server).copied().unwrap_or(0)
-    }
-
-    /// Counts a request as in flight at a server until the guard is dropped.
-    #[must_use]
-    pub fn track_in_flight(
-        self: &Rc<Self>,
-        server: &Arc<str>,
-    ) -> InFlightGuard {
-        *self
-            .in_flight
-            .borrow_mut()
-            .get_or_insert_with(Arc::clone(server), || 0) += 1;
-        InFlightGuard {
-            blackboard: Rc::clone(self),
-            server: Arc::clone(server),
-        }
-    }
-
     /// Records the first attempt of a request to a service, which adds to its
     /// retry budget.
     pub fn record_first_send(&self, service: &Arc<str>) {
@@ -584,22 +566,3 @@
             .record_prefill_end(&self.server, self.prefill_time);
     }
 }
-
-/// Counts a request as in flight at a server until it is dropped.
-#[derive(Debug)]
-pub struct InFlightGuard {
-    blackboard: Rc<Blackboard>,
-    server: Arc<str>,
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let mut in_flight = self.blackboard.in_flight.borrow_mut();
-        if let Some(count) = in_flight.get_mut(&*self.server) {
-            *count -= 1;
-            if *count == 0 {
-                in_flight.remove(&*self.server);
-            }
-        }
-    }
-}
--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -32,9 +32,9 @@
 };
 
 use crate::{
-    blackboard::InFlightGuard,
     caller_memory::{CallerConnection, Charge},
     caller_progress::ConnectionProgress,
+    in_flight::InFlightGuard,
     pool::PooledConnection,
     request::{
         connection_end::DoubtfulEnd,
--- a/crates/briarladder-gateway/src/cold_start.rs
+++ b/crates/briarladder-gateway/src/cold_start.rs
@@ -201,7 +201,7 @@
 
     /// Returns whether this daemon has heard from another one, or is the only
     /// one of the fleet.
-    fn knows_members(&self) -> bool {
+    pub(crate) fn knows_members(&self) -> bool {
         let is_alone = || {
             let local = self.peers.borrow().local_member().address;
             self.seeds.borrow().iter().all(|seed| *seed == local)
--- a/crates/briarladder-gateway/src/dialect.rs
+++ b/crates/briarladder-gateway/src/dialect.rs
@@ -122,6 +122,8 @@
 pub struct ResponseHead {
     /// The server states that it did not run the request.
     pub not_run: bool,
+    /// The server did not run the request because it has no room for it.
+    pub lacks_room: bool,
     /// The results of the stages no longer exist, so no server can run the
     /// request.
     pub inputs_gone: bool,
@@ -144,6 +146,9 @@
     pub limit: NamedLimit,
     /// How long the server stays cold, if it says so.
     pub cold_left: Option<Duration>,
+    /// How many rejections a second the server withstands, if it says that it
+    /// is brittle.
+    pub max_rejections_per_s: Option<u32>,
     /// The server's load, if it says so.
     pub load: Option<ServerLoad>,
 }
--- a/crates/briarladder-gateway/src/lib.rs
+++ b/crates/briarladder-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod blackboard;
 pub mod body;
 pub mod bounded_body;
+pub mod brittle_servers;
 pub mod caller_memory;
 pub mod caller_progress;
 pub mod caller_stream;
@@ -20,6 +21,7 @@
 pub mod connection_end;
 pub mod context;
 pub mod dialect;
+pub mod in_flight;
 pub mod listener;
 pub mod logs;
 pub mod metrics;
--- a/crates/briarladder-gateway/src/peers/places.rs
+++ b/crates/briarladder-gateway/src/peers/places.rs
@@ -70,11 +70,14 @@
     let blackboard = &gateway.blackboard;
     let server = blackboard.servers.borrow().get(&message.server).cloned();
     let server = server.filter(|server| server.born_ms == message.born_ms);
-    let granted = server.is_some_and(|server| {
+    let granted = server.filter(|server| {
         let places = blackboard.places();
-        blackboard.is_limited(&server)
-            && places.has_place(&server, message.rank)
-            && places.take(&server)
+        places.next_place_at(server).is_some()
+            && places.has_place(server, message.rank)
+            && places.take(server)
     });
-    PlaceResponse { granted }
+    if let Some(server) = &granted {
+        blackboard.lend_room(server);
+    }
+    PlaceResponse { granted: granted.is_some() }
 }
--- a/crates/briarladder-gateway/src/request/dispatch.rs
+++ b/crates/briarladder-gateway/src/request/dispatch.rs
@@ -10,8 +10,10 @@
 use http::Response;
 
 use crate::{
-    blackboard::InFlightGuard,
     body::{RelayedBody, ResponseBody},
+    brittle_servers::wait_for_room,
+    context::Gateway,
+    in_flight::InFlightGuard,
     peers::places::borrow_place,
     refusal::Refusal,
 };
@@ -68,10 +70,7 @@
             return Err((Box::new(record), refused));
         }
         let zone = outgoing.prepared_inputs.zone();
-        let server = match choose_server(&gateway, &accepted, zone, &tried) {
-            Some(server) => Some(server),
-            None => borrow_place(&gateway, &accepted, &tried).await,
-        };
+        let server = find_server(&gateway, &accepted, zone, &tried).await;
         let Some(server) = server else {
             record
                 .cause
@@ -141,6 +140,22 @@
     Err((Box::new(record), refusal.into()))
 }
 
+/// Returns a server that has a place for a request now or will have one soon.
+async fn find_server(
+    gateway: &Gateway,
+    accepted: &AcceptedRequest,
+    zone: &str,
+    tried: &[Arc<str>],
+) -> Option<Arc<ListedServer>> {
+    if let Some(server) = choose_server(gateway, accepted, zone, tried) {
+        return Some(server);
+    }
+    if let Some(server) = borrow_place(gateway, accepted, tried).await {
+        return Some(server);
+    }
+    wait_for_room(gateway, accepted, zone, tried).await
+}
+
 /// Returns the refusal of a request that no server can be asked to run.
 fn refuse_without_server(
     outgoing: &OutgoingRequest,
--- a/crates/briarladder-gateway/src/request/extra_send.rs
+++ b/crates/briarladder-gateway/src/request/extra_send.rs
@@ -17,7 +17,7 @@
 };
 use tokio::time::{error::Elapsed, sleep_until, timeout_at};
 
-use crate::{blackboard::InFlightGuard, dialect::Prompt, metrics::Metrics};
+use crate::{dialect::Prompt, in_flight::InFlightGuard, metrics::Metrics};
 
 use super::{
     outgoing::{
@@ -161,7 +161,7 @@
         let blackboard = &outgoing.gateway.blackboard;
         Send {
             server: Arc::clone(server),
-            in_flight: blackboard.track_in_flight(&server.name),
+            in_flight: blackboard.track_in_flight(server),
             sent_at: blackboard.now(),
         }
     }
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -402,6 +402,7 @@
             blackboard.record_availability(server, &info);
         }
         blackboard.record_limit(server, sent_at, info.limit, is_own);
+        blackboard.record_brittle(server, sent_at, &info, is_own);
         self.classify(server, response).await
     }
 
--- a/crates/briarladder-gateway/src/request/resume.rs
+++ b/crates/briarladder-gateway/src/request/resume.rs
@@ -32,8 +32,8 @@
 use tokio::{sync::mpsc, time::timeout_at};
 
 use crate::{
-    blackboard::InFlightGuard,
     body::{RelayError, ResumableBody, STREAM_CUT_CAUSE},
+    in_flight::InFlightGuard,
 };
 
 use super::{
@@ -419,7 +419,7 @@
             self.record.software_version.as_deref().unwrap_or("-")
         );
         self.record.record_attempt(&server);
-        let in_flight = blackboard.track_in_flight(&server.name);
+        let in_flight = blackboard.track_in_flight(&server);
         let last_event_id = self.splitter.last_id();
         let sent = timeout_at(
             accepted.deadline.into(),
--- a/crates/briarladder-gateway/src/server_limits.rs
+++ b/crates/briarladder-gateway/src/server_limits.rs
@@ -79,12 +79,13 @@
 
 impl PlaceFinder<'_> {
     /// Returns when this daemon may next send to a server; `None` if the
-    /// server has no limit and isn't cold.
+    /// server has no limit and is neither cold nor brittle.
     #[must_use]
     pub fn next_place_at(&self, server: &ListedServer) -> Option<Instant> {
         let PlaceFinder { blackboard, time } = *self;
         let cold = blackboard.next_cold_place_at(time.now, server);
-        self.next_limited_place_at(server).max(cold)
+        let room = blackboard.next_room_at(time.now, server);
+        self.next_limited_place_at(server).max(cold).max(room)
     }
 
     fn next_limited_place_at(&self, server: &ListedServer) -> Option<Instant> {
@@ -119,21 +120,26 @@
     /// Takes a place at a server, and returns whether there was one.
     #[must_use = "a request may only be sent if it got a place"]
     pub fn take(&self, server: &ListedServer) -> bool {
-        let PlaceFinder { blackboard, time } = *self;
-        if !blackboard.is_limited(server) {
-            return true;
-        }
-        let mut limits = blackboard.limits.limits.borrow_mut();
-        let sharing = blackboard.sharing_of(server);
-        let members = blackboard.limit_members();
-        let taken = limits.take_place(time, server, sharing, &members)
-            && blackboard.take_cold_place(time.now, server);
-        if taken {
+        let blackboard = self.blackboard;
+        let is_limited = blackboard.is_limited(server);
+        let taken = !is_limited || self.take_limited(server);
+        let is_shared = is_limited
+            || blackboard.next_room_at(self.time.now, server).is_some();
+        if taken && is_shared {
             let mut demand = blackboard.limits.urgent_demand.borrow_mut();
             demand.record_taken(&server.service);
         }
         taken
     }
+
+    fn take_limited(&self, server: &ListedServer) -> bool {
+        let PlaceFinder { blackboard, time } = *self;
+        let mut limits = blackboard.limits.limits.borrow_mut();
+        let sharing = blackboard.sharing_of(server);
+        let members = blackboard.limit_members();
+        limits.take_place(time, server, sharing, &members)
+            && blackboard.take_cold_place(time.now, server)
+    }
 }
 
 impl Blackboard {
@@ -231,6 +237,7 @@
             .filter(|server| {
                 limits.limit_per_s(time.now, server).is_some()
                     || self.is_cold(server)
+                    || self.next_room_at(time.now, server).is_some()
             })
             .filter(|server| self.sharing_of(server) == Sharing::Turns)
             .filter(|server| may_run_at(server))
@@ -251,6 +258,9 @@
         if holders.is_empty() {
             holders = self.cold_holders(time.now, server);
         }
+        if holders.is_empty() {
+            holders = self.room_holders(server);
+        }
         let addresses: Vec<SocketAddr> = holders
             .iter()
             .filter_map(|name| peers.address_of(time.now, name))
@@ -270,14 +280,17 @@
         }
     }
 
-    /// Returns what to tell another daemon about limits.
+    /// Returns what to tell another daemon about limits and brittle services.
     #[must_use]
     pub fn limit_notices(&self) -> Vec<LimitNotice> {
-        self.limits.limits.borrow_mut().notices(self.now())
+        let mut notices = self.brittle_notices();
+        notices.extend(self.limits.limits.borrow_mut().notices(self.now()));
+        notices
     }
 
-    /// Merges what another daemon has told about limits.
+    /// Merges what another daemon has told about limits and brittle services.
     pub fn merge_limits(&self, notices: &[LimitNotice]) {
+        self.merge_brittle(notices);
         let now = self.now();
         let changes = self.limits.limits.borrow_mut().merge(now, notices);
         self.announce(&changes);
@@ -341,7 +354,7 @@
         }
     }
 
-    fn limit_members(&self) -> LimitMembers {
+    pub(crate) fn limit_members(&self) -> LimitMembers {
         let peers = self.peers.borrow();
         let version = peers.present_version();
         let mut copied = self.limits.members.borrow_mut();
--- a/crates/briarladder-gateway/src/stages/batcher/calls.rs
+++ b/crates/briarladder-gateway/src/stages/batcher/calls.rs
@@ -234,6 +234,7 @@
         let is_first = connection.connect_time().is_some();
         let limit = info.limit;
         self.blackboard.record_limit(server, sent_at, limit, is_first);
+        self.blackboard.record_brittle(server, sent_at, &info, is_first);
         let body = bounded_body::read_body(body, MAX_RESPONSE_BYTES).await;
         let body =
             body.map_err(|error| CallFailure::Sent(error.to_string()))?;
