--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -4,7 +4,7 @@
 //! tasks run on one thread, so a reader sees a consistent state until it
 //! awaits.
 
-mod in_flight;
+mod prefill;
 
 use std::{
     cell::{Cell, RefCell},
@@ -44,12 +44,13 @@
 use tokio::sync::Notify;
 
 use crate::{
-    cold_start::ColdStartState, dialect::ResponseHead,
+    brittle_servers::BrittleState, cold_start::ColdStartState,
+    dialect::ResponseHead, in_flight::InFlightState,
     request::cache_evidence::CacheListings, server_limits::LimitState,
     settings::GatewaySettings, stream_versions::StreamVersions,
 };
 
-pub use in_flight::{InFlightGuard, PrefillGuard};
+pub use prefill::PrefillGuard;
 
 /// The phase of a process between start and exit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -147,6 +148,8 @@
     pub availability: RefCell<ServerAvailability>,
     /// Limits that servers have named; owner: the request path.
     pub(crate) limits: LimitState,
+    /// Services whose servers are brittle; owner: the request path.
+    pub(crate) brittle: BrittleState,
     /// How long new requests wait for each service at each coordinator;
     /// owner: the membership controller.
     pub stage_waits: RefCell<StageWaitTable>,
@@ -168,7 +171,7 @@
     pub placement: RefCell<Placement>,
     /// Requests of this daemon in flight at each server; owner: the request
     /// path.
-    in_flight: RefCell<SortedMap<Arc<str>, usize>>,
+    pub(crate) in_flight: InFlightState,
     /// Retry budgets by service; owner: the request path.
     retry_budgets: RefCell<SortedMap<Arc<str>, RetryBudget>>,
     retry_budget_config: RetryBudgetConfig,
@@ -234,6 +237,7 @@
             cache_listings: CacheListings::default(),
             crash_tracker: RefCell::default(),
             limits: LimitState::new(started_at),
+            brittle: BrittleState::default(),
             cold_start: ColdStartState::new(settings, started_at),
             peers: RefCell::new(PeerTable::new(local_member)),
             stage_waits: RefCell::default(),
@@ -242,7 +246,7 @@
             started_at,
             max_change_delay: settings.max_change_delay(),
             placement: RefCell::new(Placement::new(settings.region_map())),
-            in_flight: RefCell::default(),
+            in_flight: InFlightState::default(),
             retry_budgets: RefCell::default(),
             retry_budget_config: settings.retry_budget,
             hedging: RefCell::new(Hedging::new(settings.extra_send_ratio)),
