--- a/crates/briarladder-gateway/src/caller_stream.rs
+++ b/crates/briarladder-gateway/src/caller_stream.rs
@@ -56,6 +56,15 @@
         CallerStream { stream, connection, progress, read_ahead, is_blocked }
     }
 
+    /// Returns the bytes that no request has taken: those that were read from
+    /// the stream, then those that it holds.
+    pub fn into_unread(self, read: Bytes) -> Bytes {
+        if self.read_ahead.is_empty() {
+            return read;
+        }
+        Bytes::from([&read[..], &self.read_ahead[..]].concat())
+    }
+
     fn record_write<T>(&mut self, written: Poll<T>) -> Poll<T> {
         if written.is_ready() && self.progress.stage() == Stage::Idle {
             self.progress.record_written(self.connection.now());
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -177,6 +177,7 @@
             served = serve_in_time(
                 Pin::new(&mut connection),
                 gateway,
+                caller,
                 progress,
                 max_head_bytes,
             ) => served,
@@ -186,6 +187,7 @@
                 let lingering = serve_in_time(
                     Pin::new(&mut connection),
                     gateway,
+                    caller,
                     progress,
                     max_head_bytes,
                 );
@@ -199,6 +201,7 @@
                     serve_in_time(
                         connection,
                         gateway,
+                        caller,
                         progress,
                         max_head_bytes,
                     )
@@ -209,7 +212,9 @@
         match served {
             Served::Ended(end) => return end,
             Served::HeadLimitRaised => {
-                read_ahead = connection.into_parts().read_buf;
+                let parts = connection.into_parts();
+                let stream = parts.io.into_inner();
+                read_ahead = stream.into_unread(parts.read_buf);
             }
         }
     }
@@ -230,6 +235,7 @@
 async fn serve_in_time(
     mut connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
     gateway: &Gateway,
+    caller: &CallerConnection,
     progress: &ConnectionProgress,
     max_head_bytes: usize,
 ) -> Served {
@@ -240,6 +246,8 @@
         // Before what has arrived is read.
         if limits.max_header_bytes > max_head_bytes
             && progress.is_between_requests()
+            // hyper has yet to end the connection behind such a body.
+            && !caller.has_unread_body()
             && blackboard.shutdown().is_none()
         {
             return Poll::Ready(Served::HeadLimitRaised);
