--- a/crates/briarladder-core/src/fleet/server_paths/mod.rs
+++ b/crates/briarladder-core/src/fleet/server_paths/mod.rs
@@ -122,8 +122,10 @@
     lost: SortedMap<Arc<str>, LostPath>,
     /// When a server last answered on a connection from this daemon.
     answered_at: Option<Instant>,
-    /// Names of services with a listed server.
+    /// The number of services with a listed server.
     service_count: usize,
+    /// The version of the listing that they were counted in.
+    servers_version: Option<u64>,
     probed_unknown_at: Option<Instant>,
     /// Servers whose connections have just broken.
     broken: Vec<(Arc<str>, Instant)>,
@@ -288,11 +290,14 @@
     /// Forgets servers that are not listed any more, and those that have not
     /// been used for a while.
     pub fn update(&mut self, now: Instant, servers: &Servers) {
-        let mut services: Vec<&str> =
-            servers.iter().map(|server| &*server.service).collect();
-        services.sort_unstable();
-        services.dedup();
-        self.service_count = services.len();
+        if self.servers_version != Some(servers.change_count()) {
+            self.servers_version = Some(servers.change_count());
+            let mut services: Vec<&str> =
+                servers.iter().map(|server| &*server.service).collect();
+            services.sort_unstable();
+            services.dedup();
+            self.service_count = services.len();
+        }
         self.lost.retain(|name, path| {
             let used_at = path.relayed_at.unwrap_or(path.failed_at);
             let used_at = used_at.max(path.failed_at);
