--- a/crates/briarladder-core/src/fleet/caller_memory/tests.rs
+++ b/crates/briarladder-core/src/fleet/caller_memory/tests.rs
@@ -144,3 +144,18 @@
     assert_eq!(few.budget_bytes, DEFAULT_BUDGET_BYTES);
     assert_eq!(few.max_connections, MIN_CONNECTIONS);
 }
+
+/// Guards against a connection that is closed at once to make room while the
+/// end of its answer, for which nothing is charged any more, is unwritten.
+#[test]
+fn connection_room_spares_unwritten_answer() {
+    let mut memory = memory(MIB, 1);
+    let now = Instant::now();
+    let id = memory.open(now);
+    memory.set_activity(now, id, Activity::Idle);
+    memory.set_blocked(now, id, true);
+    let room = memory.make_connection_room(now + STALL_TIME / 2);
+    assert_eq!(room, ConnectionRoom::None);
+    let room = memory.make_connection_room(now + STALL_TIME);
+    assert_eq!(room, ConnectionRoom::AfterClosing(id));
+}
