--- a/crates/briarladder-gateway/src/fair_stream.rs
+++ b/crates/briarladder-gateway/src/fair_stream.rs
@@ -1,4 +1,5 @@
-//! A stream that lets other tasks run while its peer sends without pause.
+//! A stream that bounds what its reader takes at once: other tasks run while
+//! its peer sends without pause, and the buffer of the reader stays small.
 //!
 //! hyper reads for as long as bytes are there until it has a head, and it
 //! skips informational heads. All tasks share one thread, so a server that
@@ -11,13 +12,18 @@
 };
 
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
     task::yield_now,
 };
 
 /// Bytes after which other tasks run. Most answers are shorter.
 const MAX_TURN_BYTES: usize = 32 * 1024;
 
+/// The most bytes of one read. hyper doubles its buffer, from 8 KiB on, when a
+/// read fills it, and reserves as much again behind a part that is in use. The
+/// buffers of many answers then took 48 KiB each, which no account counts.
+const MAX_READ_BYTES: u64 = 16 * 1024 - 1;
+
 /// A stream that is read in turns of [`MAX_TURN_BYTES`] and one read.
 #[derive(Debug)]
 pub(crate) struct FairStream<S> {
@@ -49,7 +55,8 @@
             return pin!(yield_now()).poll(context).map(Ok);
         }
         let filled_before = buffer.filled().len();
-        let read = Pin::new(&mut self.inner).poll_read(context, buffer);
+        let mut limited = (&mut self.inner).take(MAX_READ_BYTES);
+        let read = Pin::new(&mut limited).poll_read(context, buffer);
         if read.is_pending() {
             self.turn_bytes = 0;
         }
--- a/crates/briarladder-gateway/src/pool/tests.rs
+++ b/crates/briarladder-gateway/src/pool/tests.rs
@@ -27,6 +27,9 @@
 /// the buffer of a head.
 const MAX_TURN_BYTES: usize = 128 * 1024;
 
+/// What is held of an answer that is read piece by piece.
+const MAX_FRAME_BYTES: usize = 16 * 1024;
+
 /// A peer that answers with the same bytes without end or pause.
 struct EndlessStream {
     repeated: &'static [u8],
@@ -110,6 +113,33 @@
     test.await;
 }
 
+/// Guards against read buffers that grow with the length of an answer, so that
+/// many long answers at once take far more memory than is counted.
+#[tokio::test]
+async fn handshake_long_answer_small_buffers() {
+    let stream = EndlessStream {
+        repeated: b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n",
+        is_requested: false,
+        read_bytes: Rc::default(),
+    };
+    let connection_tasks = LocalSet::new();
+    let test = connection_tasks.run_until(async move {
+        let (mut sender, connection) = handshake(stream).await.unwrap();
+        let _reading = spawn_local(connection);
+        let request = Request::new(Full::default());
+        let response = sender.send_request(request).await.unwrap();
+        let mut body = response.into_body();
+        let mut body_bytes = 0;
+        while let Some(frame) = body.frame().await {
+            let data = frame.unwrap().into_data().unwrap();
+            assert!(data.len() < MAX_FRAME_BYTES, "{} bytes", data.len());
+            body_bytes += data.len();
+        }
+        assert_eq!(body_bytes, 1_000_000);
+    });
+    test.await;
+}
+
 /// Guards against an answer over another daemon that counts as whole although
 /// its server had not received the request, or had not read it.
 #[tokio::test]
