--- a/crates/briarladder-core/src/fleet/caller_memory.rs
+++ b/crates/briarladder-core/src/fleet/caller_memory.rs
@@ -2,8 +2,8 @@
 //!
 //! All bytes that the process holds for callers count against one budget: the
 //! bodies of requests until the last copy is dropped, replies that are held
-//! whole, and a fixed amount for each connection, its head included. Bytes
-//! count when room for them is allocated, so that an announced length that
+//! whole, and a fixed amount for each connection, its head included, and for
+//! each request that runs. Bytes count when room for them is allocated, so that an announced length that
 //! never comes costs nothing.
 //!
 //! When the budget is used up, callers that make no progress are turned away
@@ -45,17 +45,25 @@
 /// of the head and the buffer of what is being written.
 pub const CONNECTION_BYTES: usize = 32 * 1024;
 
+/// The memory of a request that runs, without its body: its future, which is
+/// boxed, the call to a server, and the buffers of the connection to it.
+pub const RUN_BYTES: usize = 24 * 1024;
+
 /// The memory of a reply that is passed on as it arrives, which fills the
 /// buffers of both connections if the caller does not read.
 pub const RELAY_BYTES: usize = 48 * 1024;
 
-/// A request that holds no more than this is small.
+/// A request that holds no more than this is small, without [`RUN_BYTES`].
 pub const SMALL_REQUEST_BYTES: usize = 128 * 1024;
 
 /// The fraction of the budget that large requests leave to small ones is one
 /// over this.
 const RESERVE_DIVISOR: usize = 4;
 
+/// The fraction of the budget that requests which run leave to connections is
+/// one over this, so that further requests are accepted and refused.
+const CONNECTION_RESERVE_DIVISOR: usize = 8;
+
 /// A body that has grown by less than this has made no progress. Otherwise,
 /// single bytes would keep a large body from counting as stalled.
 const PROGRESS_STEP_BYTES: usize = 4 * 1024;
@@ -398,16 +406,49 @@
         let Some(connection) = self.connections.get(&id) else {
             return Err(CallerMemoryExhausted);
         };
-        if connection.evicted {
-            return Err(CallerMemoryExhausted);
-        }
         let is_small = connection.held_bytes + bytes <= SMALL_REQUEST_BYTES;
-        let budget_bytes = self.limits.budget_bytes;
-        let limit_bytes = if is_small {
-            budget_bytes
-        } else {
-            budget_bytes - budget_bytes / RESERVE_DIVISOR
+        let reserve_bytes = self.reserve_bytes(is_small);
+        self.charge_beside(now, id, bytes, is_small, reserve_bytes)
+    }
+
+    /// Charges [`RUN_BYTES`] to a connection whose request is about to run.
+    /// Returns the connections that must end to make room for them.
+    ///
+    /// # Errors
+    ///
+    /// If there is no room, and no connection that may be turned away for it.
+    pub fn charge_run(
+        &mut self,
+        now: Instant,
+        id: ConnectionId,
+    ) -> Result<Vec<ConnectionId>, CallerMemoryExhausted> {
+        let Some(connection) = self.connections.get(&id) else {
+            return Err(CallerMemoryExhausted);
         };
+        let is_small = !connection.is_large();
+        let reserve_bytes = self
+            .reserve_bytes(is_small)
+            .max(self.limits.budget_bytes / CONNECTION_RESERVE_DIVISOR);
+        self.charge_beside(now, id, RUN_BYTES, is_small, reserve_bytes)
+    }
+
+    /// Returns what a request leaves to small ones.
+    fn reserve_bytes(&self, is_small: bool) -> usize {
+        if is_small { 0 } else { self.limits.budget_bytes / RESERVE_DIVISOR }
+    }
+
+    fn charge_beside(
+        &mut self,
+        now: Instant,
+        id: ConnectionId,
+        bytes: usize,
+        is_small: bool,
+        reserve_bytes: usize,
+    ) -> Result<Vec<ConnectionId>, CallerMemoryExhausted> {
+        if self.is_evicted(id) {
+            return Err(CallerMemoryExhausted);
+        }
+        let limit_bytes = self.limits.budget_bytes - reserve_bytes;
         let wanted_bytes = self.held_bytes - self.evicted_bytes + bytes;
         let excess_bytes = wanted_bytes.saturating_sub(limit_bytes);
         let victims = self.select_victims(now, id, is_small, excess_bytes)?;
--- a/crates/briarladder-core/src/fleet/caller_memory/tests.rs
+++ b/crates/briarladder-core/src/fleet/caller_memory/tests.rs
@@ -87,6 +87,55 @@
     assert_eq!(memory.charge(now, next, 2 * MIB), Ok(vec![running]));
 }
 
+/// Guards against requests under way that are not counted, or that leave no
+/// room for connections whose requests are then refused.
+#[test]
+fn charge_run_leaves_connections() {
+    let mut memory = memory(8 * MIB, 1000);
+    let now = Instant::now();
+    let mut running = 0;
+    loop {
+        let id = receive(&mut memory, now);
+        if memory.charge_run(now, id).is_err() {
+            memory.close(id);
+            break;
+        }
+        memory.set_activity(now, id, Activity::Running);
+        running += 1;
+    }
+    let run_bytes = running * (CONNECTION_BYTES + RUN_BYTES);
+    assert_eq!(memory.held_bytes(), run_bytes);
+    assert!(run_bytes > 6 * MIB, "{running} requests run");
+    let room = memory.make_connection_room(now);
+    assert_eq!(room, ConnectionRoom::Available);
+    let free_bytes = 8 * MIB - memory.held_bytes();
+    assert!(free_bytes >= MIB, "{free_bytes} bytes");
+}
+
+/// Guards against a small body that counts as large because its request runs.
+#[test]
+fn charge_run_keeps_small() {
+    let mut memory = memory(16 * MIB, 1000);
+    let now = Instant::now();
+    let large = receive(&mut memory, now);
+    memory.charge(now, large, 11 * MIB + MIB / 8).unwrap();
+    memory.set_activity(now, large, Activity::Running);
+    let other = receive(&mut memory, now);
+    memory.charge(now, other, MIB / 2).unwrap();
+    memory.set_activity(now, other, Activity::Running);
+    let small = receive(&mut memory, now);
+    memory.charge(now, small, SMALL_REQUEST_BYTES).unwrap();
+    let next = receive(&mut memory, now);
+    memory.charge(now, next, SMALL_REQUEST_BYTES).unwrap();
+    assert!(
+        memory.held_bytes() >= 12 * MIB,
+        "the part for large ones is used up"
+    );
+    assert_eq!(memory.charge_run(now, next), Ok(vec![]));
+    assert_eq!(memory.charge_run(now, small), Ok(vec![]));
+    assert_eq!(memory.charge_run(now, other), Err(CallerMemoryExhausted));
+}
+
 /// Guards against silent connections that keep ordinary callers out, and
 /// against a connection with a request that makes way for another one.
 #[test]
--- a/crates/briarladder-gateway/src/caller_memory.rs
+++ b/crates/briarladder-gateway/src/caller_memory.rs
@@ -18,7 +18,7 @@
     clock::SharedClock,
     fleet::caller_memory::{
         Activity, CallerMemory as Account, CallerMemoryExhausted,
-        CallerMemoryLimits, ConnectionId, ConnectionRoom,
+        CallerMemoryLimits, ConnectionId, ConnectionRoom, RUN_BYTES,
     },
     sorted::SortedMap,
 };
@@ -194,6 +194,32 @@
         }
     }
 
+    /// Charges bytes, and tells the connections to end that make room for them.
+    fn charge_with(
+        &self,
+        charge: impl FnOnce(
+            &mut Account,
+            Instant,
+        )
+            -> Result<Vec<ConnectionId>, CallerMemoryExhausted>,
+    ) -> Result<(), CallerMemoryExhausted> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let charged = charge(&mut state.account, now);
+        let turned_away = match &charged {
+            Ok(victims) => victims.len() as u64,
+            Err(CallerMemoryExhausted) => 1,
+        };
+        if turned_away > 0 {
+            state.status.turned_away_for_memory += turned_away;
+            state.log(now);
+        }
+        for victim in charged? {
+            state.notify(victim);
+        }
+        Ok(())
+    }
+
     /// Returns whether there is room for one more connection, and otherwise
     /// closes one if it may.
     fn make_room(&self) -> bool {
@@ -298,6 +324,17 @@
         Ok(charge)
     }
 
+    /// Charges what a request needs to run, until the charge is dropped.
+    ///
+    /// # Errors
+    ///
+    /// If there is no room for it.
+    pub fn charge_run(&self) -> Result<Charge, CallerMemoryExhausted> {
+        let memory = Arc::clone(&self.memory);
+        memory.charge_with(|account, now| account.charge_run(now, self.id))?;
+        Ok(Charge { memory, id: self.id, bytes: RUN_BYTES })
+    }
+
     /// Charges bytes that were received for the caller, until their last copy
     /// is dropped.
     ///
@@ -338,25 +375,14 @@
         &mut self,
         bytes: usize,
     ) -> Result<(), CallerMemoryExhausted> {
-        let mut state = self.memory.lock();
         if bytes <= self.bytes {
+            let mut state = self.memory.lock();
             state.account.release(self.id, self.bytes - bytes);
-            self.bytes = bytes;
-            return Ok(());
-        }
-        let now = self.memory.clock.now();
-        let more_bytes = bytes - self.bytes;
-        let charged = state.account.charge(now, self.id, more_bytes);
-        let turned_away = match &charged {
-            Ok(victims) => victims.len() as u64,
-            Err(CallerMemoryExhausted) => 1,
-        };
-        if turned_away > 0 {
-            state.status.turned_away_for_memory += turned_away;
-            state.log(now);
-        }
-        for victim in charged? {
-            state.notify(victim);
+        } else {
+            let more_bytes = bytes - self.bytes;
+            self.memory.charge_with(|account, now| {
+                account.charge(now, self.id, more_bytes)
+            })?;
         }
         self.bytes = bytes;
         Ok(())
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -150,6 +150,10 @@
         let refused = RequestRefusal { refusal, retry_after: Some(wait) };
         return refuse(record, refused, Some(&accepted));
     }
+    let Ok(run_charge) = connection.charge_run() else {
+        let refused = Refusal::MemoryUsedUp.into();
+        return refuse(record, refused, Some(&accepted));
+    };
     let restriction = restrict_to_origin(gateway, &mut accepted);
     let restricted = tokio::select! {
         restricted = timeout_at(head_deadline, restriction) => restricted
@@ -181,6 +185,7 @@
         body,
         prepared_inputs: Rc::new(inputs),
         sent: Rc::default(),
+        run_charge: Rc::new(run_charge),
     };
     let accepted = Rc::clone(&outgoing.accepted);
     let sent = Rc::clone(&outgoing.sent);
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -20,6 +20,7 @@
 use crate::{
     blackboard::PrefillGuard,
     bounded_body::{self, BodyPrefix, read_reply_prefix},
+    caller_memory::Charge,
     context::Gateway,
     dialect::{Dispatch, Prompt, ResponseHead},
     metrics::Metrics,
@@ -58,6 +59,8 @@
     pub prepared_inputs: Rc<PreparedInputs>,
     /// Whether it was sent on a connection to a server, which may have run it.
     pub sent: Rc<Cell<bool>>,
+    /// The memory that it takes to run.
+    pub run_charge: Rc<Charge>,
 }
 
 /// A server's response whose head has arrived.
