--- a/crates/briarladder-gateway/src/receive_buffer.rs
+++ b/crates/briarladder-gateway/src/receive_buffer.rs
@@ -21,9 +21,10 @@
 
 use memmap2::MmapMut;
 
-/// Buffers of at least this capacity are mapped apart. Smaller ones are
-/// reused by the allocator well enough.
-const MIN_MAPPED_BYTES: usize = 64 * 1024;
+/// Buffers of at least this capacity are mapped apart. With 64 KiB, the many
+/// buffers of growing bodies left a heap that the allocator kept beside later
+/// mappings.
+const MIN_MAPPED_BYTES: usize = 16 * 1024;
 
 /// A buffer for received bytes.
 #[derive(Debug)]
--- a/crates/briarladder-gateway/src/receive_buffer/tests.rs
+++ b/crates/briarladder-gateway/src/receive_buffer/tests.rs
@@ -28,3 +28,15 @@
     assert!(matches!(buffer, ReceiveBuffer::Mapped { len: 5, .. }));
     assert_eq!(buffer.as_ref(), b"small");
 }
+
+/// Guards against buffers of bodies that grow which the allocator keeps: of
+/// many bodies, those between 16 and 64 KiB take the most memory.
+#[test]
+fn reserve_growing_mapped() {
+    for capacity in [16 * 1024, 32 * 1024] {
+        let mut buffer = ReceiveBuffer::default();
+        buffer.reserve(capacity);
+        assert!(matches!(buffer, ReceiveBuffer::Mapped { .. }), "{capacity}");
+        assert_eq!(buffer.capacity(), capacity);
+    }
+}
