--- a/crates/briarladder-core/src/fleet/caller_memory.rs
+++ b/crates/briarladder-core/src/fleet/caller_memory.rs
@@ -196,6 +196,11 @@
         self.held_bytes > SMALL_REQUEST_BYTES
     }
 
+    /// Returns whether nothing is held or written for the caller.
+    fn is_unused(&self) -> bool {
+        self.held_bytes == 0 && self.blocked_since.is_none()
+    }
+
     /// Returns when it last made progress, and its rank among those that may
     /// be turned away; `None` if it may not be.
     fn eviction_order(&self, now: Instant) -> Option<(EvictionRank, Instant)> {
@@ -204,10 +209,10 @@
         }
         let rank = match self.activity {
             Activity::Closing => EvictionRank::Closing,
-            Activity::Idle if self.held_bytes == 0 => EvictionRank::Idle,
+            Activity::Idle if self.is_unused() => EvictionRank::Idle,
             Activity::Idle | Activity::Running => {
-                // A request under way is turned away only if its caller does
-                // not read the reply.
+                // A request under way, or whose answer is not all written, is
+                // turned away only if its caller does not read the reply.
                 let since = self.blocked_since?;
                 let is_stalled = now.duration_since(since) >= STALL_TIME;
                 return is_stalled.then_some((EvictionRank::Large, since));
