--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -298,3 +298,6 @@
     record.set_outcome(refusal.label());
     refusal.into_response(Some(wait))
 }
+
+#[cfg(test)]
+mod tests;
