Join the answers in the forms of earlier daemons

Callers see no change. Three modules held the answers to daemons that know no slots, no software versions and no evacuations; each repeated the fields and conversions of the one before it, so that a new form would copy them again.

Each form begins with the bytes of the form before it, so it now holds that form and adds its own items, in one module. The paths and all bytes are unchanged. The answers of daemons without eras have other fields and stay in their own module.

Tests: earlier_forms_hold_items is new and compares each form, with items of each kind, with its fields encoded one by one, and what is read of it. The other tests of these messages change only in their imports.

--- a/crates/briarladder-gateway/src/peers/changes/tests.rs
+++ b/crates/briarladder-gateway/src/peers/changes/tests.rs
@@ -4,10 +4,10 @@
 
 use super::*;
 use crate::peers::{
+    earlier_changes::{
+        EvacuationlessResponse, SlotlessResponse, VersionlessResponse,
+    },
     eraless_changes::{EralessRequest, EralessResponse},
-    evacuationless_changes::EvacuationlessResponse,
-    slotless_changes::SlotlessResponse,
-    versionless_changes::VersionlessResponse,
 };
 
 const ERA: u64 = 2;
@@ -315,3 +315,64 @@
         read.into_servers().into_iter().filter_map(|entry| entry.server);
     assert!(servers.all(|server| server.slots == 0));
 }
+
+/// Returns an answer that holds items of each kind.
+fn response_with_all_items() -> ChangesResponse {
+    let all = request(StoreVersion::default());
+    let mut response =
+        ChangesResponse::new(&mirror_with_evacuation(), &all, true);
+    let mut cold =
+        ServerEntry { cold_left: Duration::from_secs(2), ..server(2) };
+    let listed = cold.server.as_mut().unwrap();
+    listed.software_version = Arc::from("v1");
+    listed.slots = 6;
+    let removed = ServerEntry { server: None, ..server(3) };
+    response.extend(&[cold, removed]);
+    response
+}
+
+/// Guards against answers to daemons of earlier versions in which these read
+/// other items than were sent, and against items of their answers that are
+/// lost, or that count as complete.
+#[test]
+fn earlier_forms_hold_items() {
+    let sent = response_with_all_items();
+    let encode =
+        |response: &ChangesResponse| postcard::to_stdvec(response).unwrap();
+    let mut bytes = postcard::to_stdvec(&(
+        sent.complete,
+        sent.version,
+        sent.in_contact,
+        &sent.config,
+        &sent.names,
+        &sent.servers,
+        &sent.removed,
+    ))
+    .unwrap();
+    let form = EvacuationlessResponse::from(sent.clone());
+    assert_eq!(postcard::to_stdvec(&form).unwrap(), bytes);
+    let read: EvacuationlessResponse = postcard::from_bytes(&bytes).unwrap();
+    let mut known = ChangesResponse {
+        version: StoreVersion { era: 0, revision: 400_002 },
+        evacuated: None,
+        cold: Vec::new(),
+        software_versions: Vec::new(),
+        slots: Vec::new(),
+        ..sent.clone()
+    };
+    assert_eq!(encode(&read.into()), encode(&known));
+
+    bytes.extend(postcard::to_stdvec(&(&sent.evacuated, &sent.cold)).unwrap());
+    let form = VersionlessResponse::from(sent.clone());
+    assert_eq!(postcard::to_stdvec(&form).unwrap(), bytes);
+    let read: VersionlessResponse = postcard::from_bytes(&bytes).unwrap();
+    known.cold.clone_from(&sent.cold);
+    assert_eq!(encode(&read.into()), encode(&known));
+
+    bytes.extend(postcard::to_stdvec(&sent.software_versions).unwrap());
+    let form = SlotlessResponse::from(sent.clone());
+    assert_eq!(postcard::to_stdvec(&form).unwrap(), bytes);
+    let read: SlotlessResponse = postcard::from_bytes(&bytes).unwrap();
+    known.software_versions = sent.software_versions;
+    assert_eq!(encode(&read.into()), encode(&known));
+}
--- a/crates/briarladder-gateway/src/peers/client.rs
+++ b/crates/briarladder-gateway/src/peers/client.rs
@@ -11,10 +11,12 @@
 use crate::{bounded_body::read_body, pool::ConnectionPool};
 
 use super::{
-    changes::CHANGES_PATH, eraless_changes::ERALESS_CHANGES_PATH,
-    evacuationless_changes::EVACUATIONLESS_CHANGES_PATH,
-    slotless_changes::SLOTLESS_CHANGES_PATH,
-    versionless_changes::VERSIONLESS_CHANGES_PATH,
+    changes::CHANGES_PATH,
+    earlier_changes::{
+        EVACUATIONLESS_CHANGES_PATH, SLOTLESS_CHANGES_PATH,
+        VERSIONLESS_CHANGES_PATH,
+    },
+    eraless_changes::ERALESS_CHANGES_PATH,
 };
 
 /// A call to a peer that failed.
--- a/crates/briarladder-gateway/src/peers/mod.rs
+++ b/crates/briarladder-gateway/src/peers/mod.rs
@@ -9,13 +9,11 @@
 pub mod changes;
 pub mod client;
 mod crashes;
+pub mod earlier_changes;
 pub mod eraless_changes;
-pub mod evacuationless_changes;
 pub mod membership;
 pub mod messages;
 pub mod places;
 pub mod server;
-pub mod slotless_changes;
 pub mod stream_origins;
-pub mod versionless_changes;
 pub mod watchdog;
--- a/crates/briarladder-gateway/src/peers/server.rs
+++ b/crates/briarladder-gateway/src/peers/server.rs
@@ -17,10 +17,12 @@
 use super::{
     changes::{CHANGES_PATH, ChangesRequest, ChangesResponse},
     crashes,
-    eraless_changes::{ERALESS_CHANGES_PATH, EralessRequest, EralessResponse},
-    evacuationless_changes::{
+    earlier_changes::{
         EVACUATIONLESS_CHANGES_PATH, EvacuationlessResponse,
+        SLOTLESS_CHANGES_PATH, SlotlessResponse, VERSIONLESS_CHANGES_PATH,
+        VersionlessResponse,
     },
+    eraless_changes::{ERALESS_CHANGES_PATH, EralessRequest, EralessResponse},
     membership,
     messages::{
         Ack, CHECK_PATH, COMPARE_CRASHES_PATH, COMPARE_PATH,
@@ -33,12 +35,10 @@
         WAITS_EXCHANGE_PATH, WaitsEnvelope,
     },
     places,
-    slotless_changes::{SLOTLESS_CHANGES_PATH, SlotlessResponse},
     stream_origins::{
         FIND_ORIGIN_PATH, FindOrigin, FoundOrigin, ORIGINS_PATH, OriginList,
         VERSIONS_PATH, VersionsAnswer, VersionsRequest,
     },
-    versionless_changes::{VERSIONLESS_CHANGES_PATH, VersionlessResponse},
 };
 
 /// The longest message of a peer. It fits the references of the largest
--- a/crates/briarladder-gateway/src/store/peer_source.rs
+++ b/crates/briarladder-gateway/src/store/peer_source.rs
@@ -23,14 +23,14 @@
     peers::{
         changes::{CHANGES_PATH, ChangesRequest, ChangesResponse},
         client::PeerError,
+        earlier_changes::{
+            EVACUATIONLESS_CHANGES_PATH, EvacuationlessResponse,
+            SLOTLESS_CHANGES_PATH, SlotlessResponse, VERSIONLESS_CHANGES_PATH,
+            VersionlessResponse,
+        },
         eraless_changes::{
             ERALESS_CHANGES_PATH, EralessRequest, EralessResponse,
         },
-        evacuationless_changes::{
-            EVACUATIONLESS_CHANGES_PATH, EvacuationlessResponse,
-        },
-        slotless_changes::{SLOTLESS_CHANGES_PATH, SlotlessResponse},
-        versionless_changes::{VERSIONLESS_CHANGES_PATH, VersionlessResponse},
     },
 };
 
