Start the platform's daemon beside variables of the plain one

briarladderd platform stopped with "the following required argument was not provided: vm" when a variable of the plain daemon was set, such as BRIARLADDER_PEER_KEY, which README.md exports shortly before that command.

Cause: clap counts the optional group of flags as given when a variable sets one of them, and then wants the required ones, also beside a subcommand.

Change: the group is read only if there is no subcommand. Without flags and subcommand, the missing flags are now named.

--- a/crates/briarladder-daemon/src/main.rs
+++ b/crates/briarladder-daemon/src/main.rs
@@ -8,7 +8,7 @@
     PlatformDialect,
     settings::{self, DEFAULT_METRICS_PORT, SETTINGS_VARIABLE},
 };
-use clap::{Args, Parser, Subcommand};
+use clap::{ArgMatches, Args, FromArgMatches, Parser, Subcommand};
 
 /// The daemon of an entry VM.
 ///
@@ -22,10 +22,45 @@
     subcommand_negates_reqs = true
 )]
 struct Cli {
+    // Before the subcommand, which is taken out of the matches.
+    #[command(flatten)]
+    settings: PlainSettings,
     #[command(subcommand)]
     command: Option<Command>,
-    #[command(flatten)]
-    settings: Option<Settings>,
+}
+
+/// The settings of the daemon without a subcommand. A variable of one of them
+/// may also be set beside a subcommand, where none of them is needed.
+#[derive(Debug)]
+struct PlainSettings(Option<Settings>);
+
+impl FromArgMatches for PlainSettings {
+    fn from_arg_matches(
+        matches: &ArgMatches,
+    ) -> Result<PlainSettings, clap::Error> {
+        if matches.subcommand_name().is_some() {
+            return Ok(PlainSettings(None));
+        }
+        Settings::from_arg_matches(matches).map(Some).map(PlainSettings)
+    }
+
+    fn update_from_arg_matches(
+        &mut self,
+        matches: &ArgMatches,
+    ) -> Result<(), clap::Error> {
+        *self = PlainSettings::from_arg_matches(matches)?;
+        Ok(())
+    }
+}
+
+impl Args for PlainSettings {
+    fn augment_args(command: clap::Command) -> clap::Command {
+        Settings::augment_args(command)
+    }
+
+    fn augment_args_for_update(command: clap::Command) -> clap::Command {
+        Settings::augment_args_for_update(command)
+    }
 }
 
 #[derive(Debug, Subcommand)]
@@ -69,7 +104,7 @@
 
 fn main() -> anyhow::Result<()> {
     let cli = Cli::parse();
-    match (cli.command, cli.settings) {
+    match (cli.command, cli.settings.0) {
         (Some(Command::Platform(args)), _) => run_platform(args),
         (None, Some(settings)) => process::run(settings),
         (None, None) => {
