--- a/crates/briarladder-core/src/fleet/caller_memory.rs
+++ b/crates/briarladder-core/src/fleet/caller_memory.rs
@@ -2,8 +2,8 @@
 //!
 //! All bytes that the process holds for callers count against one budget: the
 //! bodies of requests until the last copy is dropped, replies that are held
-//! whole, and a fixed amount for each connection, its head included, and for
-//! each request that runs. Bytes count when room for them is allocated, so that an announced length that
+//! whole, a fixed amount for each connection, and what a request takes to run.
+//! Bytes count when room for them is allocated, so that an announced length that
 //! never comes costs nothing.
 //!
 //! When the budget is used up, callers that make no progress are turned away
@@ -45,24 +45,29 @@
 /// of the head and the buffer of what is being written.
 pub const CONNECTION_BYTES: usize = 32 * 1024;
 
-/// The memory of a request that runs, without its body: its future, which is
-/// boxed, the call to a server, and the buffers of the connection to it.
+/// The memory of a request that runs, without its head and its body: its
+/// future, and the connection to a server with its buffers.
 pub const RUN_BYTES: usize = 24 * 1024;
 
-/// The memory of a reply that is passed on as it arrives, which fills the
-/// buffers of both connections if the caller does not read.
-pub const RELAY_BYTES: usize = 48 * 1024;
+/// The memory of a reply that is passed on as it arrives, beside that of its
+/// request: what waits to be written if the caller does not read.
+pub const RELAY_BYTES: usize = 24 * 1024;
 
-/// A request that holds no more than this is small, without [`RUN_BYTES`].
+/// A request that holds no more than this is small. What it takes to run does
+/// not count.
 pub const SMALL_REQUEST_BYTES: usize = 128 * 1024;
 
 /// The fraction of the budget that large requests leave to small ones is one
 /// over this.
 const RESERVE_DIVISOR: usize = 4;
 
-/// The fraction of the budget that requests which run leave to connections is
-/// one over this, so that further requests are accepted and refused.
-const CONNECTION_RESERVE_DIVISOR: usize = 8;
+/// The fraction of the budget that requests which run leave free is one over
+/// this, so that further requests are accepted and refused.
+const RUN_RESERVE_DIVISOR: usize = 8;
+
+/// The same for replies that are passed on, which leave room for further
+/// requests to run.
+const RELAY_RESERVE_DIVISOR: usize = 4;
 
 /// A body that has grown by less than this has made no progress. Otherwise,
 /// single bytes would keep a large body from counting as stalled.
@@ -170,6 +175,8 @@
     activity: Activity,
     /// The bytes of bodies and replies, without [`CONNECTION_BYTES`].
     held_bytes: usize,
+    /// What its request takes to run.
+    run_bytes: usize,
     /// The received bytes since the last progress.
     bytes_since_progress: usize,
     /// When the activity last changed or the body last grew.
@@ -196,9 +203,23 @@
         self.held_bytes > SMALL_REQUEST_BYTES
     }
 
+    /// Returns what its request takes to run, with the connection; 0 if none
+    /// runs.
+    fn running_bytes(&self) -> usize {
+        match self.run_bytes {
+            0 => 0,
+            bytes => CONNECTION_BYTES + bytes,
+        }
+    }
+
     /// Returns whether nothing is held or written for the caller.
     fn is_unused(&self) -> bool {
-        self.held_bytes == 0 && self.blocked_since.is_none()
+        self.held_bytes + self.run_bytes == 0 && self.blocked_since.is_none()
+    }
+
+    /// Returns all that is charged to it.
+    fn total_bytes(&self) -> usize {
+        CONNECTION_BYTES + self.run_bytes + self.held_bytes
     }
 
     /// Returns when it last made progress, and its rank among those that may
@@ -210,9 +231,9 @@
         let rank = match self.activity {
             Activity::Closing => EvictionRank::Closing,
             Activity::Idle if self.is_unused() => EvictionRank::Idle,
+            // A request under way, or whose answer is not all written, is
+            // turned away only if its caller does not read the reply.
             Activity::Idle | Activity::Running => {
-                // A request under way, or whose answer is not all written, is
-                // turned away only if its caller does not read the reply.
                 let since = self.blocked_since?;
                 let is_stalled = now.duration_since(since) >= STALL_TIME;
                 return is_stalled.then_some((EvictionRank::Large, since));
@@ -234,6 +255,9 @@
     held_bytes: usize,
     /// The part of it that belongs to evicted connections.
     evicted_bytes: usize,
+    /// What requests take that run, with their connections, without evicted
+    /// ones.
+    running_bytes: usize,
 }
 
 impl CallerMemory {
@@ -247,6 +271,7 @@
             open_connections: 0,
             held_bytes: 0,
             evicted_bytes: 0,
+            running_bytes: 0,
         }
     }
 
@@ -320,6 +345,7 @@
         let connection = Connection {
             activity: Activity::Idle,
             held_bytes: 0,
+            run_bytes: 0,
             bytes_since_progress: 0,
             progress_at: now,
             blocked_since: None,
@@ -411,13 +437,28 @@
         let Some(connection) = self.connections.get(&id) else {
             return Err(CallerMemoryExhausted);
         };
+        if connection.evicted {
+            return Err(CallerMemoryExhausted);
+        }
         let is_small = connection.held_bytes + bytes <= SMALL_REQUEST_BYTES;
-        let reserve_bytes = self.reserve_bytes(is_small);
-        self.charge_beside(now, id, bytes, is_small, reserve_bytes)
+        let excess_bytes = self.excess_bytes(is_small, bytes);
+        let victims = self.select_victims(
+            now,
+            id,
+            is_small,
+            excess_bytes,
+            |_, connection| connection.total_bytes(),
+        )?;
+        self.evict_all(&victims);
+        self.held_bytes += bytes;
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.held_bytes += bytes;
+        }
+        Ok(victims)
     }
 
-    /// Charges [`RUN_BYTES`] to a connection whose request is about to run.
-    /// Returns the connections that must end to make room for them.
+    /// Charges what a request takes to run to its connection. Returns the
+    /// connections that must end to make room for it.
     ///
     /// # Errors
     ///
@@ -426,54 +467,101 @@
         &mut self,
         now: Instant,
         id: ConnectionId,
+        bytes: usize,
     ) -> Result<Vec<ConnectionId>, CallerMemoryExhausted> {
-        let Some(connection) = self.connections.get(&id) else {
-            return Err(CallerMemoryExhausted);
-        };
-        let is_small = !connection.is_large();
-        let reserve_bytes = self
-            .reserve_bytes(is_small)
-            .max(self.limits.budget_bytes / CONNECTION_RESERVE_DIVISOR);
-        self.charge_beside(now, id, RUN_BYTES, is_small, reserve_bytes)
+        self.charge_running(now, id, bytes, RUN_RESERVE_DIVISOR)
     }
 
-    /// Returns what a request leaves to small ones.
-    fn reserve_bytes(&self, is_small: bool) -> usize {
-        if is_small { 0 } else { self.limits.budget_bytes / RESERVE_DIVISOR }
+    /// Charges [`RELAY_BYTES`] to the connection of a request whose reply is
+    /// passed on as it arrives. Returns the connections that must end to make
+    /// room for it.
+    ///
+    /// # Errors
+    ///
+    /// If there is no room, and no connection that may be turned away for it.
+    pub fn charge_relay(
+        &mut self,
+        now: Instant,
+        id: ConnectionId,
+    ) -> Result<Vec<ConnectionId>, CallerMemoryExhausted> {
+        self.charge_running(now, id, RELAY_BYTES, RELAY_RESERVE_DIVISOR)
     }
 
-    fn charge_beside(
+    fn charge_running(
         &mut self,
         now: Instant,
         id: ConnectionId,
         bytes: usize,
-        is_small: bool,
-        reserve_bytes: usize,
+        reserve_divisor: usize,
     ) -> Result<Vec<ConnectionId>, CallerMemoryExhausted> {
-        if self.is_evicted(id) {
+        let Some(connection) = self.connections.get(&id) else {
+            return Err(CallerMemoryExhausted);
+        };
+        if connection.evicted {
             return Err(CallerMemoryExhausted);
         }
-        let limit_bytes = self.limits.budget_bytes - reserve_bytes;
-        let wanted_bytes = self.held_bytes - self.evicted_bytes + bytes;
-        let excess_bytes = wanted_bytes.saturating_sub(limit_bytes);
-        let victims = self.select_victims(now, id, is_small, excess_bytes)?;
-        for victim in &victims {
-            self.evict(*victim);
-        }
+        let is_small = !connection.is_large();
+        let added_bytes = match connection.run_bytes {
+            0 => CONNECTION_BYTES + bytes,
+            _ => bytes,
+        };
+        let budget_bytes = self.limits.budget_bytes;
+        let limit_bytes = budget_bytes - budget_bytes / reserve_divisor;
+        let running_bytes = self.running_bytes + added_bytes;
+        let mut victims = self.select_victims(
+            now,
+            id,
+            is_small,
+            running_bytes.saturating_sub(limit_bytes),
+            |_, connection| connection.running_bytes(),
+        )?;
+        let freed_bytes: usize = victims
+            .iter()
+            .filter_map(|victim| self.connections.get(victim))
+            .map(Connection::total_bytes)
+            .sum();
+        let excess_bytes = self.excess_bytes(is_small, bytes);
+        let more = self.select_victims(
+            now,
+            id,
+            is_small,
+            excess_bytes.saturating_sub(freed_bytes),
+            |other, connection| {
+                if victims.contains(&other) {
+                    0
+                } else {
+                    connection.total_bytes()
+                }
+            },
+        )?;
+        victims.extend(more);
+        self.evict_all(&victims);
         self.held_bytes += bytes;
+        self.running_bytes += added_bytes;
         if let Some(connection) = self.connections.get_mut(&id) {
-            connection.held_bytes += bytes;
+            connection.run_bytes += bytes;
         }
         Ok(victims)
     }
 
-    /// Selects connections that hold at least `excess_bytes` together.
+    /// Returns by how much more bytes would exceed the budget, of which large
+    /// requests leave a part to small ones.
+    fn excess_bytes(&self, for_small: bool, bytes: usize) -> usize {
+        let budget_bytes = self.limits.budget_bytes;
+        let reserve_bytes =
+            if for_small { 0 } else { budget_bytes / RESERVE_DIVISOR };
+        let wanted_bytes = self.held_bytes - self.evicted_bytes + bytes;
+        wanted_bytes.saturating_sub(budget_bytes - reserve_bytes)
+    }
+
+    /// Selects connections that free at least `excess_bytes` together.
     fn select_victims(
         &self,
         now: Instant,
         id: ConnectionId,
         for_small: bool,
         excess_bytes: usize,
+        freed_by: impl Fn(ConnectionId, &Connection) -> usize,
     ) -> Result<Vec<ConnectionId>, CallerMemoryExhausted> {
         if excess_bytes == 0 {
             return Ok(Vec::new());
@@ -493,17 +581,21 @@
             .filter(|(other, _)| **other != id)
             .filter_map(|(other, connection)| {
                 let (rank, since) = connection.eviction_order(now)?;
-                let held_bytes = connection.held_bytes + CONNECTION_BYTES;
-                may_evict(rank, since)
-                    .then_some((rank, since, *other, held_bytes))
+                let freed_bytes = freed_by(*other, connection);
+                (freed_bytes > 0 && may_evict(rank, since)).then_some((
+                    rank,
+                    since,
+                    *other,
+                    freed_bytes,
+                ))
             })
             .collect();
         candidates.sort_unstable();
         let mut victims = Vec::new();
         let mut freed_bytes = 0;
-        for (_, _, victim, held_bytes) in candidates {
+        for (_, _, victim, victim_bytes) in candidates {
             victims.push(victim);
-            freed_bytes += held_bytes;
+            freed_bytes += victim_bytes;
             if freed_bytes >= excess_bytes {
                 return Ok(victims);
             }
@@ -522,17 +614,39 @@
         self.remove_if_unused(id);
     }
 
+    /// Releases what a request took to run.
+    pub fn release_run(&mut self, id: ConnectionId, bytes: usize) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let running_bytes = connection.running_bytes();
+        connection.run_bytes -= bytes;
+        self.held_bytes -= bytes;
+        if connection.evicted {
+            self.evicted_bytes -= bytes;
+        } else {
+            self.running_bytes -= running_bytes - connection.running_bytes();
+        }
+        self.remove_if_unused(id);
+    }
+
+    fn evict_all(&mut self, ids: &[ConnectionId]) {
+        for id in ids {
+            self.evict(*id);
+        }
+    }
+
     fn evict(&mut self, id: ConnectionId) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         if !connection.evicted {
             connection.evicted = true;
-            self.evicted_bytes += connection.held_bytes + CONNECTION_BYTES;
+            self.evicted_bytes += connection.total_bytes();
+            self.running_bytes -= connection.running_bytes();
         }
     }
 
     fn remove_if_unused(&mut self, id: ConnectionId) {
         let is_unused = self.connections.get(&id).is_some_and(|connection| {
-            connection.ended && connection.held_bytes == 0
+            connection.ended
+                && connection.held_bytes + connection.run_bytes == 0
         });
         if is_unused {
             self.connections.remove(&id);
--- a/crates/briarladder-core/src/fleet/caller_memory/tests.rs
+++ b/crates/briarladder-core/src/fleet/caller_memory/tests.rs
@@ -96,7 +96,7 @@
     let mut running = 0;
     loop {
         let id = receive(&mut memory, now);
-        if memory.charge_run(now, id).is_err() {
+        if memory.charge_run(now, id, RUN_BYTES).is_err() {
             memory.close(id);
             break;
         }
@@ -131,9 +131,87 @@
         memory.held_bytes() >= 12 * MIB,
         "the part for large ones is used up"
     );
-    assert_eq!(memory.charge_run(now, next), Ok(vec![]));
-    assert_eq!(memory.charge_run(now, small), Ok(vec![]));
-    assert_eq!(memory.charge_run(now, other), Err(CallerMemoryExhausted));
+    assert_eq!(memory.charge_run(now, next, RUN_BYTES), Ok(vec![]));
+    assert_eq!(memory.charge_run(now, small, RUN_BYTES), Ok(vec![]));
+    assert_eq!(
+        memory.charge_run(now, other, RUN_BYTES),
+        Err(CallerMemoryExhausted)
+    );
+}
+
+/// Guards against idle connections that are closed for a request that runs
+/// although there is room for it.
+#[test]
+fn charge_run_spares_idle() {
+    let mut memory = memory(64_000_000, 1950);
+    let start = Instant::now();
+    for _ in 0..1949 {
+        memory.open(start);
+    }
+    let id = receive(&mut memory, start);
+    let now = start + STALL_TIME * 2;
+    assert_eq!(memory.charge_run(now, id, RUN_BYTES), Ok(vec![]));
+}
+
+/// Guards against callers that don't read, for which others that could run are
+/// refused, and against bytes that stay counted after they were closed.
+#[test]
+fn charge_run_evicts_unread() {
+    let mut memory = memory(MIB, 1000);
+    let start = Instant::now();
+    let mut running = Vec::new();
+    let refused = loop {
+        let id = receive(&mut memory, start);
+        if memory.charge_run(start, id, RUN_BYTES).is_err() {
+            break id;
+        }
+        memory.set_activity(start, id, Activity::Running);
+        memory.set_blocked(start, id, true);
+        running.push(id);
+    };
+    let now = start + STALL_TIME;
+    let victims = memory.charge_run(now, refused, RUN_BYTES);
+    assert_eq!(victims, Ok(vec![running[0]]));
+    let running_bytes = running.len() * (CONNECTION_BYTES + RUN_BYTES);
+    assert_eq!(memory.running_bytes, running_bytes);
+    for id in running.into_iter().chain([refused]) {
+        memory.close(id);
+        memory.release_run(id, RUN_BYTES);
+    }
+    assert_eq!(memory.running_bytes, 0);
+    assert_eq!(memory.held_bytes(), 0);
+    assert_eq!(memory.evicted_bytes, 0);
+    assert!(memory.connections.is_empty());
+}
+
+/// Guards against replies that are passed on and take the room in which further
+/// requests run, or are accepted and refused.
+#[test]
+fn charge_relay_leaves_room() {
+    for (callers, runs_more) in [(700, true), (2000, false)] {
+        let mut memory = memory(64_000_000, 3000);
+        let start = Instant::now();
+        let mut running = Vec::new();
+        for _ in 0..callers {
+            let id = receive(&mut memory, start);
+            if memory.charge_run(start, id, RUN_BYTES).is_ok() {
+                memory.set_activity(start, id, Activity::Running);
+                running.push(id);
+            } else {
+                memory.close(id);
+            }
+        }
+        let now = start + STALL_TIME;
+        for id in running {
+            // One without room is passed on nevertheless.
+            let _ = memory.charge_relay(now, id);
+        }
+        let room = memory.make_connection_room(now + STALL_TIME);
+        assert_eq!(room, ConnectionRoom::Available, "{callers}");
+        let next = receive(&mut memory, now);
+        let runs = memory.charge_run(now, next, RUN_BYTES).is_ok();
+        assert_eq!(runs, runs_more, "{callers}");
+    }
 }
 
 /// Guards against silent connections that keep ordinary callers out, and
--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -16,10 +16,8 @@
 };
 
 use briarladder_core::fleet::{
-    answer_progress::AnswerProgress,
-    caller_memory::{Activity, RELAY_BYTES},
-    event_splitter::EventBoundary,
-    server::ListedServer,
+    answer_progress::AnswerProgress, caller_memory::Activity,
+    event_splitter::EventBoundary, server::ListedServer,
 };
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -32,7 +30,7 @@
 };
 
 use crate::{
-    caller_memory::{CallerConnection, Charge},
+    caller_memory::{CallerConnection, RunCharge},
     caller_progress::ConnectionProgress,
     in_flight::InFlightGuard,
     pool::PooledConnection,
@@ -293,7 +291,7 @@
     progress: Rc<ConnectionProgress>,
     /// What a relay may buffer. Without room for it, the reply is passed on
     /// nevertheless, since its request has run.
-    _charge: Option<Charge>,
+    _charge: Option<RunCharge>,
 }
 
 impl CallerBody {
@@ -307,7 +305,7 @@
         let charge = match &body {
             ResponseBody::Full(_) => None,
             ResponseBody::Relayed(_) | ResponseBody::Resumable(_) => {
-                connection.charge(RELAY_BYTES).ok()
+                connection.charge_relay().ok()
             }
         };
         CallerBody { body, connection, progress, _charge: charge }
--- a/crates/briarladder-gateway/src/caller_memory.rs
+++ b/crates/briarladder-gateway/src/caller_memory.rs
@@ -18,7 +18,7 @@
     clock::SharedClock,
     fleet::caller_memory::{
         Activity, CallerMemory as Account, CallerMemoryExhausted,
-        CallerMemoryLimits, ConnectionId, ConnectionRoom, RUN_BYTES,
+        CallerMemoryLimits, ConnectionId, ConnectionRoom, RELAY_BYTES,
     },
     sorted::SortedMap,
 };
@@ -324,15 +324,33 @@
         Ok(charge)
     }
 
-    /// Charges what a request needs to run, until the charge is dropped.
+    /// Charges what a request takes to run, until the charge is dropped.
     ///
     /// # Errors
     ///
     /// If there is no room for it.
-    pub fn charge_run(&self) -> Result<Charge, CallerMemoryExhausted> {
+    pub fn charge_run(
+        &self,
+        bytes: usize,
+    ) -> Result<RunCharge, CallerMemoryExhausted> {
+        let memory = Arc::clone(&self.memory);
+        memory.charge_with(|account, now| {
+            account.charge_run(now, self.id, bytes)
+        })?;
+        Ok(RunCharge { memory, id: self.id, bytes })
+    }
+
+    /// Charges what a reply takes that is passed on, until the charge is
+    /// dropped.
+    ///
+    /// # Errors
+    ///
+    /// If there is no room for it.
+    pub fn charge_relay(&self) -> Result<RunCharge, CallerMemoryExhausted> {
         let memory = Arc::clone(&self.memory);
-        memory.charge_with(|account, now| account.charge_run(now, self.id))?;
-        Ok(Charge { memory, id: self.id, bytes: RUN_BYTES })
+        memory
+            .charge_with(|account, now| account.charge_relay(now, self.id))?;
+        Ok(RunCharge { memory, id: self.id, bytes: RELAY_BYTES })
     }
 
     /// Charges bytes that were received for the caller, until their last copy
@@ -395,6 +413,21 @@
     }
 }
 
+/// What a request takes to run, or a reply to be passed on. It is charged to
+/// the connection, also after that has ended.
+#[derive(Debug)]
+pub struct RunCharge {
+    memory: Arc<CallerMemory>,
+    id: ConnectionId,
+    bytes: usize,
+}
+
+impl Drop for RunCharge {
+    fn drop(&mut self) {
+        self.memory.lock().account.release_run(self.id, self.bytes);
+    }
+}
+
 /// A buffer whose capacity is charged to a connection.
 #[derive(Debug)]
 pub struct ChargedBuffer<'a> {
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -17,7 +17,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use briarladder_core::fleet::caller_memory::Activity;
+use briarladder_core::fleet::caller_memory::{Activity, RUN_BYTES};
 
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use hyper::body::{Body, Incoming};
@@ -150,7 +150,7 @@
         let refused = RequestRefusal { refusal, retry_after: Some(wait) };
         return refuse(record, refused, Some(&accepted));
     }
-    let Ok(run_charge) = connection.charge_run() else {
+    let Ok(run_charge) = connection.charge_run(RUN_BYTES) else {
         let refused = Refusal::MemoryUsedUp.into();
         return refuse(record, refused, Some(&accepted));
     };
--- a/crates/briarladder-gateway/src/request/outgoing.rs
+++ b/crates/briarladder-gateway/src/request/outgoing.rs
@@ -20,7 +20,7 @@
 use crate::{
     blackboard::PrefillGuard,
     bounded_body::{self, BodyPrefix, read_reply_prefix},
-    caller_memory::Charge,
+    caller_memory::RunCharge,
     context::Gateway,
     dialect::{Dispatch, Prompt, ResponseHead},
     metrics::Metrics,
@@ -60,7 +60,7 @@
     /// Whether it was sent on a connection to a server, which may have run it.
     pub sent: Rc<Cell<bool>>,
     /// The memory that it takes to run.
-    pub run_charge: Rc<Charge>,
+    pub run_charge: Rc<RunCharge>,
 }
 
 /// A server's response whose head has arrived.
