--- a/crates/briarladder-core/src/fleet/caller_memory.rs
+++ b/crates/briarladder-core/src/fleet/caller_memory.rs
@@ -49,6 +49,11 @@
 /// future, and the connection to a server with its buffers.
 pub const RUN_BYTES: usize = 24 * 1024;
 
+/// How often the head of a request that runs is held, beside the buffer that
+/// belongs to the connection: in the buffer of the connection to the server,
+/// and behind what is read next.
+const HEAD_COPIES: usize = 2;
+
 /// The memory of a reply that is passed on as it arrives, beside that of its
 /// request: what waits to be written if the caller does not read.
 pub const RELAY_BYTES: usize = 24 * 1024;
@@ -137,6 +142,12 @@
     usize::try_from(value).unwrap_or(usize::MAX)
 }
 
+/// Returns the memory of a request that runs, without its body.
+#[must_use]
+pub fn run_bytes(head_bytes: usize) -> usize {
+    RUN_BYTES + HEAD_COPIES * head_bytes
+}
+
 /// Identifies a connection of a caller.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct ConnectionId(u64);
--- a/crates/briarladder-gateway/src/caller_stream.rs
+++ b/crates/briarladder-gateway/src/caller_stream.rs
@@ -14,7 +14,7 @@
 
 use bytes::{Buf, Bytes};
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
     net::TcpStream,
     time::timeout,
 };
@@ -22,6 +22,7 @@
 use crate::{
     caller_memory::CallerConnection,
     caller_progress::{ConnectionProgress, Stage},
+    fair_stream::MAX_READ_BYTES,
 };
 
 /// How long bytes are discarded before a connection is closed.
@@ -86,7 +87,8 @@
     ) -> Poll<io::Result<()>> {
         let filled_bytes = buffer.filled().len();
         let read = if self.read_ahead.is_empty() {
-            Pin::new(&mut *self.stream).poll_read(cx, buffer)
+            let mut limited = (&mut *self.stream).take(MAX_READ_BYTES);
+            Pin::new(&mut limited).poll_read(cx, buffer)
         } else {
             let len = buffer.remaining().min(self.read_ahead.len());
             buffer.put_slice(&self.read_ahead[..len]);
--- a/crates/briarladder-gateway/src/fair_stream.rs
+++ b/crates/briarladder-gateway/src/fair_stream.rs
@@ -22,7 +22,7 @@
 /// The most bytes of one read. hyper doubles its buffer, from 8 KiB on, when a
 /// read fills it, and reserves as much again behind a part that is in use. The
 /// buffers of many answers then took 48 KiB each, which no account counts.
-const MAX_READ_BYTES: u64 = 16 * 1024 - 1;
+pub(crate) const MAX_READ_BYTES: u64 = 16 * 1024 - 1;
 
 /// A stream that is read in turns of [`MAX_TURN_BYTES`] and one read.
 #[derive(Debug)]
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -17,7 +17,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use briarladder_core::fleet::caller_memory::{Activity, RUN_BYTES};
+use briarladder_core::fleet::caller_memory::{Activity, run_bytes};
 
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use hyper::body::{Body, Incoming};
@@ -54,6 +54,9 @@
 /// The `retry-after` of a request for which there is no memory.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// The bytes of a header beside its name and its value.
+const HEADER_SEPARATORS_BYTES: usize = ": \r\n".len();
+
 /// The cause in the log of a request that is refused because of crashes.
 const CRASHES_SERVERS_CAUSE: &str = "servers crash while they run it";
 
@@ -150,7 +153,8 @@
         let refused = RequestRefusal { refusal, retry_after: Some(wait) };
         return refuse(record, refused, Some(&accepted));
     }
-    let Ok(run_charge) = connection.charge_run(RUN_BYTES) else {
+    let run_bytes = run_bytes(head_bytes(&head));
+    let Ok(run_charge) = connection.charge_run(run_bytes) else {
         let refused = Refusal::MemoryUsedUp.into();
         return refuse(record, refused, Some(&accepted));
     };
@@ -246,6 +250,16 @@
     }
 }
 
+/// Returns about how many bytes a head has.
+fn head_bytes(head: &request::Parts) -> usize {
+    let headers = head.headers.iter();
+    let header_bytes = headers.map(|(name, value)| {
+        name.as_str().len() + value.len() + HEADER_SEPARATORS_BYTES
+    });
+    let path = head.uri.path_and_query();
+    header_bytes.sum::<usize>() + path.map_or(0, |path| path.as_str().len())
+}
+
 /// Returns whether the caller sends the body only when it is asked to.
 fn expects_continue(head: &request::Parts) -> bool {
     head.headers.contains_key(header::EXPECT)
