--- a/crates/briarladder-core/src/fleet/caller_memory.rs
+++ b/crates/briarladder-core/src/fleet/caller_memory.rs
@@ -206,6 +206,7 @@
     Closing,
     Large,
     Idle,
+    Unwritten,
     Small,
 }
 
@@ -223,11 +224,6 @@
         }
     }
 
-    /// Returns whether nothing is held or written for the caller.
-    fn is_unused(&self) -> bool {
-        self.held_bytes + self.run_bytes == 0 && self.blocked_since.is_none()
-    }
-
     /// Returns all that is charged to it.
     fn total_bytes(&self) -> usize {
         CONNECTION_BYTES + self.run_bytes + self.held_bytes
@@ -241,13 +237,23 @@
         }
         let rank = match self.activity {
             Activity::Closing => EvictionRank::Closing,
-            Activity::Idle if self.is_unused() => EvictionRank::Idle,
-            // A request under way, or whose answer is not all written, is
-            // turned away only if its caller does not read the reply.
+            Activity::Idle if self.held_bytes + self.run_bytes == 0 => {
+                match self.blocked_since {
+                    None => EvictionRank::Idle,
+                    Some(since) => {
+                        return order_if_stalled(
+                            now,
+                            EvictionRank::Unwritten,
+                            since,
+                        );
+                    }
+                }
+            }
+            // A request under way is turned away only if its caller does not
+            // read the reply.
             Activity::Idle | Activity::Running => {
                 let since = self.blocked_since?;
-                let is_stalled = now.duration_since(since) >= STALL_TIME;
-                return is_stalled.then_some((EvictionRank::Large, since));
+                return order_if_stalled(now, EvictionRank::Large, since);
             }
             Activity::Receiving if self.is_large() => EvictionRank::Large,
             Activity::Receiving => EvictionRank::Small,
@@ -256,6 +262,17 @@
     }
 }
 
+/// Returns the rank of a connection whose caller has left unread what is being
+/// written since an instant, unless that is too recent.
+fn order_if_stalled(
+    now: Instant,
+    rank: EvictionRank,
+    since: Instant,
+) -> Option<(EvictionRank, Instant)> {
+    let is_stalled = now.duration_since(since) >= STALL_TIME;
+    is_stalled.then_some((rank, since))
+}
+
 /// What the callers of a process make it hold.
 #[derive(Debug)]
 pub struct CallerMemory {
@@ -330,9 +347,9 @@
                 EvictionRank::Closing | EvictionRank::Idle => {
                     Some((EvictionRank::Closing, since))
                 }
-                EvictionRank::Large | EvictionRank::Small => {
-                    is_stalled.then_some((rank, since))
-                }
+                EvictionRank::Large
+                | EvictionRank::Unwritten
+                | EvictionRank::Small => is_stalled.then_some((rank, since)),
             }
         };
         let victim = self
@@ -582,7 +599,7 @@
             match rank {
                 EvictionRank::Closing => true,
                 EvictionRank::Large => for_small || is_stalled,
-                EvictionRank::Idle => is_stalled,
+                EvictionRank::Idle | EvictionRank::Unwritten => is_stalled,
                 EvictionRank::Small => for_small && is_stalled,
             }
         };
--- a/crates/briarladder-core/src/fleet/caller_memory/tests.rs
+++ b/crates/briarladder-core/src/fleet/caller_memory/tests.rs
@@ -214,6 +214,22 @@
     }
 }
 
+/// Guards against the end of an answer that is lost while unused connections
+/// are spared.
+#[test]
+fn charge_unwritten_after_idle() {
+    let mut memory = memory(8 * MIB, 1000);
+    let start = Instant::now();
+    let unwritten = memory.open(start);
+    memory.set_blocked(start, unwritten, true);
+    let idle: Vec<_> = (0..230).map(|_| memory.open(start)).collect();
+    let now = start + STALL_TIME * 3;
+    let id = receive(&mut memory, now);
+    let victims = memory.charge(now, id, MIB).unwrap();
+    assert_eq!(victims[0], idle[0]);
+    assert!(!memory.is_evicted(unwritten));
+}
+
 /// Guards against silent connections that keep ordinary callers out, and
 /// against a connection with a request that makes way for another one.
 #[test]
