Wait for a report of the first daemon before it is assessed

Cause: the test waits until the fleet is healthy, and its check needs a report of the first daemon in particular. A server counts as reported if any daemon has a report of it. A starting daemon may adopt the epoch 3 s after the others (FLOOR_TIMEOUT), and then the fleet can be healthy by the reports of the others.

Change: the test discovers the daemons until the first one has a report, within SETTLE_TIMEOUT. All checks stay as they were.

--- a/crates/briarladder-cli/tests/operators.rs
+++ b/crates/briarladder-cli/tests/operators.rs
@@ -12,7 +12,7 @@
     fleet::{DEFAULT_PEER_KEY, Fleet, FleetSettings},
     operators::{
         assess::assess,
-        client::{ConnectArgs, FleetClient, StatusResult},
+        client::{ConnectArgs, DiscoveredDaemon, FleetClient, StatusResult},
     },
     samples::Sample,
 };
@@ -104,6 +104,29 @@
     }
 }
 
+/// Discovers the daemons until the first of them has a load report.
+///
+/// A fleet can be healthy before that: one daemon may adopt the epoch 3 s
+/// after the others, which have polled all servers by then.
+async fn discover_first_reporting(
+    operator: &FleetClient,
+) -> Vec<DiscoveredDaemon> {
+    let has_report = |daemon: &DiscoveredDaemon| {
+        let status = daemon.status();
+        status.is_some_and(|s| s.servers.iter().any(|s| s.report.is_some()))
+    };
+    let started_at = Instant::now();
+    loop {
+        let daemons = operator.discover().await.unwrap();
+        if has_report(&daemons[0]) {
+            return daemons;
+        }
+        let timed_out = started_at.elapsed() > SETTLE_TIMEOUT;
+        assert!(!timed_out, "{:?} has no load report", daemons[0].vm);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 async fn fleet(flags: &[&str]) -> Fleet {
     let mut settings = FleetSettings {
         cluster: ClusterSettings {
@@ -430,7 +453,7 @@
     let connect =
         TestArgs::try_parse_from(key.into_iter().chain([&*address])).unwrap();
     let operator = FleetClient::new(&connect.connect).unwrap();
-    let healthy = operator.discover().await.unwrap();
+    let healthy = discover_first_reporting(&operator).await;
     assert_eq!(assess(&healthy).findings, []);
     let finding_reasons = |change: &dyn Fn(&mut DaemonStatus)| -> Vec<String> {
         let mut daemons = healthy.clone();
