Poll busy servers sooner while a suspect request waits

Cause: a request whose server crashed is suspect and runs next on a server that runs nothing else. The daemon takes that from the server's last report. If it shows a request of another daemon, and this daemon has no attempt at the server whose response would bring a newer report, the next report comes by a poll, up to 2 s later. The request waits that long for an idle server.

Change: a suspect request that finds no idle server is recorded for its pool. While it waits, members that are not idle are polled at the interval of full servers (250 ms). The limit of polls a round stays.

Evidence: the added test fails with that condition taken out, and passes with it.

--- a/crates/briarladder-core/src/routing/mod.rs
+++ b/crates/briarladder-core/src/routing/mod.rs
@@ -315,6 +315,16 @@
         self.pools[location.pool].servers[location.at].incarnation()
     }
 
+    /// Records that a suspect request waits for an idle server of a pool.
+    /// Servers that run requests by their last report are polled sooner while
+    /// it waits; no response to this daemon may show that they became idle.
+    pub fn record_exclusive_wait(&mut self, now: Instant, pool: &PoolName) {
+        let at = self.pools.binary_search_by(|view| view.name.cmp(pool));
+        if let Ok(at) = at {
+            self.pools[at].record_exclusive_wait(now);
+        }
+    }
+
     /// Counts an attempt as in flight. Call it before the first byte is sent.
     pub fn record_sent(&mut self, now: Instant, pick: &Pick) {
         if let Some((pool, at)) = self.locate(&pick.server.name) {
@@ -374,12 +384,7 @@
                 }
             }
             for at in &view.members() {
-                let since = view.servers[*at].poll_due_at(
-                    now,
-                    &view.means,
-                    self.settings.poll_interval,
-                    self.settings.busy_poll_interval,
-                );
+                let since = view.poll_due_at(now, *at, &self.settings);
                 if since.is_none_or(|since| since <= now) {
                     let location = Location { pool, at: *at };
                     due.push((since, location, PollReason::ReportDue));
--- a/crates/briarladder-core/src/routing/pool.rs
+++ b/crates/briarladder-core/src/routing/pool.rs
@@ -88,6 +88,8 @@
     /// The subset for each version that at least one server has.
     versions: SortedMap<ModelVersionName, ByDistance>,
     pub(super) means: PoolMeans,
+    /// When a suspect request last found no idle server.
+    exclusive_wait_at: Option<Instant>,
 }
 
 impl PoolView {
@@ -118,9 +120,37 @@
             any_version: ByDistance::default(),
             versions: SortedMap::new(),
             means: PoolMeans::new(),
+            exclusive_wait_at: None,
         }
     }
 
+    pub(super) fn record_exclusive_wait(&mut self, now: Instant) {
+        self.exclusive_wait_at = Some(now);
+    }
+
+    /// Returns when the next poll of a subset member is due; `None` means at
+    /// once.
+    pub(super) fn poll_due_at(
+        &self,
+        now: Instant,
+        at: usize,
+        settings: &Settings,
+    ) -> Option<Instant> {
+        let server = &self.servers[at];
+        let exclusive_waits = self.exclusive_wait_at.is_some_and(|last| {
+            now.saturating_duration_since(last) < settings.busy_poll_interval
+        });
+        // Polls show sooner that a server without free slots has one again,
+        // and for a suspect request, that a server has become idle.
+        let is_busy = server.free_slots(now, &self.means) == 0
+            || (exclusive_waits && !server.is_idle(now, &self.means));
+        server.poll_due_at(if is_busy {
+            settings.busy_poll_interval
+        } else {
+            settings.poll_interval
+        })
+    }
+
     /// Returns whether names, addresses, zones and regions of the servers are
     /// those of a resolved pool.
     pub(super) fn has_servers_of(&self, pool: &ResolvedPool) -> bool {
--- a/crates/briarladder-core/src/routing/server.rs
+++ b/crates/briarladder-core/src/routing/server.rs
@@ -468,22 +468,10 @@
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
     }
 
-    /// Returns when the next poll of a subset member is due; `None` means at
-    /// once.
-    pub(super) fn poll_due_at(
-        &self,
-        now: Instant,
-        means: &PoolMeans,
-        interval: Duration,
-        busy_interval: Duration,
-    ) -> Option<Instant> {
+    /// Returns when the next poll is due at an interval; `None` means at once.
+    pub(super) fn poll_due_at(&self, interval: Duration) -> Option<Instant> {
         let reported = self.report.as_ref().map(|report| report.at);
         let last = reported.max(self.polled_at)?;
-        let interval = if self.free_slots(now, means) == 0 {
-            busy_interval
-        } else {
-            interval
-        };
         Some(last + interval)
     }
 
--- a/crates/briarladder-core/src/routing/tests.rs
+++ b/crates/briarladder-core/src/routing/tests.rs
@@ -465,6 +465,27 @@
     assert_eq!(fixture.polled(), ["recife-a-1"]);
 }
 
+/// Guards against a suspect request that waits until its deadline for a
+/// server that is idle, because the last report of it shows a request of
+/// another daemon.
+#[test]
+fn polls_due_sooner_if_suspect_waits() {
+    let mut fixture = Fixture::new(&["recife-a-1"]);
+    fixture.report("recife-a-1", &report(1, 1, 1));
+    let alone = fixture.pick_with(|q| q.sharing = Sharing::Exclusive);
+    assert_eq!(alone.unwrap_err(), NoServer::AllBusy);
+    fixture.now += 250 * MS;
+    assert!(fixture.polled().is_empty());
+    fixture.router.record_exclusive_wait(fixture.now, &POOL);
+    assert_eq!(fixture.polled(), ["recife-a-1"]);
+    fixture.report("recife-a-1", &report(1, 2, 0));
+    fixture.pick_with(|q| q.sharing = Sharing::Exclusive).unwrap();
+    // An idle server is polled as rarely as before.
+    fixture.now += 250 * MS;
+    fixture.router.record_exclusive_wait(fixture.now, &POOL);
+    assert!(fixture.polled().is_empty());
+}
+
 /// Guards against polls that exceed the limit of control traffic, and
 /// against a member that is never polled under that limit.
 #[test]
--- a/crates/briarladder-daemon/src/pipeline/stage.rs
+++ b/crates/briarladder-daemon/src/pipeline/stage.rs
@@ -17,7 +17,7 @@
     retry::{
         self, AttemptDecision, AttemptFailure, EarlierAttempts, Idempotency,
     },
-    routing::{NoServer, Pick, Query, StageBytes},
+    routing::{NoServer, Pick, Query, Sharing, StageBytes},
     stream::{EndOutcome, TokenOutcome, TokenStream},
     timeline::{EventKind, EventSubject},
 };
@@ -194,8 +194,14 @@
             let picked = {
                 let mut router = self.daemon.router.lock();
                 let picked = router.pick(now, &query, &mut rand::rng());
-                if let Ok(pick) = &picked {
-                    router.record_sent(now, pick);
+                match &picked {
+                    Ok(pick) => router.record_sent(now, pick),
+                    Err(NoServer::AllBusy)
+                        if query.sharing == Sharing::Exclusive =>
+                    {
+                        router.record_exclusive_wait(now, query.pool);
+                    }
+                    Err(_) => {}
                 }
                 picked
             };
