Give daemons of the fault matrix credit for all their retries

Seen: beside busy processes, rows with a crashed server failed in the steps admit and queue: a call ended at once with 502 after its first attempt, as unknown or not_run, where the table demands an answer.

Cause: the retry budget of the daemon was used up, which is its contract: a tenth of the requests, and one retry a second. The scenario sent 30 requests for this, which allow 3 retries. Its three requests need up to 6, requests of a burst need some besides, and the first requests need one themselves if a server stalls. In the traced case of admit, one of the first requests and three attempts at crashed servers had taken four retries, and the attempt that then could not connect got none. With more credit, a daemon used up to 7 retries.

Change: the requests before a scenario go on until each daemon has credit for 10 retries beyond those that these requests took.

--- a/crates/briarladder-cli/tests/fault_matrix.rs
+++ b/crates/briarladder-cli/tests/fault_matrix.rs
@@ -11,7 +11,7 @@
 
 use std::{fmt::Write, fs, path::Path, time::Duration};
 
-use briarladder_core::timeline::{merge, render};
+use briarladder_core::timeline::{EventKind, merge, render};
 use briarladder_wire::callers::{Outcome, TicketState};
 use futures_util::{StreamExt, stream};
 use serde::Deserialize;
@@ -28,9 +28,13 @@
 /// was so busy that stages of 2 ms exceeded their timeout of 400 ms.
 const FLEETS_PER_TABLE: usize = 2;
 
-/// The number of requests to each daemon before a scenario. Each adds a tenth
-/// of a retry to the retry budget, which the scenario's three requests use.
-const WARM_UP_REQUESTS: usize = 30;
+/// The number of retries for which each daemon must have credit before a
+/// scenario: one for each of the two stages of its three requests, and four
+/// for a burst, the slots of a server that crashes.
+const REQUIRED_RETRIES: usize = 3 * 2 + 4;
+
+/// The number of requests whose credit allows one retry.
+const REQUESTS_PER_RETRY: usize = 10;
 
 /// The number of threads for the stand-ins and callers of one table.
 const RUNTIME_THREADS: usize = 2;
@@ -170,12 +174,36 @@
     Ok(())
 }
 
+/// Sends requests to both daemons until each has credit for
+/// [`REQUIRED_RETRIES`].
 async fn warm_up(fleet: &TestFleet) {
     let caller = Caller::new();
-    let (caller, endpoints) =
-        (&caller, [fleet.endpoint(0), fleet.endpoint(1)]);
-    let endpoints = &endpoints;
-    stream::iter(0..WARM_UP_REQUESTS * 2)
+    let mut sent = 0;
+    loop {
+        // On a busy machine, these requests need retries themselves.
+        let used = fleet.daemons().iter().map(count_retries).max();
+        let retries = REQUIRED_RETRIES + used.unwrap_or(0);
+        let required = retries * REQUESTS_PER_RETRY;
+        if sent >= required {
+            return;
+        }
+        send_to_both(fleet, &caller, required - sent).await;
+        sent = required;
+    }
+}
+
+fn count_retries(process: &DaemonProcess) -> usize {
+    let events = process.timeline().events;
+    let is_retry = |kind: &EventKind| {
+        matches!(kind, EventKind::Retried { .. } | EventKind::Resumed { .. })
+    };
+    events.iter().filter(|event| is_retry(&event.kind)).count()
+}
+
+/// Sends a number of requests to each of the two daemons.
+async fn send_to_both(fleet: &TestFleet, caller: &Caller, requests: usize) {
+    let endpoints = &[fleet.endpoint(0), fleet.endpoint(1)];
+    stream::iter(0..requests * 2)
         .for_each_concurrent(4, |number| async move {
             let call = Call::new(CallKind::Repeatable, "warm-up");
             caller.send(&endpoints[number % 2], &call).await;
