--- a/crates/briarladder-gateway/src/body.rs
+++ b/crates/briarladder-gateway/src/body.rs
@@ -289,6 +289,7 @@
     body: ResponseBody,
     connection: Arc<CallerConnection>,
     progress: Rc<ConnectionProgress>,
+    has_ended: bool,
     /// What a relay may buffer. Without room for it, the reply is passed on
     /// nevertheless, since its request has run.
     _charge: Option<RunCharge>,
@@ -308,12 +309,16 @@
                 connection.charge_relay().ok()
             }
         };
-        CallerBody { body, connection, progress, _charge: charge }
+        let has_ended = false;
+        CallerBody { body, connection, progress, has_ended, _charge: charge }
     }
 }
 
 impl Drop for CallerBody {
     fn drop(&mut self) {
+        if self.has_ended || self.body.is_end_stream() {
+            self.progress.record_handed_over();
+        }
         self.connection.set_activity(Activity::Idle);
         self.progress.record_answered(self.connection.now());
     }
@@ -327,7 +332,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        self.has_ended |= matches!(frame, Poll::Ready(None));
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/briarladder-gateway/src/caller_progress.rs
+++ b/crates/briarladder-gateway/src/caller_progress.rs
@@ -2,7 +2,8 @@
 //! received of it.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -35,6 +36,11 @@
     /// The idle timeout when the last response was begun, by which the caller
     /// goes.
     promised_idle_timeout: Cell<Duration>,
+    /// The attempt ID of the last request; `None` before its head was checked.
+    attempt: RefCell<Option<Arc<str>>>,
+    /// All of the last response was handed over to the HTTP server.
+    is_handed_over: Cell<bool>,
+    has_write_failed: Cell<bool>,
 }
 
 /// When a connection ends unless more of a request arrives.
@@ -56,6 +62,9 @@
             received_bytes: Cell::new(0),
             is_blocked: Cell::new(false),
             promised_idle_timeout: Cell::new(limits.idle_timeout),
+            attempt: RefCell::new(None),
+            is_handed_over: Cell::new(false),
+            has_write_failed: Cell::new(false),
         }
     }
 
@@ -75,6 +84,13 @@
     /// Records that a whole head has arrived.
     pub fn record_request(&self, now: Instant) {
         self.enter(Stage::Request, now);
+        self.is_handed_over.set(false);
+        self.attempt.replace(None);
+    }
+
+    /// Records the attempt ID of the request; `-` if it has none.
+    pub fn record_attempt(&self, attempt: &Arc<str>) {
+        self.attempt.replace(Some(Arc::clone(attempt)));
     }
 
     /// Records that a response is begun while these limits are in force.
@@ -95,6 +111,16 @@
         self.is_blocked.set(is_blocked);
     }
 
+    /// Records that no more can be written.
+    pub fn record_write_failed(&self) {
+        self.has_write_failed.set(true);
+    }
+
+    /// Records that all of the response was handed over to the HTTP server.
+    pub fn record_handed_over(&self) {
+        self.is_handed_over.set(true);
+    }
+
     /// Records the end of the response.
     pub fn record_answered(&self, now: Instant) {
         self.received_bytes.set(0);
@@ -129,6 +155,20 @@
             && !self.is_blocked.get()
     }
 
+    /// Returns whether all of the last response was handed over to the HTTP
+    /// server, and the kernel has not taken all of it.
+    #[must_use]
+    pub fn has_unwritten_answer(&self) -> bool {
+        self.is_handed_over.get()
+            && (self.is_blocked.get() || self.has_write_failed.get())
+    }
+
+    /// Returns the attempt ID of the last request, once its head was checked.
+    #[must_use]
+    pub fn attempt(&self) -> Option<Arc<str>> {
+        self.attempt.borrow().clone()
+    }
+
     /// Returns what the connection is doing.
     #[must_use]
     pub fn stage(&self) -> Stage {
--- a/crates/briarladder-gateway/src/caller_stream.rs
+++ b/crates/briarladder-gateway/src/caller_stream.rs
@@ -66,7 +66,13 @@
         Bytes::from([&read[..], &self.read_ahead[..]].concat())
     }
 
-    fn record_write<T>(&mut self, written: Poll<T>) -> Poll<T> {
+    fn record_write(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Err(_)) = &written {
+            self.progress.record_write_failed();
+        }
         if written.is_ready() && self.progress.stage() == Stage::Idle {
             self.progress.record_written(self.connection.now());
         }
--- a/crates/briarladder-gateway/src/connection_end.rs
+++ b/crates/briarladder-gateway/src/connection_end.rs
@@ -1,5 +1,6 @@
 //! Reports connections of callers that end with a part of a request, or a
-//! whole one, that was received and not answered.
+//! whole one, that was received and not answered, or with an answer that the
+//! kernel has not taken to its end.
 
 use std::time::Duration;
 
@@ -40,15 +41,18 @@
 pub struct UnansweredLabels {
     /// The cause, as in the log line.
     pub cause: String,
+    /// An answer was not written to its end.
+    pub unwritten: bool,
 }
 
-fn count(gateway: &Gateway, cause: String) {
-    let labels = UnansweredLabels { cause };
+fn count(gateway: &Gateway, cause: String, unwritten: bool) {
+    let labels = UnansweredLabels { cause, unwritten };
     gateway.metrics.unanswered.get_or_create(&labels).inc();
 }
 
-/// Reports the end of a connection, if it leaves received bytes unanswered.
-/// A request that its caller gave up has a log line of its own.
+/// Reports the end of a connection, if it leaves received bytes unanswered or
+/// an answer unwritten that was handed over to the HTTP server. A request that
+/// its caller gave up has a log line of its own.
 pub fn report(
     gateway: &Gateway,
     progress: &ConnectionProgress,
@@ -64,19 +68,26 @@
     };
     let given_up = stage == Stage::Request
         && matches!(end, ConnectionEnd::Finished | ConnectionEnd::Error(_));
-    if progress.received_bytes() == 0 || given_up {
+    let unwritten = progress.has_unwritten_answer();
+    let answered = progress.received_bytes() == 0 || given_up;
+    if answered && !unwritten {
         log::debug!(
             "listener: event=closed cause={end} stage={stage} \
              waited_ms={waited_ms} limit_ms={limit_ms} error=\"{error}\""
         );
         return;
     }
-    count(gateway, end.to_string());
+    count(gateway, end.to_string(), unwritten);
+    let attempt = match stage {
+        Stage::Request => progress.attempt(),
+        Stage::Idle | Stage::Head => progress.attempt().filter(|_| unwritten),
+    };
     log::info!(
         "listener: event=unanswered cause={end} stage={stage} \
-         received_bytes={} waited_ms={waited_ms} limit_ms={limit_ms} \
-         error=\"{error}\"",
-        progress.received_bytes()
+         received_bytes={} unwritten={unwritten} id={} \
+         waited_ms={waited_ms} limit_ms={limit_ms} error=\"{error}\"",
+        progress.received_bytes(),
+        attempt.as_deref().unwrap_or("-"),
     );
 }
 
@@ -85,7 +96,7 @@
     if discarded.bytes == 0 {
         return;
     }
-    count(gateway, "discarded".to_owned());
+    count(gateway, "discarded".to_owned(), false);
     log::info!(
         "listener: event=unanswered cause=discarded received_bytes={} \
          whole_head={}",
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -2,7 +2,7 @@
 
 use std::{
     convert::Infallible,
-    future::{Future, poll_fn},
+    future::{Future, pending, poll_fn},
     pin::{Pin, pin},
     rc::Rc,
     sync::Arc,
@@ -46,8 +46,19 @@
 /// The smallest head buffer that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8192;
 
-/// Changes when a graceful shutdown starts.
-pub type StopSignal = watch::Receiver<bool>;
+/// How far the process is in its graceful shutdown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopPhase {
+    /// No shutdown has begun.
+    Serving,
+    /// A shutdown has begun.
+    Stopping,
+    /// The process is about to exit.
+    Exiting,
+}
+
+/// Tells connections of callers about a graceful shutdown.
+pub type StopSignal = watch::Receiver<StopPhase>;
 
 /// Accepts connections and serves each in its own task.
 async fn accept_loop<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
@@ -110,6 +121,7 @@
     let limits = blackboard.caller_limits();
     let progress = ConnectionProgress::new(blackboard.now(), &limits);
     let progress = Rc::new(progress);
+    let exiting = report_at_exit(&gateway, &progress, stop.clone());
     let serving = async {
         let end = serve_requests(
             &gateway,
@@ -142,7 +154,22 @@
         biased;
         () = closed => {}
         () = serving => {}
+        () = exiting => {}
+    }
+}
+
+/// Reports what the exit of the process cuts off on a connection. Never
+/// returns, since the exit ends what is still being served.
+async fn report_at_exit(
+    gateway: &Gateway,
+    progress: &ConnectionProgress,
+    mut stop: StopSignal,
+) {
+    let exiting = stop.wait_for(|phase| *phase == StopPhase::Exiting).await;
+    if exiting.is_ok() {
+        connection_end::report(gateway, progress, &ConnectionEnd::Stop);
     }
+    pending::<()>().await;
 }
 
 async fn serve_requests(
--- a/crates/briarladder-gateway/src/metrics.rs
+++ b/crates/briarladder-gateway/src/metrics.rs
@@ -111,8 +111,8 @@
     pub store_calls: Family<ServiceLabels, Counter>,
     /// Restores of the store from a copy that this daemon has seen.
     pub store_restores: Counter,
-    /// Connections of callers that ended with received bytes unanswered, by
-    /// cause.
+    /// Connections of callers that ended with received bytes unanswered or an
+    /// answer unwritten, by cause.
     pub unanswered: Family<UnansweredLabels, Counter>,
     /// Requests in progress.
     pub open_requests: Gauge,
@@ -180,7 +180,8 @@
             unanswered: register(
                 registry,
                 "unanswered",
-                "Connections that ended with received bytes unanswered",
+                "Connections that ended with a request unanswered or an answer \
+                 unwritten",
             ),
             open_requests: register(
                 registry,
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -22,7 +22,7 @@
     clock::VmClock,
     context::Gateway,
     dialect::Dialect,
-    listener,
+    listener::{self, StopPhase, StopSignal},
     logs::LogFlusher,
     metrics::Metrics,
     net,
@@ -40,6 +40,9 @@
 /// How often a process that is shutting down checks whether it may exit.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How long connections have to report what the exit of the process cuts off.
+const EXIT_REPORT_TIME: Duration = Duration::from_millis(20);
+
 /// Reads the settings from their file again.
 pub type SettingsLoader = Box<dyn Fn() -> anyhow::Result<GatewaySettings>>;
 
@@ -77,7 +80,7 @@
     let mut signals = Signals::new()?;
     let settings = Rc::new(settings);
     let gateway = build_gateway(&clock, &settings, dialect);
-    let (stop, stopping) = watch::channel(false);
+    let (stop, stopping) = watch::channel(StopPhase::Serving);
     start_controllers(&gateway, &settings, stopping)?;
     log::info!(
         "process: event=started vm={} zone={} callers={} peers={} pid={}",
@@ -145,7 +148,7 @@
 fn start_controllers(
     gateway: &Rc<Gateway>,
     settings: &Rc<GatewaySettings>,
-    stopping: watch::Receiver<bool>,
+    stopping: StopSignal,
 ) -> anyhow::Result<()> {
     let bind = |address, what| {
         net::listen(address).with_context(|| {
@@ -198,7 +201,7 @@
 async fn shut_down(
     gateway: &Rc<Gateway>,
     settings: &GatewaySettings,
-    stop: &watch::Sender<bool>,
+    stop: &watch::Sender<StopPhase>,
 ) {
     let blackboard = &gateway.blackboard;
     let started_at = blackboard.now();
@@ -211,7 +214,7 @@
     blackboard.shutdown_started.notify_waiters();
     blackboard.peers.borrow_mut().leave();
     membership::announce_shutdown(gateway);
-    stop.send_replace(true);
+    stop.send_replace(StopPhase::Stopping);
     let open = || {
         // A response may be handed over and not yet written.
         blackboard.open_requests.get()
@@ -222,6 +225,10 @@
     while !shutdown.may_exit(blackboard.now(), open()) {
         tokio::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
     }
+    if open() > 0 {
+        stop.send_replace(StopPhase::Exiting);
+        tokio::time::sleep(EXIT_REPORT_TIME).await;
+    }
     log::info!(
         "process: event=stopped open_requests={} ms={}",
         blackboard.open_requests.get(),
--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -97,7 +97,8 @@
     // framed for a different parsing of the same bytes, so nothing more is
     // read from the connection.
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-    let mut response = respond(&gateway, &connection, request).await;
+    let mut response =
+        respond(&gateway, &connection, &progress, request).await;
     connection.set_activity(Activity::Running);
     progress.record_response(&gateway.blackboard.caller_limits());
     // What follows an unread body is discarded, so that the caller must not
@@ -113,6 +114,7 @@
 async fn respond(
     gateway: &Rc<Gateway>,
     connection: &Arc<CallerConnection>,
+    progress: &ConnectionProgress,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let mut record = RequestRecord::new(&gateway.blackboard, &gateway.metrics);
@@ -120,6 +122,7 @@
     gateway.check_suspension();
     wait_for_config(gateway).await;
     let checked = check_head(gateway, connection, &head, &mut record);
+    progress.record_attempt(&record.attempt);
     let mut accepted = match checked {
         Ok(accepted) => accepted,
         Err(RefusedHead { refused, accepted }) => {
