--- a/crates/briarladder-core/src/fleet/shutdown.rs
+++ b/crates/briarladder-core/src/fleet/shutdown.rs
@@ -39,6 +39,11 @@
 /// it.
 const ACCEPT_ALL_DURATION: Duration = Duration::from_millis(2500);
 
+/// How long callers may begin further requests on an open connection. Most
+/// send their next request within this time; its response then announces the
+/// end of the connection.
+const LINGER: Duration = Duration::from_millis(1500);
+
 /// A graceful shutdown in progress.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Shutdown {
@@ -62,6 +67,14 @@
         now >= self.exits_at || idle
     }
 
+    /// Returns when a caller's connection is closed on which no whole request
+    /// has arrived since `since`. The answer before may have begun before the
+    /// shutdown, and could not announce the end of the connection.
+    #[must_use]
+    pub fn connection_deadline(&self, since: Instant) -> Instant {
+        since.max(self.started_at) + LINGER
+    }
+
     /// Returns whether a request with this deadline is accepted.
     #[must_use]
     pub fn accepts(&self, now: Instant, deadline: Instant) -> bool {
@@ -94,6 +107,19 @@
         assert!(shutdown.may_exit(at(7000), 1));
     }
 
+    /// Guards against connections that are closed as soon as an answer ends
+    /// late in a shutdown, and against idle ones that hold it up.
+    #[test]
+    fn connection_deadline_counts_from_answer() {
+        let started_at = Instant::now();
+        let shutdown = Shutdown::new(started_at, Duration::from_secs(8));
+        let at = |ms| started_at + Duration::from_millis(ms);
+        let long_idle = started_at.checked_sub(Duration::from_secs(9));
+        let closed_at = |since| shutdown.connection_deadline(since);
+        assert_eq!(closed_at(long_idle.unwrap()), at(1500));
+        assert_eq!(closed_at(at(4000)), at(5500));
+    }
+
     /// Guards against requests that are accepted after the time of the final
     /// responses because the grace period is short.
     #[test]
--- a/crates/briarladder-gateway/src/caller_progress.rs
+++ b/crates/briarladder-gateway/src/caller_progress.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use briarladder_core::fleet::config::CallerLimits;
+use briarladder_core::fleet::{config::CallerLimits, shutdown::Shutdown};
 use derive_more::Display;
 
 /// What a caller's connection is doing.
@@ -48,8 +48,17 @@
 pub struct ReceiveDeadline {
     /// The moment.
     pub at: Instant,
-    /// The limit that it follows from.
-    pub limit: Duration,
+    /// What it follows from.
+    pub limit: ReceiveLimit,
+}
+
+/// What bounds the time for a request to arrive.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReceiveLimit {
+    /// A limit of the configuration.
+    Configured(Duration),
+    /// A graceful shutdown.
+    Shutdown,
 }
 
 impl ConnectionProgress {
@@ -130,9 +139,13 @@
     /// Returns when the connection ends by the limits in force, unless more
     /// of a request arrives; `None` while a request is being served or its
     /// response is being written, which the kernel bounds. An idle connection
-    /// is kept for as long as its caller was told.
+    /// is kept for as long as its caller was told, unless the process stops.
     #[must_use]
-    pub fn deadline(&self, limits: &CallerLimits) -> Option<ReceiveDeadline> {
+    pub fn deadline(
+        &self,
+        limits: &CallerLimits,
+        shutdown: Option<Shutdown>,
+    ) -> Option<ReceiveDeadline> {
         if self.is_blocked.get() {
             return None;
         }
@@ -143,7 +156,19 @@
             Stage::Head => limits.header_timeout,
             Stage::Request => return None,
         };
-        Some(ReceiveDeadline { at: self.since.get() + limit, limit })
+        let since = self.since.get();
+        let at = since + limit;
+        let stop_at = shutdown.map(|stop| stop.connection_deadline(since));
+        match stop_at {
+            Some(stop_at) if stop_at < at => {
+                let limit = ReceiveLimit::Shutdown;
+                Some(ReceiveDeadline { at: stop_at, limit })
+            }
+            _ => {
+                let limit = ReceiveLimit::Configured(limit);
+                Some(ReceiveDeadline { at, limit })
+            }
+        }
     }
 
     /// Returns whether the last response was written, and no byte of the next
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     caller_memory::CallerConnection,
-    caller_progress::{ConnectionProgress, Stage},
+    caller_progress::{ConnectionProgress, ReceiveLimit, Stage},
     caller_stream::{self, CallerStream},
     connection_end::{self, ConnectionEnd},
     context::Gateway,
@@ -38,11 +38,6 @@
 /// clients.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// How long idle caller connections stay open after a graceful shutdown has
-/// started. Most callers send their next request within this time; its
-/// response then closes the connection.
-const SHUTDOWN_LINGER: Duration = Duration::from_millis(1500);
-
 /// The smallest head buffer that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8192;
 
@@ -209,31 +204,15 @@
                 max_head_bytes,
             ) => served,
             _ = stop.changed() => {
-                // The caller may have sent another request already. The
-                // response to it closes the connection.
-                let lingering = serve_in_time(
+                let _open = serving.then(|| UnannouncedEnd::new(gateway));
+                serve_in_time(
                     Pin::new(&mut connection),
                     gateway,
                     caller,
                     progress,
                     max_head_bytes,
-                );
-                let served =
-                    tokio::time::timeout(SHUTDOWN_LINGER, lingering).await;
-                if let Ok(served) = served {
-                    served
-                } else {
-                    let mut connection = Pin::new(&mut connection);
-                    connection.as_mut().graceful_shutdown();
-                    serve_in_time(
-                        connection,
-                        gateway,
-                        caller,
-                        progress,
-                        max_head_bytes,
-                    )
-                    .await
-                }
+                )
+                .await
             }
         };
         match served {
@@ -247,6 +226,25 @@
     }
 }
 
+/// A connection on which no answer has announced its end to the caller,
+/// although the process stops.
+struct UnannouncedEnd(Rc<Gateway>);
+
+impl UnannouncedEnd {
+    fn new(gateway: &Rc<Gateway>) -> UnannouncedEnd {
+        let count = &gateway.blackboard.unannounced_ends;
+        count.set(count.get() + 1);
+        UnannouncedEnd(Rc::clone(gateway))
+    }
+}
+
+impl Drop for UnannouncedEnd {
+    fn drop(&mut self) {
+        let count = &self.0.blackboard.unannounced_ends;
+        count.set(count.get() - 1);
+    }
+}
+
 /// Why a connection is no longer served with a limit of heads.
 enum Served {
     /// It ends.
@@ -290,15 +288,20 @@
             };
             return Poll::Ready(Served::Ended(end));
         }
-        let Some(deadline) = progress.deadline(&limits) else {
+        let Some(deadline) = progress.deadline(&limits, blackboard.shutdown())
+        else {
             return Poll::Pending;
         };
         if timer.deadline() != deadline.at.into() {
             timer.as_mut().reset(deadline.at.into());
         }
-        let limit = deadline.limit;
-        let timeout = || Served::Ended(ConnectionEnd::Timeout { limit });
-        timer.as_mut().poll(cx).map(|()| timeout())
+        let end = match deadline.limit {
+            ReceiveLimit::Configured(limit) => {
+                ConnectionEnd::Timeout { limit }
+            }
+            ReceiveLimit::Shutdown => ConnectionEnd::Stop,
+        };
+        timer.as_mut().poll(cx).map(|()| Served::Ended(end))
     })
     .await
 }
