--- a/crates/briarladder-gateway/src/blackboard.rs
+++ b/crates/briarladder-gateway/src/blackboard.rs
@@ -198,9 +198,9 @@
     /// Requests of which this daemon runs the stages, for itself or for other
     /// daemons; owner: the coordinator.
     pub open_stages: Cell<usize>,
-    /// Connections of callers that were open when a graceful shutdown started:
-    /// the callers may send further requests there; owner: the listener.
-    pub unannounced_ends: Cell<usize>,
+    /// Connections of callers that the process must not cut off although no
+    /// request is in progress there; owner: the listener.
+    pub awaited_connections: Cell<usize>,
 }
 
 impl Blackboard {
@@ -262,7 +262,7 @@
             shutdown_started: Notify::new(),
             open_requests: Cell::new(0),
             open_stages: Cell::new(0),
-            unannounced_ends: Cell::new(0),
+            awaited_connections: Cell::new(0),
         })
     }
 
--- a/crates/briarladder-gateway/src/listener.rs
+++ b/crates/briarladder-gateway/src/listener.rs
@@ -134,6 +134,7 @@
             return connection_end::report(&gateway, &progress, &end);
         }
         connection.set_activity(Activity::Closing);
+        let _awaited = AwaitedConnection::new(&gateway);
         let mut discarded = caller_stream::discard_rest(&stream).await;
         // hyper has read a part of the rest of the body.
         discarded.bytes += progress.received_bytes();
@@ -204,7 +205,7 @@
                 max_head_bytes,
             ) => served,
             _ = stop.changed() => {
-                let _open = serving.then(|| UnannouncedEnd::new(gateway));
+                let _awaited = serving.then(|| AwaitedConnection::new(gateway));
                 serve_in_time(
                     Pin::new(&mut connection),
                     gateway,
@@ -226,21 +227,21 @@
     }
 }
 
-/// A connection on which no answer has announced its end to the caller,
-/// although the process stops.
-struct UnannouncedEnd(Rc<Gateway>);
+/// A connection that the process must not cut off by its exit: no answer has
+/// announced its end to the caller, or the caller still sends a body.
+struct AwaitedConnection(Rc<Gateway>);
 
-impl UnannouncedEnd {
-    fn new(gateway: &Rc<Gateway>) -> UnannouncedEnd {
-        let count = &gateway.blackboard.unannounced_ends;
+impl AwaitedConnection {
+    fn new(gateway: &Rc<Gateway>) -> AwaitedConnection {
+        let count = &gateway.blackboard.awaited_connections;
         count.set(count.get() + 1);
-        UnannouncedEnd(Rc::clone(gateway))
+        AwaitedConnection(Rc::clone(gateway))
     }
 }
 
-impl Drop for UnannouncedEnd {
+impl Drop for AwaitedConnection {
     fn drop(&mut self) {
-        let count = &self.0.blackboard.unannounced_ends;
+        let count = &self.0.blackboard.awaited_connections;
         count.set(count.get() - 1);
     }
 }
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -197,8 +197,8 @@
 
 /// Starts a graceful shutdown and waits, at most until its deadline, for the
 /// requests in progress, until their responses are written, for connections on
-/// which callers may send another request, and for the relayed connections,
-/// which carry requests of other daemons.
+/// which callers may send another request or the rest of one, and for the
+/// relayed connections, which carry requests of other daemons.
 async fn shut_down(
     gateway: &Rc<Gateway>,
     settings: &GatewaySettings,
@@ -220,7 +220,7 @@
         // A response may be handed over and not yet written.
         blackboard.open_requests.get()
             + blackboard.open_stages.get()
-            + blackboard.unannounced_ends.get()
+            + blackboard.awaited_connections.get()
             + gateway.caller_memory.blocked_connections()
             + gateway.relay_server.open_connections()
     };
