--- a/crates/briarladder-core/src/fleet/server_paths/mod.rs
+++ b/crates/briarladder-core/src/fleet/server_paths/mod.rs
@@ -30,6 +30,7 @@
 //! # Ok::<(), std::net::AddrParseError>(())
 //! ```
 
+mod relay_limit;
 mod relays;
 
 use std::{
@@ -42,7 +43,10 @@
 
 use super::server::{ListedServer, ServerState, Servers};
 
-pub use relays::{RelayDecline, RelayTable};
+pub use {
+    relay_limit::max_relayed_connections,
+    relays::{RelayDecline, RelayTable},
+};
 
 /// Servers that can't be reached before a daemon may count as cut off.
 const MIN_FAILED_SERVERS: usize = 3;
--- a/crates/briarladder-core/src/fleet/server_paths/tests.rs
+++ b/crates/briarladder-core/src/fleet/server_paths/tests.rs
@@ -169,6 +169,26 @@
     assert_eq!(relays.open_count("a-1"), counts[0] - 1);
 }
 
+/// Guards against relayed connections that fill the memory of a small machine,
+/// and against one that relays none.
+#[test]
+fn max_relayed_connections_by_memory() {
+    const MB: u64 = 1_000_000;
+    let cases = [
+        (Some(0), 16),
+        (Some(40 * MB), 16),
+        (Some(64 * MB), 29),
+        (Some(160 * MB), 146),
+        (Some(260 * MB), 256),
+        (Some(4000 * MB), 256),
+        (None, 256),
+    ];
+    for (memory_bytes, expected) in cases {
+        let connections = max_relayed_connections(memory_bytes);
+        assert_eq!(connections, expected, "{memory_bytes:?}");
+    }
+}
+
 /// Guards against a daemon that is asked although it has just declined.
 #[test]
 fn choose_skips_declined() {
--- a/crates/briarladder-gateway/src/process.rs
+++ b/crates/briarladder-gateway/src/process.rs
@@ -6,7 +6,8 @@
 use briarladder_core::{
     clock::SharedClock,
     fleet::{
-        caller_memory::CallerMemoryLimits, peers::Member, shutdown::Shutdown,
+        caller_memory::CallerMemoryLimits, peers::Member,
+        server_paths::max_relayed_connections, shutdown::Shutdown,
     },
 };
 use tokio::{
@@ -120,11 +121,12 @@
     let batcher = Batcher::new(&blackboard, &dialect, &servers, &metrics);
     let caller_memory =
         CallerMemory::new(Arc::clone(clock), caller_memory_limits(settings));
+    let max_relayed = max_relayed_connections(settings.memory_bytes);
     Rc::new(Gateway {
         dialect,
         caller_memory,
         peers: PeerClient::new(&pool),
-        relay_server: RelayServer::new(&blackboard, &metrics),
+        relay_server: RelayServer::new(&blackboard, &metrics, max_relayed),
         watchdog: Watchdog::default(),
         pool,
         servers,
--- a/crates/briarladder-gateway/src/relay/server.rs
+++ b/crates/briarladder-gateway/src/relay/server.rs
@@ -25,10 +25,6 @@
     RELAY_PROTOCOL, RelayRefusal, RelayRequest, forwarding::Forwarding,
 };
 
-/// Connections that a daemon relays at once. Each one takes two descriptors
-/// and at most 32 KiB, so all of them take 8 MiB.
-pub const MAX_RELAYED_CONNECTIONS: usize = 256;
-
 /// The longest request for a connection, which names a server.
 const MAX_REQUEST_BYTES: usize = 4096;
 
@@ -38,6 +34,7 @@
     metrics: Rc<Metrics>,
     send_queues: Rc<SendQueues>,
     open_connections: Cell<usize>,
+    max_connections: usize,
     reaches_servers: Cell<bool>,
 }
 
@@ -66,17 +63,20 @@
 }
 
 impl RelayServer {
-    /// Creates the state of a daemon that relays no connections yet.
+    /// Creates the state of a daemon that relays no connections yet, and at
+    /// most `max_connections` at once.
     #[must_use]
     pub fn new(
         blackboard: &Rc<Blackboard>,
         metrics: &Rc<Metrics>,
+        max_connections: usize,
     ) -> Rc<RelayServer> {
         Rc::new(RelayServer {
             blackboard: Rc::clone(blackboard),
             metrics: Rc::clone(metrics),
             send_queues: Rc::default(),
             open_connections: Cell::new(0),
+            max_connections,
             reaches_servers: Cell::new(true),
         })
     }
@@ -165,7 +165,7 @@
     }
 
     pub(super) fn take_place(self: &Rc<Self>) -> Option<Place> {
-        if self.open_connections.get() >= MAX_RELAYED_CONNECTIONS {
+        if self.open_connections.get() >= self.max_connections {
             return None;
         }
         self.count_open(|open| open + 1);
--- a/crates/briarladder-gateway/src/relay/test_support.rs
+++ b/crates/briarladder-gateway/src/relay/test_support.rs
@@ -22,6 +22,9 @@
 /// The receive buffer of the server.
 pub(crate) const WINDOW_BYTES: u32 = 16 * 1024;
 
+/// The connections that the daemon relays at once.
+pub(crate) const MAX_RELAYED_CONNECTIONS: usize = 256;
+
 /// Time to open a connection.
 pub(crate) const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -48,7 +51,11 @@
         let listed = server.local_addr().unwrap();
         let listed = ListedServer::new(SERVER, "plans", listed);
         blackboard.servers.borrow_mut().insert(listed);
-        let relay = RelayServer::new(&blackboard, &Rc::default());
+        let relay = RelayServer::new(
+            &blackboard,
+            &Rc::default(),
+            MAX_RELAYED_CONNECTIONS,
+        );
         let peers = TcpListener::bind(local_address()).await.unwrap();
         let address = peers.local_addr().unwrap();
         spawn_local(accept(peers, Rc::clone(&relay)));
--- a/crates/briarladder-gateway/src/relay/tests.rs
+++ b/crates/briarladder-gateway/src/relay/tests.rs
@@ -19,9 +19,9 @@
 
 use super::{
     client::{self, RelayError},
-    server::MAX_RELAYED_CONNECTIONS,
     test_support::{
-        OPEN_TIMEOUT, RelayingDaemon, SERVER, WINDOW_BYTES, local_address, run,
+        MAX_RELAYED_CONNECTIONS, OPEN_TIMEOUT, RelayingDaemon, SERVER,
+        WINDOW_BYTES, local_address, run,
     },
     *,
 };
