--- a/crates/briarladder-core/src/fleet/server_paths/relays.rs
+++ b/crates/briarladder-core/src/fleet/server_paths/relays.rs
@@ -12,11 +12,15 @@
 /// How many more relayed connections than another daemon one of the same zone
 /// has before the other is preferred, so that the few daemons of a zone that
 /// still reach servers don't carry all of its load.
-const SAME_ZONE_ADVANTAGE: usize = 16;
+pub(super) const SAME_ZONE_ADVANTAGE: usize = 16;
 
 /// The same for a daemon of the same region against one of another region.
 const SAME_REGION_ADVANTAGE: usize = 8;
 
+/// How long a daemon counts with the connections that it relayed for others
+/// when it last opened one.
+const LOAD_RETENTION: Duration = Duration::from_secs(1);
+
 /// Why a daemon did not open a connection for this one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RelayDecline {
@@ -39,6 +43,13 @@
     }
 }
 
+/// The connections that a daemon relays for others than this one.
+#[derive(Clone, Copy, Debug)]
+struct OtherLoad {
+    connections: usize,
+    reported_at: Instant,
+}
+
 /// The daemons that open connections to servers for this one.
 #[derive(Clone, Debug, Default)]
 pub struct RelayTable {
@@ -46,11 +57,12 @@
     declined_until: SortedMap<Arc<str>, Instant>,
     /// Open relayed connections by daemon.
     open: SortedMap<Arc<str>, usize>,
+    other_loads: SortedMap<Arc<str>, OtherLoad>,
 }
 
 impl RelayTable {
-    /// Chooses the daemon to ask: one with few relayed connections of this
-    /// daemon, near ones first. `random` distributes requests among equals.
+    /// Chooses the daemon to ask: one with few relayed connections, of this
+    /// daemon and as far as known of others, near ones first. `random` distributes requests among equals.
     #[must_use]
     pub fn choose<'a>(
         &self,
@@ -73,7 +85,9 @@
                 }
                 Distance::OtherRegion => SAME_ZONE_ADVANTAGE,
             };
-            self.open_count(&member.name) + penalty
+            self.open_count(&member.name)
+                + self.other_connections(now, &member.name)
+                + penalty
         };
         let len = u64::try_from(usable.len()).unwrap_or(u64::MAX).max(1);
         let first = usize::try_from(random % len).unwrap_or(0);
@@ -85,9 +99,28 @@
         self.open.get(name).copied().unwrap_or(0)
     }
 
-    /// Records that a daemon has opened a connection for this one.
-    pub fn record_opened(&mut self, name: &Arc<str>) {
-        *self.open.get_or_insert_with(Arc::clone(name), || 0) += 1;
+    fn other_connections(&self, now: Instant, name: &str) -> usize {
+        let load = self.other_loads.get(name).filter(|load| {
+            now.duration_since(load.reported_at) < LOAD_RETENTION
+        });
+        load.map_or(0, |load| load.connections)
+    }
+
+    /// Records that a daemon has opened a connection for this one, and how
+    /// many it relays now for all daemons, if it has told.
+    pub fn record_opened(
+        &mut self,
+        now: Instant,
+        name: &Arc<str>,
+        relayed_connections: Option<usize>,
+    ) {
+        let open = self.open.get_or_insert_with(Arc::clone(name), || 0);
+        *open += 1;
+        if let Some(relayed) = relayed_connections {
+            let connections = relayed.saturating_sub(*open);
+            let load = OtherLoad { connections, reported_at: now };
+            self.other_loads.insert(Arc::clone(name), load);
+        }
     }
 
     /// Records that a relayed connection has ended.
--- a/crates/briarladder-core/src/fleet/server_paths/tests.rs
+++ b/crates/briarladder-core/src/fleet/server_paths/tests.rs
@@ -2,6 +2,7 @@
 
 use super::{
     super::{peers::Member, placement::Distance},
+    relays::SAME_ZONE_ADVANTAGE,
     *,
 };
 
@@ -159,7 +160,7 @@
         if number < 16 {
             assert_eq!(&*chosen, "a-1");
         }
-        relays.record_opened(&chosen);
+        relays.record_opened(now, &chosen, None);
     }
     let counts = ["a-1", "b-1", "b-2"].map(|name| relays.open_count(name));
     assert!((29..=32).contains(&counts[0]), "{counts:?}");
@@ -169,6 +170,39 @@
     assert_eq!(relays.open_count("a-1"), counts[0] - 1);
 }
 
+/// Guards against the last daemon of a zone that reaches servers, which carries
+/// the connections of all others of the zone since each counts only its own.
+#[test]
+fn choose_counts_connections_of_others() {
+    let now = Instant::now();
+    let members = [member("a-4", "a"), member("b-1", "b"), member("c-1", "c")];
+    let distance = |member: &Member| match &*member.zone {
+        "a" => Distance::SameZone,
+        _ => Distance::OtherRegion,
+    };
+    let names = ["a-4", "b-1", "c-1"];
+    let mut asking = vec![RelayTable::default(); 3];
+    let count = |asking: &[RelayTable], name: &str| {
+        asking.iter().map(|relays| relays.open_count(name)).sum::<usize>()
+    };
+    for number in 0..16 {
+        for index in 0..asking.len() {
+            let relays = &asking[index];
+            let chosen = relays.choose(now, members.iter(), distance, number);
+            let chosen = Arc::clone(&chosen.unwrap().name);
+            let relayed = count(&asking, &chosen) + 1;
+            asking[index].record_opened(now, &chosen, Some(relayed));
+        }
+    }
+    let counts = names.map(|name| count(&asking, name));
+    assert_eq!(counts.iter().sum::<usize>(), 48);
+    // The near one has the advantage once, not once for each asking daemon.
+    assert!(counts[0] <= counts[1] + SAME_ZONE_ADVANTAGE + 3, "{counts:?}");
+    let later = now + Duration::from_secs(1);
+    let chosen = asking[0].choose(later, members.iter(), distance, 0);
+    assert_eq!(&*chosen.unwrap().name, "a-4");
+}
+
 /// Guards against relayed connections that fill the memory of a small machine,
 /// and against one that relays none.
 #[test]
--- a/crates/briarladder-gateway/src/relay/client.rs
+++ b/crates/briarladder-gateway/src/relay/client.rs
@@ -18,7 +18,8 @@
 use crate::{bounded_body::read_body, fair_stream::FairStream, net};
 
 use super::{
-    RELAY_PATH, RELAY_PROTOCOL, RelayRefusal, RelayRequest, RelayedStream,
+    RELAY_PATH, RELAY_PROTOCOL, RELAYED_CONNECTIONS_HEADER, RelayRefusal,
+    RelayRequest, RelayedStream,
 };
 
 /// The longest head of an answer. The smallest limit that hyper accepts.
@@ -123,12 +124,16 @@
 async fn take_over(
     response: Response<Incoming>,
 ) -> Result<RelayedStream, RelayError> {
+    let relayed_connections = response
+        .headers()
+        .get(RELAYED_CONNECTIONS_HEADER)
+        .and_then(|value| value.to_str().ok()?.parse().ok());
     let upgraded = upgrade::on(response).await?;
     let parts = upgraded.downcast::<TokioIo<FairStream<TcpStream>>>();
     // OK because the handshake was made with this type.
     let parts = parts.expect("the connection is a socket");
     let stream = parts.io.into_inner().into_inner();
-    Ok(RelayedStream::new(stream, parts.read_buf))
+    Ok(RelayedStream::new(stream, parts.read_buf, relayed_connections))
 }
 
 async fn read_refusal(response: Response<Incoming>) -> RelayError {
--- a/crates/briarladder-gateway/src/relay/mod.rs
+++ b/crates/briarladder-gateway/src/relay/mod.rs
@@ -28,6 +28,10 @@
 /// The protocol that the connection of such a request changes to.
 const RELAY_PROTOCOL: &str = "briarladder-relay";
 
+/// The header of an answer that tells how many connections a daemon relays,
+/// with the one that it has opened.
+const RELAYED_CONNECTIONS_HEADER: &str = "relayed-connections";
+
 /// Asks for a connection to a server.
 #[derive(Debug, Deserialize, Serialize)]
 struct RelayRequest {
--- a/crates/briarladder-gateway/src/relay/server.rs
+++ b/crates/briarladder-gateway/src/relay/server.rs
@@ -22,7 +22,8 @@
 };
 
 use super::{
-    RELAY_PROTOCOL, RelayRefusal, RelayRequest, forwarding::Forwarding,
+    RELAY_PROTOCOL, RELAYED_CONNECTIONS_HEADER, RelayRefusal, RelayRequest,
+    forwarding::Forwarding,
 };
 
 /// The longest request for a connection, which names a server.
@@ -112,7 +113,7 @@
             Ok(connection) => {
                 let forwarding = Rc::clone(self).forward(upgrade, connection);
                 tokio::task::spawn_local(forwarding);
-                switching_protocols()
+                switching_protocols(self.open_connections())
             }
             Err(refusal) => {
                 self.count(refusal.to_string());
@@ -219,13 +220,15 @@
     }
 }
 
-fn switching_protocols() -> Response<Full<Bytes>> {
+fn switching_protocols(relayed_connections: usize) -> Response<Full<Bytes>> {
     let mut response = empty(StatusCode::SWITCHING_PROTOCOLS);
     let headers = response.headers_mut();
     let upgrade = header::HeaderValue::from_static("upgrade");
     headers.insert(header::CONNECTION, upgrade);
     let protocol = header::HeaderValue::from_static(RELAY_PROTOCOL);
     headers.insert(header::UPGRADE, protocol);
+    let relayed_connections = header::HeaderValue::from(relayed_connections);
+    headers.insert(RELAYED_CONNECTIONS_HEADER, relayed_connections);
     response
 }
 
--- a/crates/briarladder-gateway/src/relay/stream.rs
+++ b/crates/briarladder-gateway/src/relay/stream.rs
@@ -21,19 +21,32 @@
     peer: PeerStream,
     decoder: FrameDecoder,
     written_bytes: u64,
+    relayed_connections: Option<usize>,
 }
 
 impl RelayedStream {
-    /// Creates the stream from the connection to the other daemon and the
-    /// bytes that were read from it already.
-    pub(super) fn new(inner: TcpStream, read_ahead: Bytes) -> RelayedStream {
+    /// Creates the stream from the connection to the other daemon, the bytes
+    /// that were read from it already, and how many connections it relays.
+    pub(super) fn new(
+        inner: TcpStream,
+        read_ahead: Bytes,
+        relayed_connections: Option<usize>,
+    ) -> RelayedStream {
         RelayedStream {
             peer: PeerStream { inner, read_ahead },
             decoder: FrameDecoder::default(),
             written_bytes: 0,
+            relayed_connections,
         }
     }
 
+    /// Returns how many connections the other daemon relayed when it opened
+    /// this one, which counts too, or `None` if it didn't tell.
+    #[must_use]
+    pub fn relayed_connections(&self) -> Option<usize> {
+        self.relayed_connections
+    }
+
     /// Returns how many of the bytes that were written the server's kernel had
     /// not received when the server ended the connection, or `None` if that
     /// isn't known. The bytes that were on their way to the other daemon, or
--- a/crates/briarladder-gateway/src/relay/tests.rs
+++ b/crates/briarladder-gateway/src/relay/tests.rs
@@ -267,8 +267,9 @@
     peer
 }
 
-/// Guards against a daemon that relays without bound, and against places that
-/// are not free again after a connection.
+/// Guards against a daemon that relays without bound or doesn't tell how many
+/// connections it relays, and against places that are not free again after a
+/// connection.
 #[tokio::test]
 async fn open_full() {
     run(async {
@@ -277,6 +278,8 @@
             .map(|_| daemon.relay.take_place().unwrap())
             .collect();
         let (relayed, server) = daemon.open().await;
+        let relayed_connections = relayed.relayed_connections();
+        assert_eq!(relayed_connections, Some(MAX_RELAYED_CONNECTIONS));
         let full = RelayError::Refused(RelayRefusal::Full);
         assert_eq!(refusal(&daemon, SERVER).await, full);
         drop((relayed, server));
--- a/crates/briarladder-gateway/src/server_client.rs
+++ b/crates/briarladder-gateway/src/server_client.rs
@@ -433,10 +433,14 @@
             let (decline, label) = match opened {
                 Ok(stream) => {
                     self.count("opened");
-                    self.relays.borrow_mut().record_opened(&daemon);
+                    let now = self.blackboard.now();
+                    self.relays.borrow_mut().record_opened(
+                        now,
+                        &daemon,
+                        stream.relayed_connections(),
+                    );
                     let relays = Rc::clone(&self.relays);
                     let guard = RelayGuard { relays, daemon, zone };
-                    let now = self.blackboard.now();
                     let mut paths = self.blackboard.server_paths.borrow_mut();
                     paths.record_relayed(now, server);
                     return Relayed::Opened(stream, guard);
