--- a/crates/briarladder-gateway/src/request/mod.rs
+++ b/crates/briarladder-gateway/src/request/mod.rs
@@ -161,12 +161,7 @@
         let refused = Refusal::MemoryUsedUp.into();
         return refuse(record, refused, Some(&accepted));
     };
-    let restriction = restrict_to_origin(gateway, &mut accepted);
-    let restricted = tokio::select! {
-        restricted = timeout_at(head_deadline, restriction) => restricted
-            .unwrap_or(Err(Refusal::TimeoutBeforeSend)),
-        () = blackboard.wait_for_final_responses() => Err(Refusal::Stopping),
-    };
+    let restricted = restrict_in_time(gateway, &mut accepted).await;
     if let Err(refusal) = restricted {
         return refuse(record, refusal.into(), Some(&accepted));
     }
@@ -221,6 +216,23 @@
     }
 }
 
+/// Restricts a request that takes up a stream to the version that began it,
+/// by the deadline of its response head.
+async fn restrict_in_time(
+    gateway: &Rc<Gateway>,
+    accepted: &mut AcceptedRequest,
+) -> Result<(), Refusal> {
+    let head_deadline = accepted.head_deadline.into();
+    let restriction = restrict_to_origin(gateway, accepted);
+    tokio::select! {
+        restricted = timeout_at(head_deadline, restriction) => restricted
+            .unwrap_or(Err(Refusal::TimeoutBeforeSend)),
+        () = gateway.blackboard.wait_for_final_responses() => {
+            Err(Refusal::Stopping)
+        }
+    }
+}
+
 /// A request that is refused before its body is read.
 struct RefusedHead {
     refused: RequestRefusal,
