--- a/crates/briarladder-core/src/fleet/caller_memory.rs
+++ b/crates/briarladder-core/src/fleet/caller_memory.rs
@@ -3,8 +3,8 @@
 //! All bytes that the process holds for callers count against one budget: the
 //! bodies of requests until the last copy is dropped, replies that are held
 //! whole, a fixed amount for each connection, and what a request takes to run.
-//! Bytes count when room for them is allocated, so that an announced length that
-//! never comes costs nothing.
+//! Bytes count when room for them is allocated, so that an announced length
+//! that never comes costs nothing.
 //!
 //! When the budget is used up, callers that make no progress are turned away
 //! first, the one that has made none for the longest time before the others. A
--- a/crates/briarladder-core/src/fleet/server_paths/relays.rs
+++ b/crates/briarladder-core/src/fleet/server_paths/relays.rs
@@ -62,7 +62,8 @@
 
 impl RelayTable {
     /// Chooses the daemon to ask: one with few relayed connections, of this
-    /// daemon and as far as known of others, near ones first. `random` distributes requests among equals.
+    /// daemon and as far as known of others, near ones first. `random`
+    /// distributes requests among equals.
     #[must_use]
     pub fn choose<'a>(
         &self,
@@ -85,9 +86,9 @@
                 }
                 Distance::OtherRegion => SAME_ZONE_ADVANTAGE,
             };
-            self.open_count(&member.name)
-                + self.other_connections(now, &member.name)
-                + penalty
+            // Another daemon may tell any number.
+            self.other_connections(now, &member.name)
+                .saturating_add(self.open_count(&member.name) + penalty)
         };
         let len = u64::try_from(usable.len()).unwrap_or(u64::MAX).max(1);
         let first = usize::try_from(random % len).unwrap_or(0);
--- a/crates/briarladder-core/src/fleet/server_paths/tests.rs
+++ b/crates/briarladder-core/src/fleet/server_paths/tests.rs
@@ -203,6 +203,25 @@
     assert_eq!(&*chosen.unwrap().name, "a-4");
 }
 
+/// Guards against a daemon that fails because another one tells a number that
+/// can't be.
+#[test]
+fn choose_tolerates_any_number() {
+    let now = Instant::now();
+    let members = [member("a-4", "a"), member("b-1", "b")];
+    let distance = |member: &Member| match &*member.zone {
+        "a" => Distance::SameZone,
+        _ => Distance::OtherRegion,
+    };
+    let mut relays = RelayTable::default();
+    relays.record_opened(now, &members[0].name, Some(usize::MAX));
+    relays.record_opened(now, &members[0].name, Some(usize::MAX));
+    let chosen = relays.choose(now, members.iter(), distance, 0);
+    assert_eq!(&*chosen.unwrap().name, "b-1");
+    relays.record_opened(now, &members[1].name, Some(usize::MAX));
+    assert!(relays.choose(now, members.iter(), distance, 0).is_some());
+}
+
 /// Guards against relayed connections that fill the memory of a small machine,
 /// and against one that relays none.
 #[test]
